--- /dev/null
+++ b/packages/core/src/lib/fleet/FleetPatch.ts
@@ -0,0 +1,20 @@
+import type { AvailabilityZoneId } from '../ids/AvailabilityZoneId.js'
+import type { BackendServer } from './BackendServer.js'
+import type { Pool } from './Pool.js'
+import type { Queue } from './Queue.js'
+import type { TablePatch } from './TablePatch.js'
+import type { Team } from './Team.js'
+
+/**
+ * The difference between the fleet document in force and the one that replaces it.
+ *
+ * @public
+ */
+export interface FleetPatch {
+	readonly name: string
+	readonly availabilityZones: readonly AvailabilityZoneId[]
+	readonly pools: TablePatch<Pool>
+	readonly queues: TablePatch<Queue>
+	readonly teams: TablePatch<Team>
+	readonly backendServers: TablePatch<BackendServer>
+}
--- /dev/null
+++ b/packages/core/src/lib/ids/AvailabilityZoneId.ts
@@ -0,0 +1,6 @@
+/**
+ * Name of an availability zone.
+ *
+ * @public
+ */
+export type AvailabilityZoneId = string & { readonly __id?: 'availability-zone' }
--- /dev/null
+++ b/packages/core/src/lib/ids/PoolId.ts
@@ -0,0 +1,6 @@
+/**
+ * Name of a pool of backend servers.
+ *
+ * @public
+ */
+export type PoolId = string & { readonly __id?: 'pool' }
--- /dev/null
+++ b/packages/core/src/lib/log/DrainProposal.ts
@@ -0,0 +1,15 @@
+import type { BackendServerId } from '../ids/BackendServerId.js'
+import type { ProposalId } from '../ids/ProposalId.js'
+
+/**
+ * Takes a backend server out of service for new work, or puts it back.
+ *
+ * @public
+ */
+export interface DrainProposal {
+	readonly kind: 'drain'
+	readonly id: ProposalId
+	readonly backendServer: BackendServerId
+	readonly draining: boolean
+	readonly operator: string
+}
--- /dev/null
+++ b/packages/core/src/lib/log/HealthProposal.ts
@@ -0,0 +1,16 @@
+import type { BackendServerId } from '../ids/BackendServerId.js'
+import type { InstanceId } from '../ids/InstanceId.js'
+import type { ProposalId } from '../ids/ProposalId.js'
+
+/**
+ * Reports backend servers whose health changed, as seen by one entry instance.
+ *
+ * @public
+ */
+export interface HealthProposal {
+	readonly kind: 'health'
+	readonly id: ProposalId
+	readonly instance: InstanceId
+	readonly failed: readonly BackendServerId[]
+	readonly healthy: readonly BackendServerId[]
+}
--- /dev/null
+++ b/packages/core/src/lib/log/SnapshotProposal.ts
@@ -0,0 +1,16 @@
+import type { ProposalId } from '../ids/ProposalId.js'
+
+/**
+ * Carries a part of the state folded up to `through`, so that a new daemon need not read what the log no longer keeps.
+ *
+ * @public
+ */
+export interface SnapshotProposal {
+	readonly kind: 'snapshot'
+	readonly id: ProposalId
+	/** Last offset folded into the snapshot. */
+	readonly through: number
+	readonly part: number
+	readonly parts: number
+	readonly body: string
+}
--- /dev/null
+++ b/packages/core/src/lib/log/WithdrawKeyProposal.ts
@@ -0,0 +1,14 @@
+import type { KeyId } from '../ids/KeyId.js'
+import type { ProposalId } from '../ids/ProposalId.js'
+
+/**
+ * Withdraws a caller key for good.
+ *
+ * @public
+ */
+export interface WithdrawKeyProposal {
+	readonly kind: 'withdraw-key'
+	readonly id: ProposalId
+	readonly key: KeyId
+	readonly operator: string
+}
--- /dev/null
+++ b/packages/core/src/lib/state/Member.ts
@@ -0,0 +1,20 @@
+import type { AvailabilityZoneId } from '../ids/AvailabilityZoneId.js'
+import type { InstanceId } from '../ids/InstanceId.js'
+import type { TeamId } from '../ids/TeamId.js'
+import type { Milliseconds } from '../time/Milliseconds.js'
+
+/**
+ * An entry instance that joined.
+ *
+ * @public
+ */
+export interface Member {
+	readonly instance: InstanceId
+	readonly availabilityZone: AvailabilityZoneId
+	/** `host:port` of its peer port. */
+	readonly peerAddress: string
+	/** Platform clock of its last join or heartbeat. */
+	readonly renewedAt: Milliseconds
+	/** Allowance that it holds by team; no row stands for 0. */
+	readonly allowances: ReadonlyMap<TeamId, number>
+}
--- /dev/null
+++ b/packages/core/src/lib/time/Subscription.ts
@@ -0,0 +1,8 @@
+/**
+ * A running subscription; `cancel` is idempotent.
+ *
+ * @public
+ */
+export interface Subscription {
+	cancel(): void
+}
--- /dev/null
+++ b/packages/core/src/lib/time/VirtualTimerService.ts
@@ -0,0 +1,75 @@
+import type { Milliseconds } from './Milliseconds.js'
+import type { Subscription } from './Subscription.js'
+import { TimerService } from './TimerService.js'
+
+interface Timer {
+	readonly order: number
+	readonly listener: () => void
+	readonly interval: Milliseconds | undefined
+	due: Milliseconds
+}
+
+/**
+ * Timer service whose clock moves only by `advance`, for tests and the bench.
+ * Timers due at the same instant run in the order they were made.
+ *
+ * @public
+ */
+export class VirtualTimerService extends TimerService {
+	private current: Milliseconds = 0
+	private made = 0
+	private readonly timers = new Set<Timer>()
+
+	override now(): Milliseconds {
+		return this.current
+	}
+
+	override after(delay: Milliseconds, listener: () => void): Subscription {
+		return this.add(Math.max(0, delay), undefined, listener)
+	}
+
+	override every(interval: Milliseconds, listener: () => void): Subscription {
+		return this.add(interval, interval, listener)
+	}
+
+	/** Runs every timer due within the next `duration` milliseconds and moves the clock. */
+	advance(duration: Milliseconds): void {
+		const end = this.current + duration
+		for (let timer = this.nextDue(end); timer; timer = this.nextDue(end)) {
+			this.current = timer.due
+			this.run(timer)
+		}
+		this.current = end
+	}
+
+	private add(
+		delay: Milliseconds,
+		interval: Milliseconds | undefined,
+		listener: () => void
+	): Subscription {
+		const timer: Timer = { order: this.made++, listener, interval, due: this.current + delay }
+		this.timers.add(timer)
+		return {
+			cancel: () => {
+				this.timers.delete(timer)
+			},
+		}
+	}
+
+	private nextDue(end: Milliseconds): Timer | undefined {
+		let next: Timer | undefined
+		for (const timer of this.timers) {
+			if (timer.due > end) continue
+			if (!next || timer.due < next.due || (timer.due === next.due && timer.order < next.order)) {
+				next = timer
+			}
+		}
+		return next
+	}
+
+	private run(timer: Timer): void {
+		if (timer.interval === undefined) this.timers.delete(timer)
+		else timer.due += timer.interval
+		timer.listener()
+	}
+}
--- /dev/null
+++ b/packages/protocol/src/index.ts
@@ -0,0 +1,1 @@
+export * from './generated/peer.js'
--- /dev/null
+++ b/vitest.config.ts
@@ -0,0 +1,17 @@
+import { defineConfig } from 'vitest/config'
+
+export default defineConfig({
+	ssr: { resolve: { conditions: ['source'] } },
+	resolve: { conditions: ['source'] },
+	test: {
+		include: [
+			'packages/*/src/**/*.test.ts',
+			'spec/src/**/*.test.ts',
+			'bench/src/**/*.test.ts',
+			'tests/**/*.test.ts',
+		],
+		exclude: ['**/node_modules/**', '**/dist/**', '**/*.failure.test.ts'],
+		testTimeout: 30_000,
+		maxWorkers: 4,
+	},
+})
--- /dev/null
+++ b/vitest.failures.config.ts
@@ -0,0 +1,16 @@
+import { defineConfig } from 'vitest/config'
+
+export default defineConfig({
+	ssr: { resolve: { conditions: ['source'] } },
+	resolve: { conditions: ['source'] },
+	test: {
+		include: [
+			'packages/*/src/**/*.failure.test.ts',
+			'tests/**/*.failure.test.ts',
+			'spec/src/**/*.test.ts',
+		],
+		passWithNoTests: true,
+		testTimeout: 120_000,
+		maxWorkers: 4,
+	},
+})
