Add the fold over the log with a registry of proposal handlers

Cause: every part needs one place where proposals are accepted or rejected. Entries at or before the current offset are passed over, a gap is an assertion, a repeated id gets its first decision. Conclusion: handlers are registered by kind and stay pure; none are there yet.

--- /dev/null
+++ b/packages/core/src/lib/fold/Fold.ts
@@ -0,0 +1,63 @@
+import type { ProposalId } from '../ids/ProposalId.js'
+import type { LogEntry } from '../log/LogEntry.js'
+import type { Proposal } from '../log/Proposal.js'
+import type { Decision } from '../state/Decision.js'
+import type { FleetState } from '../state/FleetState.js'
+import { assert } from '../assert.js'
+import { createFleetState } from '../state/createFleetState.js'
+import { proposalHandlers } from './proposalHandlers.js'
+import type { ProposalHandler } from './ProposalHandler.js'
+
+/** Decisions kept to answer for repeated proposals. */
+const MAXIMUM_DECISIONS = 4096
+
+/**
+ * Folds log entries into the fleet state. Pure: it reads no clock and does no I/O, so that every
+ * daemon that folds the same entries has the same state.
+ *
+ * @example
+ * ```ts
+ * const fold = new Fold()
+ * const decision = fold.take(entry)
+ * ```
+ *
+ * @public
+ */
+export class Fold {
+	private readonly handlers = new Map<Proposal['kind'], ProposalHandler>()
+
+	/** @param state - the state to go on from; by default the one before the first entry */
+	constructor(readonly state: FleetState = createFleetState()) {
+		for (const handler of proposalHandlers) this.handlers.set(handler.kind, handler)
+	}
+
+	/** Folds the next entry. Entries at or before the current offset are passed over. */
+	take(entry: LogEntry): Decision | undefined {
+		if (entry.offset <= this.state.offset) return undefined
+		assert(entry.offset === this.state.offset + 1, 'log entries are folded without a gap')
+		this.state.offset = entry.offset
+		this.state.at = Math.max(this.state.at, entry.at)
+		const known = this.state.decisions.get(entry.proposal.id)
+		if (known) return known
+		const decision = this.decide(entry)
+		this.remember(entry.proposal.id, decision)
+		return decision
+	}
+
+	private decide(entry: LogEntry): Decision {
+		const { offset, proposal } = entry
+		const handler = this.handlers.get(proposal.kind)
+		if (!handler) return { type: 'rejected', offset, reason: `unknown kind ${proposal.kind}` }
+		const reason = handler.check(this.state, proposal, entry)
+		if (reason !== undefined) return { type: 'rejected', offset, reason }
+		handler.apply(this.state, proposal, entry)
+		return { type: 'accepted', offset }
+	}
+
+	private remember(id: ProposalId, decision: Decision): void {
+		this.state.decisions.set(id, decision)
+		if (this.state.decisions.size <= MAXIMUM_DECISIONS) return
+		const oldest = this.state.decisions.keys().next()
+		if (!oldest.done) this.state.decisions.delete(oldest.value)
+	}
+}
--- a/packages/core/src/lib/log/AllowanceProposal.ts
+++ b/packages/core/src/lib/log/AllowanceProposal.ts
@@ -11,5 +11,7 @@
 	readonly kind: 'allowance'
 	readonly id: ProposalId
 	readonly instance: InstanceId
+	/** Grows with each allowance proposal of the instance; the fold rejects one that does not. */
+	readonly sequence: number
 	readonly changes: readonly AllowanceChange[]
 }
--- a/packages/core/src/lib/state/Member.ts
+++ b/packages/core/src/lib/state/Member.ts
@@ -15,6 +15,8 @@
 	readonly peerAddress: string
 	/** Platform clock of its last join or heartbeat. */
 	readonly renewedAt: Milliseconds
+	/** Sequence of its last allowance proposal; 0 before the first. */
+	readonly sequence: number
 	/** Allowance that it holds by team; no row stands for 0. */
 	readonly allowances: ReadonlyMap<TeamId, number>
 }
