Add the allowance ledger to the fold, and its holder

Upper limits are escrow: the fold grants allowance to members so that the rows never sum above a limit, and each entry instance starts work only against what it holds. Handlers for join, heartbeat, leave and allowance judge leases by the platform clock of the entry; the holder counts from before it sent the heartbeat and allows 1% for its clock rate, and reads the clock at each start.

Ruled out: judging a lapsed part afresh at each read. A longer run bound that comes into force later would make a part count again that was granted to someone else meanwhile, so the fold materialises each lapse in the row. A replaced run bound counts until work that a holder started before it saw the replacement has ended, whatever heartbeats came after.

Loans are named by the borrower: an abandoned request is returned by its name, and an answer that comes later is not taken.

--- /dev/null
+++ b/packages/core/src/lib/allowance/AllowanceHolder.test.ts
@@ -0,0 +1,163 @@
+import { expect, test } from 'vitest'
+import { Fold } from '../fold/Fold.js'
+import type { Proposal } from '../log/Proposal.js'
+import { VirtualTimerService } from '../time/VirtualTimerService.js'
+import { AllowanceHolder } from './AllowanceHolder.js'
+import { allowanceTerms } from './allowanceTerms.js'
+import { isLimitInForce } from './isLimitInForce.js'
+
+const TEAM = 'quotes'
+
+function createFixture(limit: number) {
+	const fold = new Fold()
+	const timerService = new VirtualTimerService()
+	fold.state.teams.set(TEAM, { name: TEAM, share: 1, limit })
+	fold.state.runBounds = [{ runMilliseconds: 30_000 }]
+	const holders: AllowanceHolder[] = []
+	const append = (proposal: Proposal) => {
+		const at = timerService.now()
+		const decision = fold.take({ offset: fold.state.offset + 1, at, proposal })
+		for (const holder of holders) holder.observe(fold.state)
+		return decision
+	}
+	const heartbeat = (holder: AllowanceHolder) => {
+		const id = `${holder.instance}/${timerService.now()}`
+		holder.expectRenewal(id)
+		return append({ kind: 'heartbeat', id, instance: holder.instance })
+	}
+	const join = (instance: string) => {
+		const holder = new AllowanceHolder(instance, timerService)
+		holders.push(holder)
+		const where = { availabilityZone: 'a', peerAddress: '127.0.0.1:1' }
+		holder.expectRenewal(`${instance}/join`)
+		append({ kind: 'join', id: `${instance}/join`, instance, ...where })
+		return holder
+	}
+	const change = (holder: AllowanceHolder, delta: number) => {
+		const proposal = holder.createProposal([{ team: TEAM, delta }])
+		if (proposal) append(proposal)
+		return proposal
+	}
+	const count = (instance: string) => fold.state.members.get(instance)?.allowances.get(TEAM) ?? 0
+	return { fold, timerService, append, heartbeat, join, change, count }
+}
+
+function startAll(holder: AllowanceHolder) {
+	const units = []
+	for (let unit = holder.tryStart(TEAM); unit; unit = holder.tryStart(TEAM)) units.push(unit)
+	return units
+}
+
+test('grants an increase as far as the limit has room, and a release makes room', () => {
+	const { join, change, count } = createFixture(10)
+	const [a, b] = [join('a'), join('b')]
+	change(a, 7)
+	change(b, 7)
+	expect([count('a'), count('b')]).toEqual([7, 3])
+	expect(startAll(a)).toHaveLength(7)
+	expect(change(a, -3)).toBeUndefined()
+	change(b, -2)
+	change(a, 5)
+	expect([count('a'), count('b')]).toEqual([9, 1])
+})
+
+test('a late duplicate of a decrease or increase changes nothing', () => {
+	const { join, change, append, count } = createFixture(10)
+	const a = join('a')
+	const first = change(a, 6)
+	const second = change(a, -2)
+	change(a, 1)
+	for (const proposal of [first, second]) {
+		if (proposal) append({ ...proposal, id: `${proposal.id}/again` })
+	}
+	expect(count('a')).toBe(5)
+})
+
+test('a decrease whose answer is lost stays subtracted until a later one is seen', () => {
+	const { join, change, count } = createFixture(10)
+	const a = join('a')
+	change(a, 6)
+	a.createProposal([{ team: TEAM, delta: -4 }])
+	expect(a.getUsable(TEAM)).toBe(2)
+	change(a, 1)
+	expect(a.getUsable(TEAM)).toBe(count('a'))
+})
+
+test('keeps the floor after the lease, nothing after the floor lease, and the fold frees both later', () => {
+	const { fold, timerService, join, change, heartbeat, count } = createFixture(10)
+	const [a, b] = [join('a'), join('b')]
+	change(a, 9)
+	timerService.advance(allowanceTerms.lease)
+	expect(a.getUsable(TEAM)).toBe(4)
+	heartbeat(b)
+	expect(count('a')).toBe(9)
+	timerService.advance(41_000)
+	heartbeat(b)
+	expect(count('a')).toBe(4)
+	timerService.advance(allowanceTerms.floorLease)
+	expect(a.getUsable(TEAM)).toBe(0)
+	heartbeat(b)
+	expect(fold.state.members.has('a')).toBe(false)
+	expect(a.isEnded).toBe(true)
+	expect(heartbeat(a)?.type).toBe('rejected')
+})
+
+test('a heartbeat after the lapse renews only the floor', () => {
+	const { timerService, join, change, heartbeat } = createFixture(10)
+	const a = join('a')
+	change(a, 9)
+	timerService.advance(allowanceTerms.lease + 41_000)
+	heartbeat(a)
+	expect(a.getUsable(TEAM)).toBe(4)
+	change(a, 9)
+	expect(a.getUsable(TEAM)).toBe(10)
+})
+
+test('a lowered limit grants nothing until the sum has come down', () => {
+	const { fold, join, change, count } = createFixture(10)
+	const [a, b] = [join('a'), join('b')]
+	change(a, 10)
+	fold.state.teams.set(TEAM, { name: TEAM, share: 1, limit: 4 })
+	expect(isLimitInForce(fold.state, TEAM)).toBe(false)
+	change(b, 1)
+	change(a, -6)
+	expect([count('a'), count('b')]).toEqual([4, 0])
+	expect(isLimitInForce(fold.state, TEAM)).toBe(true)
+})
+
+test('lends what it subtracts first, and a renewed or lost loan comes back only when safe', () => {
+	const { timerService, join, change, heartbeat } = createFixture(10)
+	const [a, b] = [join('a'), join('b')]
+	change(a, 10)
+	const request = b.borrower.createRequest('a', TEAM, 4)
+	const askedAt = timerService.now()
+	b.borrower.accept(request, a.lend(request), askedAt)
+	expect([startAll(a).length, startAll(b).length]).toEqual([6, 4])
+	const lost = b.borrower.createRequest('a', TEAM, 1)
+	expect(a.lend(lost).amount).toBe(0)
+	timerService.advance(allowanceTerms.loanLease)
+	expect(b.tryStart(TEAM)).toBeUndefined()
+	a.expire()
+	expect(a.getUsable(TEAM)).toBe(6)
+	timerService.advance(41_000)
+	heartbeat(a)
+	a.expire()
+	expect(a.getUsable(TEAM)).toBe(10)
+})
+
+test('an answer that comes after the borrower gave up lends nothing', () => {
+	const { join, change } = createFixture(10)
+	const [a, b] = [join('a'), join('b')]
+	change(a, 10)
+	const request = b.borrower.createRequest('a', TEAM, 4)
+	const reply = a.lend(request)
+	b.borrower.abandon(request)
+	for (const loanReturn of b.borrower.getReturns()) {
+		a.takeBack(loanReturn)
+		b.borrower.settleReturn(loanReturn)
+	}
+	b.borrower.accept(request, reply, 0)
+	expect(b.tryStart(TEAM)).toBeUndefined()
+	expect(a.lend(request).amount).toBe(0)
+	expect(a.getUsable(TEAM)).toBe(10)
+})
--- /dev/null
+++ b/packages/core/src/lib/allowance/Borrower.ts
@@ -0,0 +1,143 @@
+import type { InstanceId } from '../ids/InstanceId.js'
+import type { TeamId } from '../ids/TeamId.js'
+import type { Milliseconds } from '../time/Milliseconds.js'
+import type { TimerService } from '../time/TimerService.js'
+import { allowanceTerms } from './allowanceTerms.js'
+import type { AllowanceUnit } from './AllowanceUnit.js'
+import type { BorrowedLoan } from './BorrowedLoan.js'
+import type { LoanReply } from './LoanReply.js'
+import type { LoanRequest } from './LoanRequest.js'
+import type { LoanReturn } from './LoanReturn.js'
+
+/**
+ * Loans that a member took. A loan whose answer was lost is returned by its name, which the
+ * borrower chose.
+ *
+ * @internal
+ */
+export class Borrower {
+	private readonly loans = new Map<string, BorrowedLoan>()
+	private readonly byTeam = new Map<TeamId, Set<BorrowedLoan>>()
+	private readonly returns = new Map<string, LoanReturn>()
+	/** Names of new loans that were asked for and are not answered yet. */
+	private readonly asked = new Set<string>()
+	private made = 0
+
+	constructor(
+		private readonly instance: InstanceId,
+		private readonly timerService: TimerService
+	) {}
+
+	/** Loans of a team, oldest first. */
+	getLoans(team: TeamId): Iterable<BorrowedLoan> {
+		return this.byTeam.get(team) ?? []
+	}
+
+	/** Every loan held. */
+	getAllLoans(): Iterable<BorrowedLoan> {
+		return this.loans.values()
+	}
+
+	/** Names a new loan to ask for. */
+	createRequest(lender: InstanceId, team: TeamId, amount: number): LoanRequest {
+		const loan = `${this.instance}/${this.made++}`
+		this.asked.add(loan)
+		return { loan, lender, borrower: this.instance, team, amount }
+	}
+
+	/** Asks to keep a loan for another lease. */
+	createRenewal(loan: BorrowedLoan): LoanRequest {
+		const { name, lender, team, amount } = loan
+		return { loan: name, lender, borrower: this.instance, team, amount }
+	}
+
+	/**
+	 * Takes the answer to a request.
+	 *
+	 * @param askedAt - instant of this clock before the request was sent
+	 */
+	accept(request: LoanRequest, reply: LoanReply, askedAt: Milliseconds): void {
+		const lease = reply.leaseMilliseconds * (1 - allowanceTerms.clockRateError)
+		const endsAt = askedAt + lease
+		const isFirstAnswer = this.asked.delete(request.loan)
+		if (reply.amount === 0) return
+		if (isFirstAnswer) {
+			this.add(request, reply, endsAt)
+			return
+		}
+		const known = this.loans.get(request.loan)
+		if (!known) return
+		known.amount = Math.min(known.amount, reply.amount)
+		known.endsAt = Math.max(known.endsAt, endsAt)
+		known.runMilliseconds = reply.runMilliseconds
+	}
+
+	/** Gives up on the answer to a request for a new loan: whatever was lent is returned by name. */
+	abandon({ loan, lender }: LoanRequest): void {
+		if (!this.asked.delete(loan)) return
+		this.returns.set(loan, { loan, lender, remaining: 0 })
+	}
+
+	/** Whether a request may be started on the loan now. */
+	hasFree(loan: BorrowedLoan, runMilliseconds: Milliseconds): boolean {
+		if (this.timerService.now() >= loan.endsAt) return false
+		return loan.units.size < loan.amount && runMilliseconds <= loan.runMilliseconds
+	}
+
+	/** Counts a unit against a loan. */
+	use(loan: BorrowedLoan, unit: AllowanceUnit): void {
+		loan.units.add(unit)
+		unit.loan = loan
+	}
+
+	/** Frees a unit of a loan. */
+	release(unit: AllowanceUnit): void {
+		unit.loan?.units.delete(unit)
+		unit.loan = undefined
+	}
+
+	/** Returns units of a loan that are not in use. */
+	giveBack(loan: BorrowedLoan, amount: number): void {
+		const remaining = Math.max(loan.units.size, loan.amount - amount)
+		if (remaining >= loan.amount) return
+		loan.amount = remaining
+		this.returns.set(loan.name, { loan: loan.name, lender: loan.lender, remaining })
+		if (remaining === 0) this.remove(loan)
+	}
+
+	/** Returns what ended and is not in use. */
+	expire(): void {
+		const now = this.timerService.now()
+		for (const loan of this.loans.values()) {
+			if (now >= loan.endsAt) this.giveBack(loan, loan.amount)
+		}
+	}
+
+	/** Returns that no lender has confirmed yet. */
+	getReturns(): LoanReturn[] {
+		return [...this.returns.values()]
+	}
+
+	/** Forgets a return that the lender confirmed, or whose lender is gone. */
+	settleReturn(confirmed: LoanReturn): void {
+		const pending = this.returns.get(confirmed.loan)
+		if (pending && pending.remaining >= confirmed.remaining) this.returns.delete(confirmed.loan)
+	}
+
+	private add(request: LoanRequest, reply: LoanReply, endsAt: Milliseconds): void {
+		const { loan: name, lender, team } = request
+		const { runMilliseconds } = reply
+		const amount = Math.min(request.amount, reply.amount)
+		const loan = { name, lender, team, amount, endsAt, runMilliseconds, units: new Set<never>() }
+		this.loans.set(name, loan)
+		const loans = this.byTeam.get(team) ?? new Set()
+		this.byTeam.set(team, loans.add(loan))
+	}
+
+	private remove(loan: BorrowedLoan): void {
+		this.loans.delete(loan.name)
+		const loans = this.byTeam.get(loan.team)
+		loans?.delete(loan)
+		if (loans?.size === 0) this.byTeam.delete(loan.team)
+	}
+}
--- /dev/null
+++ b/packages/core/src/lib/allowance/expireMembers.ts
@@ -0,0 +1,30 @@
+import type { FleetState } from '../state/FleetState.js'
+import type { Member } from '../state/Member.js'
+import type { Milliseconds } from '../time/Milliseconds.js'
+import { getFloor } from './getFloor.js'
+import { getMemberPhase } from './getMemberPhase.js'
+
+/**
+ * Frees what no member can use any more: all but the floor of a lapsed member, and the whole row
+ * of one that is gone. What was freed stays freed when the member comes back.
+ *
+ * @param at - platform clock to judge by
+ *
+ * @internal
+ */
+export function expireMembers(state: FleetState, at: Milliseconds): void {
+	for (const member of state.members.values()) {
+		const phase = getMemberPhase(state, member, at)
+		if (phase === 'gone') state.members.delete(member.instance)
+		if (phase === 'lapsed' && !member.lapsed) state.members.set(member.instance, lapse(member))
+	}
+}
+
+function lapse(member: Member): Member {
+	const allowances = new Map<string, number>()
+	for (const [team, amount] of member.allowances) {
+		const floor = getFloor(amount)
+		if (floor > 0) allowances.set(team, floor)
+	}
+	return { ...member, lapsed: true, allowances }
+}
--- /dev/null
+++ b/packages/core/src/lib/allowance/getFloor.ts
@@ -0,0 +1,10 @@
+/**
+ * Part of an allowance that stays usable for the floor lease when heartbeats stop.
+ *
+ * @param amount - whole allowance, in units
+ *
+ * @public
+ */
+export function getFloor(amount: number): number {
+	return Math.floor(amount / 2)
+}
--- a/packages/core/src/lib/fold/proposalHandlers.ts
+++ b/packages/core/src/lib/fold/proposalHandlers.ts
@@ -1,3 +1,7 @@
+import { AllowanceHandler } from './AllowanceHandler.js'
+import { HeartbeatHandler } from './HeartbeatHandler.js'
+import { JoinHandler } from './JoinHandler.js'
+import { LeaveHandler } from './LeaveHandler.js'
 import type { ProposalHandler } from './ProposalHandler.js'
 
 /**
@@ -5,4 +9,9 @@
  *
  * @internal
  */
-export const proposalHandlers: readonly ProposalHandler[] = []
+export const proposalHandlers: readonly ProposalHandler[] = [
+	new AllowanceHandler(),
+	new HeartbeatHandler(),
+	new JoinHandler(),
+	new LeaveHandler(),
+]
--- a/packages/core/src/lib/state/Member.ts
+++ b/packages/core/src/lib/state/Member.ts
@@ -13,8 +13,12 @@
 	readonly availabilityZone: AvailabilityZoneId
 	/** `host:port` of its peer port. */
 	readonly peerAddress: string
+	/** Offset of its join entry; tells two joins under one name apart. */
+	readonly joinedOffset: number
 	/** Platform clock of its last join or heartbeat. */
 	readonly renewedAt: Milliseconds
+	/** Whether only the floor of its allowances is left, until its next heartbeat. */
+	readonly lapsed: boolean
 	/** Sequence of its last allowance proposal; 0 before the first. */
 	readonly sequence: number
 	/** Allowance that it holds by team; no row stands for 0. */
