Plan allowances by policy: even split, and loans between members

Each member holds an even part of every limit in the ledger.

Replaced bounds now count for the floor lease.

--- a/packages/core/src/lib/allowance/AllowanceHolder.ts
+++ b/packages/core/src/lib/allowance/AllowanceHolder.ts
@@ -43,6 +43,7 @@
 	private readonly renewals = new Map<ProposalId, Milliseconds>()
 	private readonly decreases = new Map<number, ReadonlyMap<TeamId, number>>()
 	private readonly running = new Map<TeamId, number>()
+	private readonly maximums = new Map<TeamId, number>()
 
 	constructor(
 		readonly instance: InstanceId,
@@ -103,7 +104,7 @@
 
 	/** Takes a unit for a request that starts at once; undefined when none is free. */
 	tryStart(team: TeamId): AllowanceUnit | undefined {
-		if (this.hasEnded) return undefined
+		if (this.hasEnded || this.getRunning(team) >= this.getMaximum(team)) return undefined
 		const startedAt = this.timerService.now()
 		const unit: AllowanceUnit = { team, startedAt, loan: undefined, isFinished: false }
 		if (this.getFree(team) > 0) {
@@ -116,6 +117,12 @@
 		return unit
 	}
 
+	/** Bounds what may run for a team below what is held; Infinity for no bound. */
+	setMaximum(team: TeamId, maximum: number): void {
+		if (maximum === Infinity) this.maximums.delete(team)
+		else this.maximums.set(team, maximum)
+	}
+
 	/** Frees a unit. Idempotent. */
 	finish(unit: AllowanceUnit): void {
 		if (unit.isFinished) return
@@ -149,15 +156,19 @@
 		}
 	}
 
-	/** Answers a request for a loan, or for another lease of one. */
-	lend(request: LoanRequest): LoanReply {
+	/**
+	 * Answers a request for a loan, or for another lease of one.
+	 *
+	 * @param spare - units that the holder does not need itself
+	 */
+	lend(request: LoanRequest, spare = Infinity): LoanReply {
 		const { team } = request
 		const end = this.timerService.now() + allowanceTerms.loanLease
 		const isForThis = request.lender === this.instance && !this.hasEnded
 		const held = isForThis ? this.getHeld(team, end) : 0
 		const free = held - this.lender.getLent(team) - this.getOwnRunning(team)
 		const canRenew = held >= this.lender.getLent(team) && isForThis
-		return this.lender.lend(request, free, canRenew, this.runMilliseconds)
+		return this.lender.lend(request, Math.min(free, spare), canRenew, this.runMilliseconds)
 	}
 
 	/** Takes back a loan or a part of it. */
@@ -248,6 +259,10 @@
 		}
 	}
 
+	private getMaximum(team: TeamId): number {
+		return this.maximums.get(team) ?? Infinity
+	}
+
 	private getOwnRunning(team: TeamId): number {
 		return this.running.get(team) ?? 0
 	}
--- /dev/null
+++ b/packages/core/src/lib/allowance/AllowancePlanner.ts
@@ -0,0 +1,195 @@
+import type { InstanceId } from '../ids/InstanceId.js'
+import type { TeamId } from '../ids/TeamId.js'
+import type { AllowanceChange } from '../log/AllowanceChange.js'
+import type { FleetState } from '../state/FleetState.js'
+import type { Milliseconds } from '../time/Milliseconds.js'
+import type { TimerService } from '../time/TimerService.js'
+import type { AllowanceActions } from './AllowanceActions.js'
+import type { AllowanceHolder } from './AllowanceHolder.js'
+import type { AllowancePolicy } from './AllowancePolicy.js'
+import { allowanceTerms } from './allowanceTerms.js'
+import { EvenShares } from './EvenShares.js'
+import { getAllowanceTotal } from './getAllowanceTotal.js'
+import { getTeamLimit } from './getTeamLimit.js'
+import type { LoanReply } from './LoanReply.js'
+import type { LoanRequest } from './LoanRequest.js'
+import type { LoanReturn } from './LoanReturn.js'
+import { Peaks } from './Peaks.js'
+import type { PeerLoad } from './PeerLoad.js'
+import { PeerLoads } from './PeerLoads.js'
+import { Reservations } from './Reservations.js'
+import type { TeamPlan } from './TeamPlan.js'
+import type { TeamSituation } from './TeamSituation.js'
+
+/** Time between two sends of one unanswered return or renewal. */
+const RESEND_INTERVAL: Milliseconds = 1000
+
+/**
+ * Plans the allowance of one member on each tick, and answers the members that ask it for loans.
+ *
+ * @public
+ */
+export class AllowancePlanner {
+	readonly peerLoads: PeerLoads
+	private readonly reservations: Reservations
+	private readonly peaks: Peaks
+	private readonly evenShares = new EvenShares()
+	private readonly sentAt = new Map<string, Milliseconds>()
+	/** Members asked for a new loan, as `team/lender`, that have not answered. */
+	private readonly asked = new Set<string>()
+	private queued: ReadonlyMap<TeamId, number> = new Map()
+
+	constructor(
+		readonly holder: AllowanceHolder,
+		private readonly policy: AllowancePolicy,
+		private readonly timerService: TimerService
+	) {
+		this.peerLoads = new PeerLoads(timerService)
+		this.reservations = new Reservations(timerService)
+		this.peaks = new Peaks(timerService)
+	}
+
+	/**
+	 * Plans every team anew.
+	 *
+	 * @param queued - requests that wait at this member for allowance, by team
+	 */
+	tick(state: FleetState, queued: ReadonlyMap<TeamId, number>): AllowanceActions {
+		this.queued = queued
+		this.forgetGone(state)
+		this.holder.expire()
+		const changes: AllowanceChange[] = []
+		const requests: LoanRequest[] = []
+		for (const team of getTeams(state, this.holder.instance)) {
+			const situation = this.getSituation(state, team)
+			const plan = this.policy.plan(situation)
+			if (plan.delta !== 0) changes.push({ team, delta: plan.delta })
+			this.apply(situation, plan)
+			requests.push(...this.createRequests(team, plan))
+		}
+		requests.push(...this.createRenewals())
+		return { changes, requests, returns: this.getReturns(state) }
+	}
+
+	/** Takes a unit for a request that starts at once. */
+	tryStart(team: TeamId) {
+		const unit = this.holder.tryStart(team)
+		if (unit) this.reservations.noteServed(team, this.holder.instance)
+		return unit
+	}
+
+	/** Answers a member that asks for a loan. */
+	lend(state: FleetState, request: LoanRequest): LoanReply {
+		const { team, borrower } = request
+		if (!state.members.has(borrower)) return this.holder.lend(request, 0)
+		const lendable = this.policy.getLendable(this.getSituation(state, team, borrower))
+		const spare = lendable - this.reservations.countBefore(team, borrower)
+		const reply = this.holder.lend(request, Math.max(0, spare))
+		this.reservations.set(team, borrower, request.amount - reply.amount)
+		if (reply.amount > 0) this.reservations.noteServed(team, borrower)
+		return reply
+	}
+
+	/** Takes the answer to a request; undefined when there was none in time. */
+	settle(request: LoanRequest, reply: LoanReply | undefined, askedAt: Milliseconds): void {
+		this.asked.delete(`${request.team}/${request.lender}`)
+		if (reply) this.holder.borrower.accept(request, reply, askedAt)
+		else this.holder.borrower.abandon(request)
+	}
+
+	/** What this member tells its peers of a team. */
+	getLoad(state: FleetState, team: TeamId): PeerLoad {
+		const { running, queued } = this.getSituation(state, team)
+		const free = this.policy.getLendable(this.getSituation(state, team))
+		return { instance: this.holder.instance, running, queued, free }
+	}
+
+	private getSituation(state: FleetState, team: TeamId, asker?: InstanceId): TeamSituation {
+		const { holder } = this
+		const limit = getTeamLimit(state, team)
+		const running = holder.getRunning(team)
+		const queued = this.queued.get(team) ?? 0
+		const next = asker !== undefined && queued === 0 ? undefined : holder.instance
+		return {
+			team,
+			limit,
+			running,
+			queued,
+			total: getAllowanceTotal(state, team),
+			evenShare: this.evenShares.get(state, team, limit, holder.instance),
+			granted: state.members.get(holder.instance)?.allowances.get(team) ?? 0,
+			free: holder.getFree(team),
+			capacity: holder.getCapacity(team),
+			peak: this.peaks.update(team, running + queued),
+			reserved: this.reservations.getReserved(team),
+			isNext: next !== undefined && this.reservations.isNext(team, next, asker),
+			peers: this.peerLoads.get(team),
+		}
+	}
+
+	private apply({ team, capacity, running }: TeamSituation, { keep, maximum }: TeamPlan): void {
+		this.holder.setMaximum(team, maximum)
+		let excess = capacity - Math.max(running, Math.ceil(keep))
+		for (const loan of this.holder.borrower.getLoans(team)) {
+			if (excess <= 0) return
+			const before = loan.amount
+			this.holder.borrower.giveBack(loan, excess)
+			excess -= before - loan.amount
+		}
+	}
+
+	private createRequests(team: TeamId, plan: TeamPlan): LoanRequest[] {
+		const requests: LoanRequest[] = []
+		for (const { lender, amount } of plan.loans) {
+			const key = `${team}/${lender}`
+			if (this.asked.has(key)) continue
+			this.asked.add(key)
+			requests.push(this.holder.borrower.createRequest(lender, team, amount))
+		}
+		return requests
+	}
+
+	private createRenewals(): LoanRequest[] {
+		const { borrower } = this.holder
+		const renewedBefore = this.timerService.now() + allowanceTerms.loanLease / 2
+		const due = [...borrower.getAllLoans()].filter((loan) => loan.endsAt < renewedBefore)
+		return due
+			.filter((loan) => this.isDue(`renew ${loan.name}`))
+			.map((loan) => borrower.createRenewal(loan))
+	}
+
+	private getReturns(state: FleetState): LoanReturn[] {
+		const { borrower } = this.holder
+		const due: LoanReturn[] = []
+		for (const loanReturn of borrower.getReturns()) {
+			if (!state.members.has(loanReturn.lender)) borrower.settleReturn(loanReturn)
+			else if (this.isDue(`return ${loanReturn.loan} ${loanReturn.remaining}`)) due.push(loanReturn)
+		}
+		return due
+	}
+
+	private isDue(key: string): boolean {
+		const now = this.timerService.now()
+		if (now - (this.sentAt.get(key) ?? -Infinity) < RESEND_INTERVAL) return false
+		this.sentAt.set(key, now)
+		return true
+	}
+
+	private forgetGone(state: FleetState): void {
+		for (const instance of this.peerLoads.getInstances()) {
+			if (!state.members.has(instance)) this.peerLoads.remove(instance)
+		}
+		const oldest = this.timerService.now() - RESEND_INTERVAL
+		for (const [key, sentAt] of this.sentAt) {
+			if (sentAt < oldest) this.sentAt.delete(key)
+		}
+	}
+}
+
+/** Teams that the fleet document names, and removed ones that the member still holds allowance for. */
+function* getTeams(state: FleetState, instance: InstanceId): Iterable<TeamId> {
+	yield* state.teams.keys()
+	for (const team of state.members.get(instance)?.allowances.keys() ?? []) {
+		if (!state.teams.has(team)) yield team
+	}
+}
--- /dev/null
+++ b/packages/core/src/lib/allowance/EvenSplitPolicy.ts
@@ -0,0 +1,21 @@
+import { AllowancePolicy } from './AllowancePolicy.js'
+import { getLedgerDelta } from './getLedgerDelta.js'
+import type { TeamPlan } from './TeamPlan.js'
+import type { TeamSituation } from './TeamSituation.js'
+
+/**
+ * Baseline: each member holds an even part of the limit, and nothing is lent.
+ *
+ * @public
+ */
+export class EvenSplitPolicy extends AllowancePolicy {
+	override plan(situation: TeamSituation): TeamPlan {
+		const { limit, total, evenShare, capacity } = situation
+		const maximum = total > limit ? evenShare : Infinity
+		return { delta: getLedgerDelta(situation), maximum, keep: capacity, loans: [] }
+	}
+
+	override getLendable(): number {
+		return 0
+	}
+}
--- /dev/null
+++ b/packages/core/src/lib/allowance/createAllowanceHistory.ts
@@ -0,0 +1,298 @@
+import { Fold } from '../fold/Fold.js'
+import type { TeamId } from '../ids/TeamId.js'
+import type { LogEntry } from '../log/LogEntry.js'
+import type { Proposal } from '../log/Proposal.js'
+import type { FleetState } from '../state/FleetState.js'
+import type { Milliseconds } from '../time/Milliseconds.js'
+import { TimerService } from '../time/TimerService.js'
+import { AllowanceHolder } from './AllowanceHolder.js'
+import { AllowancePlanner } from './AllowancePlanner.js'
+import type { AllowanceUnit } from './AllowanceUnit.js'
+import { getAllowanceTotal } from './getAllowanceTotal.js'
+import { getRunBoundInForce } from './getRunBoundInForce.js'
+import { LendingPolicy } from './LendingPolicy.js'
+import type { LoanRequest } from './LoanRequest.js'
+
+/** Longest delay of delivery to a backend server, below the margin of the terms. */
+const DELIVERY = 9000
+
+class SkewedTimerService extends TimerService {
+	constructor(
+		private readonly clock: { now: Milliseconds },
+		private readonly rate: number
+	) {
+		super()
+	}
+
+	override now(): Milliseconds {
+		return this.clock.now * this.rate
+	}
+
+	override after(): never {
+		throw new Error('not used')
+	}
+
+	override every(): never {
+		throw new Error('not used')
+	}
+}
+
+/** Time after which a call to a peer is given up. */
+const DEADLINE = 1000
+
+/** Clock rate of the slowest backend server. */
+const SERVER_RATE = 0.99
+
+interface Node {
+	readonly fold: Fold
+	readonly holder: AllowanceHolder
+	readonly planner: AllowancePlanner
+	readonly timerService: TimerService
+	heartbeats: number
+}
+
+interface Run {
+	readonly team: TeamId
+	readonly unit: AllowanceUnit
+	readonly node: Node
+	readonly endsAt: Milliseconds
+}
+
+/**
+ * One history for tests: real holders, planners and folds, a bag of messages in flight that may be
+ * delivered in any order, more than once or never, and runs counted where they run.
+ *
+ * @param options - `rates` gives the clock rate of each entry instance, `limits` the limit by team
+ *
+ * @internal
+ */
+export function createAllowanceHistory(options: {
+	readonly rates: readonly number[]
+	readonly limits: readonly number[]
+	readonly runMilliseconds: Milliseconds
+}) {
+	const clock = { now: 0 }
+	const teams = options.limits.map((_, index) => `team-${index}`)
+	const log: LogEntry[] = []
+	/** What a document applied at an offset changes, in place of the apply itself. */
+	const documents = new Map<number, (state: FleetState) => void>()
+	const asks: { readonly abandonAt: Milliseconds; readonly abandon: () => void }[] = []
+	const head = createFold()
+	const flight: (() => void)[] = []
+	const started = { count: 0 }
+	const runs = new Set<Run>()
+	const counts = new Map<TeamId, number>()
+	const totals = new Map<TeamId, number>()
+	const faults: string[] = []
+	const nodes: Node[] = options.rates.map((_, index) => createNode(index))
+	let made = options.rates.length
+
+	function createFold(): Fold {
+		const fold = new Fold()
+		for (const [index, limit] of options.limits.entries()) {
+			fold.state.teams.set(`team-${index}`, { name: `team-${index}`, share: 1, limit })
+		}
+		fold.state.runBounds = [{ runMilliseconds: options.runMilliseconds }]
+		return fold
+	}
+
+	function createNode(index: number, name = `node-${index}`): Node {
+		const timerService = new SkewedTimerService(clock, options.rates[index] ?? 1)
+		const holder = new AllowanceHolder(name, timerService)
+		const planner = new AllowancePlanner(holder, new LendingPolicy(), timerService)
+		const node = { fold: createFold(), holder, planner, timerService, heartbeats: 0 }
+		holder.expectRenewal(`${name}/join`)
+		const where = { availabilityZone: 'a', peerAddress: '127.0.0.1:1' }
+		propose({ kind: 'join', id: `${name}/join`, instance: name, ...where })
+		return node
+	}
+
+	function propose(proposal: Proposal): void {
+		flight.push(() => {
+			const entry = { offset: log.length, at: clock.now, proposal }
+			log.push(entry)
+			take(head, entry)
+			check()
+		})
+	}
+
+	function take(fold: Fold, entry: LogEntry): void {
+		fold.take(entry)
+		documents.get(entry.offset)?.(fold.state)
+	}
+
+	function applyDocument(change: (state: FleetState) => void): void {
+		documents.set(log.length, change)
+		propose({ kind: 'heartbeat', id: `document-${log.length}`, instance: 'operator' })
+		flight.pop()?.()
+	}
+
+	function getNode(index: number): Node {
+		const node = nodes[index % nodes.length]
+		if (!node) throw new Error('no such node')
+		return node
+	}
+
+	function getTeam(index: number): TeamId {
+		return teams[index % teams.length] ?? ''
+	}
+
+	function read(node: Node, limit: number): void {
+		const from = node.fold.state.offset + 1
+		for (const entry of log.slice(from, from + limit)) take(node.fold, entry)
+		node.holder.observe(node.fold.state)
+	}
+
+	function ask(node: Node, request: LoanRequest): void {
+		const askedAt = node.timerService.now()
+		flight.push(() => {
+			const lender = nodes.find(({ holder }) => holder.instance === request.lender)
+			if (!lender) return
+			const reply = lender.planner.lend(lender.fold.state, request)
+			flight.push(() => {
+				node.planner.settle(request, reply, askedAt)
+			})
+		})
+		const abandon = () => {
+			node.planner.settle(request, undefined, askedAt)
+		}
+		asks.push({ abandonAt: clock.now + DEADLINE, abandon })
+	}
+
+	function tick(node: Node, queued: number): void {
+		const demand = new Map(teams.map((team) => [team, queued]))
+		const { changes, requests, returns } = node.planner.tick(node.fold.state, demand)
+		const proposal = node.holder.createProposal(changes)
+		if (proposal) propose(proposal)
+		for (const request of requests) ask(node, request)
+		for (const loanReturn of returns) {
+			flight.push(() => {
+				const lender = nodes.find(({ holder }) => holder.instance === loanReturn.lender)
+				lender?.holder.takeBack(loanReturn)
+				flight.push(() => {
+					node.holder.borrower.settleReturn(loanReturn)
+				})
+			})
+		}
+		flight.push(() => {
+			for (const other of nodes) {
+				const loads = teams.map(
+					(team) => [team, node.planner.getLoad(node.fold.state, team)] as const
+				)
+				if (other !== node) other.planner.peerLoads.update(node.holder.instance, loads)
+			}
+		})
+	}
+
+	function start(node: Node, team: TeamId, count: number, delay: Milliseconds): void {
+		for (let index = 0; index < count; index++) {
+			const unit = node.planner.tryStart(team)
+			if (!unit) return
+			started.count++
+			const run = getRunBoundInForce(node.fold.state) / SERVER_RATE
+			const endsAt = clock.now + Math.min(delay, DELIVERY) + run
+			runs.add({ team, unit, node, endsAt })
+			counts.set(team, (counts.get(team) ?? 0) + 1)
+		}
+		check()
+	}
+
+	function finish(node: Node, count: number): void {
+		for (const run of [...runs].filter((run) => run.node === node).slice(0, count)) {
+			end(run)
+		}
+	}
+
+	function end(run: Run): void {
+		runs.delete(run)
+		counts.set(run.team, (counts.get(run.team) ?? 0) - 1)
+		run.node.holder.finish(run.unit)
+	}
+
+	function advance(duration: Milliseconds): void {
+		clock.now += duration
+		for (const { abandonAt, abandon } of asks.splice(0)) {
+			if (abandonAt <= clock.now) abandon()
+			else asks.push({ abandonAt, abandon })
+		}
+		for (const run of runs) {
+			if (run.endsAt > clock.now) continue
+			end(run)
+		}
+	}
+
+	function checkLedger(team: TeamId, limit: number, total: number): void {
+		const before = totals.get(team) ?? 0
+		totals.set(team, total)
+		if (total > Math.max(limit, before)) faults.push(`${team}: ${total} granted, limit ${limit}`)
+	}
+
+	function check(): void {
+		for (const team of teams) {
+			const running = counts.get(team) ?? 0
+			const limit = head.state.teams.get(team)?.limit ?? 0
+			const total = getAllowanceTotal(head.state, team)
+			checkLedger(team, limit, total)
+			if (running > Math.max(limit, total)) faults.push(`${team}: ${running} run, limit ${limit}`)
+		}
+	}
+
+	function deliver(index: number, fate: 'deliver' | 'duplicate' | 'drop'): void {
+		const [message] = flight.splice(index % Math.max(1, flight.length), 1)
+		if (!message || fate === 'drop') return
+		if (fate === 'duplicate') flight.push(message)
+		message()
+	}
+
+	return {
+		faults,
+		started,
+		read: (index: number, limit: number) => {
+			read(getNode(index), limit)
+		},
+		tick: (index: number, queued: number) => {
+			tick(getNode(index), queued)
+		},
+		start: (index: number, team: number, count: number, delay: Milliseconds) => {
+			start(getNode(index), getTeam(team), count, delay)
+		},
+		finish: (index: number, count: number) => {
+			finish(getNode(index), count)
+		},
+		heartbeat: (index: number) => {
+			const { holder } = getNode(index)
+			const id = `${holder.instance}/${getNode(index).heartbeats++}`
+			holder.expectRenewal(id)
+			propose({ kind: 'heartbeat', id, instance: holder.instance })
+		},
+		leave: (index: number) => {
+			const { holder } = getNode(index)
+			if (!holder.canLeave()) return
+			holder.end()
+			propose({ kind: 'leave', id: `${holder.instance}/leave`, instance: holder.instance })
+		},
+		/** Replaces an entry instance; what it started runs on. */
+		replace: (index: number) => {
+			const slot = index % nodes.length
+			nodes[slot] = createNode(slot, `node-${made++}`)
+		},
+		/** Applies a document with another limit for a team. */
+		setLimit: (team: number, limit: number) => {
+			const name = getTeam(team)
+			applyDocument((state) => state.teams.set(name, { name, share: 1, limit }))
+		},
+		/** Applies a document with another longest run. */
+		setRunBound: (runMilliseconds: Milliseconds) => {
+			applyDocument((state) => {
+				const replaced = state.runBounds.map((bound) => ({ replacedAt: state.at, ...bound }))
+				state.runBounds = [...replaced, { runMilliseconds }]
+			})
+		},
+		deliver,
+		/** Delivers everything in flight, oldest first, that was sent before the call. */
+		deliverAll: () => {
+			for (const message of flight.splice(0)) message()
+		},
+		advance,
+	}
+}
--- a/packages/core/src/lib/allowance/getMemberPhase.ts
+++ b/packages/core/src/lib/allowance/getMemberPhase.ts
@@ -29,5 +29,5 @@
 }
 
 function getReclaimTime(state: FleetState, at: Milliseconds, lease: Milliseconds): Milliseconds {
-	return lease + getReclaimDelay(getRunBound(state, at, lease))
+	return lease + getReclaimDelay(getRunBound(state, at))
 }
