Add stand-ins for the platform and a backend server

Cause: the path and the failure tests need the two outside systems by their protocol, with faults: outage, slow and lost appends, cut instances, a lagging list; failing, frozen, resetting, truncating, malformed and leaving backend servers.

--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,1 +1,6 @@
-export {}
+export { type BackendFault } from './lib/backend/BackendFault.js'
+export { BackendStandin } from './lib/backend/BackendStandin.js'
+export { type BackendStatistics } from './lib/backend/BackendStatistics.js'
+export { type ListedInstance } from './lib/platform/ListedInstance.js'
+export { type PlatformFaults } from './lib/platform/PlatformFaults.js'
+export { PlatformServer } from './lib/platform/PlatformServer.js'
--- /dev/null
+++ b/packages/standins/src/lib/platform/InstanceList.ts
@@ -0,0 +1,35 @@
+import type { ListedInstance } from './ListedInstance.js'
+
+interface Version {
+	readonly at: number
+	readonly rows: ReadonlyMap<string, ListedInstance>
+}
+
+/**
+ * The platform's list of instances, shown with a lag.
+ *
+ * @internal
+ */
+export class InstanceList {
+	private versions: Version[] = [{ at: 0, rows: new Map() }]
+
+	put(row: ListedInstance, now: number): void {
+		this.change(now, (rows) => rows.set(row.name, row))
+	}
+
+	remove(name: string, now: number): void {
+		this.change(now, (rows) => rows.delete(name))
+	}
+
+	/** The list as it was at `at`. */
+	getRows(at: number): ListedInstance[] {
+		const shown = this.versions.findLast((version) => version.at <= at)
+		return [...(shown?.rows.values() ?? [])]
+	}
+
+	private change(now: number, edit: (rows: Map<string, ListedInstance>) => void): void {
+		const rows = new Map(this.versions.at(-1)?.rows)
+		edit(rows)
+		this.versions.push({ at: now, rows })
+	}
+}
--- /dev/null
+++ b/packages/standins/src/lib/platform/PlatformServer.ts
@@ -0,0 +1,138 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { setTimeout as delay } from 'node:timers/promises'
+import { listen } from '../http/listen.js'
+import { readBody } from '../http/readBody.js'
+import { sendJson } from '../http/sendJson.js'
+import { InstanceList } from './InstanceList.js'
+import type { ListedInstance } from './ListedInstance.js'
+import { MaintenanceJobs } from './MaintenanceJobs.js'
+import type { PlatformFaults } from './PlatformFaults.js'
+import { PlatformLog } from './PlatformLog.js'
+
+const MAXIMUM_READ_LIMIT = 5000
+const MAXIMUM_WAIT_MILLISECONDS = 10_000
+
+/**
+ * Stand-in for the platform: an append-only log, a lagging instance list and maintenance jobs over
+ * HTTP, with switches for faults at `PUT /faults`.
+ *
+ * @public
+ */
+export class PlatformServer {
+	private readonly log: PlatformLog
+	private readonly instances = new InstanceList()
+	private readonly jobs = new MaintenanceJobs()
+	private readonly server: Server
+	private faults: PlatformFaults = {
+		outage: false,
+		appendDelayMilliseconds: 0,
+		readDelayMilliseconds: 0,
+		loseAppendAnswers: 0,
+		cutInstances: [],
+		listLagMilliseconds: 0,
+	}
+	private appends = 0
+	private records = 0
+
+	/** @param options - `retention`: records that the log keeps, 100,000 by default */
+	constructor(options: { retention?: number } = {}) {
+		this.log = new PlatformLog(options.retention ?? 100_000)
+		this.server = createServer((request, response) => {
+			this.handle(request, response).catch(() => response.destroy())
+		})
+	}
+
+	/** Starts listening on loopback and returns the port. */
+	start(port = 0): Promise<number> {
+		return listen(this.server, port)
+	}
+
+	async stop(): Promise<void> {
+		this.server.closeAllConnections()
+		await new Promise((resolve) => this.server.close(resolve))
+	}
+
+	setFaults(faults: Partial<PlatformFaults>): void {
+		this.faults = { ...this.faults, ...faults }
+	}
+
+	private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		const url = new URL(request.url ?? '/', 'http://platform')
+		if (url.pathname === '/faults') {
+			await this.handleFaults(request, response)
+			return
+		}
+		const instance = String(request.headers['mastichead-instance'] ?? '')
+		if (this.faults.cutInstances.includes(instance)) {
+			request.socket.destroy()
+			return
+		}
+		if (this.faults.outage) {
+			sendJson(response, 503, { error: 'outage' })
+			return
+		}
+		if (url.pathname === '/log/append') await this.handleAppend(request, response)
+		else if (url.pathname === '/log/read') await this.handleRead(url, response)
+		else if (url.pathname.startsWith('/instances')) {
+			await this.handleInstances(url, request, response)
+		} else sendJson(response, 404, { error: 'not found' })
+	}
+
+	private async handleFaults(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		if (request.method === 'PUT') {
+			this.setFaults(JSON.parse(await readBody(request)) as Partial<PlatformFaults>)
+		}
+		sendJson(response, 200, { ...this.faults, appends: this.appends, records: this.records })
+	}
+
+	private async handleAppend(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		const body = JSON.parse(await readBody(request)) as { records: string[] }
+		await delay(this.faults.appendDelayMilliseconds)
+		const offsets = this.log.append(body.records)
+		this.appends += 1
+		this.records += body.records.length
+		if (this.faults.loseAppendAnswers > 0) {
+			this.setFaults({ loseAppendAnswers: this.faults.loseAppendAnswers - 1 })
+			request.socket.destroy()
+			return
+		}
+		sendJson(response, 200, { offsets })
+	}
+
+	private async handleRead(url: URL, response: ServerResponse): Promise<void> {
+		const from = Number(url.searchParams.get('from') ?? 0)
+		const limit = Math.min(Number(url.searchParams.get('limit') ?? 1000), MAXIMUM_READ_LIMIT)
+		const wait = Math.min(Number(url.searchParams.get('wait') ?? 0), MAXIMUM_WAIT_MILLISECONDS)
+		await delay(this.faults.readDelayMilliseconds)
+		await this.log.waitFor(from, wait)
+		if (this.faults.outage) {
+			sendJson(response, 503, { error: 'outage' })
+			return
+		}
+		if (from < this.log.first) {
+			sendJson(response, 410, { first: this.log.first })
+			return
+		}
+		const entries = this.log.read(from, limit)
+		sendJson(response, 200, { first: this.log.first, next: from + entries.length, entries })
+	}
+
+	private async handleInstances(
+		url: URL,
+		request: IncomingMessage,
+		response: ServerResponse
+	): Promise<void> {
+		const [, , name = '', part] = url.pathname.split('/').map(decodeURIComponent)
+		if (part === 'maintenance') {
+			const body = request.method === 'POST' ? await readBody(request) : ''
+			sendJson(response, 200, this.jobs.handle(name, body))
+			return
+		}
+		if (request.method === 'PUT') {
+			this.instances.put(JSON.parse(await readBody(request)) as ListedInstance, Date.now())
+		}
+		if (request.method === 'DELETE') this.instances.remove(name, Date.now())
+		const shownAt = Date.now() - this.faults.listLagMilliseconds
+		sendJson(response, 200, { instances: this.instances.getRows(shownAt) })
+	}
+}
