Add the scheduler: queues by pool and team, share policies, starts on demand

Cause: a request must be queued by share and held under its team's limit before it is sent. A start takes a slot, then the team that the share policy names, then a unit of its allowance; nothing waits for a tick. Ways weighed: fair per daemon (LocalShare, baseline) and weighted max-min over the fleet's digests (FleetShare).

--- /dev/null
+++ b/packages/core/src/lib/scheduling/FleetShare.ts
@@ -0,0 +1,58 @@
+import type { TeamId } from '../ids/TeamId.js'
+import { computeMaxMin } from './computeMaxMin.js'
+import type { PoolLoad } from './PoolLoad.js'
+import { SharePolicy } from './SharePolicy.js'
+import type { TeamLoad } from './TeamLoad.js'
+
+interface Candidate {
+	readonly team: TeamId
+	/** Running by weight, fleet-wide. */
+	readonly level: number
+	/** Requests that this daemon may start now. */
+	readonly room: number
+}
+
+const NO_LOAD = { running: 0, queued: 0 }
+
+/**
+ * Weighted max-min over what runs and waits fleet-wide, by the digests of the peers. A team that
+ * has its share of a full pool starts nothing more here, so that a team that waits at another
+ * daemon finds the slot that comes free. What a team may still start is split between the daemons
+ * by what waits at each.
+ *
+ * @public
+ */
+export class FleetShare extends SharePolicy {
+	override readonly name = 'fleet'
+
+	override getOrder(load: PoolLoad): TeamId[] {
+		const parts = computeMaxMin(load.capacity, this.getDemands(load))
+		return [...load.own.values()]
+			.filter((row) => row.queued > 0)
+			.map((row) => this.getCandidate(load, row, parts.get(row.team) ?? 0))
+			.filter((candidate) => candidate.room > 0)
+			.sort((a, b) => a.level - b.level)
+			.map((candidate) => candidate.team)
+	}
+
+	private getDemands(load: PoolLoad): Map<TeamId, { demand: number; weight: number }> {
+		const demands = new Map<TeamId, { demand: number; weight: number }>()
+		for (const row of [...load.own.values(), ...load.peers.values()]) {
+			const known = demands.get(row.team)?.demand ?? 0
+			const weight = load.shares.get(row.team) ?? 1
+			demands.set(row.team, { demand: known + row.running + row.queued, weight })
+		}
+		return demands
+	}
+
+	private getCandidate(load: PoolLoad, own: TeamLoad, part: number): Candidate {
+		const peers = load.peers.get(own.team) ?? NO_LOAD
+		const running = own.running + peers.running
+		const mine = own.queued / (own.queued + peers.queued)
+		return {
+			team: own.team,
+			level: running / (load.shares.get(own.team) ?? 1),
+			room: Math.ceil(part - running) * mine,
+		}
+	}
+}
--- /dev/null
+++ b/packages/core/src/lib/scheduling/LocalShare.ts
@@ -0,0 +1,20 @@
+import type { TeamId } from '../ids/TeamId.js'
+import type { PoolLoad } from './PoolLoad.js'
+import { SharePolicy } from './SharePolicy.js'
+
+/**
+ * Baseline: fair between the teams of this daemon only, blind to the others.
+ *
+ * @public
+ */
+export class LocalShare extends SharePolicy {
+	override readonly name = 'local'
+
+	override getOrder(load: PoolLoad): TeamId[] {
+		return [...load.own.values()]
+			.filter((row) => row.queued > 0)
+			.map((row) => ({ team: row.team, level: row.running / (load.shares.get(row.team) ?? 1) }))
+			.sort((a, b) => a.level - b.level)
+			.map((row) => row.team)
+	}
+}
--- /dev/null
+++ b/packages/core/src/lib/scheduling/Scheduler.ts
@@ -0,0 +1,137 @@
+import type { PoolId } from '../ids/PoolId.js'
+import type { TeamId } from '../ids/TeamId.js'
+import type { TimerService } from '../time/TimerService.js'
+import type { AllowanceSource } from './AllowanceSource.js'
+import type { PoolLoad } from './PoolLoad.js'
+import { RequestQueues } from './RequestQueues.js'
+import type { ServerSource } from './ServerSource.js'
+import type { SharePolicy } from './SharePolicy.js'
+import type { Start } from './Start.js'
+import type { TeamLoad } from './TeamLoad.js'
+import type { WaitingRequest } from './WaitingRequest.js'
+
+/**
+ * What a scheduler works with.
+ *
+ * @public
+ */
+interface Options<Unit> {
+	readonly timers: TimerService
+	readonly allowances: AllowanceSource<Unit>
+	readonly servers: ServerSource
+	readonly policy: SharePolicy
+	/** Weights of the teams in force. */
+	readonly getShares: () => ReadonlyMap<TeamId, number>
+	/** Load of a pool at the other daemons. */
+	readonly getPeerLoad: (pool: PoolId) => ReadonlyMap<TeamId, TeamLoad>
+	/** Called for each request that starts. */
+	readonly onStart: (start: Start<Unit>) => void
+	/** Called for each request whose start would be too late. */
+	readonly onLate: (request: WaitingRequest) => void
+}
+
+/**
+ * Starts waiting requests by share, allowance and free slots. It runs on demand, whenever a request
+ * comes or something comes free, and every tick.
+ *
+ * @public
+ */
+export class Scheduler<Unit = unknown> {
+	readonly queues = new RequestQueues()
+	private readonly running = new Map<PoolId, Map<TeamId, number>>()
+	private isTicking = false
+
+	constructor(private readonly options: Options<Unit>) {}
+
+	/** Queues a request and starts it at once where that is possible. */
+	submit(request: WaitingRequest): void {
+		this.queues.add(request)
+		this.tickPool(request.pool)
+	}
+
+	/** Takes out a request that waits; false when it has started. */
+	cancel(request: WaitingRequest): boolean {
+		return this.queues.remove(request)
+	}
+
+	/** Tells that a started request runs no more and that its unit and slot are free. */
+	finish(request: WaitingRequest): void {
+		this.count(request.pool, request.team, -1)
+		this.tickPool(request.pool)
+	}
+
+	/** Refuses late requests and starts what may start, in every pool. */
+	tick(): void {
+		for (const request of this.queues.getLate(this.options.timers.now())) {
+			this.queues.remove(request)
+			this.options.onLate(request)
+		}
+		for (const pool of this.queues.getPools()) this.tickPool(pool)
+	}
+
+	/** Running and waiting requests of this daemon on a pool, by team. */
+	getOwnLoad(pool: PoolId): Map<TeamId, TeamLoad> {
+		const load = new Map<TeamId, TeamLoad>()
+		const running = this.running.get(pool)
+		const teams = new Set([...(running?.keys() ?? []), ...this.queues.getTeams(pool)])
+		for (const team of teams) {
+			const queued = this.queues.getSize(pool, team)
+			load.set(team, { team, running: running?.get(team) ?? 0, queued })
+		}
+		return load
+	}
+
+	/** Pools on which this daemon has running or waiting requests. */
+	getPools(): PoolId[] {
+		return [...new Set([...this.running.keys(), ...this.queues.getPools()])]
+	}
+
+	private tickPool(pool: PoolId): void {
+		if (this.isTicking) return
+		this.isTicking = true
+		try {
+			while (this.startOne(pool));
+		} finally {
+			this.isTicking = false
+		}
+	}
+
+	private startOne(pool: PoolId): boolean {
+		if (this.queues.getTeams(pool).length === 0) return false
+		const server = this.options.servers.reserve(pool)
+		if (server === undefined) return false
+		for (const team of this.options.policy.getOrder(this.getLoad(pool))) {
+			const unit = this.options.allowances.tryStart(team)
+			if (unit === undefined) continue
+			const request = this.queues.getNext(pool, team)
+			if (!request) {
+				this.options.allowances.finish(unit)
+				continue
+			}
+			this.queues.start(request)
+			this.count(pool, team, 1)
+			this.options.onStart({ request, unit, server })
+			return true
+		}
+		this.options.servers.release(server)
+		return false
+	}
+
+	private getLoad(pool: PoolId): PoolLoad {
+		return {
+			capacity: this.options.servers.getCapacity(pool),
+			own: this.getOwnLoad(pool),
+			peers: this.options.getPeerLoad(pool),
+			shares: this.options.getShares(),
+		}
+	}
+
+	private count(pool: PoolId, team: TeamId, change: number): void {
+		const teams = this.running.get(pool) ?? new Map<TeamId, number>()
+		this.running.set(pool, teams)
+		const running = (teams.get(team) ?? 0) + change
+		if (running > 0) teams.set(team, running)
+		else teams.delete(team)
+		if (teams.size === 0) this.running.delete(pool)
+	}
+}
--- /dev/null
+++ b/packages/core/src/lib/scheduling/WaitingRequest.ts
@@ -0,0 +1,22 @@
+import type { Urgency } from '../fleet/Urgency.js'
+import type { PoolId } from '../ids/PoolId.js'
+import type { QueueId } from '../ids/QueueId.js'
+import type { TeamId } from '../ids/TeamId.js'
+import type { Milliseconds } from '../time/Milliseconds.js'
+
+/**
+ * A request that waits for its start.
+ *
+ * @public
+ */
+export interface WaitingRequest {
+	/** Unique within the daemon. */
+	readonly id: number
+	readonly queue: QueueId
+	readonly team: TeamId
+	readonly pool: PoolId
+	readonly urgency: Urgency
+	readonly enqueuedAt: Milliseconds
+	/** Instant from which a start is too late. */
+	readonly startBy: Milliseconds
+}
