--- /dev/null
+++ b/packages/core/src/lib/placement/PlacementCandidate.ts
@@ -0,0 +1,20 @@
+import type { AvailabilityZoneId } from '../ids/AvailabilityZoneId.js'
+import type { BackendServerId } from '../ids/BackendServerId.js'
+
+/**
+ * A backend server that may get new work, as one entry instance sees it.
+ *
+ * @public
+ */
+export interface PlacementCandidate {
+	readonly name: BackendServerId
+	readonly availabilityZone: AvailabilityZoneId
+	/** Requests that it runs at once. */
+	readonly slots: number
+	/** Requests of this entry instance that run there now. */
+	readonly running: number
+	/** Requests of the other entry instances that run there, by their last digests. */
+	readonly peerRunning: number
+	/** Connections that this entry instance may still use there, idle ones included. */
+	readonly freeConnections: number
+}
--- /dev/null
+++ b/packages/core/src/lib/placement/PlacementPolicy.ts
@@ -0,0 +1,52 @@
+import type { BackendServerId } from '../ids/BackendServerId.js'
+import { getFreeSlots } from './getFreeSlots.js'
+import type { PlacementCandidate } from './PlacementCandidate.js'
+import type { PlacementRequest } from './PlacementRequest.js'
+
+/**
+ * Picks the backend server for a request: one of the own availability zone if any has a slot free
+ * there, else one of another zone.
+ *
+ * @public
+ */
+export abstract class PlacementPolicy {
+	/** Name in settings and tables. */
+	abstract readonly name: string
+
+	/** @param random - uniform in [0, 1) */
+	constructor(protected readonly random: () => number) {}
+
+	/** Returns undefined when no candidate seems to have room; the request then waits. */
+	choose(request: PlacementRequest): BackendServerId | undefined {
+		const open = request.candidates.filter(
+			(candidate) =>
+				!request.excluded.has(candidate.name) &&
+				candidate.freeConnections > 0 &&
+				this.hasRoom(candidate)
+		)
+		const local = open.filter(
+			(candidate) => candidate.availabilityZone === request.availabilityZone
+		)
+		const tier = local.length > 0 ? local : open
+		if (tier.length === 0) return undefined
+		return this.pick(tier, request).name
+	}
+
+	/** Whether the policy takes the candidate to have a free slot. */
+	protected hasRoom(candidate: PlacementCandidate): boolean {
+		return getFreeSlots(candidate) > 0
+	}
+
+	/** Picks one of `candidates`, which is not empty. */
+	protected abstract pick(
+		candidates: readonly PlacementCandidate[],
+		request: PlacementRequest
+	): PlacementCandidate
+
+	/** Picks one of `candidates` uniformly. */
+	protected pickRandom(candidates: readonly PlacementCandidate[]): PlacementCandidate {
+		const candidate = candidates[Math.floor(this.random() * candidates.length)] ?? candidates[0]
+		if (!candidate) throw new Error('there are no candidates')
+		return candidate
+	}
+}
--- /dev/null
+++ b/packages/core/src/lib/placement/PowerOfTwoPlacement.ts
@@ -0,0 +1,21 @@
+import { getFreeSlots } from './getFreeSlots.js'
+import type { PlacementCandidate } from './PlacementCandidate.js'
+import { PlacementPolicy } from './PlacementPolicy.js'
+
+/**
+ * Draws two backend servers and picks the one with more free slots, by the own count and the
+ * digests of the other entry instances. Drawing keeps entry instances with the same stale digests
+ * from all picking the same server.
+ *
+ * @public
+ */
+export class PowerOfTwoPlacement extends PlacementPolicy {
+	override readonly name = 'power-of-two'
+
+	protected override pick(candidates: readonly PlacementCandidate[]): PlacementCandidate {
+		const first = this.pickRandom(candidates)
+		if (candidates.length === 1) return first
+		const second = this.pickRandom(candidates.filter((candidate) => candidate !== first))
+		return getFreeSlots(second) > getFreeSlots(first) ? second : first
+	}
+}
--- /dev/null
+++ b/packages/core/src/lib/placement/getConnectionShare.ts
@@ -0,0 +1,16 @@
+/**
+ * Connections that one entry instance may hold to a backend server. Static shares need no
+ * coordinator; no entry instance needs more connections than the server has slots.
+ *
+ * @param server - its slots and connections
+ * @param instances - entry instances that share the server, at least 1
+ *
+ * @public
+ */
+export function getConnectionShare(
+	server: { readonly slots: number; readonly connections: number },
+	instances: number
+): number {
+	const share = Math.floor(server.connections / Math.max(1, instances))
+	return Math.max(1, Math.min(server.slots, share))
+}
