Fold drains, moves, waves and health reports under the availability budget

Every step that takes a backend server out of service is checked at its offset against the counts of its pool: draining, joining, in maintenance, failed and unknown ones are all out of service. Steps carry the offset of the activity that their proposer saw, so that a maintain or reassign confirmed for an earlier drain is rejected after an abort and a second drain; the state alone cannot tell those two drains apart.

Weighed for health: any report fails a server (one cut daemon would fail a pool), a majority of all members (a cut zone would be judged by those that cannot reach it), and a majority of the members in the server's own zone, at least two. The last one stands.

--- /dev/null
+++ b/packages/core/src/lib/fold/DrainHandler.ts
@@ -0,0 +1,39 @@
+import { HealthView } from '../health/HealthView.js'
+import type { DrainProposal } from '../log/DrainProposal.js'
+import type { LogEntry } from '../log/LogEntry.js'
+import type { FleetState } from '../state/FleetState.js'
+import { AvailabilityLedger } from '../waves/AvailabilityLedger.js'
+import { ProposalHandler } from './ProposalHandler.js'
+import { setActivity } from './setActivity.js'
+
+/**
+ * Decides on drains by operators. They respect the availability budget unless they override it; a
+ * backend server that has failed may always be drained, since it is out of service already.
+ *
+ * @public
+ */
+export class DrainHandler extends ProposalHandler<'drain'> {
+	override readonly kind = 'drain'
+
+	override check(state: FleetState, proposal: DrainProposal): string | undefined {
+		const { backendServer } = proposal
+		const placement = state.placements.get(backendServer)
+		if (!placement) return `unknown backend server ${backendServer}`
+		const { activity } = placement
+		if (!proposal.draining) {
+			if (activity.type === 'draining' && activity.reason === 'operator') return undefined
+			return `${backendServer} is not drained by an operator`
+		}
+		if (activity.type !== 'serving') return `${backendServer} is already ${activity.type}`
+		if (proposal.override) return undefined
+		if (new HealthView(state).getHealth(backendServer) === 'failed') return undefined
+		return new AvailabilityLedger(state).checkTake(backendServer)
+	}
+
+	override apply(state: FleetState, proposal: DrainProposal, entry: LogEntry): void {
+		const activity = proposal.draining
+			? ({ type: 'draining', reason: 'operator' } as const)
+			: ({ type: 'serving' } as const)
+		setActivity(state, proposal.backendServer, activity, entry)
+	}
+}
--- /dev/null
+++ b/packages/core/src/lib/fold/setActivity.ts
@@ -0,0 +1,29 @@
+import { assert } from '../assert.js'
+import type { BackendServerId } from '../ids/BackendServerId.js'
+import type { PoolId } from '../ids/PoolId.js'
+import type { LogEntry } from '../log/LogEntry.js'
+import type { FleetState } from '../state/FleetState.js'
+import type { Placement } from '../state/Placement.js'
+
+/**
+ * Sets what is under way with a backend server as of `entry`.
+ *
+ * @param pool - pool that it is in from now on; by default the one that it is in
+ * @internal
+ */
+export function setActivity(
+	state: FleetState,
+	backendServer: BackendServerId,
+	activity: Placement['activity'],
+	entry: LogEntry,
+	pool?: PoolId
+): void {
+	const placement = state.placements.get(backendServer)
+	assert(placement, 'an accepted step names a backend server of the fleet')
+	state.placements.set(backendServer, {
+		...placement,
+		pool: pool ?? placement.pool,
+		activity,
+		since: { offset: entry.offset, at: entry.at },
+	})
+}
--- /dev/null
+++ b/packages/core/src/lib/health/HealthView.ts
@@ -0,0 +1,55 @@
+import type { AvailabilityZoneId } from '../ids/AvailabilityZoneId.js'
+import type { BackendServerId } from '../ids/BackendServerId.js'
+import type { InstanceId } from '../ids/InstanceId.js'
+import type { FleetState } from '../state/FleetState.js'
+import type { Health } from './Health.js'
+import { OBSERVER_LEASE } from './observerLease.js'
+
+/** Observers that a verdict on a backend server needs to come from its own availability zone. */
+const MINIMUM_OBSERVERS = 2
+
+/**
+ * Judges the health of backend servers by the reports in a state, at the platform clock of that
+ * state. Only members whose lease has not lapsed are heard. The observers of a backend server are
+ * the members of its own availability zone, or all members where the zone has fewer than two, so
+ * that a zone cut off from the others does not have its backend servers judged by them.
+ *
+ * A view is good for the state as it was when the view was made.
+ *
+ * @public
+ */
+export class HealthView {
+	private readonly live = new Set<InstanceId>()
+	private readonly liveByZone = new Map<AvailabilityZoneId, Set<InstanceId>>()
+
+	constructor(private readonly state: FleetState) {
+		for (const member of state.members.values()) {
+			if (state.at - member.renewedAt > OBSERVER_LEASE) continue
+			this.live.add(member.instance)
+			const zone = this.liveByZone.get(member.availabilityZone) ?? new Set()
+			zone.add(member.instance)
+			this.liveByZone.set(member.availabilityZone, zone)
+		}
+	}
+
+	/** Members whose reports on a backend server count. */
+	getObservers(backendServer: BackendServerId): ReadonlySet<InstanceId> {
+		const row = this.state.backendServers.get(backendServer)
+		const zone = row && this.liveByZone.get(row.availabilityZone)
+		if (!zone || zone.size < MINIMUM_OBSERVERS) return this.live
+		return zone
+	}
+
+	/** Health of a backend server; `unknown` for one that the fleet does not have. */
+	getHealth(backendServer: BackendServerId): Health {
+		const observers = this.getObservers(backendServer)
+		if (observers.size === 0) return 'unknown'
+		const placement = this.state.placements.get(backendServer)
+		if (!placement) return 'unknown'
+		if (!placement.reports) return 'healthy'
+		const votes = placement.reports.filter((instance) => observers.has(instance)).length
+		if (votes * 2 < observers.size || votes === 0) return 'healthy'
+		if (votes * 2 === observers.size || votes < MINIMUM_OBSERVERS) return 'unknown'
+		return 'failed'
+	}
+}
--- a/packages/core/src/lib/log/DrainProposal.ts
+++ b/packages/core/src/lib/log/DrainProposal.ts
@@ -11,5 +11,7 @@
 	readonly id: ProposalId
 	readonly backendServer: BackendServerId
 	readonly draining: boolean
+	/** Drains although the availability budget of the pool does not hold afterwards. */
+	readonly override?: boolean | undefined
 	readonly operator: string
 }
--- a/packages/core/src/lib/log/MoveProposal.ts
+++ b/packages/core/src/lib/log/MoveProposal.ts
@@ -15,5 +15,10 @@
 	readonly from: PoolId
 	readonly to: PoolId
 	readonly step: MoveStep
+	/**
+	 * Offset since which the backend server does what the proposer saw it do. The fold rejects the
+	 * step once it does something else, also when it has come back to the same activity.
+	 */
+	readonly since?: number | undefined
 	readonly proposer: string
 }
--- a/packages/core/src/lib/log/WaveStepProposal.ts
+++ b/packages/core/src/lib/log/WaveStepProposal.ts
@@ -14,5 +14,10 @@
 	readonly wave: WaveId
 	readonly backendServer: BackendServerId
 	readonly step: WaveStep
+	/**
+	 * Offset since which the backend server does what the proposer saw it do. The fold rejects the
+	 * step once it does something else, also when it has come back to the same activity.
+	 */
+	readonly since?: number | undefined
 	readonly proposer: string
 }
--- /dev/null
+++ b/packages/core/src/lib/state/ActivityStart.ts
@@ -0,0 +1,12 @@
+import type { Milliseconds } from '../time/Milliseconds.js'
+
+/**
+ * The log entry with which an activity of a backend server began.
+ *
+ * @public
+ */
+export interface ActivityStart {
+	readonly offset: number
+	/** Platform clock of that entry. */
+	readonly at: Milliseconds
+}
--- a/packages/core/src/lib/state/Placement.ts
+++ b/packages/core/src/lib/state/Placement.ts
@@ -1,5 +1,7 @@
+import type { InstanceId } from '../ids/InstanceId.js'
 import type { PoolId } from '../ids/PoolId.js'
 import type { WaveId } from '../ids/WaveId.js'
+import type { ActivityStart } from './ActivityStart.js'
 
 /**
  * The pool that a backend server is in, and what is under way with it.
@@ -8,7 +10,12 @@
  */
 export interface Placement {
 	readonly pool: PoolId
+	/** Verdict at the last health report; see `HealthView` for the one at this moment. */
 	readonly health: 'healthy' | 'failed'
+	/** Entry instances that report it as failed; absent for none. */
+	readonly reports?: readonly InstanceId[] | undefined
+	/** When the activity began; absent for one that began with the fleet document. */
+	readonly since?: ActivityStart | undefined
 	readonly activity:
 		| { readonly type: 'serving' }
 		| { readonly type: 'draining'; readonly reason: 'operator' }
--- a/packages/core/src/lib/state/Wave.ts
+++ b/packages/core/src/lib/state/Wave.ts
@@ -1,5 +1,7 @@
 import type { BackendServerId } from '../ids/BackendServerId.js'
 import type { WaveId } from '../ids/WaveId.js'
+import type { WaveOutcome } from './WaveOutcome.js'
+import type { WaveStepState } from './WaveStepState.js'
 
 /**
  * A maintenance wave.
@@ -12,10 +14,10 @@
 	/** Why it is paused; empty otherwise. */
 	readonly reason: string
 	readonly parallelism: number
+	/** Failed outcomes that are let pass; one more pauses the wave. */
 	readonly failureLimit: number
 	/** State of each backend server of the wave. */
-	readonly steps: ReadonlyMap<
-		BackendServerId,
-		'waiting' | 'draining' | 'maintenance' | 'done' | 'failed'
-	>
+	readonly steps: ReadonlyMap<BackendServerId, WaveStepState>
+	/** Steps that ended within the last `WAVE_FAILURE_WINDOW`, oldest first. */
+	readonly outcomes: readonly WaveOutcome[]
 }
--- /dev/null
+++ b/packages/core/src/lib/waves/AvailabilityLedger.ts
@@ -0,0 +1,79 @@
+import { HealthView } from '../health/HealthView.js'
+import type { BackendServerId } from '../ids/BackendServerId.js'
+import type { PoolId } from '../ids/PoolId.js'
+import type { FleetState } from '../state/FleetState.js'
+import type { PoolAvailability } from './PoolAvailability.js'
+
+/**
+ * Counts which backend servers of each pool are in service and says whether one more may be taken
+ * out. `take` books planned steps that are not in the log yet, so that a planner proposes no more
+ * than the fold will accept.
+ *
+ * @public
+ */
+export class AvailabilityLedger {
+	private readonly pools = new Map<PoolId, { available: number; unavailable: number }>()
+	private readonly taken = new Set<BackendServerId>()
+	readonly health: HealthView
+
+	constructor(private readonly state: FleetState) {
+		this.health = new HealthView(state)
+		for (const pool of state.pools.keys()) this.pools.set(pool, { available: 0, unavailable: 0 })
+		for (const [backendServer, placement] of state.placements) {
+			const pool = this.pools.get(placement.pool)
+			if (!pool) continue
+			if (this.isAvailable(backendServer)) pool.available += 1
+			else pool.unavailable += 1
+		}
+	}
+
+	/** Counts of one pool; zeros for a pool that the fleet does not have. */
+	getAvailability(pool: PoolId): PoolAvailability {
+		const { available, unavailable } = this.pools.get(pool) ?? { available: 0, unavailable: 0 }
+		return { pool, available, unavailable }
+	}
+
+	/** Whether a backend server is in service: serving, healthy, and not taken here. */
+	isAvailable(backendServer: BackendServerId): boolean {
+		if (this.taken.has(backendServer)) return false
+		const placement = this.state.placements.get(backendServer)
+		if (placement?.activity.type !== 'serving') return false
+		return this.health.getHealth(backendServer) === 'healthy'
+	}
+
+	/** Why the availability budget of a pool does not hold as things are, or undefined. */
+	checkPool(pool: PoolId): string | undefined {
+		return this.checkCounts(pool, 0)
+	}
+
+	/** Why taking a backend server out of service would break the budget of its pool, or undefined. */
+	checkTake(backendServer: BackendServerId): string | undefined {
+		const placement = this.state.placements.get(backendServer)
+		if (!placement) return `unknown backend server ${backendServer}`
+		return this.checkCounts(placement.pool, this.isAvailable(backendServer) ? 1 : 0)
+	}
+
+	/** Books a backend server as out of service. */
+	take(backendServer: BackendServerId): void {
+		const wasAvailable = this.isAvailable(backendServer)
+		this.taken.add(backendServer)
+		const placement = this.state.placements.get(backendServer)
+		const pool = placement && this.pools.get(placement.pool)
+		if (!pool || !wasAvailable) return
+		pool.available -= 1
+		pool.unavailable += 1
+	}
+
+	private checkCounts(pool: PoolId, taking: number): string | undefined {
+		const row = this.state.pools.get(pool)
+		if (!row) return `unknown pool ${pool}`
+		const { available, unavailable } = this.getAvailability(pool)
+		if (available - taking < row.minimumAvailable) {
+			return `pool ${pool} would have ${available - taking} available, minimum ${row.minimumAvailable}`
+		}
+		if (unavailable + taking > row.maximumUnavailable) {
+			return `pool ${pool} would have ${unavailable + taking} unavailable, maximum ${row.maximumUnavailable}`
+		}
+		return undefined
+	}
+}
--- /dev/null
+++ b/packages/core/src/lib/waves/checkFailureDomain.ts
@@ -0,0 +1,48 @@
+import type { BackendServerId } from '../ids/BackendServerId.js'
+import type { PoolId } from '../ids/PoolId.js'
+import type { FleetState } from '../state/FleetState.js'
+import type { Wave } from '../state/Wave.js'
+
+/**
+ * Says why a wave may not take a backend server yet: within a pool, a wave goes through one
+ * availability zone after the other, and begins a zone only once no backend server in service is
+ * left waiting in the zones where it has some out.
+ *
+ * @returns the reason, or undefined
+ * @public
+ */
+export function checkFailureDomain(
+	state: FleetState,
+	wave: Wave,
+	backendServer: BackendServerId
+): string | undefined {
+	const placement = state.placements.get(backendServer)
+	const zone = state.backendServers.get(backendServer)?.availabilityZone
+	if (!placement) return undefined
+	const begun = new Set<string>()
+	const waiting = new Set<string>()
+	for (const [other, step] of wave.steps) {
+		const otherZone = getZoneInPool(state, other, placement.pool)
+		if (otherZone === undefined || otherZone === zone) continue
+		if (step === 'draining' || step === 'maintenance') begun.add(otherZone)
+		if (step === 'waiting' && isInService(state, other)) waiting.add(otherZone)
+	}
+	for (const otherZone of begun) {
+		if (waiting.has(otherZone)) return `the wave is not through with availability zone ${otherZone}`
+	}
+	return undefined
+}
+
+function getZoneInPool(
+	state: FleetState,
+	backendServer: BackendServerId,
+	pool: PoolId
+): string | undefined {
+	if (state.placements.get(backendServer)?.pool !== pool) return undefined
+	return state.backendServers.get(backendServer)?.availabilityZone
+}
+
+function isInService(state: FleetState, backendServer: BackendServerId): boolean {
+	const placement = state.placements.get(backendServer)
+	return placement?.activity.type === 'serving' && placement.health === 'healthy'
+}
--- /dev/null
+++ b/packages/core/src/lib/waves/settleWave.ts
@@ -0,0 +1,26 @@
+import type { FleetState } from '../state/FleetState.js'
+import type { Wave } from '../state/Wave.js'
+import { WAVE_FAILURE_WINDOW } from './waveFailureWindow.js'
+
+/**
+ * Works out the state of a wave from its steps and outcomes: forgets outcomes older than the
+ * failure window, pauses it above its failure limit, and ends it when no step is left.
+ *
+ * @public
+ */
+export function settleWave(state: FleetState, wave: Wave): Wave {
+	const outcomes = wave.outcomes.filter((row) => state.at - row.at <= WAVE_FAILURE_WINDOW)
+	const settled = { ...wave, outcomes }
+	if (wave.state === 'aborted' || wave.state === 'done') return settled
+	const left = [...wave.steps.values()].some(
+		(step) => step === 'waiting' || step === 'draining' || step === 'maintenance'
+	)
+	if (!left) return { ...settled, state: 'done', reason: '' }
+	const failures = outcomes.filter((row) => row.outcome === 'failed').length
+	if (wave.state === 'paused' || failures <= wave.failureLimit) return settled
+	return {
+		...settled,
+		state: 'paused',
+		reason: `${failures} failed within the failure window, limit ${wave.failureLimit}`,
+	}
+}
