--- /dev/null
+++ b/packages/daemon/src/lib/metrics/OutcomeRecorder.ts
@@ -0,0 +1,49 @@
+import type { Verdict } from '@mastichead/core'
+import type { HistogramRow } from './HistogramRow.js'
+import { LatencyRecorder } from './LatencyRecorder.js'
+import type { RequestMeasurement } from './RequestMeasurement.js'
+
+/**
+ * Distributions and outcome counts of one team or one queue.
+ *
+ * @internal
+ */
+export class OutcomeRecorder {
+	readonly wait = new LatencyRecorder()
+	readonly service = new LatencyRecorder()
+	readonly total = new LatencyRecorder()
+	readonly outcomes: Record<Verdict, number> = { 'not-run': 0, 'may-have-run': 0, ran: 0 }
+
+	/** Bytes held by the distributions. */
+	get bytes(): number {
+		return this.wait.bytes + this.service.bytes + this.total.bytes
+	}
+
+	record(measurement: RequestMeasurement): void {
+		this.outcomes[measurement.verdict] += 1
+		this.wait.record(measurement.waitMilliseconds)
+		this.total.record(measurement.totalMilliseconds)
+		if (measurement.serviceMilliseconds === undefined) return
+		this.service.record(measurement.serviceMilliseconds)
+	}
+
+	/** Adds what another recorder holds. */
+	add(other: OutcomeRecorder): void {
+		this.wait.add(other.wait)
+		this.service.add(other.service)
+		this.total.add(other.total)
+		this.outcomes['not-run'] += other.outcomes['not-run']
+		this.outcomes['may-have-run'] += other.outcomes['may-have-run']
+		this.outcomes.ran += other.outcomes.ran
+	}
+
+	export(name: string): HistogramRow {
+		return {
+			name,
+			outcomes: { ...this.outcomes },
+			wait: this.wait.encode(),
+			service: this.service.encode(),
+			total: this.total.encode(),
+		}
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/lib/metrics/formatTextExposition.ts
@@ -0,0 +1,73 @@
+import { LatencyRecorder } from './LatencyRecorder.js'
+import type { OutcomeRecorder } from './OutcomeRecorder.js'
+
+const MILLISECONDS_PER_SECOND = 1_000
+
+const DISTRIBUTIONS = ['wait', 'service', 'total'] as const
+
+type Rows = readonly (readonly [string, OutcomeRecorder])[]
+
+/**
+ * Formats recorders in the text exposition format: one family of outcome counters and one
+ * histogram family for each distribution, by label `team` and by label `queue`.
+ *
+ * @internal
+ */
+export function formatTextExposition(tables: {
+	readonly team: Rows
+	readonly queue: Rows
+}): string {
+	const lines: string[] = []
+	for (const label of ['team', 'queue'] as const) {
+		appendOutcomes(lines, label, tables[label])
+		for (const distribution of DISTRIBUTIONS) {
+			appendDistribution(lines, label, distribution, tables[label])
+		}
+	}
+	return `${lines.join('\n')}\n`
+}
+
+function appendOutcomes(lines: string[], label: string, rows: Rows): void {
+	const family = `mastichead_${label}_requests_total`
+	lines.push(`# HELP ${family} Requests that ended, by ${label} and verdict.`)
+	lines.push(`# TYPE ${family} counter`)
+	for (const [name, row] of rows) {
+		for (const [verdict, count] of Object.entries(row.outcomes)) {
+			lines.push(`${family}{${label}="${escapeLabel(name)}",verdict="${verdict}"} ${count}`)
+		}
+	}
+}
+
+function appendDistribution(
+	lines: string[],
+	label: string,
+	distribution: (typeof DISTRIBUTIONS)[number],
+	rows: Rows
+): void {
+	const family = `mastichead_${label}_${distribution}_seconds`
+	lines.push(`# HELP ${family} Distribution of the ${distribution} time by ${label}.`)
+	lines.push(`# TYPE ${family} histogram`)
+	for (const [name, row] of rows) {
+		appendHistogram(lines, family, `${label}="${escapeLabel(name)}"`, row[distribution])
+	}
+}
+
+function appendHistogram(
+	lines: string[],
+	family: string,
+	labels: string,
+	recorder: LatencyRecorder
+): void {
+	const count = recorder.histogram.totalCount
+	for (const [index, bound] of LatencyRecorder.bucketBoundsMilliseconds.entries()) {
+		const seconds = bound / MILLISECONDS_PER_SECOND
+		lines.push(`${family}_bucket{${labels},le="${seconds}"} ${recorder.buckets[index] ?? 0}`)
+	}
+	lines.push(`${family}_bucket{${labels},le="+Inf"} ${count}`)
+	lines.push(`${family}_sum{${labels}} ${recorder.sumMilliseconds / MILLISECONDS_PER_SECOND}`)
+	lines.push(`${family}_count{${labels}} ${count}`)
+}
+
+function escapeLabel(value: string): string {
+	return value.replaceAll('\\', '\\\\').replaceAll('"', '\\"').replaceAll('\n', '\\n')
+}
