Add the callers' path of the daemon: admission, queue, attempts, answers

Cause: the thin path needs one request served from start to finish. A request takes a slot, its team's turn and a unit of allowance; what may still run at a backend server after a failed attempt keeps its slot and allowance until its deadline, so that the limit holds for what truly runs. Checked: build and lint; not run as processes yet.

--- /dev/null
+++ b/packages/daemon/src/lib/callers/CallerRequest.ts
@@ -0,0 +1,36 @@
+import type {
+	BackendServerId,
+	Milliseconds,
+	Queue,
+	RequestAttempts,
+	TeamId,
+	WaitingRequest,
+} from '@mastichead/core'
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { RunningAttempt } from '../backends/RunningAttempt.js'
+import type { CallerHeaders } from './CallerHeaders.js'
+import type { RequestBody } from './RequestBody.js'
+
+/**
+ * An accepted request, from the queue to its end.
+ *
+ * @internal
+ */
+export interface CallerRequest {
+	readonly requestId: string
+	readonly team: TeamId
+	readonly queue: Queue
+	readonly headers: CallerHeaders
+	readonly contentType: string | undefined
+	readonly body: RequestBody
+	readonly request: IncomingMessage
+	readonly response: ServerResponse
+	readonly attempts: RequestAttempts
+	readonly acceptedAt: Milliseconds
+	/** Its entry in the queue; replaced when it has to wait again. */
+	waiting: WaitingRequest
+	/** When its first attempt started; absent while it waits. */
+	startedAt: Milliseconds | undefined
+	running: { readonly server: BackendServerId; readonly attempt: RunningAttempt } | undefined
+	hasEnded: boolean
+}
--- /dev/null
+++ b/packages/daemon/src/lib/callers/CallerServer.ts
@@ -0,0 +1,216 @@
+import type { FleetState, Queue, TeamId } from '@mastichead/core'
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { Logger } from 'winston'
+import type { Settings } from '../settings/Settings.js'
+import type { CallerAuthenticator } from './CallerAuthenticator.js'
+import { parseCallerHeaders } from './parseCallerHeaders.js'
+import type { Refusal } from './Refusal.js'
+import { RequestBody } from './RequestBody.js'
+import type { RequestIdSource } from './RequestIdSource.js'
+import type { RequestManager } from './RequestManager.js'
+import { sendRefusal } from './sendRefusal.js'
+
+const QUEUE_PATH_PATTERN = /^\/v1\/queues\/([^/]+)\/requests$/
+const SHORT_RETRY_AFTER_MILLISECONDS = 1000
+
+interface Options {
+	readonly settings: Settings
+	readonly logger: Logger
+	readonly requests: RequestManager
+	readonly authenticator: CallerAuthenticator
+	readonly requestIds: RequestIdSource
+	readonly getState: () => FleetState
+}
+
+/**
+ * The callers' HTTP port.
+ *
+ * @public
+ */
+export class CallerServer {
+	private readonly server: Server
+	private isLeaving = false
+
+	constructor(private readonly options: Options) {
+		const { limits } = options.settings
+		this.server = createServer(
+			{
+				maxHeaderSize: limits.headerBytes,
+				headersTimeout: limits.headersTimeoutMilliseconds,
+				requestTimeout: limits.requestTimeoutMilliseconds,
+				keepAliveTimeout: limits.idleTimeoutMilliseconds,
+			},
+			(request, response) => {
+				this.handle(request, response).catch((error: unknown) => {
+					options.logger.error('request-crashed', { reason: String(error) })
+					response.destroy()
+				})
+			}
+		)
+		this.server.maxConnections = limits.connections
+	}
+
+	/** Starts listening; rejects when the port cannot be opened. */
+	async start(): Promise<void> {
+		const { host, port } = this.options.settings.listeners.callers
+		await new Promise<void>((resolve, reject) => {
+			this.server.once('error', reject)
+			this.server.listen(port, host, resolve)
+		})
+	}
+
+	/** Takes nothing new; connections end after the answers that are under way. */
+	leave(): void {
+		this.isLeaving = true
+		this.server.close()
+		this.server.closeIdleConnections()
+	}
+
+	/** Ends every connection. */
+	stop(): void {
+		this.server.closeAllConnections()
+	}
+
+	private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		if (this.isLeaving) response.setHeader('connection', 'close')
+		const { pathname } = new URL(request.url ?? '/', 'http://caller')
+		if (pathname === '/healthz') {
+			this.answerHealth(response)
+			return
+		}
+		if (pathname === '/v1/request-ids') {
+			this.answerRequestId(request, response)
+			return
+		}
+		const queueName = QUEUE_PATH_PATTERN.exec(pathname)?.[1]
+		if (queueName === undefined) {
+			this.refuse(request, response, notFound)
+			return
+		}
+		await this.handleRequest(decodeURIComponent(queueName), request, response)
+	}
+
+	private answerHealth(response: ServerResponse): void {
+		response.writeHead(this.isLeaving ? 503 : 200, { 'content-type': 'application/json' })
+		response.end(JSON.stringify({ status: this.isLeaving ? 'leaving' : 'ready' }))
+	}
+
+	private answerRequestId(request: IncomingMessage, response: ServerResponse): void {
+		if (request.method !== 'POST') {
+			this.refuse(request, response, methodNotAllowed)
+			return
+		}
+		request.resume()
+		response.writeHead(201, { 'content-type': 'application/json' })
+		response.end(JSON.stringify({ requestId: this.options.requestIds.issue() }))
+	}
+
+	private async handleRequest(
+		queueName: string,
+		request: IncomingMessage,
+		response: ServerResponse
+	): Promise<void> {
+		const admission = this.admit(queueName, request)
+		if (admission.type === 'refused') {
+			this.refuse(request, response, admission.refusal)
+			return
+		}
+		const { queue, team, headers } = admission
+		const body = await RequestBody.read(request)
+		if (!body) return
+		const claim = await this.options.requestIds.claim(headers.requestId)
+		if (claim.type === 'refused') {
+			this.refuse(request, response, claim.refusal, headers.requestId)
+			return
+		}
+		const requestId = claim.requestId
+		this.options.requests.submit({ requestId, team, queue, headers, body, request, response })
+	}
+
+	private admit(
+		queueName: string,
+		request: IncomingMessage
+	):
+		| { type: 'refused'; refusal: Refusal }
+		| {
+				type: 'admitted'
+				queue: Queue
+				team: TeamId
+				headers: Exclude<ReturnType<typeof parseCallerHeaders>, string>
+		  } {
+		const refuse = (refusal: Refusal) => ({ type: 'refused', refusal }) as const
+		if (this.isLeaving) return refuse(shuttingDown)
+		if (request.method !== 'POST') return refuse(methodNotAllowed)
+		const queue = this.options.getState().queues.get(queueName)
+		if (!queue) return refuse(createUnknownQueue(queueName))
+		const result = this.options.authenticator.authenticate(request.headers.authorization, queue)
+		if (result.type === 'refused') return refuse(result.refusal)
+		const headers = parseCallerHeaders(request.headers)
+		if (typeof headers === 'string') return refuse(createHeaderMalformed(headers))
+		const length = Number(request.headers['content-length'] ?? 0)
+		if (length > this.options.settings.limits.bodyBytes) return refuse(bodyTooLarge)
+		if (!this.options.requests.hasRoom(queue)) return refuse(queueFull)
+		return { type: 'admitted', queue, team: result.team, headers }
+	}
+
+	private refuse(
+		request: IncomingMessage,
+		response: ServerResponse,
+		refusal: Refusal,
+		requestId = ''
+	): void {
+		request.resume()
+		sendRefusal(response, refusal, requestId)
+	}
+}
+
+const notFound: Refusal = {
+	status: 404,
+	error: 'not-found',
+	message: 'there is no such path',
+	verdict: 'not-run',
+}
+const methodNotAllowed: Refusal = {
+	status: 405,
+	error: 'method-not-allowed',
+	message: 'use POST',
+	verdict: 'not-run',
+}
+const shuttingDown: Refusal = {
+	status: 503,
+	error: 'shutting-down',
+	message: 'this entry instance shuts down',
+	verdict: 'not-run',
+	retryAfter: SHORT_RETRY_AFTER_MILLISECONDS,
+}
+const bodyTooLarge: Refusal = {
+	status: 413,
+	error: 'body-too-large',
+	message: 'the body is over the limit',
+	verdict: 'not-run',
+}
+const queueFull: Refusal = {
+	status: 503,
+	error: 'queue-full',
+	message: 'the queue is full here',
+	verdict: 'not-run',
+	retryAfter: SHORT_RETRY_AFTER_MILLISECONDS,
+}
+
+function createUnknownQueue(queue: string): Refusal {
+	return {
+		status: 404,
+		error: 'unknown-queue',
+		message: `there is no queue ${queue}`,
+		verdict: 'not-run',
+	}
+}
+
+function createHeaderMalformed(header: string): Refusal {
+	return {
+		status: 400,
+		error: 'header-malformed',
+		message: `the header ${header} is malformed`,
+		verdict: 'not-run',
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/lib/callers/Refusal.ts
@@ -0,0 +1,40 @@
+import type { Milliseconds, Verdict } from '@mastichead/core'
+
+/**
+ * Tags of the errors that a caller may be answered with before its request starts.
+ *
+ * @public
+ */
+type RefusalError =
+	| 'not-found'
+	| 'method-not-allowed'
+	| 'unknown-queue'
+	| 'key-missing'
+	| 'key-malformed'
+	| 'key-refused'
+	| 'team-refused'
+	| 'keys-isolated'
+	| 'header-malformed'
+	| 'body-too-large'
+	| 'body-incomplete'
+	| 'queue-full'
+	| 'start-too-late'
+	| 'request-id-unknown'
+	| 'request-repeated'
+	| 'shutting-down'
+	| 'not-ready'
+	| 'internal'
+
+/**
+ * An error answer to a caller.
+ *
+ * @public
+ */
+export interface Refusal {
+	readonly status: number
+	readonly error: RefusalError
+	readonly message: string
+	readonly verdict: Verdict
+	/** When it makes sense to come back; absent where it does not help. */
+	readonly retryAfter?: Milliseconds | undefined
+}
--- /dev/null
+++ b/packages/daemon/src/lib/callers/RequestManager.ts
@@ -0,0 +1,371 @@
+import {
+	type AllowanceSource,
+	type AttemptOutcome,
+	type BackendServerId,
+	createFinalAnswer,
+	type FinalAnswer,
+	type FleetState,
+	getVerdict,
+	type Milliseconds,
+	type PoolId,
+	type Queue,
+	RequestAttempts,
+	RetryBudget,
+	Scheduler,
+	type SharePolicy,
+	type Start,
+	type TeamId,
+	type TeamLoad,
+	type TimerService,
+	type Verdict,
+	type WaitingRequest,
+} from '@mastichead/core'
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Logger } from 'winston'
+import type { BackendManager } from '../backends/BackendManager.js'
+import type { MetricsManager } from '../metrics/MetricsManager.js'
+import type { PlacementManager } from '../placement/PlacementManager.js'
+import type { CallerHeaders } from './CallerHeaders.js'
+import type { CallerRequest } from './CallerRequest.js'
+import type { RequestBody } from './RequestBody.js'
+import { sendRefusal } from './sendRefusal.js'
+
+/** Time between ticks of the scheduler, which also runs on demand. */
+const TICK_MILLISECONDS = 20
+
+/** Longest pause within the body of an answer. */
+const BODY_TIMEOUT_MILLISECONDS = 30_000
+
+/** Time after which a request that waited too long is worth another try. */
+const LATE_RETRY_AFTER_MILLISECONDS = 2000
+
+interface Options<Unit> {
+	readonly timers: TimerService
+	readonly logger: Logger
+	readonly metrics: MetricsManager
+	readonly allowances: AllowanceSource<Unit>
+	readonly placement: PlacementManager
+	readonly backends: BackendManager
+	readonly policy: SharePolicy
+	readonly getState: () => FleetState
+	readonly getPeerLoad: (pool: PoolId) => ReadonlyMap<TeamId, TeamLoad>
+	/** Called once with the verdict of each request that was accepted. */
+	readonly onEnd: (requestId: string, verdict: Verdict) => void
+}
+
+/** What the caller server knows of a request that it accepts. */
+interface Submission {
+	readonly requestId: string
+	readonly team: TeamId
+	readonly queue: Queue
+	readonly headers: CallerHeaders
+	readonly body: RequestBody
+	readonly request: IncomingMessage
+	readonly response: ServerResponse
+}
+
+/**
+ * Carries accepted requests from the queue to their end: waits for a start, sends attempts, passes
+ * the answer on, and gives back what it holds.
+ *
+ * @public
+ */
+export class RequestManager<Unit = unknown> {
+	readonly scheduler: Scheduler<Unit>
+	private readonly requests = new Map<number, CallerRequest>()
+	private readonly budget: RetryBudget
+	private readonly ticks
+	private lastId = 0
+	private onIdle: () => void = () => undefined
+
+	constructor(private readonly options: Options<Unit>) {
+		const { timers, allowances, placement, policy, getPeerLoad } = options
+		this.budget = new RetryBudget()
+		this.scheduler = new Scheduler<Unit>({
+			timers,
+			allowances,
+			servers: placement,
+			policy,
+			getPeerLoad,
+			getShares: () => this.getShares(),
+			onStart: (start) => {
+				this.start(start)
+			},
+			onLate: (waiting) => {
+				this.refuseLate(waiting)
+			},
+		})
+		this.ticks = timers.every(TICK_MILLISECONDS, () => {
+			this.scheduler.tick()
+		})
+	}
+
+	/** Requests that wait or run. */
+	get size(): number {
+		return this.requests.size
+	}
+
+	/** Whether the queue takes one more request here. */
+	hasRoom(queue: Queue): boolean {
+		return this.scheduler.queues.getQueueSize(queue.name) < queue.maximumQueued
+	}
+
+	/** Queues a request; its answer goes to the caller as soon as there is one. */
+	submit(submission: Submission): void {
+		const now = this.options.timers.now()
+		const { queue, headers, request, response } = submission
+		const timeout = Math.min(headers.timeout ?? Infinity, queue.timeoutMilliseconds)
+		const waiting = this.createWaiting(submission, now + timeout)
+		const row: CallerRequest = {
+			...submission,
+			contentType: request.headers['content-type'],
+			attempts: new RequestAttempts({
+				timers: this.options.timers,
+				budget: this.budget,
+				idempotent: headers.idempotent,
+				deadline: now + timeout,
+			}),
+			acceptedAt: now,
+			waiting,
+			startedAt: undefined,
+			running: undefined,
+			hasEnded: false,
+		}
+		this.requests.set(waiting.id, row)
+		response.once('close', () => {
+			this.handleClose(row)
+		})
+		this.scheduler.submit(waiting)
+	}
+
+	/** Resolves once nothing waits or runs any more. */
+	async waitUntilIdle(): Promise<void> {
+		if (this.requests.size === 0) return
+		await new Promise<void>((resolve) => {
+			this.onIdle = resolve
+		})
+	}
+
+	stop(): void {
+		this.ticks.cancel()
+	}
+
+	private createWaiting(
+		{ team, queue }: { team: TeamId; queue: Queue },
+		startBy: Milliseconds
+	): WaitingRequest {
+		return {
+			id: ++this.lastId,
+			queue: queue.name,
+			team,
+			pool: queue.pool,
+			urgency: queue.urgency,
+			enqueuedAt: this.options.timers.now(),
+			startBy,
+		}
+	}
+
+	private start(start: Start<Unit>): void {
+		const row = this.requests.get(start.request.id)
+		if (row) {
+			row.startedAt ??= this.options.timers.now()
+			void this.runAttempt(row, start)
+			return
+		}
+		this.options.placement.release(start.server)
+		this.options.allowances.finish(start.unit)
+	}
+
+	private async runAttempt(row: CallerRequest, start: Start<Unit>): Promise<void> {
+		const { placement, timers } = this.options
+		const { server, unit } = start
+		const runEndsAt = timers.now() + row.queue.runMilliseconds
+		row.attempts.start(server)
+		placement.noteStart(server)
+		const outcome = await this.send(row, server)
+		row.running = undefined
+		placement.noteEnd(server, outcome)
+		const decision = row.attempts.end(outcome, { replayable: row.body.isReplayable })
+		this.logAttempt(row, server, outcome)
+		if (decision.type === 'retry' && !row.hasEnded) {
+			this.retry(row, { start, outcome, runEndsAt })
+			return
+		}
+		if (decision.type === 'final') this.end(row, decision.answer)
+		else if (decision.type === 'wait' && !row.hasEnded) this.requeue(row)
+		this.giveBack({ request: start.request, server, unit }, outcome, runEndsAt)
+	}
+
+	private send(row: CallerRequest, server: BackendServerId): Promise<AttemptOutcome> {
+		const target = this.options.getState().backendServers.get(server)
+		if (!target) return Promise.resolve({ type: 'reset-before-write' })
+		const attempt = this.options.backends.send({
+			server: target,
+			method: row.request.method ?? 'POST',
+			path: row.headers.path,
+			headers: getAttemptHeaders(row),
+			body: row.body.take(),
+			headTimeout: row.queue.runMilliseconds,
+			bodyTimeout: BODY_TIMEOUT_MILLISECONDS,
+			onHead: (status, headers) => {
+				this.passHead(row, server, { status, headers })
+			},
+			onData: (chunk) => this.passData(row, chunk),
+		})
+		row.running = { server, attempt }
+		if (row.hasEnded) attempt.cancel()
+		return attempt.ended
+	}
+
+	private retry(
+		row: CallerRequest,
+		failed: { start: Start<Unit>; outcome: AttemptOutcome; runEndsAt: Milliseconds }
+	): void {
+		const { start, outcome, runEndsAt } = failed
+		const server = this.options.placement.reserve(row.queue.pool, row.attempts.excluded)
+		const unit = getVerdict(outcome) === 'not-run' ? start.unit : undefined
+		const nextUnit = server && (unit ?? this.options.allowances.tryStart(row.team))
+		if (server === undefined || nextUnit === undefined) {
+			if (server !== undefined) this.options.placement.release(server)
+			this.end(row, createFinalAnswer(outcome, row.attempts.verdict))
+			this.giveBack(start, outcome, runEndsAt)
+			return
+		}
+		this.giveBackSlot(start.server, outcome, runEndsAt)
+		if (unit === undefined) {
+			this.options.timers.after(runEndsAt - this.options.timers.now(), () => {
+				this.options.allowances.finish(start.unit)
+			})
+		}
+		void this.runAttempt(row, { request: start.request, server, unit: nextUnit })
+	}
+
+	private requeue(row: CallerRequest): void {
+		const deadline = row.waiting.startBy
+		this.requests.delete(row.waiting.id)
+		row.waiting = this.createWaiting(row, deadline)
+		this.requests.set(row.waiting.id, row)
+		this.scheduler.submit(row.waiting)
+	}
+
+	/** What may still run at the backend server keeps its slot and allowance until its deadline. */
+	private giveBack(start: Start<Unit>, outcome: AttemptOutcome, runEndsAt: Milliseconds): void {
+		this.giveBackSlot(start.server, outcome, runEndsAt)
+		this.afterRun(outcome, runEndsAt, () => {
+			this.options.allowances.finish(start.unit)
+			this.scheduler.finish(start.request)
+		})
+	}
+
+	private giveBackSlot(
+		server: BackendServerId,
+		outcome: AttemptOutcome,
+		runEndsAt: Milliseconds
+	): void {
+		this.afterRun(outcome, runEndsAt, () => {
+			this.options.placement.release(server)
+		})
+	}
+
+	private afterRun(outcome: AttemptOutcome, runEndsAt: Milliseconds, act: () => void): void {
+		const { timers } = this.options
+		if (canStillRun(outcome)) timers.after(runEndsAt - timers.now(), act)
+		else act()
+	}
+
+	private passHead(
+		row: CallerRequest,
+		server: BackendServerId,
+		head: { status: number; headers: Readonly<Record<string, string | string[]>> }
+	): void {
+		const { response } = row
+		if (row.hasEnded || response.headersSent) return
+		const startedAt = row.startedAt ?? row.acceptedAt
+		const now = this.options.timers.now()
+		for (const [name, value] of Object.entries(head.headers)) response.setHeader(name, value)
+		response.setHeader('mastichead-verdict', 'ran')
+		response.setHeader('mastichead-request-id', row.requestId)
+		response.setHeader('mastichead-backend-server', server)
+		response.setHeader('mastichead-queued-milliseconds', Math.round(startedAt - row.acceptedAt))
+		response.setHeader('mastichead-service-milliseconds', Math.round(now - startedAt))
+		response.writeHead(head.status)
+	}
+
+	private passData(row: CallerRequest, chunk: Buffer): boolean {
+		if (row.hasEnded) return true
+		const hasRoom = row.response.write(chunk)
+		if (!hasRoom) row.response.once('drain', () => row.running?.attempt.resume())
+		return hasRoom
+	}
+
+	private end(row: CallerRequest, answer: FinalAnswer): void {
+		if (row.hasEnded) return
+		if (answer.type === 'answered') row.response.end()
+		else sendRefusal(row.response, answer, row.requestId)
+		this.forget(row, answer.verdict)
+	}
+
+	private refuseLate(waiting: WaitingRequest): void {
+		const row = this.requests.get(waiting.id)
+		if (!row) return
+		this.end(row, {
+			type: 'failed',
+			verdict: row.attempts.verdict,
+			status: 503,
+			error: 'deadline-exceeded',
+			message: 'the request could not start in time',
+			retryAfter: LATE_RETRY_AFTER_MILLISECONDS,
+		})
+	}
+
+	private handleClose(row: CallerRequest): void {
+		if (row.hasEnded) return
+		this.scheduler.cancel(row.waiting)
+		row.running?.attempt.cancel()
+		this.forget(row, row.running ? 'may-have-run' : row.attempts.verdict)
+	}
+
+	private forget(row: CallerRequest, verdict: Verdict): void {
+		row.hasEnded = true
+		this.requests.delete(row.waiting.id)
+		const now = this.options.timers.now()
+		const startedAt = row.startedAt
+		this.options.metrics.recordRequest({
+			team: row.team,
+			queue: row.queue.name,
+			verdict,
+			waitMilliseconds: (startedAt ?? now) - row.acceptedAt,
+			serviceMilliseconds: startedAt === undefined ? undefined : now - startedAt,
+			totalMilliseconds: now - row.acceptedAt,
+		})
+		this.options.onEnd(row.requestId, verdict)
+		if (this.requests.size === 0) this.onIdle()
+	}
+
+	private logAttempt(row: CallerRequest, server: BackendServerId, outcome: AttemptOutcome): void {
+		const fields = { requestId: row.requestId, team: row.team, server, outcome: outcome.type }
+		if (outcome.type === 'answered') this.options.logger.debug('attempt-ended', fields)
+		else this.options.logger.warn('attempt-failed', fields)
+	}
+
+	private getShares(): ReadonlyMap<TeamId, number> {
+		const shares = new Map<TeamId, number>()
+		for (const team of this.options.getState().teams.values()) shares.set(team.name, team.share)
+		return shares
+	}
+}
+
+function canStillRun(outcome: AttemptOutcome): boolean {
+	return outcome.type !== 'answered' && getVerdict(outcome) !== 'not-run'
+}
+
+function getAttemptHeaders(row: CallerRequest): Record<string, string> {
+	const headers: Record<string, string> = {
+		'mastichead-request-id': row.requestId,
+		'mastichead-team': row.team,
+		'mastichead-queue': row.queue.name,
+		'mastichead-deadline-milliseconds': String(row.queue.runMilliseconds),
+	}
+	if (row.contentType !== undefined) headers['content-type'] = row.contentType
+	return headers
+}
