--- /dev/null
+++ b/packages/core/src/lib/fleet/FleetParse.ts
@@ -0,0 +1,11 @@
+import type { Fleet } from './Fleet.js'
+import type { FleetProblem } from './FleetProblem.js'
+
+/**
+ * Outcome of reading a fleet file.
+ *
+ * @public
+ */
+export type FleetParse =
+	| { readonly type: 'valid'; readonly fleet: Fleet }
+	| { readonly type: 'invalid'; readonly problems: readonly FleetProblem[] }
--- /dev/null
+++ b/packages/core/src/lib/fleet/parseFleet.ts
@@ -0,0 +1,35 @@
+import { parseDocument } from 'yaml'
+import type { FleetParse } from './FleetParse.js'
+import { fleetFileSchema } from './fleetFileSchema.js'
+import { getFleetProblems } from './getFleetProblems.js'
+import { getSchemaProblems } from './getSchemaProblems.js'
+
+/** Aliases that a file may expand; more is taken for an expansion attack. */
+const MAXIMUM_ALIASES = 100
+
+/**
+ * Reads a fleet file in YAML, checks it and fills in defaults (see `fleetFileSchema`).
+ *
+ * @param text - the file's content
+ * @returns the whole document, or every problem found with its path
+ *
+ * @public
+ */
+export function parseFleet(text: string): FleetParse {
+	const document = parseDocument(text, { prettyErrors: true })
+	if (document.errors.length > 0) {
+		const problems = document.errors.map((error) => ({ path: '', message: error.message.trim() }))
+		return { type: 'invalid', problems }
+	}
+	let content: unknown
+	try {
+		content = document.toJS({ maxAliasCount: MAXIMUM_ALIASES })
+	} catch (error) {
+		return { type: 'invalid', problems: [{ path: '', message: String(error) }] }
+	}
+	const parsed = fleetFileSchema.safeParse(content)
+	if (!parsed.success) return { type: 'invalid', problems: getSchemaProblems(parsed.error) }
+	const problems = getFleetProblems(parsed.data)
+	if (problems.length > 0) return { type: 'invalid', problems }
+	return { type: 'valid', fleet: parsed.data }
+}
--- /dev/null
+++ b/packages/core/src/lib/fold/SnapshotHandler.ts
@@ -0,0 +1,27 @@
+import type { LogEntry } from '../log/LogEntry.js'
+import type { SnapshotProposal } from '../log/SnapshotProposal.js'
+import type { FleetState } from '../state/FleetState.js'
+import { ProposalHandler } from './ProposalHandler.js'
+
+/**
+ * Takes note of parts of snapshots. They change nothing: whoever folds them has the state.
+ *
+ * @internal
+ */
+export class SnapshotHandler extends ProposalHandler<'snapshot'> {
+	override readonly kind = 'snapshot'
+
+	override check(
+		_state: FleetState,
+		{ through, part, parts }: SnapshotProposal,
+		{ offset }: LogEntry
+	): string | undefined {
+		if (through >= offset) return 'a snapshot covers entries before it only'
+		if (part >= parts) return `part ${part} of ${parts}`
+		return undefined
+	}
+
+	override apply(): void {
+		return
+	}
+}
--- /dev/null
+++ b/packages/core/src/lib/keys/createKey.ts
@@ -0,0 +1,16 @@
+import { randomBytes } from 'node:crypto'
+import type { CallerKey } from './CallerKey.js'
+
+const ID_BYTES = 8
+const SECRET_BYTES = 32
+
+/**
+ * Makes a caller key: a public id of 64 random bits and a secret of 256.
+ *
+ * @public
+ */
+export function createKey(): CallerKey {
+	const id = randomBytes(ID_BYTES).toString('hex')
+	const secret = randomBytes(SECRET_BYTES).toString('base64url')
+	return { id, secret, text: `mh_${id}_${secret}` }
+}
--- /dev/null
+++ b/packages/core/src/lib/keys/parseKey.ts
@@ -0,0 +1,16 @@
+import type { CallerKey } from './CallerKey.js'
+
+const KEY_PATTERN = /^mh_([0-9a-f]{16})_([A-Za-z0-9_-]{43})$/
+
+/**
+ * Takes a key apart.
+ *
+ * @returns undefined when `text` does not have the form of a key
+ *
+ * @public
+ */
+export function parseKey(text: string): CallerKey | undefined {
+	const [, id, secret] = KEY_PATTERN.exec(text) ?? []
+	if (id === undefined || secret === undefined) return undefined
+	return { id, secret, text }
+}
--- a/packages/core/src/lib/log/Proposal.ts
+++ b/packages/core/src/lib/log/Proposal.ts
@@ -7,7 +7,9 @@
 import type { JoinProposal } from './JoinProposal.js'
 import type { LeaveProposal } from './LeaveProposal.js'
 import type { MoveProposal } from './MoveProposal.js'
+import type { SnapshotMarkProposal } from './SnapshotMarkProposal.js'
 import type { SnapshotProposal } from './SnapshotProposal.js'
+import type { UnreadableProposal } from './UnreadableProposal.js'
 import type { WaveProposal } from './WaveProposal.js'
 import type { WaveStepProposal } from './WaveStepProposal.js'
 import type { WithdrawKeyProposal } from './WithdrawKeyProposal.js'
@@ -31,3 +33,5 @@
 	| WaveStepProposal
 	| HealthProposal
 	| SnapshotProposal
+	| SnapshotMarkProposal
+	| UnreadableProposal
--- a/packages/core/src/lib/log/SnapshotProposal.ts
+++ b/packages/core/src/lib/log/SnapshotProposal.ts
@@ -10,7 +10,10 @@
 	readonly id: ProposalId
 	/** Last offset folded into the snapshot. */
 	readonly through: number
+	/** SHA-256 of the encoded state, in hex; the same in all parts. */
+	readonly hash: string
 	readonly part: number
 	readonly parts: number
+	/** Slice of the compressed state in base64. */
 	readonly body: string
 }
--- /dev/null
+++ b/packages/core/src/lib/snapshot/SnapshotDecoding.ts
@@ -0,0 +1,10 @@
+import type { FleetState } from '../state/FleetState.js'
+
+/**
+ * Outcome of decoding a snapshot.
+ *
+ * @public
+ */
+export type SnapshotDecoding =
+	| { readonly type: 'decoded'; readonly state: FleetState }
+	| { readonly type: 'damaged'; readonly reason: string }
--- /dev/null
+++ b/packages/core/src/lib/snapshot/createSnapshotProposals.ts
@@ -0,0 +1,26 @@
+import type { ProposalId } from '../ids/ProposalId.js'
+import type { SnapshotProposal } from '../log/SnapshotProposal.js'
+import type { Snapshot } from './Snapshot.js'
+
+/**
+ * The records that carry a snapshot, one for each part.
+ *
+ * @param id - id of the mark that the snapshot was taken at
+ *
+ * @public
+ */
+export function createSnapshotProposals(
+	snapshot: Snapshot,
+	id: ProposalId
+): readonly SnapshotProposal[] {
+	const { through, hash, parts } = snapshot
+	return parts.map((body, part) => ({
+		kind: 'snapshot',
+		id: `${id}-${part}`,
+		through,
+		hash,
+		part,
+		parts: parts.length,
+		body,
+	}))
+}
--- /dev/null
+++ b/packages/core/src/lib/snapshot/decodeState.ts
@@ -0,0 +1,15 @@
+import type { FleetState } from '../state/FleetState.js'
+
+function reviveMap(_key: string, value: unknown): unknown {
+	if (typeof value !== 'object' || value === null || !('$map' in value)) return value
+	return new Map(value.$map as [unknown, unknown][])
+}
+
+/**
+ * Reads what `encodeState` wrote.
+ *
+ * @internal
+ */
+export function decodeState(text: string): FleetState {
+	return JSON.parse(text, reviveMap) as FleetState
+}
--- /dev/null
+++ b/packages/core/src/lib/snapshot/hashState.ts
@@ -0,0 +1,12 @@
+import { createHash } from 'node:crypto'
+import type { FleetState } from '../state/FleetState.js'
+import { encodeState } from './encodeState.js'
+
+/**
+ * SHA-256 of the encoded state, in hex. Daemons at the same offset have the same hash.
+ *
+ * @public
+ */
+export function hashState(state: FleetState): string {
+	return createHash('sha256').update(encodeState(state)).digest('hex')
+}
