--- a/packages/core/src/lib/fold/proposalHandlers.ts
+++ b/packages/core/src/lib/fold/proposalHandlers.ts
@@ -8,6 +8,13 @@
 import type { ProposalHandler } from './ProposalHandler.js'
 import { WaveHandler } from './WaveHandler.js'
 import { WaveStepHandler } from './WaveStepHandler.js'
+import { ApplyHandler } from './ApplyHandler.js'
+import { IssueKeyHandler } from './IssueKeyHandler.js'
+import type { ProposalHandler } from './ProposalHandler.js'
+import { SnapshotHandler } from './SnapshotHandler.js'
+import { SnapshotMarkHandler } from './SnapshotMarkHandler.js'
+import { UnreadableHandler } from './UnreadableHandler.js'
+import { WithdrawKeyHandler } from './WithdrawKeyHandler.js'
 
 /**
  * Every kind of proposal that the fold knows, one handler each.
@@ -24,4 +31,10 @@
 	new HeartbeatHandler(),
 	new JoinHandler(),
 	new LeaveHandler(),
+	new ApplyHandler(),
+	new IssueKeyHandler(),
+	new SnapshotHandler(),
+	new SnapshotMarkHandler(),
+	new UnreadableHandler(),
+	new WithdrawKeyHandler(),
 ]
