Run the thin whole path as separate processes

Cause: one request is to be served from start to finish before the parts grow. The daemon now follows the log, joins, holds an even part of each limit, authenticates by the folded keys, queues, places, sends and answers; log, allowance and request id managers are thin and will be replaced.

--- a/packages/daemon/src/lib/Daemon.ts
+++ b/packages/daemon/src/lib/Daemon.ts
@@ -1,30 +1,135 @@
-import type { TimerService } from '@mastichead/core'
+import {
+	FleetShare,
+	type InstanceId,
+	PowerOfTwoPlacement,
+	type TimerService,
+} from '@mastichead/core'
+import { randomBytes } from 'node:crypto'
 import type { Logger } from 'winston'
+import { AllowanceManager } from './allowances/AllowanceManager.js'
+import { BackendManager } from './backends/BackendManager.js'
+import { CallerServer } from './callers/CallerServer.js'
+import { RequestManager } from './callers/RequestManager.js'
+import { KeyManager } from './keys/KeyManager.js'
+import { LogManager } from './log/LogManager.js'
+import { MetricsManager } from './metrics/MetricsManager.js'
+import { PlacementManager } from './placement/PlacementManager.js'
+import { RequestIdManager } from './requestIds/RequestIdManager.js'
 import type { Settings } from './settings/Settings.js'
 
+const INCARNATION_BYTES = 6
+
+interface Options {
+	readonly settings: Settings
+	readonly logger: Logger
+	readonly timers: TimerService
+}
+
 /**
  * One daemon: its managers and its servers.
  *
  * @public
  */
 export class Daemon {
-	constructor(
-		private readonly options: {
-			readonly settings: Settings
-			readonly logger: Logger
-			readonly timers: TimerService
-		}
-	) {}
+	/** Name of this incarnation; a daemon that starts again has another. */
+	readonly instance: InstanceId
+	readonly log: LogManager
+	readonly keys: KeyManager
+	readonly allowances: AllowanceManager
+	readonly placement: PlacementManager
+	readonly backends: BackendManager
+	readonly requestIds: RequestIdManager
+	readonly metrics = new MetricsManager()
+	readonly requests: RequestManager
+	readonly callers: CallerServer
+
+	constructor(private readonly options: Options) {
+		const { settings, logger, timers } = options
+		const { availabilityZone } = settings
+		this.instance = `${settings.instance}.${randomBytes(INCARNATION_BYTES).toString('hex')}`
+		const url = settings.platform.urls[0] ?? ''
+		this.log = new LogManager({ timers, logger, url, instance: settings.instance })
+		const getState = () => this.log.state
+		this.keys = new KeyManager(getState)
+		this.allowances = new AllowanceManager({
+			timers,
+			log: this.log,
+			instance: this.instance,
+			availabilityZone,
+			peerAddress: this.getPeerAddress(),
+		})
+		this.placement = new PlacementManager({
+			timers,
+			policy: new PowerOfTwoPlacement(Math.random),
+			availabilityZone,
+			instance: this.instance,
+			getState,
+			getPeerRunning: () => 0,
+			getListings: () => new Map(),
+		})
+		this.backends = new BackendManager((server) => this.placement.getConnections(server))
+		this.requestIds = new RequestIdManager(timers, this.instance)
+		this.requests = new RequestManager({
+			timers,
+			logger,
+			metrics: this.metrics,
+			allowances: this.allowances,
+			placement: this.placement,
+			backends: this.backends,
+			policy: new FleetShare(),
+			getState,
+			getPeerLoad: () => new Map(),
+			onEnd: (requestId, verdict) => {
+				this.requestIds.settle(requestId, verdict)
+			},
+		})
+		this.callers = new CallerServer({
+			settings,
+			logger,
+			requests: this.requests,
+			authenticator: this.keys,
+			requestIds: this.requestIds,
+			getState,
+		})
+	}
 
 	/** Opens every port; rejects when one cannot be opened. */
-	start(): Promise<void> {
-		this.options.logger.info('daemon-started')
-		return Promise.resolve()
+	async start(): Promise<void> {
+		const { logger, settings } = this.options
+		this.log.subscribe(() => {
+			this.backends.retain(this.log.state.backendServers)
+		})
+		await this.log.start()
+		await this.allowances.start()
+		await this.callers.start()
+		logger.info('daemon-started', {
+			incarnation: this.instance,
+			port: settings.listeners.callers.port,
+		})
 	}
 
 	/** Shuts down gracefully within `shutdown.graceMilliseconds`. */
-	stop(): Promise<void> {
-		this.options.logger.info('daemon-stopped')
-		return Promise.resolve()
+	async stop(): Promise<void> {
+		const { logger, settings, timers } = this.options
+		this.callers.leave()
+		const grace = settings.shutdown.graceMilliseconds
+		const expired = new Promise<'expired'>((resolve) => {
+			timers.after(grace, () => {
+				resolve('expired')
+			})
+		})
+		const end = await Promise.race([this.requests.waitUntilIdle(), expired])
+		if (end === 'expired') logger.warn('shutdown-cut', { requests: this.requests.size })
+		await this.allowances.leave()
+		this.requests.stop()
+		this.log.stop()
+		this.callers.stop()
+		await this.backends.close()
+		logger.info('daemon-stopped')
+	}
+
+	private getPeerAddress(): string {
+		const { host, port, advertisedHost } = this.options.settings.listeners.peers
+		return `${advertisedHost ?? host}:${port}`
 	}
 }
