--- /dev/null
+++ b/packages/standins/src/lib/processes/Deployment.ts
@@ -0,0 +1,116 @@
+import { type Fleet, parseFleet } from '@mastichead/core'
+import { randomUUID } from 'node:crypto'
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { createEntryInstances } from './createEntryInstances.js'
+import { createSettingsText } from './createSettingsText.js'
+import type { EntryInstance } from './EntryInstance.js'
+import { ProcessGroup } from './ProcessGroup.js'
+import { programs } from './programs.js'
+
+const DEFAULT_RUN_MILLISECONDS = 50
+const CONTROL_PORT_OFFSET = 500
+
+interface Options {
+	/** Path of the fleet file. */
+	readonly fleetFile: string
+	/** Port of the platform; the others follow it. */
+	readonly basePort: number
+	readonly daemons: number
+	/** Time that a backend server takes for a request; 50 ms by default. */
+	readonly runMilliseconds?: number
+	/** Backend servers to start; all by default. */
+	readonly pools?: readonly string[]
+}
+
+/**
+ * A deployment on loopback, each program in a process of its own: the platform stand-in, the
+ * backend servers of a fleet file, and entry instances.
+ *
+ * @public
+ */
+export class Deployment {
+	readonly processes = new ProcessGroup()
+	readonly fleet: Fleet
+	readonly instances: readonly EntryInstance[]
+	readonly token = randomUUID()
+	private readonly directory = mkdtempSync(join(tmpdir(), 'mastichead-'))
+
+	constructor(private readonly options: Options) {
+		const parsed = parseFleet(readFileSync(options.fleetFile, 'utf8'))
+		if (parsed.type !== 'valid') throw new Error(`${options.fleetFile} is not a fleet file`)
+		this.fleet = parsed.fleet
+		this.instances = createEntryInstances(
+			this.fleet.availabilityZones,
+			options.daemons,
+			options.basePort
+		)
+	}
+
+	/** Operators' addresses of all entry instances. */
+	get operatorUrls(): string[] {
+		return this.instances.map((instance) => `http://127.0.0.1:${instance.operatorPort}`)
+	}
+
+	/** Callers' addresses of all entry instances. */
+	get callerUrls(): string[] {
+		return this.instances.map((instance) => `http://127.0.0.1:${instance.callerPort}`)
+	}
+
+	get platformUrl(): string {
+		return `http://127.0.0.1:${this.options.basePort}`
+	}
+
+	/** Starts the platform, then the backend servers, then the entry instances. */
+	async start(): Promise<void> {
+		const platformArgs = [programs.platform, String(this.options.basePort)]
+		await this.processes.start('platform', platformArgs, 'event=platform_started')
+		await Promise.all(this.getStartedServers().map((name) => this.startServer(name)))
+		await Promise.all(this.instances.map((instance) => this.startDaemon(instance.name)))
+	}
+
+	/** Starts a backend server. */
+	async startServer(name: string): Promise<void> {
+		const server = this.fleet.backendServers.find((row) => row.name === name)
+		const port = Number(server?.address.split(':')[1] ?? 0)
+		const run = this.options.runMilliseconds ?? DEFAULT_RUN_MILLISECONDS
+		const numbers = [port, port + CONTROL_PORT_OFFSET, run].map(String)
+		await this.processes.start(name, [programs.backend, name, ...numbers], 'event=backend_started')
+	}
+
+	/** Starts an entry instance. */
+	async startDaemon(name: string): Promise<void> {
+		const instance = this.instances.find((row) => row.name === name)
+		if (!instance) throw new Error(`there is no entry instance ${name}`)
+		const file = join(this.directory, `${name}.yaml`)
+		const { token, instances: peers } = this
+		const platformPort = this.options.basePort
+		writeFileSync(file, createSettingsText({ instance, peers, platformPort, token }))
+		const args = [programs.daemon, '--settings', file]
+		await this.processes.start(name, args, 'event=daemon-started')
+	}
+
+	/** Control address of a backend server. */
+	getControlUrl(server: string): string {
+		const address = this.fleet.backendServers.find((row) => row.name === server)?.address ?? ''
+		return `http://127.0.0.1:${Number(address.split(':')[1]) + CONTROL_PORT_OFFSET}/_control`
+	}
+
+	/** Shuts the entry instances down, then the rest; names those that did not exit 0. */
+	async stop(): Promise<string[]> {
+		const stopped = await Promise.all(
+			this.instances.map(async ({ name }) => ({ name, code: await this.processes.stop(name) }))
+		)
+		const failed = stopped.filter(({ code }) => code !== 0).map(({ name }) => name)
+		rmSync(this.directory, { recursive: true })
+		return [...failed, ...(await this.processes.stopAll())]
+	}
+
+	private getStartedServers(): string[] {
+		const { pools } = this.options
+		return this.fleet.backendServers
+			.filter((server) => pools === undefined || pools.includes(server.pool))
+			.map((server) => server.name)
+	}
+}
--- /dev/null
+++ b/packages/standins/src/lib/processes/ProcessGroup.ts
@@ -0,0 +1,105 @@
+import { type ChildProcess, spawn } from 'node:child_process'
+import { once } from 'node:events'
+import { setTimeout as delay } from 'node:timers/promises'
+
+const START_TIMEOUT_MILLISECONDS = 20_000
+const STOP_TIMEOUT_MILLISECONDS = 20_000
+const KEPT_LINES = 200
+
+interface Row {
+	readonly name: string
+	readonly child: ChildProcess
+	/** Newest lines of its output, oldest first. */
+	readonly lines: string[]
+}
+
+/**
+ * Processes of a demo or a failure test, started by name and ended by pid.
+ *
+ * @public
+ */
+export class ProcessGroup {
+	private readonly rows = new Map<string, Row>()
+
+	/**
+	 * Starts a Node.js program and resolves once a line of its output contains `marker`.
+	 *
+	 * @param args - path of the program and its arguments
+	 */
+	async start(name: string, args: readonly string[], marker: string): Promise<void> {
+		const child = spawn(process.execPath, args, { stdio: ['ignore', 'pipe', 'pipe'] })
+		const row: Row = { name, child, lines: [] }
+		this.rows.set(name, row)
+		await new Promise<void>((resolve, reject) => {
+			const timer = setTimeout(() => {
+				reject(new Error(`${name} did not start: ${row.lines.join(' | ')}`))
+			}, START_TIMEOUT_MILLISECONDS)
+			const settle = (act: () => void): void => {
+				clearTimeout(timer)
+				act()
+			}
+			readLines(row, (line) => {
+				if (line.includes(marker)) settle(resolve)
+			})
+			child.once('exit', (code) => {
+				settle(() => {
+					reject(new Error(`${name} ended with ${String(code)}: ${row.lines.join(' | ')}`))
+				})
+			})
+		})
+	}
+
+	/** Newest lines that a process wrote. */
+	getLines(name: string): readonly string[] {
+		return this.rows.get(name)?.lines ?? []
+	}
+
+	getNames(): string[] {
+		return [...this.rows.keys()]
+	}
+
+	/** Sends a signal to one process. */
+	signal(name: string, signal: NodeJS.Signals): void {
+		this.rows.get(name)?.child.kill(signal)
+	}
+
+	/** Asks one process to end and resolves with its exit code; null after a kill. */
+	async stop(name: string, signal: NodeJS.Signals = 'SIGTERM'): Promise<number | null> {
+		const row = this.rows.get(name)
+		if (!row) return null
+		this.rows.delete(name)
+		const { child } = row
+		if (child.exitCode !== null || child.signalCode !== null) return child.exitCode
+		const exited = once(child, 'exit')
+		child.kill(signal)
+		const end = await Promise.race([exited, delay(STOP_TIMEOUT_MILLISECONDS, 'late' as const)])
+		if (end === 'late') {
+			child.kill('SIGKILL')
+			await exited
+		}
+		return child.exitCode
+	}
+
+	/** Ends every process, the newest first; resolves with the names of those that did not exit 0. */
+	async stopAll(): Promise<string[]> {
+		const names = this.getNames().reverse()
+		const codes = await Promise.all(names.map((name) => this.stop(name)))
+		return names.filter((_, index) => codes[index] !== 0)
+	}
+}
+
+function readLines(row: Row, onLine: (line: string) => void): void {
+	for (const stream of [row.child.stdout, row.child.stderr]) {
+		let rest = ''
+		stream?.setEncoding('utf8')
+		stream?.on('data', (text: string) => {
+			const lines = (rest + text).split('\n')
+			rest = lines.pop() ?? ''
+			for (const line of lines) {
+				row.lines.push(line)
+				if (row.lines.length > KEPT_LINES) row.lines.shift()
+				onLine(line)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/packages/standins/src/lib/processes/createSettingsText.ts
@@ -0,0 +1,34 @@
+import { createHash } from 'node:crypto'
+import { stringify } from 'yaml'
+import type { EntryInstance } from './EntryInstance.js'
+
+interface Options {
+	readonly instance: EntryInstance
+	readonly peers: readonly EntryInstance[]
+	readonly platformPort: number
+	/** Operators' credential, in plain text. */
+	readonly token: string
+}
+
+/**
+ * Writes the settings file of an entry instance on loopback.
+ *
+ * @public
+ */
+export function createSettingsText({ instance, peers, platformPort, token }: Options): string {
+	return stringify({
+		instance: instance.name,
+		availabilityZone: instance.availabilityZone,
+		listeners: {
+			callers: { port: instance.callerPort },
+			operators: { port: instance.operatorPort },
+			peers: { port: instance.peerPort },
+		},
+		platform: { urls: [`http://127.0.0.1:${platformPort}`] },
+		seeds: peers
+			.filter((peer) => peer.name !== instance.name)
+			.map((peer) => `127.0.0.1:${peer.peerPort}`),
+		operators: [{ name: 'demo', tokenHash: createHash('sha256').update(token).digest('hex') }],
+		shutdown: { graceMilliseconds: 10_000 },
+	})
+}
