--- /dev/null
+++ b/packages/daemon/src/lib/log/FoldedLog.ts
@@ -0,0 +1,94 @@
+import {
+	Fold,
+	parseProposal,
+	type Decision,
+	type FleetState,
+	type LogEntry,
+	type Subscription,
+} from '@mastichead/core'
+import type { Logger } from 'winston'
+import type { LogRecord } from './LogRecord.js'
+import { LogRing } from './LogRing.js'
+
+type EntryListener = (entry: LogEntry, decision: Decision) => void
+
+/**
+ * The fold and the recent records behind it. Records and states come from the platform or from
+ * peers, in any order; it goes forward only.
+ *
+ * @internal
+ */
+export class FoldedLog {
+	private fold = new Fold()
+	private readonly ring = new LogRing()
+	private readonly entryListeners = new Set<EntryListener>()
+	private readonly changeListeners = new Set<() => void>()
+
+	constructor(private readonly logger: Logger) {}
+
+	get state(): FleetState {
+		return this.fold.state
+	}
+
+	/** Folds the records that come next; those folded before are passed over. */
+	take(records: readonly LogRecord[]): void {
+		const before = this.state.offset
+		for (const record of records) {
+			if (record.offset <= this.state.offset) continue
+			if (record.offset > this.state.offset + 1) break
+			this.takeNext(record)
+		}
+		if (this.state.offset !== before) this.notifyChange()
+	}
+
+	/** Goes on from a state that is newer than the own one. @returns false for one that is not */
+	restore(state: FleetState): boolean {
+		if (state.offset <= this.state.offset) return false
+		this.fold = new Fold(state)
+		this.ring.clear()
+		this.notifyChange()
+		return true
+	}
+
+	/** @returns recent records from an offset on, or undefined when they are no longer kept */
+	read(from: number): readonly LogRecord[] | undefined {
+		return from === this.state.offset + 1 ? [] : this.ring.read(from)
+	}
+
+	onEntry(listener: EntryListener): Subscription {
+		this.entryListeners.add(listener)
+		return { cancel: () => this.entryListeners.delete(listener) }
+	}
+
+	onChange(listener: () => void): Subscription {
+		this.changeListeners.add(listener)
+		return { cancel: () => this.changeListeners.delete(listener) }
+	}
+
+	private takeNext(record: LogRecord): void {
+		const { offset, at } = record
+		const entry = { offset, at, proposal: parseProposal(record.record, offset) }
+		const decision = this.fold.take(entry)
+		this.ring.push(record)
+		if (!decision) return
+		for (const listener of [...this.entryListeners]) {
+			this.guard(() => {
+				listener(entry, decision)
+			})
+		}
+	}
+
+	private notifyChange(): void {
+		for (const listener of [...this.changeListeners]) this.guard(listener)
+	}
+
+	/** Every daemon folds the same entry, so that a fault in a listener must not stop them all. */
+	private guard(listener: () => void): void {
+		try {
+			listener()
+		} catch (error) {
+			const reason = error instanceof Error ? error.stack : String(error)
+			this.logger.error('log_listener_failed', { offset: this.state.offset, reason })
+		}
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/lib/log/HttpLogClient.ts
@@ -0,0 +1,129 @@
+import type { Milliseconds, TimerService } from '@mastichead/core'
+import { Agent, request } from 'undici'
+import { z } from 'zod'
+import type { LogAppend } from './LogAppend.js'
+import { LogClient } from './LogClient.js'
+import type { LogRead } from './LogRead.js'
+
+const MAXIMUM_CONNECTIONS = 4
+const CONNECT_TIMEOUT_MILLISECONDS = 1000
+/** Answer bytes that are read at most. */
+const MAXIMUM_ANSWER_BYTES = 32 * 1024 * 1024
+
+const STATUS_GONE = 410
+const STATUS_TIMEOUT = 408
+const STATUS_TOO_MANY = 429
+const STATUS_SERVER_ERROR = 500
+
+const readAnswer = z.object({
+	entries: z.array(z.object({ offset: z.int(), at: z.number(), record: z.string() })),
+})
+const expiredAnswer = z.object({ first: z.int() })
+
+interface Answer {
+	readonly status: number
+	readonly body: unknown
+}
+
+/**
+ * The platform's log over HTTP. A call that misses its deadline retires every connection, so
+ * that the next call opens a fresh one and does not wait on one that went silent.
+ *
+ * @public
+ */
+export class HttpLogClient extends LogClient {
+	private agent = this.createAgent()
+	private closed = false
+	private readonly calls = new Set<AbortController>()
+
+	/** @param baseUrl - address of the platform, like `http://10.0.0.1:7000` */
+	constructor(
+		private readonly timers: TimerService,
+		private readonly baseUrl: string
+	) {
+		super()
+	}
+
+	override async read(
+		from: number,
+		limit: number,
+		wait: Milliseconds,
+		deadline: Milliseconds
+	): Promise<LogRead> {
+		try {
+			const path = `/log/read?from=${from}&limit=${limit}&wait=${wait}`
+			const { status, body } = await this.call('GET', path, undefined, deadline)
+			if (status === STATUS_GONE) return { type: 'expired', first: expiredAnswer.parse(body).first }
+			if (status !== 200) return { type: 'failed', reason: `status ${status}` }
+			return { type: 'records', records: readAnswer.parse(body).entries }
+		} catch (error) {
+			return { type: 'failed', reason: String(error) }
+		}
+	}
+
+	override async append(records: readonly string[], deadline: Milliseconds): Promise<LogAppend> {
+		try {
+			const body = JSON.stringify({ records })
+			const { status } = await this.call('POST', '/log/append', body, deadline)
+			if (status === 200) return { type: 'appended' }
+			const reason = `status ${status}`
+			const again = status === STATUS_TIMEOUT || status === STATUS_TOO_MANY
+			if (again || status >= STATUS_SERVER_ERROR) return { type: 'unknown', reason }
+			return { type: 'refused', reason }
+		} catch (error) {
+			return { type: 'unknown', reason: String(error) }
+		}
+	}
+
+	override async close(): Promise<void> {
+		this.closed = true
+		for (const call of this.calls) call.abort(new Error('closed'))
+		await this.agent.destroy()
+	}
+
+	private async call(
+		method: 'GET' | 'POST',
+		path: string,
+		body: string | undefined,
+		deadline: Milliseconds
+	): Promise<Answer> {
+		if (this.closed) throw new Error('closed')
+		const dispatcher = this.agent
+		const call = new AbortController()
+		this.calls.add(call)
+		const timer = this.timers.after(deadline, () => {
+			call.abort(new Error(`no answer within ${deadline} ms`))
+			this.retire(dispatcher)
+		})
+		try {
+			const answer = await request(this.baseUrl + path, {
+				method,
+				body: body ?? null,
+				headers: body === undefined ? {} : { 'content-type': 'application/json' },
+				dispatcher,
+				signal: call.signal,
+			})
+			const text = await answer.body.text()
+			return { status: answer.statusCode, body: JSON.parse(text === '' ? 'null' : text) }
+		} finally {
+			timer.cancel()
+			this.calls.delete(call)
+		}
+	}
+
+	private retire(agent: Agent): void {
+		if (this.agent !== agent || this.closed) return
+		this.agent = this.createAgent()
+		void agent.destroy()
+	}
+
+	private createAgent(): Agent {
+		return new Agent({
+			connections: MAXIMUM_CONNECTIONS,
+			connect: { timeout: CONNECT_TIMEOUT_MILLISECONDS },
+			headersTimeout: 0,
+			bodyTimeout: 0,
+			maxResponseSize: MAXIMUM_ANSWER_BYTES,
+		})
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/lib/log/LogManager.ts
@@ -0,0 +1,149 @@
+import {
+	encodeSnapshot,
+	type Decision,
+	type FleetState,
+	type LogEntry,
+	type Milliseconds,
+	type Proposal,
+	type Snapshot,
+	type Subscription,
+	type TimerService,
+} from '@mastichead/core'
+import type { Logger } from 'winston'
+import { FoldedLog } from './FoldedLog.js'
+import { LogAppender } from './LogAppender.js'
+import type { LogClient } from './LogClient.js'
+import { LogFollower } from './LogFollower.js'
+import { PeerCatchUp } from './PeerCatchUp.js'
+import type { PeerLog } from './PeerLog.js'
+import type { PeerLogPage } from './PeerLogPage.js'
+import { ProposalTracker } from './ProposalTracker.js'
+import type { ProposalOutcome } from './ProposalOutcome.js'
+
+const DEFAULT_PROPOSE_MILLISECONDS = 10_000
+
+/**
+ * Follows the platform's log, folds it, and appends proposals to it. While the log cannot be
+ * reached it catches up from peers. The state goes forward only.
+ *
+ * @example
+ * ```ts
+ * const log = new LogManager(timers, new HttpLogClient(timers, 'http://10.0.0.1:7000'), logger)
+ * log.start()
+ * const outcome = await log.propose({ kind: 'heartbeat', id, instance })
+ * ```
+ *
+ * @public
+ */
+export class LogManager {
+	private readonly log: FoldedLog
+	private readonly follower: LogFollower
+	private readonly appender: LogAppender
+	private readonly tracker: ProposalTracker
+	private readonly catchUp: PeerCatchUp
+	private running: Promise<void> | undefined
+	private peerLogs: () => readonly PeerLog[] = () => []
+	private reachedPeer = false
+	private snapshot: Snapshot | undefined
+
+	constructor(
+		timers: TimerService,
+		private readonly client: LogClient,
+		private readonly logger: Logger
+	) {
+		this.log = new FoldedLog(logger)
+		this.follower = new LogFollower(timers, client, this.log, logger)
+		this.appender = new LogAppender(timers, client, logger)
+		this.tracker = new ProposalTracker(timers, this.log, this.appender)
+		this.catchUp = new PeerCatchUp(
+			timers,
+			this.log,
+			logger,
+			() => this.peerLogs(),
+			() => {
+				this.reachedPeer = true
+			}
+		)
+	}
+
+	/** The folded state. Read it anew each time: a restart from a snapshot replaces the object. */
+	get state(): FleetState {
+		return this.log.state
+	}
+
+	/**
+	 * Whether the state may be served from: the end of the log, or the offset of a peer, was
+	 * reached since the start.
+	 */
+	get isReady(): boolean {
+		return this.follower.isCaughtUp || this.reachedPeer
+	}
+
+	/**
+	 * Monotonic instant before the last read was sent that the platform answered; everything in
+	 * the log by then is folded. Undefined before the first.
+	 */
+	get platformContactAt(): Milliseconds | undefined {
+		return this.follower.platformContactAt
+	}
+
+	/** @param peers - called whenever the log is to be caught up from peers */
+	setPeerLogs(peers: () => readonly PeerLog[]): void {
+		this.peerLogs = peers
+	}
+
+	start(): void {
+		this.catchUp.start()
+		this.running = this.follower.run()
+	}
+
+	/** Stops following and appending; proposals under way end as undecided. */
+	async stop(): Promise<void> {
+		this.follower.stop()
+		this.catchUp.stop()
+		this.appender.stop()
+		this.tracker.stop()
+		await this.client.close()
+		await this.running
+		this.logger.info('log_stopped', { offset: this.state.offset })
+	}
+
+	/**
+	 * Appends a proposal and waits until it is folded here. It is sent again under the same id
+	 * when an append's answer is lost.
+	 *
+	 * @param deadline - how long to wait, in milliseconds; by default 10 s
+	 */
+	propose(
+		proposal: Proposal,
+		deadline: Milliseconds = DEFAULT_PROPOSE_MILLISECONDS
+	): Promise<ProposalOutcome> {
+		return this.tracker.propose(proposal, deadline)
+	}
+
+	/** Calls `listener` whenever entries were folded or the state was replaced. */
+	onChange(listener: () => void): Subscription {
+		return this.log.onChange(listener)
+	}
+
+	/** Calls `listener` after each folded entry. Entries that a snapshot covered are not seen. */
+	onEntry(listener: (entry: LogEntry, decision: Decision) => void): Subscription {
+		return this.log.onEntry(listener)
+	}
+
+	/** Serves a peer that asks for the log from an offset on. */
+	readLog(from: number): PeerLogPage {
+		const records = this.log.read(from)
+		if (records) return { type: 'records', records }
+		if (from > this.state.offset) return { type: 'records', records: [] }
+		return { type: 'snapshot', snapshot: this.getSnapshot() }
+	}
+
+	/** The last snapshot made for a peer serves the next one too while the records after it last. */
+	private getSnapshot(): Snapshot {
+		const kept = this.snapshot
+		if (kept && this.log.read(kept.through + 1)) return kept
+		this.snapshot = encodeSnapshot(this.state)
+		return this.snapshot
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/lib/log/LogRing.ts
@@ -0,0 +1,63 @@
+import type { LogRecord } from './LogRecord.js'
+
+const MAXIMUM_RECORDS = 20_000
+const MAXIMUM_CHARACTERS = 8 * 1024 * 1024
+const MAXIMUM_PAGE_RECORDS = 500
+const MAXIMUM_PAGE_CHARACTERS = 512 * 1024
+
+/**
+ * The most recent records, kept for peers that are cut from the log. Bounded in records and bytes.
+ *
+ * @internal
+ */
+export class LogRing {
+	private records: LogRecord[] = []
+	private start = 0
+	private characters = 0
+
+	/** First offset kept; undefined when there is none. */
+	get first(): number | undefined {
+		return this.records[this.start]?.offset
+	}
+
+	push(record: LogRecord): void {
+		this.records.push(record)
+		this.characters += record.record.length
+		while (this.isOverfull()) this.dropOldest()
+	}
+
+	clear(): void {
+		this.records = []
+		this.start = 0
+		this.characters = 0
+	}
+
+	/** @returns a page of records from an offset on; undefined when it is no longer kept */
+	read(from: number): readonly LogRecord[] | undefined {
+		const first = this.first
+		if (first === undefined || from < first) return undefined
+		const page: LogRecord[] = []
+		let characters = 0
+		for (let index = this.start + from - first; index < this.records.length; index++) {
+			const record = this.records[index]
+			if (!record || page.length >= MAXIMUM_PAGE_RECORDS) break
+			characters += record.record.length
+			if (page.length > 0 && characters > MAXIMUM_PAGE_CHARACTERS) break
+			page.push(record)
+		}
+		return page
+	}
+
+	private isOverfull(): boolean {
+		const kept = this.records.length - this.start
+		return kept > 1 && (kept > MAXIMUM_RECORDS || this.characters > MAXIMUM_CHARACTERS)
+	}
+
+	private dropOldest(): void {
+		this.characters -= this.records[this.start]?.record.length ?? 0
+		this.start += 1
+		if (this.start < this.records.length / 2) return
+		this.records = this.records.slice(this.start)
+		this.start = 0
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/lib/log/ProposalTracker.ts
@@ -0,0 +1,97 @@
+import {
+	assert,
+	type Milliseconds,
+	type Proposal,
+	type ProposalId,
+	type Subscription,
+	type TimerService,
+} from '@mastichead/core'
+import type { FoldedLog } from './FoldedLog.js'
+import type { LogAppender } from './LogAppender.js'
+import type { ProposalOutcome } from './ProposalOutcome.js'
+
+interface PendingProposal {
+	readonly timer: Subscription
+	readonly outcome: Promise<ProposalOutcome>
+	readonly resolve: (outcome: ProposalOutcome) => void
+}
+
+/**
+ * Settles proposals by what the fold decides on their ids.
+ *
+ * @internal
+ */
+export class ProposalTracker {
+	private readonly pending = new Map<ProposalId, PendingProposal>()
+
+	constructor(
+		private readonly timers: TimerService,
+		private readonly log: FoldedLog,
+		private readonly appender: LogAppender
+	) {
+		log.onEntry(({ proposal: { id } }, decision) => {
+			this.settle(id, { type: 'decided', decision })
+		})
+		log.onChange(() => {
+			this.settleKnown()
+		})
+	}
+
+	propose(proposal: Proposal, deadline: Milliseconds): Promise<ProposalOutcome> {
+		const { id } = proposal
+		const decision = this.log.state.decisions.get(id)
+		if (decision) return Promise.resolve({ type: 'decided', decision })
+		const known = this.pending.get(id)
+		if (known) return known.outcome
+		const added = this.appender.add(id, JSON.stringify(proposal), (reason) => {
+			this.settle(id, { type: 'undecided', mayTakeEffect: false, reason })
+		})
+		if (!added) {
+			return Promise.resolve({
+				type: 'undecided',
+				mayTakeEffect: false,
+				reason: 'the append queue takes no more',
+			})
+		}
+		return this.track(id, deadline)
+	}
+
+	stop(): void {
+		for (const id of [...this.pending.keys()]) this.giveUp(id, 'stopped')
+	}
+
+	private track(id: ProposalId, deadline: Milliseconds): Promise<ProposalOutcome> {
+		const timer = this.timers.after(deadline, () => {
+			this.giveUp(id, `not folded within ${deadline} ms`)
+		})
+		let resolve: PendingProposal['resolve'] | undefined
+		const outcome = new Promise<ProposalOutcome>((settle) => {
+			resolve = settle
+		})
+		assert(resolve, 'a promise calls its executor at once')
+		this.pending.set(id, { timer, outcome, resolve })
+		return outcome
+	}
+
+	private giveUp(id: ProposalId, reason: string): void {
+		const mayTakeEffect = this.appender.remove(id)
+		this.settle(id, { type: 'undecided', mayTakeEffect, reason })
+	}
+
+	private settle(id: ProposalId, outcome: ProposalOutcome): void {
+		const pending = this.pending.get(id)
+		if (!pending) return
+		this.pending.delete(id)
+		this.appender.remove(id)
+		pending.timer.cancel()
+		pending.resolve(outcome)
+	}
+
+	/** Decisions that came with a snapshot were not met as entries. */
+	private settleKnown(): void {
+		for (const id of [...this.pending.keys()]) {
+			const decision = this.log.state.decisions.get(id)
+			if (decision) this.settle(id, { type: 'decided', decision })
+		}
+	}
+}
