--- a/packages/daemon/src/lib/Daemon.ts
+++ b/packages/daemon/src/lib/Daemon.ts
@@ -11,6 +11,7 @@
 import { CallerServer } from './callers/CallerServer.js'
 import { RequestManager } from './callers/RequestManager.js'
 import { KeyManager } from './keys/KeyManager.js'
+import { HttpLogClient } from './log/HttpLogClient.js'
 import { LogManager } from './log/LogManager.js'
 import { MetricsManager } from './metrics/MetricsManager.js'
 import { PlacementManager } from './placement/PlacementManager.js'
@@ -18,6 +19,7 @@
 import type { Settings } from './settings/Settings.js'
 
 const INCARNATION_BYTES = 6
+const READY_POLL_MILLISECONDS = 20
 
 interface Options {
 	readonly settings: Settings
@@ -48,7 +50,7 @@
 		const { availabilityZone } = settings
 		this.instance = `${settings.instance}.${randomBytes(INCARNATION_BYTES).toString('hex')}`
 		const url = settings.platform.urls[0] ?? ''
-		this.log = new LogManager({ timers, logger, url, instance: settings.instance })
+		this.log = new LogManager(timers, new HttpLogClient(timers, url, settings.instance), logger)
 		const getState = () => this.log.state
 		this.keys = new KeyManager(getState)
 		this.allowances = new AllowanceManager({
@@ -96,10 +98,11 @@
 	/** Opens every port; rejects when one cannot be opened. */
 	async start(): Promise<void> {
 		const { logger, settings } = this.options
-		this.log.subscribe(() => {
+		this.log.onChange(() => {
 			this.backends.retain(this.log.state.backendServers)
 		})
-		await this.log.start()
+		this.log.start()
+		await this.waitUntilReady()
 		await this.allowances.start()
 		await this.callers.start()
 		logger.info('daemon-started', {
@@ -122,12 +125,20 @@
 		if (end === 'expired') logger.warn('shutdown-cut', { requests: this.requests.size })
 		await this.allowances.leave()
 		this.requests.stop()
-		this.log.stop()
+		await this.log.stop()
 		this.callers.stop()
 		await this.backends.close()
 		logger.info('daemon-stopped')
 	}
 
+	private async waitUntilReady(): Promise<void> {
+		while (!this.log.isReady) {
+			await new Promise<void>((resolve) => {
+				this.options.timers.after(READY_POLL_MILLISECONDS, resolve)
+			})
+		}
+	}
+
 	private getPeerAddress(): string {
 		const { host, port, advertisedHost } = this.options.settings.listeners.peers
 		return `${advertisedHost ?? host}:${port}`
--- a/packages/daemon/src/lib/allowances/AllowanceManager.ts
+++ b/packages/daemon/src/lib/allowances/AllowanceManager.ts
@@ -39,7 +39,7 @@
 
 	async start(): Promise<void> {
 		const { timers, log, instance, availabilityZone, peerAddress } = this.options
-		log.subscribe(() => {
+		log.onChange(() => {
 			this.holder.observe(log.state)
 		})
 		const id = randomUUID()
