--- /dev/null
+++ b/packages/core/src/lib/slots/SlotGrant.ts
@@ -0,0 +1,20 @@
+import type { Urgency } from '../fleet/Urgency.js'
+import type { BackendServerId } from '../ids/BackendServerId.js'
+import type { InstanceId } from '../ids/InstanceId.js'
+import type { PoolId } from '../ids/PoolId.js'
+import type { TeamId } from '../ids/TeamId.js'
+
+/**
+ * A slot of a backend server, given to an entry instance for one request of a team.
+ *
+ * @public
+ */
+export interface SlotGrant {
+	/** Unique over all owners. */
+	readonly id: string
+	readonly instance: InstanceId
+	readonly pool: PoolId
+	readonly server: BackendServerId
+	readonly team: TeamId
+	readonly urgency: Urgency
+}
