--- a/packages/core/src/lib/fold/Fold.ts
+++ b/packages/core/src/lib/fold/Fold.ts
@@ -48,12 +48,21 @@
 		const { offset, proposal } = entry
 		const handler = this.handlers.get(proposal.kind)
 		if (!handler) return { type: 'rejected', offset, reason: `unknown kind ${proposal.kind}` }
-		const reason = handler.check(this.state, proposal, entry)
+		const reason = this.check(handler, entry)
 		if (reason !== undefined) return { type: 'rejected', offset, reason }
 		handler.apply(this.state, proposal, entry)
 		return { type: 'accepted', offset }
 	}
 
+	/** A fault in a check rejects the proposal on every daemon, in place of stopping them all. */
+	private check(handler: ProposalHandler, entry: LogEntry): string | undefined {
+		try {
+			return handler.check(this.state, entry.proposal, entry)
+		} catch {
+			return 'the check failed'
+		}
+	}
+
 	private remember(id: ProposalId, decision: Decision): void {
 		this.state.decisions.set(id, decision)
 		if (this.state.decisions.size <= MAXIMUM_DECISIONS) return
--- a/packages/core/src/lib/fold/getNextRunBounds.ts
+++ b/packages/core/src/lib/fold/getNextRunBounds.ts
@@ -1,15 +1,12 @@
+import { allowanceTerms } from '../allowance/allowanceTerms.js'
+import { getReclaimDelay } from '../allowance/getReclaimDelay.js'
 import type { RunBound } from '../state/RunBound.js'
 import type { Milliseconds } from '../time/Milliseconds.js'
 
-/**
- * For how long after its replacement an instance that is cut off may still start work under a
- * document: the floor lease and its margin for clock-rate error.
- */
-const REPLACED_START_MILLISECONDS = 3_600_000 + 60_000
-
+/** An instance that is cut off may start work under a replaced document for the floor lease. */
 function isPast({ runMilliseconds, replacedAt }: RunBound, at: Milliseconds): boolean {
 	if (replacedAt === undefined) return false
-	return replacedAt + REPLACED_START_MILLISECONDS + runMilliseconds < at
+	return replacedAt + allowanceTerms.floorLease + getReclaimDelay(runMilliseconds) < at
 }
 
 /**
--- /dev/null
+++ b/packages/daemon/src/lib/keys/KeyKnowledge.ts
@@ -0,0 +1,20 @@
+import type { InstanceId, KeyId, Milliseconds } from '@mastichead/core'
+
+/**
+ * What one daemon tells another about keys. It carries durations only, since clocks differ.
+ *
+ * @public
+ */
+export interface KeyKnowledge {
+	/** Name that the teller joined under. */
+	readonly instance: InstanceId
+	/** Keys known as withdrawn that the log does not show as withdrawn yet. */
+	readonly withdrawnKeys: readonly KeyId[]
+	/**
+	 * Age of the newest knowledge of the log that the teller's state includes, directly or through
+	 * peers; undefined when it has none.
+	 */
+	readonly age: Milliseconds | undefined
+	/** Offset that the teller has folded up to. */
+	readonly offset: number
+}
--- /dev/null
+++ b/packages/daemon/src/lib/keys/KeyManager.ts
@@ -0,0 +1,185 @@
+import {
+	createKey,
+	hashKeySecret,
+	isKeySecret,
+	parseKey,
+	type InstanceId,
+	type KeyId,
+	type Milliseconds,
+	type Queue,
+	type Subscription,
+	type TeamId,
+	type TimerService,
+} from '@mastichead/core'
+import { randomUUID } from 'node:crypto'
+import type { Logger } from 'winston'
+import { CallerAuthenticator } from '../callers/CallerAuthenticator.js'
+import type { Refusal } from '../callers/Refusal.js'
+import type { LogManager } from '../log/LogManager.js'
+import type { KeyIssue } from './KeyIssue.js'
+import type { KeyKnowledge } from './KeyKnowledge.js'
+import type { KeyWithdrawal } from './KeyWithdrawal.js'
+import { createKeyRefusal } from './createKeyRefusal.js'
+import { KeyFreshness } from './KeyFreshness.js'
+
+const DEFAULT_ISOLATED_SERVE_MILLISECONDS = 900_000
+const REPROPOSE_MILLISECONDS = 5000
+const BEARER_PATTERN = /^Bearer +(\S+) *$/i
+
+type Authentication = ReturnType<CallerAuthenticator['authenticate']>
+
+/**
+ * Authenticates callers by key, and gives and withdraws keys. A withdrawal holds here at once,
+ * spreads between peers ahead of the log, and is appended until the log shows it.
+ *
+ * @public
+ */
+export class KeyManager extends CallerAuthenticator {
+	/** Withdrawn keys that the log does not show as withdrawn yet, by operator. */
+	private readonly withdrawn = new Map<KeyId, string>()
+	private readonly proposing = new Set<KeyId>()
+	private readonly freshness: KeyFreshness
+	private timer: Subscription | undefined
+
+	/**
+	 * @param instance - name that this daemon joins under
+	 * @param isolatedServe - how long keyed work is served once a withdrawal could no longer be
+	 *   learned, in milliseconds; 15 minutes by default, 0 for not at all
+	 */
+	constructor(
+		private readonly timers: TimerService,
+		private readonly log: LogManager,
+		private readonly logger: Logger,
+		private readonly instance: InstanceId,
+		private readonly isolatedServe: Milliseconds = DEFAULT_ISOLATED_SERVE_MILLISECONDS
+	) {
+		super()
+		this.freshness = new KeyFreshness(timers, log, instance)
+	}
+
+	start(): void {
+		this.timer = this.timers.every(REPROPOSE_MILLISECONDS, () => {
+			this.repropose()
+		})
+	}
+
+	stop(): void {
+		this.timer?.cancel()
+	}
+
+	override authenticate(authorization: string | undefined, queue: Queue): Authentication {
+		if (authorization === undefined) {
+			if (queue.openTeam === undefined) return refuse(createKeyRefusal('key-missing'))
+			return { type: 'authenticated', team: queue.openTeam }
+		}
+		const key = parseKey(BEARER_PATTERN.exec(authorization)?.[1] ?? '')
+		if (!key) return refuse(createKeyRefusal('key-malformed'))
+		const team = this.findTeam(key.id, key.secret)
+		if (team === undefined) return refuse(createKeyRefusal('key-refused'))
+		if (this.isIsolated()) return refuse(createKeyRefusal('keys-isolated'))
+		if (queue.teams && !queue.teams.includes(team)) {
+			return refuse(createKeyRefusal('team-refused'))
+		}
+		return { type: 'authenticated', team }
+	}
+
+	/** Makes a key for a team. */
+	async issue(team: TeamId, operator: string): Promise<KeyIssue> {
+		const key = createKey()
+		const outcome = await this.log.propose({
+			kind: 'issue-key',
+			id: randomUUID(),
+			key: key.id,
+			team,
+			hash: hashKeySecret(key.secret),
+			operator,
+		})
+		if (outcome.type === 'undecided') return { type: 'undecided', reason: outcome.reason }
+		const { decision } = outcome
+		if (decision.type === 'rejected') return { type: 'rejected', reason: decision.reason }
+		return { type: 'issued', key, offset: decision.offset }
+	}
+
+	/**
+	 * Withdraws a key: here at once, with peers at the next exchange, and in the log.
+	 *
+	 * @param deadline - how long to wait for the log, in milliseconds
+	 */
+	async withdraw(id: KeyId, operator: string, deadline?: Milliseconds): Promise<KeyWithdrawal> {
+		this.learnWithdrawn(id, operator)
+		const outcome = await this.propose(id, operator, deadline)
+		if (outcome.type === 'decided') return { type: 'logged', offset: outcome.decision.offset }
+		return { type: 'spreading', reason: outcome.reason }
+	}
+
+	/** What to tell peers. */
+	getKnowledge(): KeyKnowledge {
+		this.forgetLogged()
+		return {
+			instance: this.instance,
+			withdrawnKeys: [...this.withdrawn.keys()],
+			age: this.freshness.getLogAge(),
+			offset: this.log.state.offset,
+		}
+	}
+
+	/**
+	 * Takes in what a peer told.
+	 *
+	 * @param askedAt - monotonic instant before the peer was asked; when the peer told of its own
+	 *   accord, the instant before the last answer from it was asked for
+	 */
+	learn(knowledge: KeyKnowledge, askedAt: Milliseconds): void {
+		for (const id of knowledge.withdrawnKeys) this.learnWithdrawn(id, 'peer')
+		this.freshness.learn(knowledge, askedAt)
+	}
+
+	private findTeam(id: KeyId, secret: string): TeamId | undefined {
+		const { keys, teams } = this.log.state
+		const key = keys.get(id)
+		const isActive = key?.state === 'active' && !this.withdrawn.has(id) && teams.has(key.team)
+		return isKeySecret(secret, isActive ? key.hash : undefined) ? key?.team : undefined
+	}
+
+	private isIsolated(): boolean {
+		const allowed = Math.max(this.isolatedServe, KeyFreshness.ORDINARY_MILLISECONDS)
+		return this.freshness.getAge() > allowed
+	}
+
+	private learnWithdrawn(id: KeyId, operator: string): void {
+		if (this.withdrawn.has(id) || this.isLogged(id)) return
+		this.withdrawn.set(id, operator)
+		this.logger.info('key-withdrawn', { keyId: id, operator })
+	}
+
+	private isLogged(id: KeyId): boolean {
+		return this.log.state.keys.get(id)?.state === 'withdrawn'
+	}
+
+	private forgetLogged(): void {
+		for (const id of this.withdrawn.keys()) if (this.isLogged(id)) this.withdrawn.delete(id)
+	}
+
+	private repropose(): void {
+		this.forgetLogged()
+		for (const [id, operator] of this.withdrawn) {
+			if (!this.proposing.has(id)) void this.propose(id, operator)
+		}
+	}
+
+	/** Every daemon proposes a withdrawal under the same id, so that the fold takes it once. */
+	private async propose(id: KeyId, operator: string, deadline?: Milliseconds) {
+		this.proposing.add(id)
+		const proposalId = `withdraw-${id}`
+		const outcome = await this.log.propose(
+			{ kind: 'withdraw-key', id: proposalId, key: id, operator },
+			deadline
+		)
+		this.proposing.delete(id)
+		return outcome
+	}
+}
+
+function refuse(refusal: Refusal): Authentication {
+	return { type: 'refused', refusal }
+}
--- a/packages/daemon/src/lib/log/FoldedLog.ts
+++ b/packages/daemon/src/lib/log/FoldedLog.ts
@@ -88,7 +88,7 @@
 			listener()
 		} catch (error) {
 			const reason = error instanceof Error ? error.stack : String(error)
-			this.logger.error('log_listener_failed', { offset: this.state.offset, reason })
+			this.logger.error('log-listener-failed', { offset: this.state.offset, reason })
 		}
 	}
 }
--- a/packages/daemon/src/lib/log/HttpLogClient.ts
+++ b/packages/daemon/src/lib/log/HttpLogClient.ts
@@ -34,12 +34,18 @@
 export class HttpLogClient extends LogClient {
 	private agent = this.createAgent()
 	private closed = false
+	private url = 0
 	private readonly calls = new Set<AbortController>()
 
-	/** @param baseUrl - address of the platform, like `http://10.0.0.1:7000` */
+	/**
+	 * @param urls - addresses of the platform, like `http://10.0.0.1:7000`; a call that got no
+	 *   answer moves on to the next one
+	 * @param instance - name that calls are sent under
+	 */
 	constructor(
 		private readonly timers: TimerService,
-		private readonly baseUrl: string
+		private readonly urls: readonly string[],
+		private readonly instance: string
 	) {
 		super()
 	}
@@ -88,6 +94,7 @@
 		deadline: Milliseconds
 	): Promise<Answer> {
 		if (this.closed) throw new Error('closed')
+		const url = this.url
 		const dispatcher = this.agent
 		const call = new AbortController()
 		this.calls.add(call)
@@ -96,15 +103,18 @@
 			this.retire(dispatcher)
 		})
 		try {
-			const answer = await request(this.baseUrl + path, {
+			const answer = await request(new URL(path, this.urls[url % this.urls.length]), {
 				method,
 				body: body ?? null,
-				headers: body === undefined ? {} : { 'content-type': 'application/json' },
+				headers: { 'content-type': 'application/json', 'mastichead-instance': this.instance },
 				dispatcher,
 				signal: call.signal,
 			})
 			const text = await answer.body.text()
 			return { status: answer.statusCode, body: JSON.parse(text === '' ? 'null' : text) }
+		} catch (error) {
+			if (this.url === url) this.url += 1
+			throw error
 		} finally {
 			timer.cancel()
 			this.calls.delete(call)
--- a/packages/daemon/src/lib/log/LogAppender.ts
+++ b/packages/daemon/src/lib/log/LogAppender.ts
@@ -106,7 +106,7 @@
 
 	/** A refused batch is sent again record by record, so that only the faulty ones fail. */
 	private refuse(batch: readonly QueuedRecord[], reason: string): void {
-		this.logger.warn('append_refused', { records: batch.length, reason })
+		this.logger.warn('append-refused', { records: batch.length, reason })
 		if (batch.length > 1) {
 			this.batchRecords = 1
 			return
@@ -116,7 +116,7 @@
 	}
 
 	private slowDown(reason: string): void {
-		this.logger.warn('append_failed', { queued: this.queue.size, reason })
+		this.logger.warn('append-failed', { queued: this.queue.size, reason })
 		this.backoff = Math.min(
 			MAXIMUM_BACKOFF_MILLISECONDS,
 			Math.max(FIRST_BACKOFF_MILLISECONDS, this.backoff * 2)
--- a/packages/daemon/src/lib/log/LogFollower.ts
+++ b/packages/daemon/src/lib/log/LogFollower.ts
@@ -3,6 +3,7 @@
 import type { FoldedLog } from './FoldedLog.js'
 import type { LogClient } from './LogClient.js'
 import type { LogRead } from './LogRead.js'
+import type { LogRecord } from './LogRecord.js'
 import { LogRestorer } from './LogRestorer.js'
 
 const PAGE_RECORDS = 1000
@@ -76,8 +77,7 @@
 			return
 		}
 		if (this.restorer) {
-			this.takeRestoring(this.restorer, read.records.length)
-			this.restorer?.take(read.records)
+			this.takeRestoring(this.restorer, read.records)
 		} else {
 			this.log.take(read.records)
 			this.caughtUp ||= read.records.length === 0
@@ -86,10 +86,11 @@
 	}
 
 	/** Ends restoring once the end of the log is reached and a snapshot was met on the way. */
-	private takeRestoring(restorer: LogRestorer, count: number): void {
-		if (count > 0) return
+	private takeRestoring(restorer: LogRestorer, records: readonly LogRecord[]): void {
+		restorer.take(records)
+		if (records.length > 0) return
 		if (!restorer.state) {
-			this.logger.error('log_without_snapshot', { next: restorer.next })
+			this.logger.error('log-without-snapshot', { next: restorer.next })
 			this.backoff = MAXIMUM_BACKOFF_MILLISECONDS
 			return
 		}
@@ -98,17 +99,17 @@
 		const restored = this.log.restore(state)
 		this.log.take(tail)
 		this.caughtUp = true
-		this.logger.info('log_restored', { through: state.offset, tail: tail.length, restored })
+		this.logger.info('log-restored', { through: state.offset, tail: tail.length, restored })
 	}
 
 	private restart(first: number): void {
 		const next = this.log.state.offset + 1
-		this.logger.warn('log_expired', { next, first })
+		this.logger.warn('log-expired', { next, first })
 		this.restorer = first > next ? new LogRestorer(first, this.logger) : undefined
 	}
 
 	private fail(reason: string): void {
-		this.logger.warn('log_read_failed', { reason })
+		this.logger.warn('log-read-failed', { reason })
 		this.slack = Math.min(MAXIMUM_SLACK_MILLISECONDS, this.slack * 2)
 		this.backoff = Math.min(
 			MAXIMUM_BACKOFF_MILLISECONDS,
--- a/packages/daemon/src/lib/log/LogManager.ts
+++ b/packages/daemon/src/lib/log/LogManager.ts
@@ -28,7 +28,8 @@
  *
  * @example
  * ```ts
- * const log = new LogManager(timers, new HttpLogClient(timers, 'http://10.0.0.1:7000'), logger)
+ * const client = new HttpLogClient(timers, ['http://10.0.0.1:7000'], 'entry-1')
+ * const log = new LogManager(timers, client, logger)
  * log.start()
  * const outcome = await log.propose({ kind: 'heartbeat', id, instance })
  * ```
@@ -105,7 +106,7 @@
 		this.tracker.stop()
 		await this.client.close()
 		await this.running
-		this.logger.info('log_stopped', { offset: this.state.offset })
+		this.logger.info('log-stopped', { offset: this.state.offset })
 	}
 
 	/**
--- a/packages/daemon/src/lib/log/LogRestorer.ts
+++ b/packages/daemon/src/lib/log/LogRestorer.ts
@@ -61,7 +61,7 @@
 		const decoding = decodeSnapshot(snapshot)
 		if (decoding.type === 'damaged') {
 			const { through } = snapshot
-			this.logger.error('snapshot_damaged', { through, reason: decoding.reason })
+			this.logger.error('snapshot-damaged', { through, reason: decoding.reason })
 			return
 		}
 		this.newest = decoding.state
--- a/packages/daemon/src/lib/log/PeerCatchUp.ts
+++ b/packages/daemon/src/lib/log/PeerCatchUp.ts
@@ -67,7 +67,7 @@
 			}
 			if (this.log.state.offset >= target) this.onReached()
 		} catch (error) {
-			this.logger.warn('peer_log_failed', { peer: peer.name, reason: String(error) })
+			this.logger.warn('peer-log-failed', { peer: peer.name, reason: String(error) })
 		} finally {
 			this.asking = false
 		}
@@ -82,7 +82,7 @@
 		}
 		const decoding = decodeSnapshot(page.snapshot)
 		if (decoding.type === 'decoded') return this.log.restore(decoding.state)
-		this.logger.error('snapshot_damaged', { peer: peer.name, reason: decoding.reason })
+		this.logger.error('snapshot-damaged', { peer: peer.name, reason: decoding.reason })
 		return false
 	}
 }
--- a/packages/daemon/src/lib/settings/parseSettings.test.ts
+++ b/packages/daemon/src/lib/settings/parseSettings.test.ts
@@ -29,7 +29,7 @@
 		if (result.type === 'error') throw new Error(result.error.message)
 		expect(result.settings.listeners.callers.host).toBe('127.0.0.1')
 		expect(result.settings.shutdown.graceMilliseconds).toBe(30_000)
-		expect(result.settings.keys.isolatedServeMilliseconds).toBe(3_600_000)
+		expect(result.settings.keys.isolatedServeMilliseconds).toBe(900_000)
 		expect(result.settings.limits.bodyBytes).toBe(67_108_864)
 		expect(result.settings.log.level).toBe('info')
 	})
--- a/packages/daemon/src/lib/settings/settingsSchema.ts
+++ b/packages/daemon/src/lib/settings/settingsSchema.ts
@@ -59,6 +59,7 @@
 	platform: z.strictObject({
 		urls: z.array(z.url({ protocol: /^https?$/ })).min(1),
 		timeoutMilliseconds: count.default(5 * SECOND_MILLISECONDS),
+		snapshotMilliseconds: count.default(15 * MINUTE_MILLISECONDS),
 	}),
 	seeds: z.array(address).default([]),
 	operators: z
@@ -72,7 +73,7 @@
 		.strictObject({ graceMilliseconds: milliseconds.default(30 * SECOND_MILLISECONDS) })
 		.prefault({}),
 	keys: z
-		.strictObject({ isolatedServeMilliseconds: milliseconds.default(60 * MINUTE_MILLISECONDS) })
+		.strictObject({ isolatedServeMilliseconds: milliseconds.default(15 * MINUTE_MILLISECONDS) })
 		.prefault({}),
 	log: z
 		.strictObject({ level: z.enum(['error', 'warn', 'info', 'debug']).default('info') })
