--- a/packages/daemon/src/lib/Daemon.ts
+++ b/packages/daemon/src/lib/Daemon.ts
@@ -13,6 +13,7 @@
 import { KeyManager } from './keys/KeyManager.js'
 import { HttpLogClient } from './log/HttpLogClient.js'
 import { LogManager } from './log/LogManager.js'
+import { SnapshotManager } from './log/SnapshotManager.js'
 import { MetricsManager } from './metrics/MetricsManager.js'
 import { PlacementManager } from './placement/PlacementManager.js'
 import { RequestIdManager } from './requestIds/RequestIdManager.js'
@@ -36,6 +37,7 @@
 	/** Name of this incarnation; a daemon that starts again has another. */
 	readonly instance: InstanceId
 	readonly log: LogManager
+	readonly snapshots: SnapshotManager
 	readonly keys: KeyManager
 	readonly allowances: AllowanceManager
 	readonly placement: PlacementManager
@@ -49,10 +51,23 @@
 		const { settings, logger, timers } = options
 		const { availabilityZone } = settings
 		this.instance = `${settings.instance}.${randomBytes(INCARNATION_BYTES).toString('hex')}`
-		const url = settings.platform.urls[0] ?? ''
-		this.log = new LogManager(timers, new HttpLogClient(timers, url, settings.instance), logger)
+		const client = new HttpLogClient(timers, settings.platform.urls, settings.instance)
+		this.log = new LogManager(timers, client, logger)
 		const getState = () => this.log.state
-		this.keys = new KeyManager(getState)
+		this.snapshots = new SnapshotManager(
+			timers,
+			this.log,
+			logger,
+			this.instance,
+			settings.platform.snapshotMilliseconds
+		)
+		this.keys = new KeyManager(
+			timers,
+			this.log,
+			logger,
+			this.instance,
+			settings.keys.isolatedServeMilliseconds
+		)
 		this.allowances = new AllowanceManager({
 			timers,
 			log: this.log,
@@ -101,7 +116,9 @@
 		this.log.onChange(() => {
 			this.backends.retain(this.log.state.backendServers)
 		})
+		this.snapshots.start()
 		this.log.start()
+		this.keys.start()
 		await this.waitUntilReady()
 		await this.allowances.start()
 		await this.callers.start()
@@ -125,6 +142,8 @@
 		if (end === 'expired') logger.warn('shutdown-cut', { requests: this.requests.size })
 		await this.allowances.leave()
 		this.requests.stop()
+		this.keys.stop()
+		this.snapshots.stop()
 		await this.log.stop()
 		this.callers.stop()
 		await this.backends.close()
