Add the operators' HTTP server, status reports and reloaded TLS

Operators need one authenticated interface at any daemon; the command line and scrapers are its clients.

- Resources are one class each, registered in a list; a repeated apply is settled by the decision kept for its proposal id, before its base version is looked at, since an accepted apply makes its own base stale.
- Status: a pure report from the folded state and one row per daemon; only daemons that are reachable are counted, the others are listed with the age of their last word.
Counting the last word of unreachable ones was ruled out: after a cut it would show running requests that may have ended.
- TLS files are looked at every 5 s by content; a watch on the files was ruled out because replacing a directory by a link is not seen by it.
A fault in new files keeps the old certificate in use and is logged.
- checkFleet is split off parseFleet so that a JSON document needs no YAML parser.

--- a/packages/core/src/lib/fleet/parseFleet.ts
+++ b/packages/core/src/lib/fleet/parseFleet.ts
@@ -1,8 +1,6 @@
 import { parseDocument } from 'yaml'
+import { checkFleet } from './checkFleet.js'
 import type { FleetParse } from './FleetParse.js'
-import { fleetFileSchema } from './fleetFileSchema.js'
-import { getFleetProblems } from './getFleetProblems.js'
-import { getSchemaProblems } from './getSchemaProblems.js'
 
 /** Aliases that a file may expand; more is taken for an expansion attack. */
 const MAXIMUM_ALIASES = 100
@@ -27,9 +25,5 @@
 	} catch (error) {
 		return { type: 'invalid', problems: [{ path: '', message: String(error) }] }
 	}
-	const parsed = fleetFileSchema.safeParse(content)
-	if (!parsed.success) return { type: 'invalid', problems: getSchemaProblems(parsed.error) }
-	const problems = getFleetProblems(parsed.data)
-	if (problems.length > 0) return { type: 'invalid', problems }
-	return { type: 'valid', fleet: parsed.data }
+	return checkFleet(content)
 }
--- a/packages/daemon/src/lib/metrics/HistogramRow.ts
+++ b/packages/core/src/lib/reports/HistogramRow.ts
@@ -1,4 +1,4 @@
-import type { Verdict } from '@mastichead/core'
+import type { Verdict } from '../verdict/Verdict.js'
 
 /**
  * Distributions of one team or queue as the operators' port gives them. Histograms are in the
--- /dev/null
+++ b/packages/core/src/lib/reports/createStatusReport.ts
@@ -0,0 +1,143 @@
+import type { InstanceId } from '../ids/InstanceId.js'
+import type { PoolId } from '../ids/PoolId.js'
+import type { Pool } from '../fleet/Pool.js'
+import type { Team } from '../fleet/Team.js'
+import type { FleetState } from '../state/FleetState.js'
+import { AvailabilityLedger } from '../waves/AvailabilityLedger.js'
+import type { BackendServerStatus } from './BackendServerStatus.js'
+import { countDaemons } from './countDaemons.js'
+import type { DaemonStatus } from './DaemonStatus.js'
+import { formatActivity } from './formatActivity.js'
+import { getWaveStatus } from './getWaveStatus.js'
+import type { MoveStatus } from './MoveStatus.js'
+import type { PoolStatus } from './PoolStatus.js'
+import type { StatusReport } from './StatusReport.js'
+import type { TeamStatus } from './TeamStatus.js'
+
+/**
+ * Describes the fleet as one daemon knows it.
+ *
+ * @param options.state - state folded from the log
+ * @param options.instance - the daemon that answers
+ * @param options.daemons - what is known of each daemon, the answering one included; members of
+ * the log without a row are listed as never heard of
+ * @public
+ */
+export function createStatusReport(options: {
+	readonly state: FleetState
+	readonly instance: InstanceId
+	readonly daemons: readonly DaemonStatus[]
+}): StatusReport {
+	const { state, instance } = options
+	const ledger = new AvailabilityLedger(state)
+	const report: StatusReport = {
+		instance,
+		fleet: state.name,
+		version: state.version,
+		offset: state.offset,
+		zones: state.availabilityZones.map((availabilityZone) => ({
+			availabilityZone,
+			daemons: 0,
+			reachableDaemons: 0,
+			running: 0,
+			queued: 0,
+		})),
+		daemons: [],
+		teams: [...state.teams.values()].map((team) => createTeam(state, team)),
+		pools: [...state.pools.values()].map((pool) => createPool(state, pool, ledger)),
+		outOfService: getOutOfService(state, ledger),
+		moves: getMoves(state),
+		waves: [...state.waves.values()].map((wave) => getWaveStatus(state, wave, ledger)),
+	}
+	return countDaemons(report, addSilentMembers(state, options.daemons))
+}
+
+function addSilentMembers(
+	state: FleetState,
+	daemons: readonly DaemonStatus[]
+): readonly DaemonStatus[] {
+	const known = new Set(daemons.map((daemon) => daemon.instance))
+	const silent = [...state.members.values()].filter((member) => !known.has(member.instance))
+	return [
+		...daemons,
+		...silent.map((member): DaemonStatus => ({
+			instance: member.instance,
+			availabilityZone: member.availabilityZone,
+			source: 'log',
+			reachable: false,
+			offset: -1,
+			version: 0,
+			leaving: false,
+			teams: [],
+		})),
+	]
+}
+
+function createTeam(state: FleetState, team: Team): TeamStatus {
+	const allowances = [...state.members.values()].map(({ instance, allowances }) => ({
+		instance,
+		units: allowances.get(team.name) ?? 0,
+	}))
+	return {
+		team: team.name,
+		share: team.share,
+		limit: team.limit,
+		running: 0,
+		queued: 0,
+		sharePart: 0,
+		reachedPart: 0,
+		allowances: allowances.filter((row) => row.units > 0),
+	}
+}
+
+function createPool(state: FleetState, pool: Pool, ledger: AvailabilityLedger): PoolStatus {
+	const { available, unavailable } = ledger.getAvailability(pool.name)
+	return {
+		pool: pool.name,
+		spare: pool.spare,
+		running: 0,
+		queued: 0,
+		slots: getSlots(state, pool.name, ledger),
+		available,
+		unavailable,
+		minimumAvailable: pool.minimumAvailable,
+		maximumUnavailable: pool.maximumUnavailable,
+	}
+}
+
+function getSlots(state: FleetState, pool: PoolId, ledger: AvailabilityLedger): number {
+	let slots = 0
+	for (const [name, placement] of state.placements) {
+		if (placement.pool !== pool || !ledger.isAvailable(name)) continue
+		slots += state.backendServers.get(name)?.slots ?? 0
+	}
+	return slots
+}
+
+function getOutOfService(state: FleetState, ledger: AvailabilityLedger): BackendServerStatus[] {
+	const rows: BackendServerStatus[] = []
+	for (const [backendServer, placement] of state.placements) {
+		if (ledger.isAvailable(backendServer)) continue
+		rows.push({
+			backendServer,
+			availabilityZone: state.backendServers.get(backendServer)?.availabilityZone ?? '',
+			pool: placement.pool,
+			health: ledger.health.getHealth(backendServer),
+			activity: formatActivity(placement.activity),
+		})
+	}
+	return rows
+}
+
+function getMoves(state: FleetState): MoveStatus[] {
+	const rows: MoveStatus[] = []
+	for (const [backendServer, { activity, pool }] of state.placements) {
+		if (activity.type === 'joining') {
+			rows.push({ backendServer, from: activity.from, to: pool, step: 'joining' })
+		}
+		if (activity.type === 'draining' && activity.reason === 'move') {
+			rows.push({ backendServer, from: pool, to: activity.to, step: 'draining' })
+		}
+	}
+	return rows
+}
--- /dev/null
+++ b/packages/core/src/lib/reports/mergeStatusReports.ts
@@ -0,0 +1,27 @@
+import { countDaemons } from './countDaemons.js'
+import type { DaemonStatus } from './DaemonStatus.js'
+import type { StatusReport } from './StatusReport.js'
+
+/**
+ * Merges the reports of several daemons: the fleet as the one that is furthest in the log has it,
+ * and the most recent word of each daemon.
+ *
+ * @returns undefined when there is no report
+ * @public
+ */
+export function mergeStatusReports(reports: readonly StatusReport[]): StatusReport | undefined {
+	const [first, ...others] = reports
+	if (!first) return undefined
+	const newest = others.reduce((best, row) => (row.offset > best.offset ? row : best), first)
+	const daemons = new Map<string, DaemonStatus>()
+	for (const daemon of reports.flatMap((report) => report.daemons)) {
+		const known = daemons.get(daemon.instance)
+		if (!known || getAge(daemon) < getAge(known)) daemons.set(daemon.instance, daemon)
+	}
+	return countDaemons(newest, [...daemons.values()])
+}
+
+function getAge(daemon: DaemonStatus): number {
+	if (daemon.source === 'self') return -1
+	return daemon.ageMilliseconds ?? Number.POSITIVE_INFINITY
+}
--- /dev/null
+++ b/packages/daemon/src/lib/http/ConnectionCounter.ts
@@ -0,0 +1,30 @@
+/**
+ * Counts open connections by caller and refuses those above the limit.
+ *
+ * @internal
+ */
+export class ConnectionCounter {
+	private readonly open = new Map<string, number>()
+
+	constructor(private readonly maximum: number) {}
+
+	/** Callers with an open connection. */
+	get size(): number {
+		return this.open.size
+	}
+
+	/** Counts a connection; false when the caller is at its limit. */
+	add(caller: string): boolean {
+		const count = this.open.get(caller) ?? 0
+		if (count >= this.maximum) return false
+		this.open.set(caller, count + 1)
+		return true
+	}
+
+	/** Forgets a connection that was counted. */
+	remove(caller: string): void {
+		const count = this.open.get(caller) ?? 0
+		if (count <= 1) this.open.delete(caller)
+		else this.open.set(caller, count - 1)
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/lib/http/TlsFiles.ts
@@ -0,0 +1,40 @@
+import { readFileSync } from 'node:fs'
+import type { SecureContextOptions } from 'node:tls'
+import type { TlsSettings } from '../settings/TlsSettings.js'
+
+/**
+ * Certificate, key and authority of a TLS listener as they are in the files now.
+ *
+ * @internal
+ */
+export class TlsFiles {
+	private content = ''
+
+	constructor(private readonly settings: TlsSettings) {}
+
+	/** Whether clients must show a certificate. */
+	get isMutual(): boolean {
+		return this.settings.clientCertificateAuthorityFile !== undefined
+	}
+
+	/** Reads the files; throws when one cannot be read. */
+	read(): SecureContextOptions {
+		const { certificateFile, keyFile, clientCertificateAuthorityFile } = this.settings
+		const cert = readFileSync(certificateFile, 'utf8')
+		const key = readFileSync(keyFile, 'utf8')
+		if (clientCertificateAuthorityFile === undefined) {
+			this.content = cert + key
+			return { cert, key }
+		}
+		const ca = readFileSync(clientCertificateAuthorityFile, 'utf8')
+		this.content = cert + key + ca
+		return { cert, key, ca }
+	}
+
+	/** Reads the files; undefined when they are as they were at the last read. */
+	readIfChanged(): SecureContextOptions | undefined {
+		const before = this.content
+		const options = this.read()
+		return this.content === before ? undefined : options
+	}
+}
--- a/packages/daemon/src/lib/metrics/MetricsManager.ts
+++ b/packages/daemon/src/lib/metrics/MetricsManager.ts
@@ -1,5 +1,5 @@
 import { formatTextExposition } from './formatTextExposition.js'
-import type { HistogramReport } from './HistogramReport.js'
+import type { HistogramReport } from '@mastichead/core'
 import { RecorderTable } from './RecorderTable.js'
 import type { RequestMeasurement } from './RequestMeasurement.js'
 
--- a/packages/daemon/src/lib/metrics/OutcomeRecorder.ts
+++ b/packages/daemon/src/lib/metrics/OutcomeRecorder.ts
@@ -1,5 +1,4 @@
-import type { Verdict } from '@mastichead/core'
-import type { HistogramRow } from './HistogramRow.js'
+import type { HistogramRow, Verdict } from '@mastichead/core'
 import { LatencyRecorder } from './LatencyRecorder.js'
 import type { RequestMeasurement } from './RequestMeasurement.js'
 
--- /dev/null
+++ b/packages/daemon/src/lib/operators/DrainResource.ts
@@ -0,0 +1,46 @@
+import { z } from 'zod'
+import { createErrorAnswer } from './createErrorAnswer.js'
+import { createProposalAnswer } from './createProposalAnswer.js'
+import type { OperatorAnswer } from './OperatorAnswer.js'
+import type { OperatorRequest } from './OperatorRequest.js'
+import { OperatorResource } from './OperatorResource.js'
+import { proposalIdSchema } from './proposalIdSchema.js'
+import { readBody } from './readBody.js'
+
+const drainSchema = z.strictObject({ proposalId: proposalIdSchema })
+
+/**
+ * The drain of a backend server: PUT takes it out of service for new work, DELETE puts it back.
+ *
+ * @internal
+ */
+export class DrainResource extends OperatorResource {
+	override readonly path = '/v1/backend-servers/:name/drain'
+
+	override put(request: OperatorRequest): Promise<OperatorAnswer> {
+		return this.propose(request, true)
+	}
+
+	override delete(request: OperatorRequest): Promise<OperatorAnswer> {
+		return this.propose(request, false)
+	}
+
+	private async propose(request: OperatorRequest, draining: boolean): Promise<OperatorAnswer> {
+		const { operator, parameters, body } = request
+		const backendServer = parameters.name ?? ''
+		const read = readBody(drainSchema, body)
+		if (read.type === 'error') return read.answer
+		if (!this.context.log.state.backendServers.has(backendServer)) {
+			return createErrorAnswer('not-found', `unknown backend server ${backendServer}`)
+		}
+		const { proposalId } = read.body
+		const outcome = await this.context.log.propose({
+			kind: 'drain',
+			id: proposalId,
+			backendServer,
+			draining,
+			operator,
+		})
+		return createProposalAnswer(proposalId, outcome, () => ({ backendServer, draining }))
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/lib/operators/FleetResource.ts
@@ -0,0 +1,63 @@
+import { checkFleet, createFleetPatch, formatFleetProblem, getFleet } from '@mastichead/core'
+import { z } from 'zod'
+import { createErrorAnswer } from './createErrorAnswer.js'
+import { createProposalAnswer } from './createProposalAnswer.js'
+import type { OperatorAnswer } from './OperatorAnswer.js'
+import type { OperatorRequest } from './OperatorRequest.js'
+import { OperatorResource } from './OperatorResource.js'
+import { proposalIdSchema } from './proposalIdSchema.js'
+import { readBody } from './readBody.js'
+
+const applySchema = z.strictObject({
+	proposalId: proposalIdSchema,
+	base: z.int().min(0),
+	fleet: z.unknown(),
+})
+
+/**
+ * The fleet document in force and its replacement.
+ *
+ * @internal
+ */
+export class FleetResource extends OperatorResource {
+	override readonly path = '/v1/fleet'
+
+	override get(): Promise<OperatorAnswer> {
+		const { state } = this.context.log
+		const body = { version: state.version, fleet: getFleet(state) }
+		return Promise.resolve({ type: 'json', status: 200, body })
+	}
+
+	override async put({ operator, body }: OperatorRequest): Promise<OperatorAnswer> {
+		const read = readBody(applySchema, body)
+		if (read.type === 'error') return read.answer
+		const { proposalId, base } = read.body
+		const decided = this.getDecided(proposalId)
+		if (decided) return decided
+		const parsed = checkFleet(read.body.fleet)
+		if (parsed.type === 'invalid') {
+			const message = parsed.problems.map(formatFleetProblem).join('; ')
+			return createErrorAnswer('invalid', message, proposalId)
+		}
+		const { state } = this.context.log
+		if (base !== state.version) {
+			const message = `the version in force is ${state.version}, not ${base}`
+			return createErrorAnswer('rejected', message, proposalId)
+		}
+		const patch = createFleetPatch(getFleet(state), parsed.fleet)
+		const proposal = { kind: 'apply', id: proposalId, base, patch, operator } as const
+		const outcome = await this.context.log.propose(proposal)
+		return createProposalAnswer(proposalId, outcome, getVersion)
+	}
+
+	/** A repeated apply gets the decision that its first asking got. */
+	private getDecided(proposalId: string): OperatorAnswer | undefined {
+		const decision = this.context.log.state.decisions.get(proposalId)
+		if (!decision) return undefined
+		return createProposalAnswer(proposalId, { type: 'decided', decision }, getVersion)
+	}
+}
+
+function getVersion(offset: number): object {
+	return { version: offset + 1 }
+}
--- /dev/null
+++ b/packages/daemon/src/lib/operators/HistogramsResource.ts
@@ -0,0 +1,16 @@
+import type { OperatorAnswer } from './OperatorAnswer.js'
+import { OperatorResource } from './OperatorResource.js'
+
+/**
+ * Latency histograms and outcome counts of this daemon.
+ *
+ * @internal
+ */
+export class HistogramsResource extends OperatorResource {
+	override readonly path = '/v1/histograms'
+
+	override get(): Promise<OperatorAnswer> {
+		const body = this.context.metrics.getHistograms()
+		return Promise.resolve({ type: 'json', status: 200, body })
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/lib/operators/MetricsResource.ts
@@ -0,0 +1,16 @@
+import type { OperatorAnswer } from './OperatorAnswer.js'
+import { OperatorResource } from './OperatorResource.js'
+
+/**
+ * The metrics of this daemon in the text exposition format.
+ *
+ * @internal
+ */
+export class MetricsResource extends OperatorResource {
+	override readonly path = '/metrics'
+
+	override get(): Promise<OperatorAnswer> {
+		const text = this.context.metrics.getTextExposition()
+		return Promise.resolve({ type: 'text', status: 200, text })
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/lib/operators/MovesResource.ts
@@ -0,0 +1,16 @@
+import type { OperatorAnswer } from './OperatorAnswer.js'
+import { OperatorResource } from './OperatorResource.js'
+
+/**
+ * Moves between pools that are under way.
+ *
+ * @internal
+ */
+export class MovesResource extends OperatorResource {
+	override readonly path = '/v1/moves'
+
+	override get(): Promise<OperatorAnswer> {
+		const { moves } = this.context.status.getStatus()
+		return Promise.resolve({ type: 'json', status: 200, body: { moves } })
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/lib/operators/OperatorAnswer.ts
@@ -0,0 +1,8 @@
+/**
+ * An answer of the operators' server.
+ *
+ * @internal
+ */
+export type OperatorAnswer =
+	| { readonly type: 'json'; readonly status: number; readonly body: unknown }
+	| { readonly type: 'text'; readonly status: number; readonly text: string }
--- /dev/null
+++ b/packages/daemon/src/lib/operators/OperatorResource.ts
@@ -0,0 +1,40 @@
+import type { OperatorAnswer } from './OperatorAnswer.js'
+import type { OperatorContext } from './OperatorContext.js'
+import type { OperatorRequest } from './OperatorRequest.js'
+
+/**
+ * A resource of the operators' HTTP interface. Subclasses have the methods that it
+ * answers.
+ *
+ * @internal
+ */
+export abstract class OperatorResource {
+	/** Path template, such as `/v1/keys/:key`. */
+	abstract readonly path: string
+	/** Whether it answers without a credential. */
+	readonly isOpen: boolean = false
+
+	constructor(protected readonly context: OperatorContext) {}
+
+	get?(request: OperatorRequest): Promise<OperatorAnswer>
+
+	put?(request: OperatorRequest): Promise<OperatorAnswer>
+
+	post?(request: OperatorRequest): Promise<OperatorAnswer>
+
+	delete?(request: OperatorRequest): Promise<OperatorAnswer>
+
+	/** Parameters of a path that fits the template; undefined for one that does not. */
+	match(path: string): Readonly<Record<string, string>> | undefined {
+		const template = this.path.split('/')
+		const parts = path.split('/')
+		if (parts.length !== template.length) return undefined
+		const parameters: Record<string, string> = {}
+		for (const [index, expected] of template.entries()) {
+			const part = parts[index] ?? ''
+			if (expected.startsWith(':')) parameters[expected.slice(1)] = part
+			else if (expected !== part) return undefined
+		}
+		return parameters
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/lib/operators/OperatorServer.ts
@@ -0,0 +1,166 @@
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { TimerService } from '@mastichead/core'
+import type { Logger } from 'winston'
+import { HttpListener } from '../http/HttpListener.js'
+import type { Settings } from '../settings/Settings.js'
+import { createErrorAnswer } from './createErrorAnswer.js'
+import { createOperatorResources } from './createOperatorResources.js'
+import type { OperatorAnswer } from './OperatorAnswer.js'
+import type { OperatorContext } from './OperatorContext.js'
+import { OperatorCredentials } from './OperatorCredentials.js'
+import type { OperatorRequest } from './OperatorRequest.js'
+import type { OperatorResource } from './OperatorResource.js'
+import { readJson } from './readJson.js'
+
+/**
+ * The operators' HTTP interface: JSON over HTTP/1.1, with a bearer token of its own.
+ * docs/interface.md documents it.
+ *
+ * @public
+ */
+export class OperatorServer {
+	private readonly listener: HttpListener
+	private readonly credentials: OperatorCredentials
+	private readonly resources: readonly OperatorResource[]
+
+	constructor(
+		private readonly options: {
+			readonly settings: Settings
+			readonly context: OperatorContext
+			readonly timers: TimerService
+			readonly logger: Logger
+		}
+	) {
+		const { settings, context, timers, logger } = options
+		this.credentials = new OperatorCredentials(settings.operators)
+		this.resources = createOperatorResources(context)
+		this.listener = new HttpListener({
+			name: 'operators',
+			listener: settings.listeners.operators,
+			limits: settings.limits,
+			timers,
+			logger,
+			handler: (request, response) => {
+				void this.serve(request, response)
+			},
+		})
+	}
+
+	/** The port that is open; undefined while there is none. */
+	get port(): number | undefined {
+		return this.listener.port
+	}
+
+	/** Opens the port; rejects with the system's error when that fails. */
+	start(): Promise<void> {
+		return this.listener.start()
+	}
+
+	/** Takes no new request and resolves once those under way have ended. */
+	stop(): Promise<void> {
+		return this.listener.stop()
+	}
+
+	/** Closes every connection at once. */
+	destroy(): void {
+		this.listener.destroy()
+	}
+
+	private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		const path = (request.url ?? '/').split('?', 1)[0] ?? '/'
+		const operator = this.credentials.getOperator(request.headers.authorization)
+		const answer = await this.getAnswer(request, path, operator)
+		send(response, answer)
+		const fields = { method: request.method, path, operator, status: answer.status }
+		if (operator === undefined && answer.status === 401) {
+			this.options.logger.warn('operator-refused', fields)
+		} else if (request.method === 'GET') this.options.logger.debug('operator-request', fields)
+		else this.options.logger.info('operator-request', fields)
+	}
+
+	private async getAnswer(
+		request: IncomingMessage,
+		path: string,
+		operator: string | undefined
+	): Promise<OperatorAnswer> {
+		const found = this.findResource(path)
+		if (operator === undefined && !found?.resource.isOpen) {
+			return createErrorAnswer('unauthorized', 'a valid operator token is needed')
+		}
+		if (!found) return createErrorAnswer('not-found', `no resource ${path}`)
+		try {
+			const read = await readJson(request, this.options.settings.limits.operatorBodyBytes)
+			if (read.type === 'too-large') {
+				return createErrorAnswer('too-large', 'the body is over limits.operatorBodyBytes')
+			}
+			if (read.type === 'malformed') return createErrorAnswer('malformed', 'the body is not JSON')
+			const { resource, parameters } = found
+			const { body } = read
+			return await dispatch(resource, request.method ?? '', {
+				operator: operator ?? '',
+				parameters,
+				body,
+			})
+		} catch (error) {
+			this.options.logger.error('operator-request-failed', { path, reason: error })
+			return createErrorAnswer('internal', 'the daemon failed to answer; see its log')
+		}
+	}
+
+	private findResource(path: string):
+		| {
+				readonly resource: OperatorResource
+				readonly parameters: Readonly<Record<string, string>>
+		  }
+		| undefined {
+		for (const resource of this.resources) {
+			const parameters = resource.match(path)
+			if (parameters) return { resource, parameters }
+		}
+		return undefined
+	}
+}
+
+async function dispatch(
+	resource: OperatorResource,
+	method: string,
+	request: OperatorRequest
+): Promise<OperatorAnswer> {
+	const answer = await handle(resource, method, request)
+	return (
+		answer ?? createErrorAnswer('method-not-allowed', `${resource.path} has no method ${method}`)
+	)
+}
+
+async function handle(
+	resource: OperatorResource,
+	method: string,
+	request: OperatorRequest
+): Promise<OperatorAnswer | undefined> {
+	switch (method) {
+		case 'GET':
+		case 'HEAD':
+			return resource.get?.(request)
+		case 'PUT':
+			return resource.put?.(request)
+		case 'POST':
+			return resource.post?.(request)
+		case 'DELETE':
+			return resource.delete?.(request)
+		default:
+			return undefined
+	}
+}
+
+function send(response: ServerResponse, answer: OperatorAnswer): void {
+	const isText = answer.type === 'text'
+	const text = isText ? answer.text : `${JSON.stringify(answer.body)}\n`
+	response.writeHead(answer.status, {
+		'Content-Type': isText ? 'text/plain; version=0.0.4; charset=utf-8' : 'application/json',
+		'Content-Length': Buffer.byteLength(text),
+		'Cache-Control': 'no-store',
+		...(answer.status === 401 && { 'WWW-Authenticate': 'Bearer' }),
+		...(answer.status === 413 && { Connection: 'close' }),
+	})
+	response.end(text)
+}
--- /dev/null
+++ b/packages/daemon/src/lib/operators/ReadinessResource.ts
@@ -0,0 +1,20 @@
+import type { OperatorAnswer } from './OperatorAnswer.js'
+import { OperatorResource } from './OperatorResource.js'
+
+/**
+ * Whether the daemon takes requests.
+ *
+ * @internal
+ */
+export class ReadinessResource extends OperatorResource {
+	override readonly path = '/readyz'
+	override readonly isOpen = true
+
+	override get(): Promise<OperatorAnswer> {
+		const reason = this.context.status.getUnreadyReason()
+		if (reason === undefined) {
+			return Promise.resolve({ type: 'text', status: 200, text: 'ready\n' })
+		}
+		return Promise.resolve({ type: 'text', status: 503, text: `${reason}\n` })
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/lib/operators/StatusResource.ts
@@ -0,0 +1,16 @@
+import type { OperatorAnswer } from './OperatorAnswer.js'
+import { OperatorResource } from './OperatorResource.js'
+
+/**
+ * The fleet as this daemon knows it.
+ *
+ * @internal
+ */
+export class StatusResource extends OperatorResource {
+	override readonly path = '/v1/status'
+
+	override get(): Promise<OperatorAnswer> {
+		const body = this.context.status.getStatus()
+		return Promise.resolve({ type: 'json', status: 200, body })
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/lib/operators/createErrorAnswer.ts
@@ -0,0 +1,29 @@
+import type { OperatorErrorBody, OperatorErrorType, ProposalId } from '@mastichead/core'
+import type { OperatorAnswer } from './OperatorAnswer.js'
+
+const STATUS: Readonly<Record<OperatorErrorType, number>> = {
+	unauthorized: 401,
+	malformed: 400,
+	'too-large': 413,
+	'not-found': 404,
+	'method-not-allowed': 405,
+	invalid: 422,
+	rejected: 409,
+	'not-appended': 503,
+	'outcome-unknown': 504,
+	internal: 500,
+}
+
+/**
+ * Makes an error answer with the status that belongs to its type.
+ *
+ * @internal
+ */
+export function createErrorAnswer(
+	type: OperatorErrorType,
+	message: string,
+	proposalId?: ProposalId
+): OperatorAnswer {
+	const body: OperatorErrorBody = { error: { type, message, proposalId } }
+	return { type: 'json', status: STATUS[type], body }
+}
--- /dev/null
+++ b/packages/daemon/src/lib/operators/readJson.ts
@@ -0,0 +1,30 @@
+import type { IncomingMessage } from 'node:http'
+
+/**
+ * Reads a JSON body up to a limit.
+ *
+ * @param maximumBytes - longest body read
+ * @internal
+ */
+export async function readJson(
+	request: IncomingMessage,
+	maximumBytes: number
+): Promise<
+	| { readonly type: 'json'; readonly body: unknown }
+	| { readonly type: 'too-large' }
+	| { readonly type: 'malformed' }
+> {
+	const chunks: Buffer[] = []
+	let bytes = 0
+	for await (const chunk of request as AsyncIterable<Buffer>) {
+		bytes += chunk.length
+		if (bytes > maximumBytes) return { type: 'too-large' }
+		chunks.push(chunk)
+	}
+	if (bytes === 0) return { type: 'json', body: undefined }
+	try {
+		return { type: 'json', body: JSON.parse(Buffer.concat(chunks).toString('utf8')) as unknown }
+	} catch {
+		return { type: 'malformed' }
+	}
+}
