Connect entry instances: peers, membership and loans in the daemon

PeerManager serves and calls the other members over gRPC: digests every 500 ms that carry only rows the peer has not confirmed, within 10 KB/s for rows, loans and returns in batches per lender, the log, and claims. Every call has a deadline by the timer service; a channel that misses one is replaced, and channels share no connection, since grpc-js otherwise hands the silent one to the new channel.

Ruled out: loads in both request and answer of an exchange. The answerer cannot know whether its answer arrived, so it would have to repeat all rows; each side calls instead, and a stranger's rows count as not told.

MembershipManager joins and renews one heartbeat at a time, so that they do not pile up in an outage, and leaves only once loans are back.

Tests over real sockets: deltas, loans, claims, log pages, and a relay that goes silent for good (claim fails at 1 s, works again on a fresh channel).

--- a/packages/core/src/lib/allowance/AllowanceHolder.ts
+++ b/packages/core/src/lib/allowance/AllowanceHolder.ts
@@ -39,6 +39,7 @@
 	private runMilliseconds: Milliseconds = 0
 	private renewedAt: Milliseconds = -Infinity
 	private hasEnded = false
+	private wasDropped = false
 	private sequence = 0
 	private readonly renewals = new Map<ProposalId, Milliseconds>()
 	private readonly decreases = new Map<number, ReadonlyMap<TeamId, number>>()
@@ -58,6 +59,11 @@
 		return this.hasEnded
 	}
 
+	/** Whether the fold dropped it; only a new incarnation can join again. */
+	get isDropped(): boolean {
+		return this.wasDropped
+	}
+
 	/** Notes that a join or heartbeat is about to be sent. To be called before each first send. */
 	expectRenewal(id: ProposalId): void {
 		if (!this.renewals.has(id)) this.renewals.set(id, this.timerService.now())
@@ -66,7 +72,7 @@
 	/** Takes what the folded state says of this member. To be called after each folded batch. */
 	observe(state: FleetState): void {
 		const seen = state.members.get(this.instance)
-		if (this.member && seen?.joinedOffset !== this.member.joinedOffset) this.end()
+		if (this.member && seen?.joinedOffset !== this.member.joinedOffset) this.drop()
 		this.member = seen
 		this.runMilliseconds = getRunBoundInForce(state)
 		if (!seen) return
@@ -171,8 +177,14 @@
 		return this.lender.lend(request, Math.min(free, spare), canRenew, this.runMilliseconds)
 	}
 
+	/** Answer to a request that gets nothing. */
+	refuse(): LoanReply {
+		const { loanLease } = allowanceTerms
+		return { amount: 0, leaseMilliseconds: loanLease, runMilliseconds: this.runMilliseconds }
+	}
+
 	/** Takes back a loan or a part of it. */
-	takeBack(loanReturn: LoanReturn): void {
+	takeBack(loanReturn: Pick<LoanReturn, 'loan' | 'remaining'>): void {
 		this.lender.takeBack(loanReturn)
 		for (const team of this.running.keys()) this.moveToOwn(team)
 	}
@@ -195,6 +207,11 @@
 		this.hasEnded = true
 	}
 
+	private drop(): void {
+		this.wasDropped ||= !this.hasEnded
+		this.end()
+	}
+
 	private getHeld(team: TeamId, at: Milliseconds): number {
 		const { member } = this
 		if (!member || this.hasEnded) return 0
--- a/packages/core/src/lib/allowance/AllowancePlanner.ts
+++ b/packages/core/src/lib/allowance/AllowancePlanner.ts
@@ -37,6 +37,7 @@
 	private readonly sentAt = new Map<string, Milliseconds>()
 	/** Members asked for a new loan, as `team/lender`, that have not answered. */
 	private readonly asked = new Set<string>()
+	private isLeaving = false
 	private queued: ReadonlyMap<TeamId, number> = new Map()
 
 	constructor(
@@ -63,11 +64,12 @@
 		for (const team of getTeams(state, this.holder.instance)) {
 			const situation = this.getSituation(state, team)
 			const plan = this.policy.plan(situation)
-			if (plan.delta !== 0) changes.push({ team, delta: plan.delta })
 			this.apply(situation, plan)
+			if (this.isLeaving) continue
+			if (plan.delta !== 0) changes.push({ team, delta: plan.delta })
 			requests.push(...this.createRequests(team, plan))
 		}
-		requests.push(...this.createRenewals())
+		if (!this.isLeaving) requests.push(...this.createRenewals())
 		return { changes, requests, returns: this.getReturns(state) }
 	}
 
@@ -78,9 +80,15 @@
 		return unit
 	}
 
+	/** Asks for nothing more and gives everything back as it becomes free. */
+	leave(): void {
+		this.isLeaving = true
+	}
+
 	/** Answers a member that asks for a loan. */
 	lend(state: FleetState, request: LoanRequest): LoanReply {
 		const { team, borrower } = request
+		if (this.isLeaving) return this.holder.refuse()
 		if (!state.members.has(borrower)) return this.holder.lend(request, 0)
 		const lendable = this.policy.getLendable(this.getSituation(state, team, borrower))
 		const spare = lendable - this.reservations.countBefore(team, borrower)
@@ -129,9 +137,11 @@
 
 	private apply({ team, capacity, running }: TeamSituation, { keep, maximum }: TeamPlan): void {
 		this.holder.setMaximum(team, maximum)
-		let excess = capacity - Math.max(running, Math.ceil(keep))
+		const kept = this.isLeaving ? 0 : Math.ceil(keep)
+		let excess = capacity - Math.max(running, kept)
 		for (const loan of this.holder.borrower.getLoans(team)) {
-			if (excess <= 0) return
+			if (this.peerLoads.isLeaving(loan.lender)) this.holder.borrower.giveBack(loan, loan.amount)
+			if (excess <= 0) continue
 			const before = loan.amount
 			this.holder.borrower.giveBack(loan, excess)
 			excess -= before - loan.amount
@@ -142,7 +152,7 @@
 		const requests: LoanRequest[] = []
 		for (const { lender, amount } of plan.loans) {
 			const key = `${team}/${lender}`
-			if (this.asked.has(key)) continue
+			if (this.asked.has(key) || this.peerLoads.isLeaving(lender)) continue
 			this.asked.add(key)
 			requests.push(this.holder.borrower.createRequest(lender, team, amount))
 		}
@@ -152,7 +162,9 @@
 	private createRenewals(): LoanRequest[] {
 		const { borrower } = this.holder
 		const renewedBefore = this.timerService.now() + allowanceTerms.loanLease / 2
-		const due = [...borrower.getAllLoans()].filter((loan) => loan.endsAt < renewedBefore)
+		const due = [...borrower.getAllLoans()].filter(
+			(loan) => loan.endsAt < renewedBefore && !this.peerLoads.isLeaving(loan.lender)
+		)
 		return due
 			.filter((loan) => this.isDue(`renew ${loan.name}`))
 			.map((loan) => borrower.createRenewal(loan))
--- a/packages/core/src/lib/allowance/Lender.ts
+++ b/packages/core/src/lib/allowance/Lender.ts
@@ -81,7 +81,7 @@
 	}
 
 	/** Takes back what the borrower no longer holds. */
-	takeBack({ loan: name, remaining }: LoanReturn): void {
+	takeBack({ loan: name, remaining }: Pick<LoanReturn, 'loan' | 'remaining'>): void {
 		if (remaining === 0) this.settled.set(name, this.timerService.now() + SETTLED_MEMORY)
 		const loan = this.loans.get(name)
 		if (!loan || remaining >= loan.amount) return
--- a/packages/core/src/lib/allowance/PeerLoads.ts
+++ b/packages/core/src/lib/allowance/PeerLoads.ts
@@ -19,6 +19,7 @@
  */
 export class PeerLoads {
 	private readonly peers = new Map<InstanceId, Peer>()
+	private readonly leaving = new Set<InstanceId>()
 
 	constructor(private readonly timerService: TimerService) {}
 
@@ -33,8 +34,19 @@
 		this.peers.set(instance, peer)
 	}
 
+	/** Notes whether a peer is about to leave; it lends nothing more and wants its loans back. */
+	setLeaving(instance: InstanceId, isLeaving: boolean): void {
+		if (isLeaving) this.leaving.add(instance)
+		else this.leaving.delete(instance)
+	}
+
+	isLeaving(instance: InstanceId): boolean {
+		return this.leaving.has(instance)
+	}
+
 	/** Forgets a peer that is no member any more. */
 	remove(instance: InstanceId): void {
+		this.leaving.delete(instance)
 		this.peers.delete(instance)
 	}
 
--- a/packages/core/src/lib/scheduling/Scheduler.ts
+++ b/packages/core/src/lib/scheduling/Scheduler.ts
@@ -81,6 +81,17 @@
 		return load
 	}
 
+	/** Waiting requests of this daemon by team, over all pools. */
+	getQueuedByTeam(): Map<TeamId, number> {
+		const queued = new Map<TeamId, number>()
+		for (const pool of this.queues.getPools()) {
+			for (const team of this.queues.getTeams(pool)) {
+				queued.set(team, (queued.get(team) ?? 0) + this.queues.getSize(pool, team))
+			}
+		}
+		return queued
+	}
+
 	/** Pools on which this daemon has running or waiting requests. */
 	getPools(): PoolId[] {
 		return [...new Set([...this.running.keys(), ...this.queues.getPools()])]
--- a/packages/daemon/src/lib/Daemon.ts
+++ b/packages/daemon/src/lib/Daemon.ts
@@ -4,6 +4,7 @@
 	PowerOfTwoPlacement,
 	type TimerService,
 } from '@mastichead/core'
+import { credentials, ServerCredentials } from '@grpc/grpc-js'
 import { randomBytes } from 'node:crypto'
 import type { Logger } from 'winston'
 import { AllowanceManager } from './allowances/AllowanceManager.js'
@@ -14,13 +15,20 @@
 import { HttpLogClient } from './log/HttpLogClient.js'
 import { LogManager } from './log/LogManager.js'
 import { SnapshotManager } from './log/SnapshotManager.js'
+import { MembershipManager } from './membership/MembershipManager.js'
 import { MetricsManager } from './metrics/MetricsManager.js'
+import { LocalDigestSource } from './peers/LocalDigestSource.js'
+import { LocalPeerHandler } from './peers/LocalPeerHandler.js'
+import { PeerManager } from './peers/PeerManager.js'
+import { UnconnectedClaimHandler } from './peers/UnconnectedClaimHandler.js'
 import { PlacementManager } from './placement/PlacementManager.js'
 import { RequestIdManager } from './requestIds/RequestIdManager.js'
 import type { Settings } from './settings/Settings.js'
 
 const INCARNATION_BYTES = 6
 const READY_POLL_MILLISECONDS = 20
+/** Time for loans to come back before a graceful shutdown gives up its leave. */
+const LEAVE_GRACE_MILLISECONDS = 5000
 
 interface Options {
 	readonly settings: Settings
@@ -39,13 +47,16 @@
 	readonly log: LogManager
 	readonly snapshots: SnapshotManager
 	readonly keys: KeyManager
+	readonly peers: PeerManager
 	readonly allowances: AllowanceManager
+	readonly membership: MembershipManager
 	readonly placement: PlacementManager
 	readonly backends: BackendManager
 	readonly requestIds: RequestIdManager
 	readonly metrics = new MetricsManager()
 	readonly requests: RequestManager
 	readonly callers: CallerServer
+	private isLeaving = false
 
 	constructor(private readonly options: Options) {
 		const { settings, logger, timers } = options
@@ -68,12 +79,27 @@
 			this.instance,
 			settings.keys.isolatedServeMilliseconds
 		)
+		this.peers = this.createPeers()
 		this.allowances = new AllowanceManager({
 			timers,
 			log: this.log,
 			instance: this.instance,
+			loans: this.peers,
+			getQueued: () => this.requests.scheduler.getQueuedByTeam(),
+			onGain: () => {
+				this.requests.scheduler.tick()
+			},
+		})
+		this.membership = new MembershipManager({
+			timers,
+			logger,
+			log: this.log,
+			holder: this.allowances.holder,
 			availabilityZone,
 			peerAddress: this.getPeerAddress(),
+			onDropped: () => {
+				this.callers.leave()
+			},
 		})
 		this.placement = new PlacementManager({
 			timers,
@@ -81,7 +107,7 @@
 			availabilityZone,
 			instance: this.instance,
 			getState,
-			getPeerRunning: () => 0,
+			getPeerRunning: (server) => this.peers.getPeerRunning(server),
 			getListings: () => new Map(),
 		})
 		this.backends = new BackendManager((server) => this.placement.getConnections(server))
@@ -95,7 +121,7 @@
 			backends: this.backends,
 			policy: new FleetShare(),
 			getState,
-			getPeerLoad: () => new Map(),
+			getPeerLoad: (pool) => this.peers.getPeerLoad(pool),
 			onEnd: (requestId, verdict) => {
 				this.requestIds.settle(requestId, verdict)
 			},
@@ -119,8 +145,11 @@
 		this.snapshots.start()
 		this.log.start()
 		this.keys.start()
+		this.log.setPeerLogs(() => this.peers.getPeerLogs())
+		await this.peers.start()
 		await this.waitUntilReady()
-		await this.allowances.start()
+		await this.membership.start()
+		this.allowances.start()
 		await this.callers.start()
 		logger.info('daemon-started', {
 			incarnation: this.instance,
@@ -131,6 +160,7 @@
 	/** Shuts down gracefully within `shutdown.graceMilliseconds`. */
 	async stop(): Promise<void> {
 		const { logger, settings, timers } = this.options
+		this.isLeaving = true
 		this.callers.leave()
 		const grace = settings.shutdown.graceMilliseconds
 		const expired = new Promise<'expired'>((resolve) => {
@@ -140,7 +170,11 @@
 		})
 		const end = await Promise.race([this.requests.waitUntilIdle(), expired])
 		if (end === 'expired') logger.warn('shutdown-cut', { requests: this.requests.size })
-		await this.allowances.leave()
+		this.allowances.leave()
+		this.peers.exchangeNow()
+		await this.membership.leave(LEAVE_GRACE_MILLISECONDS)
+		this.allowances.stop()
+		this.peers.stop()
 		this.requests.stop()
 		this.keys.stop()
 		this.snapshots.stop()
@@ -150,6 +184,43 @@
 		logger.info('daemon-stopped')
 	}
 
+	private createPeers(): PeerManager {
+		const { settings, logger, timers } = this.options
+		const { host, port } = settings.listeners.peers
+		return new PeerManager({
+			timers,
+			logger,
+			instance: this.instance,
+			host,
+			port,
+			address: this.getPeerAddress(),
+			seeds: settings.seeds,
+			serverCredentials: ServerCredentials.createInsecure(),
+			channelCredentials: credentials.createInsecure(),
+			getState: () => this.log.state,
+			source: new LocalDigestSource({
+				allowances: () => this.allowances,
+				scheduler: () => this.requests.scheduler,
+				placement: () => this.placement,
+				keys: () => this.keys,
+				isLeaving: () => this.isLeaving,
+			}),
+			handler: new LocalPeerHandler({
+				allowances: () => this.allowances,
+				log: this.log,
+				claims: new UnconnectedClaimHandler(),
+				exchange: (digest) => this.peers.answerExchange(digest),
+			}),
+			onKeyKnowledge: (knowledge, askedAt) => {
+				this.keys.learn(knowledge, askedAt)
+			},
+			onLoads: ({ instance, teams, leaving }) => {
+				const loads = teams.map((load) => [load.team, { ...load, free: load.lendable }] as const)
+				this.allowances.learn(instance, loads, leaving)
+			},
+		})
+	}
+
 	private async waitUntilReady(): Promise<void> {
 		while (!this.log.isReady) {
 			await new Promise<void>((resolve) => {
--- a/packages/daemon/src/lib/allowances/AllowanceManager.ts
+++ b/packages/daemon/src/lib/allowances/AllowanceManager.ts
@@ -1,90 +1,152 @@
 import {
 	AllowanceHolder,
+	AllowancePlanner,
 	AllowanceSource,
+	LendingPolicy,
+	type AllowanceChange,
+	type AllowancePolicy,
 	type AllowanceUnit,
-	type FleetState,
-	getAllowanceTotal,
 	type InstanceId,
-	type Proposal,
-	type ProposalId,
+	type LoanReply,
+	type LoanRequest,
+	type LoanReturn,
+	type PeerLoad,
+	type Subscription,
 	type TeamId,
 	type TimerService,
 } from '@mastichead/core'
-import { randomUUID } from 'node:crypto'
 import type { LogManager } from '../log/LogManager.js'
+import type { LoanTransport } from '../peers/LoanTransport.js'
 
-const HEARTBEAT_MILLISECONDS = 5000
-const REBALANCE_MILLISECONDS = 500
+const TICK_MILLISECONDS = 100
+const PROPOSE_DEADLINE_MILLISECONDS = 5000
 
 interface Options {
 	readonly timers: TimerService
 	readonly log: LogManager
 	readonly instance: InstanceId
-	readonly availabilityZone: string
-	readonly peerAddress: string
+	readonly loans: LoanTransport
+	/** Requests that wait at this daemon, by team. */
+	readonly getQueued: () => ReadonlyMap<TeamId, number>
+	/** Called when allowance came in, so that waiting requests may start. */
+	readonly onGain: () => void
+	/** By default units are lent between members. */
+	readonly policy?: AllowancePolicy
 }
 
 /**
- * Joins the members, renews the lease and holds an even part of each limit.
+ * Keeps the allowance of this daemon: asks the ledger in the log for its part of each limit, and
+ * lends to and borrows from other daemons.
  *
  * @public
  */
 export class AllowanceManager extends AllowanceSource<AllowanceUnit> {
 	readonly holder: AllowanceHolder
+	private readonly planner: AllowancePlanner
+	private timer: Subscription | undefined
+	private isProposing = false
 
 	constructor(private readonly options: Options) {
 		super()
-		this.holder = new AllowanceHolder(options.instance, options.timers)
+		const { instance, timers } = options
+		this.holder = new AllowanceHolder(instance, timers)
+		this.planner = new AllowancePlanner(this.holder, options.policy ?? new LendingPolicy(), timers)
 	}
 
-	async start(): Promise<void> {
-		const { timers, log, instance, availabilityZone, peerAddress } = this.options
-		log.onChange(() => {
-			this.holder.observe(log.state)
-		})
-		const id = randomUUID()
-		await this.renew({ kind: 'join', id, instance, availabilityZone, peerAddress })
-		timers.every(HEARTBEAT_MILLISECONDS, () => {
-			void this.renew({ kind: 'heartbeat', id: randomUUID(), instance })
-		})
-		timers.every(REBALANCE_MILLISECONDS, () => {
-			this.rebalance()
+	start(): void {
+		this.timer = this.options.timers.every(TICK_MILLISECONDS, () => {
+			this.tick()
 		})
 	}
 
+	stop(): void {
+		this.timer?.cancel()
+	}
+
+	/** Asks for nothing more, so that everything is released as requests end. */
+	leave(): void {
+		this.planner.leave()
+	}
+
 	override tryStart(team: TeamId): AllowanceUnit | undefined {
-		return this.holder.tryStart(team)
+		return this.planner.tryStart(team)
 	}
 
 	override finish(unit: AllowanceUnit): void {
 		this.holder.finish(unit)
 	}
 
-	/** Gives everything back; nothing may run any more. */
-	async leave(): Promise<void> {
-		this.holder.end()
-		const { log, instance } = this.options
-		await log.propose({ kind: 'leave', id: randomUUID(), instance })
+	/** Answers a peer that asks for a loan. */
+	lend(request: LoanRequest): LoanReply {
+		return this.planner.lend(this.options.log.state, request)
+	}
+
+	/** Takes back a loan that a peer returns. */
+	takeBack(loanReturn: Pick<LoanReturn, 'loan' | 'remaining'>): void {
+		this.holder.takeBack(loanReturn)
 	}
 
-	private async renew(proposal: Extract<Proposal, { id: ProposalId }>): Promise<void> {
-		this.holder.expectRenewal(proposal.id)
-		await this.options.log.propose(proposal)
+	/** Takes in what a peer tells of its teams, and whether it is about to leave. */
+	learn(
+		instance: InstanceId,
+		loads: Iterable<readonly [TeamId, Omit<PeerLoad, 'instance'>]>,
+		isLeaving: boolean
+	): void {
+		this.planner.peerLoads.update(instance, loads)
+		this.planner.peerLoads.setLeaving(instance, isLeaving)
 	}
 
-	private rebalance(): void {
-		const { log } = this.options
-		const changes = [...log.state.teams.values()]
-			.map(({ name, limit }) => ({ team: name, delta: this.getDelta(log.state, name, limit) }))
-			.filter(({ delta }) => delta !== 0)
+	/** What this daemon tells its peers of each team. */
+	getLoads(): ReadonlyMap<TeamId, PeerLoad> {
+		const { state } = this.options.log
+		const loads = new Map<TeamId, PeerLoad>()
+		for (const team of state.teams.keys()) loads.set(team, this.planner.getLoad(state, team))
+		return loads
+	}
+
+	/** Plans every team anew and sends what that takes. Runs a few times a second and on demand. */
+	tick(): void {
+		const { log, getQueued } = this.options
+		const { changes, requests, returns } = this.planner.tick(log.state, getQueued())
+		void this.propose(changes)
+		for (const [lender, loans] of groupByLender(requests)) void this.borrow(lender, loans)
+		for (const [lender, loans] of groupByLender(returns)) void this.giveBack(lender, loans)
+	}
+
+	private async propose(changes: readonly AllowanceChange[]): Promise<void> {
+		if (this.isProposing) return
 		const proposal = this.holder.createProposal(changes)
-		if (proposal) void log.propose(proposal)
+		if (!proposal) return
+		this.isProposing = true
+		await this.options.log.propose(proposal, PROPOSE_DEADLINE_MILLISECONDS)
+		this.isProposing = false
+		this.options.onGain()
+	}
+
+	private async borrow(lender: InstanceId, requests: readonly LoanRequest[]): Promise<void> {
+		const askedAt = this.options.timers.now()
+		const replies = await this.options.loans.borrow(lender, requests)
+		for (const [index, request] of requests.entries()) {
+			this.planner.settle(request, replies?.[index], askedAt)
+		}
+		if (replies) this.options.onGain()
+	}
+
+	private async giveBack(lender: InstanceId, returns: readonly LoanReturn[]): Promise<void> {
+		const isConfirmed = await this.options.loans.giveBack(lender, returns)
+		if (!isConfirmed) return
+		for (const loanReturn of returns) this.holder.borrower.settleReturn(loanReturn)
 	}
+}
 
-	private getDelta(state: FleetState, team: TeamId, limit: number): number {
-		const held = state.members.get(this.options.instance)?.allowances.get(team) ?? 0
-		const wanted = Math.ceil(limit / Math.max(1, state.members.size))
-		const room = Math.max(0, limit - getAllowanceTotal(state, team))
-		return Math.min(wanted - held, room)
+function groupByLender<Row extends { readonly lender: InstanceId }>(
+	rows: readonly Row[]
+): Map<InstanceId, Row[]> {
+	const groups = new Map<InstanceId, Row[]>()
+	for (const row of rows) {
+		const group = groups.get(row.lender) ?? []
+		group.push(row)
+		groups.set(row.lender, group)
 	}
+	return groups
 }
--- /dev/null
+++ b/packages/daemon/src/lib/membership/MembershipManager.ts
@@ -0,0 +1,106 @@
+import type {
+	AllowanceHolder,
+	AvailabilityZoneId,
+	HeartbeatProposal,
+	InstanceId,
+	JoinProposal,
+	Milliseconds,
+	Subscription,
+	TimerService,
+} from '@mastichead/core'
+import { randomUUID } from 'node:crypto'
+import type { Logger } from 'winston'
+import type { LogManager } from '../log/LogManager.js'
+
+const HEARTBEAT_MILLISECONDS = 5000
+const HEARTBEAT_DEADLINE_MILLISECONDS = 20_000
+const RELEASE_POLL_MILLISECONDS = 50
+
+interface Options {
+	readonly timers: TimerService
+	readonly logger: Logger
+	readonly log: LogManager
+	readonly holder: AllowanceHolder
+	readonly availabilityZone: AvailabilityZoneId
+	/** `host:port` of the peer port. */
+	readonly peerAddress: string
+	/** Called when the fold dropped this member; the daemon must start again under a new name. */
+	readonly onDropped: () => void
+}
+
+/**
+ * Joins the members under the name of this incarnation, renews the lease, and leaves once nothing
+ * is held any more.
+ *
+ * @public
+ */
+export class MembershipManager {
+	private timer: Subscription | undefined
+	private isRenewing = false
+	private hasReportedDrop = false
+
+	constructor(private readonly options: Options) {}
+
+	/** Joins; resolves once the fold has accepted it. */
+	async start(): Promise<void> {
+		const { log, holder, timers, availabilityZone, peerAddress } = this.options
+		log.onChange(() => {
+			this.observe()
+		})
+		const { instance } = holder
+		const id = `${instance}/join`
+		while (!log.state.members.has(instance)) {
+			await this.renew({ kind: 'join', id, instance, availabilityZone, peerAddress })
+		}
+		this.timer = timers.every(HEARTBEAT_MILLISECONDS, () => {
+			this.heartbeat(instance)
+		})
+	}
+
+	/**
+	 * Leaves, if everything is released within the grace period; otherwise the lease runs out.
+	 *
+	 * @param grace - time to wait for loans to come back, in milliseconds
+	 * @returns whether the leave was accepted
+	 */
+	async leave(grace: Milliseconds): Promise<boolean> {
+		const { timers, holder, log, logger } = this.options
+		const end = timers.now() + grace
+		while (!holder.canLeave() && timers.now() < end) {
+			await new Promise<void>((resolve) => {
+				timers.after(RELEASE_POLL_MILLISECONDS, resolve)
+			})
+		}
+		this.timer?.cancel()
+		if (!holder.canLeave()) {
+			logger.warn('member-lease-left', { instance: holder.instance })
+			return false
+		}
+		holder.end()
+		const { instance } = holder
+		const outcome = await log.propose({ kind: 'leave', id: `${instance}/leave`, instance })
+		return outcome.type === 'decided' && outcome.decision.type === 'accepted'
+	}
+
+	private observe(): void {
+		const { holder, log, logger, onDropped } = this.options
+		holder.observe(log.state)
+		if (!holder.isDropped || this.hasReportedDrop) return
+		this.hasReportedDrop = true
+		logger.error('member-dropped', { instance: holder.instance })
+		onDropped()
+	}
+
+	/** One at a time, so that heartbeats do not pile up while the platform is down. */
+	private heartbeat(instance: InstanceId): void {
+		if (this.isRenewing) return
+		void this.renew({ kind: 'heartbeat', id: randomUUID(), instance })
+	}
+
+	private async renew(proposal: JoinProposal | HeartbeatProposal): Promise<void> {
+		this.isRenewing = true
+		this.options.holder.expectRenewal(proposal.id)
+		await this.options.log.propose(proposal, HEARTBEAT_DEADLINE_MILLISECONDS)
+		this.isRenewing = false
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/lib/peers/LocalDigestSource.ts
@@ -0,0 +1,74 @@
+import type { PoolId, Scheduler, TeamId, TeamLoad as PoolTeamLoad } from '@mastichead/core'
+import type { PoolLoad, ServerLoad, TeamLoad } from '@mastichead/protocol'
+import type { AllowanceManager } from '../allowances/AllowanceManager.js'
+import type { KeyKnowledge } from '../keys/KeyKnowledge.js'
+import type { KeyManager } from '../keys/KeyManager.js'
+import type { PlacementManager } from '../placement/PlacementManager.js'
+import { DigestSource } from './DigestSource.js'
+
+interface Options {
+	readonly allowances: () => AllowanceManager
+	readonly scheduler: () => Scheduler
+	readonly placement: () => PlacementManager
+	readonly keys: () => KeyManager
+	readonly isLeaving: () => boolean
+}
+
+/**
+ * Digest of this daemon, from its managers.
+ *
+ * @internal
+ */
+export class LocalDigestSource extends DigestSource {
+	constructor(private readonly options: Options) {
+		super()
+	}
+
+	override getTeams(): TeamLoad[] {
+		const pools = this.getPoolLoads()
+		const loads = this.options.allowances().getLoads()
+		const { holder } = this.options.allowances()
+		return [...loads].map(([team, { running, queued, free }]) => ({
+			team,
+			running,
+			queued,
+			lendable: free,
+			usable: holder.getCapacity(team),
+			pools: pools.get(team) ?? [],
+		}))
+	}
+
+	override getServers(): ServerLoad[] {
+		const placement = this.options.placement()
+		return [...placement.getBusyServers()].map(([server, running]) => ({
+			server,
+			running,
+			connections: running,
+			ejected: placement.isEjected(server),
+		}))
+	}
+
+	override getKeyKnowledge(): KeyKnowledge {
+		return this.options.keys().getKnowledge()
+	}
+
+	override isLeaving(): boolean {
+		return this.options.isLeaving()
+	}
+
+	private getPoolLoads(): Map<TeamId, PoolLoad[]> {
+		const rows = new Map<TeamId, PoolLoad[]>()
+		const scheduler = this.options.scheduler()
+		for (const pool of scheduler.getPools()) {
+			for (const load of scheduler.getOwnLoad(pool).values()) {
+				const row = createPoolLoad(pool, load)
+				rows.set(load.team, [...(rows.get(load.team) ?? []), row])
+			}
+		}
+		return rows
+	}
+}
+
+function createPoolLoad(pool: PoolId, { running, queued }: PoolTeamLoad): PoolLoad {
+	return { pool, running, queued }
+}
--- /dev/null
+++ b/packages/daemon/src/lib/peers/LocalPeerHandler.ts
@@ -0,0 +1,66 @@
+import type {
+	BorrowReply,
+	BorrowRequest,
+	ClaimRequest,
+	Digest,
+	ReadLogReply,
+	ReadLogRequest,
+	ReturnRequest,
+	SettleRequest,
+} from '@mastichead/protocol'
+import type { AllowanceManager } from '../allowances/AllowanceManager.js'
+import type { LogManager } from '../log/LogManager.js'
+import type { ClaimHandler } from './ClaimHandler.js'
+import { PeerHandler } from './PeerHandler.js'
+
+/** Log entries in one answer at most. */
+const PAGE_ENTRIES = 1000
+
+interface Options {
+	readonly allowances: () => AllowanceManager
+	readonly log: LogManager
+	readonly claims: ClaimHandler
+	readonly exchange: (digest: Digest) => Digest
+}
+
+/**
+ * Answers peers from the managers of this daemon.
+ *
+ * @internal
+ */
+export class LocalPeerHandler extends PeerHandler {
+	constructor(private readonly options: Options) {
+		super()
+	}
+
+	override exchange(digest: Digest): Digest {
+		return this.options.exchange(digest)
+	}
+
+	override lend({ borrower, lender, loans }: BorrowRequest): BorrowReply {
+		const allowances = this.options.allowances()
+		return { loans: loans.map((loan) => allowances.lend({ ...loan, borrower, lender })) }
+	}
+
+	override takeBack({ loans }: ReturnRequest): void {
+		const allowances = this.options.allowances()
+		for (const { loan, remaining } of loans) allowances.takeBack({ loan, remaining })
+	}
+
+	override readLog({ from }: ReadLogRequest): ReadLogReply {
+		const page = this.options.log.readLog(from)
+		if (page.type === 'records') {
+			return { entries: page.records.slice(0, PAGE_ENTRIES), snapshot: undefined }
+		}
+		const { through, hash, parts } = page.snapshot
+		return { entries: [], snapshot: { through, hash, parts: [...parts] } }
+	}
+
+	override claim(request: ClaimRequest): string {
+		return this.options.claims.claim(request)
+	}
+
+	override settle(request: SettleRequest): void {
+		this.options.claims.settle(request)
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/lib/peers/Peer.ts
@@ -0,0 +1,40 @@
+import type { BackendServerId, InstanceId, Milliseconds, TeamId } from '@mastichead/core'
+import type { Digest, ServerLoad, TeamLoad } from '@mastichead/protocol'
+import { DigestDelta } from './DigestDelta.js'
+import type { PeerClient } from './PeerClient.js'
+
+/**
+ * What is known of one other entry instance.
+ *
+ * @internal
+ */
+export class Peer {
+	readonly delta = new DigestDelta()
+	readonly teams = new Map<TeamId, TeamLoad>()
+	readonly servers = new Map<BackendServerId, ServerLoad>()
+	offset = -1
+	isLeaving = false
+	isExchanging = false
+	/** Instant at which it was last heard; -Infinity before the first. */
+	heardAt: Milliseconds = -Infinity
+	/** Instant before the last answered exchange with it was sent. */
+	answeredAskAt: Milliseconds = -Infinity
+
+	/**
+	 * @param instance - incarnation; undefined for a seed that has not answered
+	 */
+	constructor(
+		readonly address: string,
+		readonly instance: InstanceId | undefined,
+		readonly client: PeerClient
+	) {}
+
+	/** Takes what the peer says of itself. */
+	update(digest: Digest, now: Milliseconds): void {
+		this.heardAt = now
+		this.offset = Math.max(this.offset, digest.offset)
+		this.isLeaving = digest.leaving
+		for (const load of digest.teams) this.teams.set(load.team, load)
+		for (const load of digest.servers) this.servers.set(load.server, load)
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/lib/peers/PeerHandler.ts
@@ -0,0 +1,26 @@
+import type {
+	BorrowReply,
+	BorrowRequest,
+	ClaimRequest,
+	Digest,
+	ReadLogReply,
+	ReadLogRequest,
+	ReturnRequest,
+	SettleRequest,
+} from '@mastichead/protocol'
+
+/**
+ * Answers the calls of other entry instances.
+ *
+ * @public
+ */
+export abstract class PeerHandler {
+	/** Takes a peer's digest and gives the own one, without its loads. */
+	abstract exchange(digest: Digest): Digest
+	abstract lend(request: BorrowRequest): BorrowReply
+	abstract takeBack(request: ReturnRequest): void
+	abstract readLog(request: ReadLogRequest): ReadLogReply
+	/** @returns outcome of the claim, as the wire names it */
+	abstract claim(request: ClaimRequest): string
+	abstract settle(request: SettleRequest): void
+}
--- /dev/null
+++ b/packages/daemon/src/lib/peers/PeerManager.test.ts
@@ -0,0 +1,212 @@
+import { credentials, ServerCredentials } from '@grpc/grpc-js'
+import {
+	createFleetState,
+	SystemTimerService,
+	type FleetState,
+	type InstanceId,
+} from '@mastichead/core'
+import type { Digest, TeamLoad } from '@mastichead/protocol'
+import { createServer, connect, type AddressInfo, type Socket } from 'node:net'
+import { afterEach, expect, test } from 'vitest'
+import { createLogger } from '../logs/createLogger.js'
+import { DigestSource } from './DigestSource.js'
+import { PeerHandler } from './PeerHandler.js'
+import { PeerManager } from './PeerManager.js'
+
+const timers = new SystemTimerService()
+const closing: (() => void)[] = []
+
+afterEach(() => {
+	for (const close of closing.splice(0)) close()
+})
+
+class TestSource extends DigestSource {
+	teams: TeamLoad[] = [
+		{
+			team: 'quotes',
+			running: 2,
+			queued: 1,
+			lendable: 3,
+			usable: 5,
+			pools: [{ pool: 'p', running: 2, queued: 1 }],
+		},
+	]
+
+	constructor(private readonly instance: InstanceId) {
+		super()
+	}
+
+	override getTeams() {
+		return this.teams
+	}
+
+	override getServers() {
+		return [{ server: 's1', running: 4, connections: 4, ejected: false }]
+	}
+
+	override getKeyKnowledge() {
+		return { instance: this.instance, withdrawnKeys: ['key-1'], age: 5, offset: -1 }
+	}
+
+	override isLeaving() {
+		return false
+	}
+}
+
+class TestHandler extends PeerHandler {
+	returned = 0
+
+	constructor(private readonly getManager: () => PeerManager) {
+		super()
+	}
+
+	override exchange(digest: Digest) {
+		return this.getManager().answerExchange(digest)
+	}
+
+	override lend({ loans }: { loans: { amount: number }[] }) {
+		const terms = { leaseMilliseconds: 20_000, runMilliseconds: 1000 }
+		return { loans: loans.map(({ amount }) => ({ amount: Math.min(2, amount), ...terms })) }
+	}
+
+	override takeBack() {
+		this.returned++
+	}
+
+	override readLog({ from }: { from: number }) {
+		return { entries: [{ offset: from, at: 1.5, record: '{}' }], snapshot: undefined }
+	}
+
+	override claim() {
+		return 'first'
+	}
+
+	override settle() {
+		return
+	}
+}
+
+async function createPeer(instance: InstanceId) {
+	const state = createFleetState()
+	const source = new TestSource(instance)
+	const digests: Digest[] = []
+	const withdrawn: string[] = []
+	const handler: TestHandler = new TestHandler(() => manager)
+	const manager = new PeerManager({
+		timers,
+		logger: createLogger({ level: 'error' }),
+		instance,
+		host: '127.0.0.1',
+		port: 0,
+		address: instance,
+		seeds: [],
+		serverCredentials: ServerCredentials.createInsecure(),
+		channelCredentials: credentials.createInsecure(),
+		getState: () => state,
+		source,
+		handler,
+		onKeyKnowledge: ({ withdrawnKeys }) => {
+			withdrawn.push(...withdrawnKeys)
+		},
+		onLoads: (digest) => {
+			digests.push(digest)
+		},
+	})
+	const port = await manager.start()
+	closing.push(() => {
+		manager.stop()
+	})
+	return { instance, manager, state, source, handler, digests, withdrawn, port }
+}
+
+function addMember(state: FleetState, instance: InstanceId, port: number) {
+	state.members.set(instance, {
+		instance,
+		availabilityZone: 'a',
+		peerAddress: `127.0.0.1:${port}`,
+		joinedOffset: 1,
+		renewedAt: 0,
+		lapsed: false,
+		sequence: 0,
+		allowances: new Map(),
+	})
+}
+
+async function createPair() {
+	const [a, b] = [await createPeer('a.1'), await createPeer('b.1')]
+	addMember(a.state, b.instance, b.port)
+	addMember(b.state, a.instance, a.port)
+	a.manager.exchangeNow()
+	await expect.poll(() => b.digests.length, { timeout: 3000 }).toBeGreaterThan(0)
+	return { a, b }
+}
+
+test('tells loads once, then only what changed, and withdrawn keys always', async () => {
+	const { a, b } = await createPair()
+	expect(b.digests[0]?.teams).toEqual(a.source.teams)
+	await expect.poll(() => b.digests.at(-1)?.teams, { timeout: 3000 }).toEqual([])
+	expect(b.withdrawn).toContain('key-1')
+	expect(b.manager.getPeerLoad('p').get('quotes')).toEqual({
+		team: 'quotes',
+		running: 2,
+		queued: 1,
+	})
+	expect(b.manager.getPeerRunning('s1')).toBe(4)
+	a.source.teams = a.source.teams.map((load) => ({ ...load, running: 9 }))
+	await expect.poll(() => b.digests.at(-1)?.teams[0]?.running, { timeout: 3000 }).toBe(9)
+})
+
+test('carries loans, returns, claims and the log', async () => {
+	const { a, b } = await createPair()
+	const request = { loan: 'a.1/0', lender: 'b.1', borrower: 'a.1', team: 'quotes', amount: 5 }
+	const replies = await a.manager.borrow('b.1', [request])
+	expect(replies).toEqual([{ amount: 2, leaseMilliseconds: 20_000, runMilliseconds: 1000 }])
+	expect(await a.manager.giveBack('b.1', [{ ...request, remaining: 0 }])).toBe(true)
+	expect(b.handler.returned).toBe(1)
+	expect(await a.manager.claim('b.1', 'id', 'a')).toBe('first')
+	expect(await a.manager.claim('c.1', 'id', 'a')).toBeUndefined()
+	const [log] = a.manager.getPeerLogs()
+	const page = await log?.readLog(7)
+	expect(page).toEqual({ type: 'records', records: [{ offset: 7, at: 1.5, record: '{}' }] })
+})
+
+/** Forwards connections; the first ones go silent for good once `silence` is called. */
+async function createRelay(port: number) {
+	const silent = new Set<Socket>()
+	const sockets = new Set<Socket>()
+	const server = createServer((socket) => {
+		const target = connect(port, '127.0.0.1')
+		for (const [from, to] of [
+			[socket, target],
+			[target, socket],
+		] as const) {
+			sockets.add(from)
+			from.on('data', (data) => {
+				if (!silent.has(from)) to.write(data)
+			})
+			from.on('error', () => to.destroy())
+			from.on('close', () => to.destroy())
+		}
+	})
+	await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+	closing.push(() => {
+		for (const socket of sockets) socket.destroy()
+		server.close()
+	})
+	const silence = () => {
+		for (const socket of sockets) silent.add(socket)
+	}
+	return { port: (server.address() as AddressInfo).port, silence }
+}
+
+test('replaces a channel whose connection went silent, while new ones work', async () => {
+	const [a, b] = [await createPeer('a.1'), await createPeer('b.1')]
+	const relay = await createRelay(b.port)
+	addMember(a.state, b.instance, relay.port)
+	addMember(b.state, a.instance, a.port)
+	a.manager.exchangeNow()
+	await expect.poll(() => a.manager.claim('b.1', 'id', 'a'), { timeout: 3000 }).toBe('first')
+	relay.silence()
+	expect(await a.manager.claim('b.1', 'id', 'a')).toBeUndefined()
+	await expect.poll(() => a.manager.claim('b.1', 'id', 'a'), { timeout: 3000 }).toBe('first')
+})
--- /dev/null
+++ b/packages/daemon/src/lib/peers/PeerManager.ts
@@ -0,0 +1,265 @@
+import type { ChannelCredentials, ServerCredentials } from '@grpc/grpc-js'
+import type {
+	BackendServerId,
+	FleetState,
+	InstanceId,
+	LoanReply,
+	LoanRequest,
+	LoanReturn,
+	Milliseconds,
+	PoolId,
+	Subscription,
+	TeamId,
+	TeamLoad,
+	TimerService,
+} from '@mastichead/core'
+import type {
+	BorrowReply,
+	ClaimReply,
+	Digest,
+	ReturnReply,
+	SettleReply,
+} from '@mastichead/protocol'
+import type { Logger } from 'winston'
+import type { KeyKnowledge } from '../keys/KeyKnowledge.js'
+import type { PeerLog } from '../log/PeerLog.js'
+import { createDigestRows } from './createDigestRows.js'
+import type { DigestRow } from './DigestRow.js'
+import type { DigestSource } from './DigestSource.js'
+import { LoanTransport } from './LoanTransport.js'
+import type { Peer } from './Peer.js'
+import type { PeerHandler } from './PeerHandler.js'
+import { PeerServer } from './PeerServer.js'
+import { PeerTable } from './PeerTable.js'
+import { RemoteLog } from './RemoteLog.js'
+
+const EXCHANGE_INTERVAL_MILLISECONDS = 500
+const EXCHANGE_DEADLINE_MILLISECONDS = 1000
+const LOAN_DEADLINE_MILLISECONDS = 1000
+const CLAIM_DEADLINE_MILLISECONDS = 1000
+
+/** Bytes a second that the rows of all digests may take in each direction. */
+const ROW_BYTES_PER_SECOND = 10_000
+
+/** Age from which what a peer said of its load no longer counts. */
+const MAXIMUM_LOAD_AGE_MILLISECONDS = 5000
+
+interface Options {
+	readonly timers: TimerService
+	readonly logger: Logger
+	readonly instance: InstanceId
+	readonly host: string
+	readonly port: number
+	/** Address that this daemon joins with. */
+	readonly address: string
+	/** Peers to ask before any member is known. */
+	readonly seeds: readonly string[]
+	readonly serverCredentials: ServerCredentials
+	readonly channelCredentials: ChannelCredentials
+	readonly getState: () => FleetState
+	readonly source: DigestSource
+	/** Answers the calls of peers; exchanges through {@link PeerManager.answerExchange}. */
+	readonly handler: PeerHandler
+	/**
+	 * Takes in what a peer knows of keys.
+	 *
+	 * @param askedAt - instant before the knowledge was asked for
+	 */
+	readonly onKeyKnowledge: (knowledge: KeyKnowledge, askedAt: Milliseconds) => void
+	/** Takes in the loads that a peer tells; teams that it does not name are unchanged. */
+	readonly onLoads: (digest: Digest) => void
+}
+
+/**
+ * Exchanges digests with the other entry instances, and carries loans, claims and the log between
+ * them.
+ *
+ * @public
+ */
+export class PeerManager extends LoanTransport {
+	private readonly table: PeerTable
+	private readonly server: PeerServer
+	private timer: Subscription | undefined
+
+	constructor(private readonly options: Options) {
+		super()
+		const { channelCredentials, serverCredentials } = options
+		this.table = new PeerTable({ ...options, credentials: channelCredentials })
+		this.server = new PeerServer({
+			...options,
+			credentials: serverCredentials,
+		})
+	}
+
+	/** Opens the port and starts to exchange digests. @returns the port */
+	async start(): Promise<number> {
+		const port = await this.server.listen()
+		this.timer = this.options.timers.every(EXCHANGE_INTERVAL_MILLISECONDS, () => {
+			this.exchangeNow()
+		})
+		this.exchangeNow()
+		return port
+	}
+
+	stop(): void {
+		this.timer?.cancel()
+		this.server.close()
+		this.table.close()
+	}
+
+	/** Exchanges digests at once, as after the withdrawal of a key. */
+	exchangeNow(): void {
+		this.table.update(this.options.getState())
+		const { source } = this.options
+		const rows = createDigestRows(source.getTeams(), source.getServers())
+		for (const peer of this.table.values()) {
+			if (!peer.isExchanging) void this.exchange(peer, rows)
+		}
+	}
+
+	/** Logs of the peers that answered lately. */
+	getPeerLogs(): PeerLog[] {
+		return this.getFreshPeers().map((peer) => new RemoteLog(peer))
+	}
+
+	/** Running and waiting requests of a pool at the peers, by team. */
+	getPeerLoad(pool: PoolId): Map<TeamId, TeamLoad> {
+		const loads = new Map<TeamId, TeamLoad>()
+		for (const peer of this.getFreshPeers()) {
+			for (const [team, load] of peer.teams) {
+				const part = load.pools.find((row) => row.pool === pool)
+				if (!part) continue
+				const { running, queued } = loads.get(team) ?? { running: 0, queued: 0 }
+				loads.set(team, { team, running: running + part.running, queued: queued + part.queued })
+			}
+		}
+		return loads
+	}
+
+	/** Requests that the peers run at a backend server. */
+	getPeerRunning(server: BackendServerId): number {
+		let running = 0
+		for (const peer of this.getFreshPeers()) running += peer.servers.get(server)?.running ?? 0
+		return running
+	}
+
+	/** Peers that answered or called lately. */
+	get reachablePeers(): number {
+		return this.getFreshPeers().length
+	}
+
+	override async borrow(
+		lender: InstanceId,
+		requests: readonly LoanRequest[]
+	): Promise<readonly LoanReply[] | undefined> {
+		const borrower = this.options.instance
+		const loans = requests.map(({ loan, team, amount }) => ({ loan, team, amount }))
+		const reply = await this.table
+			.find(lender)
+			?.client.call<BorrowReply>(
+				(stub, callback) => stub.borrow({ borrower, lender, loans }, callback),
+				LOAN_DEADLINE_MILLISECONDS
+			)
+		return reply?.loans.length === requests.length ? reply.loans : undefined
+	}
+
+	override async giveBack(lender: InstanceId, returns: readonly LoanReturn[]): Promise<boolean> {
+		const borrower = this.options.instance
+		const loans = returns.map(({ loan, remaining }) => ({ loan, remaining }))
+		const reply = await this.table
+			.find(lender)
+			?.client.call<ReturnReply>(
+				(stub, callback) => stub.return({ borrower, loans }, callback),
+				LOAN_DEADLINE_MILLISECONDS
+			)
+		return reply !== undefined
+	}
+
+	/** Claims a request id at its issuer. @returns undefined when no answer came */
+	async claim(
+		issuer: InstanceId,
+		requestId: string,
+		executor: string
+	): Promise<string | undefined> {
+		const reply = await this.table
+			.find(issuer)
+			?.client.call<ClaimReply>(
+				(stub, callback) => stub.claim({ requestId, executor }, callback),
+				CLAIM_DEADLINE_MILLISECONDS
+			)
+		return reply?.outcome
+	}
+
+	/** Tells the issuer how a claimed request ended. @returns whether it answered */
+	async settle(
+		issuer: InstanceId,
+		settlement: { readonly requestId: string; readonly executor: string; readonly verdict: string }
+	): Promise<boolean> {
+		const reply = await this.table
+			.find(issuer)
+			?.client.call<SettleReply>(
+				(stub, callback) => stub.settle(settlement, callback),
+				CLAIM_DEADLINE_MILLISECONDS
+			)
+		return reply !== undefined
+	}
+
+	private async exchange(peer: Peer, rows: readonly DigestRow[]): Promise<void> {
+		const askedAt = this.options.timers.now()
+		const chosen = peer.delta.build(rows, this.getRowBudget())
+		const digest = this.createDigest(chosen)
+		peer.isExchanging = true
+		const reply = await peer.client.call<Digest>(
+			(stub, callback) => stub.exchange(digest, callback),
+			EXCHANGE_DEADLINE_MILLISECONDS
+		)
+		peer.isExchanging = false
+		if (!reply || (peer.instance !== undefined && reply.instance !== peer.instance)) return
+		if (!reply.stranger) peer.delta.confirm()
+		peer.answeredAskAt = askedAt
+		peer.update(reply, this.options.timers.now())
+		this.learn(reply, askedAt)
+	}
+
+	/** Takes the digest of a peer that calls, and gives the own one without loads. */
+	answerExchange(digest: Digest): Digest {
+		const peer = this.table.find(digest.instance)
+		peer?.update(digest, this.options.timers.now())
+		if (peer) this.options.onLoads(digest)
+		this.learn(digest, peer?.answeredAskAt ?? -Infinity)
+		return { ...this.createDigest([]), stranger: peer === undefined }
+	}
+
+	private learn(digest: Digest, askedAt: Milliseconds): void {
+		const { instance, withdrawnKeys, offset } = digest
+		const knowledge = { instance, withdrawnKeys, offset, age: digest.logAgeMilliseconds }
+		this.options.onKeyKnowledge(knowledge, askedAt)
+	}
+
+	private createDigest(rows: readonly DigestRow[]): Digest {
+		const { source, getState, instance } = this.options
+		const { withdrawnKeys, age } = source.getKeyKnowledge()
+		const { offset, version } = getState()
+		return {
+			instance,
+			offset,
+			version,
+			withdrawnKeys: [...withdrawnKeys],
+			logAgeMilliseconds: age,
+			leaving: source.isLeaving(),
+			teams: rows.flatMap(({ team }) => team ?? []),
+			servers: rows.flatMap(({ server }) => server ?? []),
+			stranger: false,
+		}
+	}
+
+	private getRowBudget(): number {
+		const exchanges = (1000 / EXCHANGE_INTERVAL_MILLISECONDS) * Math.max(1, this.table.size)
+		return ROW_BYTES_PER_SECOND / exchanges
+	}
+
+	private getFreshPeers(): Peer[] {
+		const oldest = this.options.timers.now() - MAXIMUM_LOAD_AGE_MILLISECONDS
+		return [...this.table.values()].filter((peer) => peer.heardAt >= oldest)
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/lib/peers/PeerServer.ts
@@ -0,0 +1,87 @@
+import {
+	Server,
+	status,
+	type handleUnaryCall,
+	type sendUnaryData,
+	type ServerCredentials,
+} from '@grpc/grpc-js'
+import {
+	type BorrowRequest,
+	type ClaimRequest,
+	type Digest,
+	PeerService,
+	type ReadLogRequest,
+	type ReturnRequest,
+	type SettleRequest,
+} from '@mastichead/protocol'
+import type { Logger } from 'winston'
+import type { PeerHandler } from './PeerHandler.js'
+import { peerChannelOptions } from './peerChannelOptions.js'
+
+interface Options {
+	readonly host: string
+	/** 0 for any free port. */
+	readonly port: number
+	readonly credentials: ServerCredentials
+	readonly handler: PeerHandler
+	readonly logger: Logger
+}
+
+/**
+ * The port for other entry instances.
+ *
+ * @internal
+ */
+export class PeerServer {
+	private readonly server = new Server(peerChannelOptions)
+
+	constructor(private readonly options: Options) {
+		const { handler } = options
+		this.server.addService(PeerService, {
+			exchange: this.serve((digest: Digest) => handler.exchange(digest)),
+			borrow: this.serve((request: BorrowRequest) => handler.lend(request)),
+			return: this.serve((request: ReturnRequest) => {
+				handler.takeBack(request)
+				return {}
+			}),
+			readLog: this.serve((request: ReadLogRequest) => handler.readLog(request)),
+			claim: this.serve((request: ClaimRequest) => ({ outcome: handler.claim(request) })),
+			settle: this.serve((request: SettleRequest) => {
+				handler.settle(request)
+				return {}
+			}),
+		} satisfies Record<keyof typeof PeerService, unknown>)
+	}
+
+	/** Opens the port; rejects when it cannot be opened. @returns the port */
+	listen(): Promise<number> {
+		const { host, port, credentials } = this.options
+		return new Promise((resolve, reject) => {
+			this.server.bindAsync(`${host}:${port}`, credentials, (error, bound) => {
+				if (error) reject(error)
+				else resolve(bound)
+			})
+		})
+	}
+
+	close(): void {
+		this.server.forceShutdown()
+	}
+
+	private serve<Request, Reply>(answer: (request: Request) => Reply) {
+		const handle: handleUnaryCall<Request, Reply> = ({ request }, callback) => {
+			this.answer(() => answer(request), callback)
+		}
+		return handle
+	}
+
+	private answer<Reply>(answer: () => Reply, callback: sendUnaryData<Reply>): void {
+		try {
+			callback(null, answer())
+		} catch (error) {
+			const reason = error instanceof Error ? error.stack : String(error)
+			this.options.logger.error('peer-call-failed', { reason })
+			callback({ code: status.INTERNAL, details: 'internal error' })
+		}
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/lib/peers/RemoteLog.ts
@@ -0,0 +1,36 @@
+import type { ReadLogReply } from '@mastichead/protocol'
+import { PeerLog } from '../log/PeerLog.js'
+import type { PeerLogPage } from '../log/PeerLogPage.js'
+import type { Peer } from './Peer.js'
+
+/** Time in which a page of the log must be there. */
+const DEADLINE_MILLISECONDS = 3000
+
+/**
+ * The log of a peer, read over its port.
+ *
+ * @internal
+ */
+export class RemoteLog extends PeerLog {
+	constructor(private readonly peer: Peer) {
+		super()
+	}
+
+	override get name(): string {
+		return this.peer.instance ?? this.peer.address
+	}
+
+	override get offset(): number {
+		return this.peer.offset
+	}
+
+	override async readLog(from: number): Promise<PeerLogPage | undefined> {
+		const reply = await this.peer.client.call<ReadLogReply>(
+			(stub, callback) => stub.readLog({ from }, callback),
+			DEADLINE_MILLISECONDS
+		)
+		if (!reply) return undefined
+		if (reply.snapshot) return { type: 'snapshot', snapshot: reply.snapshot }
+		return { type: 'records', records: reply.entries }
+	}
+}
