--- /dev/null
+++ b/bench/src/shareBench.ts
@@ -0,0 +1,96 @@
+import { runShares } from './shares/runShares.js'
+import type { ShareScenario } from './shares/ShareScenario.js'
+
+const SHARES = new Map([
+	['connections-desk', 8],
+	['administrators', 6],
+	['installers', 5],
+	['municipal-planners', 2],
+	['surveyors', 2],
+	['office', 1],
+])
+const WARM_UP_MILLISECONDS = 5000
+const PAUSE_FROM = 20_000
+const PAUSE_TO = 30_000
+const RETURNING_TEAM = 'connections-desk'
+
+const common = {
+	daemons: 8,
+	servers: 7,
+	slots: 8,
+	shares: SHARES,
+	skew: 0.8,
+	meanRunMilliseconds: 400,
+}
+
+const full: ShareScenario = {
+	...common,
+	name: 'full',
+	getOffered: () => 20,
+	durationMilliseconds: 40_000,
+}
+
+const lending: ShareScenario = {
+	...common,
+	name: 'lending',
+	getOffered: (team, at) => (team === RETURNING_TEAM && at >= PAUSE_FROM && at < PAUSE_TO ? 0 : 25),
+	durationMilliseconds: 50_000,
+}
+
+const steady: ShareScenario = {
+	...common,
+	name: 'steady 80%',
+	getOffered: (team) => (common.servers * common.slots * 0.8 * (SHARES.get(team) ?? 0)) / 24,
+	durationMilliseconds: 60_000,
+}
+
+/**
+ * A row of the table: distances and shares in percent, times in milliseconds.
+ *
+ * @internal
+ */
+interface Row {
+	readonly scenario: string
+	readonly way: string
+	readonly meanDistance: number
+	readonly worstDistance: number
+	readonly use: number
+	readonly returnMilliseconds: number
+	readonly refusedPercent: number
+	readonly p50Wait: number
+	readonly p99Wait: number
+	readonly messagesPerSecond: number
+}
+
+/**
+ * Compares ways to keep teams near their shares over 8 daemons with skewed arrival, in virtual time
+ * and with the same demand.
+ *
+ * @public
+ */
+export function shareBench(options: { readonly seed: number }): Row[] {
+	return [full, lending, steady].flatMap((scenario) =>
+		(['local', 'fleet', 'owner', 'central'] as const).map((way) => {
+			const { meter, truth, waits, messages } = runShares(scenario, way, options.seed)
+			const isFull = scenario !== steady
+			const end = scenario === lending ? PAUSE_FROM : scenario.durationMilliseconds
+			const distance = isFull
+				? meter.getDistances(WARM_UP_MILLISECONDS, end)
+				: { mean: Number.NaN, worst: Number.NaN }
+			waits.sort((a, b) => a - b)
+			return {
+				scenario: scenario.name,
+				way,
+				meanDistance: distance.mean,
+				worstDistance: distance.worst,
+				use: meter.getUse(WARM_UP_MILLISECONDS, scenario.durationMilliseconds),
+				returnMilliseconds:
+					scenario === lending ? meter.getReturnTime(RETURNING_TEAM, PAUSE_TO) : Number.NaN,
+				refusedPercent: (100 * truth.refusals) / truth.starts,
+				p50Wait: waits[Math.floor(waits.length * 0.5)] ?? 0,
+				p99Wait: waits[Math.floor(waits.length * 0.99)] ?? 0,
+				messagesPerSecond: (1000 * messages) / scenario.durationMilliseconds,
+			}
+		})
+	)
+}
--- /dev/null
+++ b/bench/src/shares/DigestServers.ts
@@ -0,0 +1,55 @@
+import { type BackendServerId, ServerSource, type TimerService } from '@mastichead/core'
+
+/** Time for which a server counts as full after it refused. */
+const FULL_MILLISECONDS = 100
+
+/**
+ * Slots by what runs here and by the last digests of the peers: the way without an owner.
+ *
+ * @internal
+ */
+export class DigestServers extends ServerSource {
+	readonly running = new Map<BackendServerId, number>()
+	private readonly fullUntil = new Map<BackendServerId, number>()
+
+	constructor(
+		private readonly timers: TimerService,
+		private readonly size: { readonly servers: number; readonly slots: number },
+		private readonly getPeerRunning: (server: BackendServerId) => number,
+		private readonly random: () => number
+	) {
+		super()
+	}
+
+	override getCapacity(): number {
+		return this.size.servers * this.size.slots
+	}
+
+	override reserve(): BackendServerId | undefined {
+		const open = Array.from({ length: this.size.servers }, (_, index) => String(index)).filter(
+			(server) => this.getFree(server) > 0
+		)
+		const [a, b] = [this.pick(open), this.pick(open)]
+		if (a === undefined || b === undefined) return undefined
+		const server = this.getFree(a) >= this.getFree(b) ? a : b
+		this.running.set(server, (this.running.get(server) ?? 0) + 1)
+		return server
+	}
+
+	override release(server: BackendServerId): void {
+		this.running.set(server, (this.running.get(server) ?? 0) - 1)
+	}
+
+	noteFull(server: BackendServerId): void {
+		this.fullUntil.set(server, this.timers.now() + FULL_MILLISECONDS)
+	}
+
+	private getFree(server: BackendServerId): number {
+		if ((this.fullUntil.get(server) ?? 0) > this.timers.now()) return 0
+		return this.size.slots - (this.running.get(server) ?? 0) - this.getPeerRunning(server)
+	}
+
+	private pick(open: readonly BackendServerId[]): BackendServerId | undefined {
+		return open[Math.floor(this.random() * open.length)]
+	}
+}
--- /dev/null
+++ b/bench/src/shares/OwnedServers.ts
@@ -0,0 +1,33 @@
+import {
+	type BackendServerId,
+	type PoolId,
+	ServerSource,
+	type SlotHolder,
+	type TeamId,
+} from '@mastichead/core'
+
+/**
+ * Slots that the pool's owner gave.
+ *
+ * @internal
+ */
+export class OwnedServers extends ServerSource {
+	constructor(
+		readonly holder: SlotHolder,
+		private readonly capacity: number
+	) {
+		super()
+	}
+
+	override getCapacity(): number {
+		return this.capacity
+	}
+
+	override reserve(pool: PoolId, team: TeamId): BackendServerId | undefined {
+		return this.holder.reserve(pool, team)
+	}
+
+	override release(server: BackendServerId, pool: PoolId, team: TeamId): void {
+		this.holder.end({ pool, team, server }, 'unused')
+	}
+}
--- /dev/null
+++ b/bench/src/shares/ShareDaemon.ts
@@ -0,0 +1,107 @@
+import {
+	AllowanceSource,
+	type BackendServerId,
+	type PoolId,
+	Scheduler,
+	type ServerSource,
+	type SharePolicy,
+	type Start,
+	type TeamId,
+	type TeamLoad,
+	type TimerService,
+	type WaitingRequest,
+} from '@mastichead/core'
+import type { SlotTruth } from './SlotTruth.js'
+
+const POOL: PoolId = 'pool'
+const NETWORK_MILLISECONDS = 1.5
+
+/** Limits are not what this bench is about, so that every start finds allowance. */
+class Unlimited extends AllowanceSource<true> {
+	override tryStart(): true {
+		return true
+	}
+
+	override finish(): void {
+		// Nothing to give back.
+	}
+}
+
+interface Options {
+	readonly timers: TimerService
+	readonly truth: SlotTruth
+	readonly policy: SharePolicy
+	readonly servers: ServerSource
+	readonly shares: ReadonlyMap<TeamId, number>
+	readonly getPeerLoad: () => ReadonlyMap<TeamId, TeamLoad>
+	readonly drawRun: () => number
+	readonly onStarted: (request: WaitingRequest) => void
+	readonly onEnd: (server: BackendServerId, team: TeamId, result: 'success' | 'full') => void
+}
+
+/**
+ * An entry instance of the share bench: the real scheduler, with requests that take slots.
+ *
+ * @internal
+ */
+export class ShareDaemon {
+	readonly scheduler: Scheduler<true>
+	private lastId = 0
+
+	constructor(private readonly options: Options) {
+		const { timers, policy, servers, shares, getPeerLoad } = options
+		this.scheduler = new Scheduler<true>({
+			timers,
+			policy,
+			servers,
+			allowances: new Unlimited(),
+			getShares: () => shares,
+			getPeerLoad,
+			onStart: (start) => {
+				this.start(start)
+			},
+			onLate: () => undefined,
+		})
+	}
+
+	submit(team: TeamId): void {
+		this.scheduler.submit({
+			id: ++this.lastId,
+			queue: 'queue',
+			team,
+			pool: POOL,
+			urgency: 'ordinary',
+			enqueuedAt: this.options.timers.now(),
+			startBy: Infinity,
+		})
+	}
+
+	private start({ request, server }: Start<true>): void {
+		const { timers, truth, drawRun } = this.options
+		timers.after(NETWORK_MILLISECONDS, () => {
+			if (!truth.start(Number(server), request.team)) {
+				this.later(() => {
+					this.refuse(request, server)
+				})
+				return
+			}
+			this.options.onStarted(request)
+			timers.after(drawRun(), () => {
+				truth.end(Number(server), request.team)
+				this.later(() => {
+					this.options.onEnd(server, request.team, 'success')
+					this.scheduler.finish(request)
+				})
+			})
+		})
+	}
+
+	private refuse(request: WaitingRequest, server: BackendServerId): void {
+		this.scheduler.putBack(request)
+		this.options.onEnd(server, request.team, 'full')
+	}
+
+	private later(act: () => void): void {
+		this.options.timers.after(NETWORK_MILLISECONDS, act)
+	}
+}
--- /dev/null
+++ b/bench/src/shares/ShareMeter.ts
@@ -0,0 +1,83 @@
+import { computeMaxMin } from '@mastichead/core'
+import type { ShareScenario } from './ShareScenario.js'
+import type { SlotTruth } from './SlotTruth.js'
+
+const SAMPLE_MILLISECONDS = 50
+const WINDOW_MILLISECONDS = 10_000
+
+interface Sample {
+	readonly at: number
+	readonly running: ReadonlyMap<string, number>
+	readonly total: number
+}
+
+/**
+ * Samples what runs and compares it with the weighted max-min share.
+ *
+ * @internal
+ */
+export class ShareMeter {
+	private readonly samples: Sample[] = []
+
+	constructor(
+		private readonly scenario: ShareScenario,
+		private readonly truth: SlotTruth
+	) {}
+
+	static readonly interval = SAMPLE_MILLISECONDS
+
+	sample(at: number): void {
+		this.samples.push({ at, running: new Map(this.truth.byTeam), total: this.truth.total })
+	}
+
+	/** Distances from the share in percent, over every window of 10 s within the span. */
+	getDistances(from: number, to: number): { mean: number; worst: number } {
+		const distances: number[] = []
+		for (let start = from; start + WINDOW_MILLISECONDS <= to; start += 1000) {
+			distances.push(...this.getWindowDistances(start, start + WINDOW_MILLISECONDS))
+		}
+		const mean = distances.reduce((sum, value) => sum + value, 0) / distances.length
+		return { mean, worst: Math.max(...distances) }
+	}
+
+	/** Part of the capacity that ran within the span, in percent. */
+	getUse(from: number, to: number): number {
+		const span = this.getSpan(from, to)
+		const total = span.reduce((sum, sample) => sum + sample.total, 0)
+		return (100 * total) / (span.length * this.getCapacity())
+	}
+
+	/** Time from `at` until a team runs at 95% of its share, in milliseconds. */
+	getReturnTime(team: string, at: number): number {
+		const share = this.getShares(at).get(team) ?? 0
+		const reached = this.samples.find(
+			(sample) => sample.at > at && (sample.running.get(team) ?? 0) >= 0.95 * share
+		)
+		return reached ? reached.at - at : Infinity
+	}
+
+	private getWindowDistances(from: number, to: number): number[] {
+		const shares = this.getShares(from)
+		const span = this.getSpan(from, to)
+		return [...shares].map(([team, share]) => {
+			const running = span.reduce((sum, sample) => sum + (sample.running.get(team) ?? 0), 0)
+			return (100 * Math.abs(running / span.length - share)) / share
+		})
+	}
+
+	private getShares(at: number): Map<string, number> {
+		const demands = [...this.scenario.shares].map(([team, weight]) => {
+			const demand = this.scenario.getOffered(team, at) > 0 ? this.getCapacity() : 0
+			return [team, { demand, weight }] as const
+		})
+		return computeMaxMin(this.getCapacity(), new Map(demands.filter(([, row]) => row.demand > 0)))
+	}
+
+	private getSpan(from: number, to: number): Sample[] {
+		return this.samples.filter((sample) => sample.at > from && sample.at <= to)
+	}
+
+	private getCapacity(): number {
+		return this.scenario.servers * this.scenario.slots
+	}
+}
--- a/packages/core/src/lib/scheduling/RequestQueues.ts
+++ b/packages/core/src/lib/scheduling/RequestQueues.ts
@@ -1,6 +1,7 @@
 import type { PoolId } from '../ids/PoolId.js'
 import type { QueueId } from '../ids/QueueId.js'
 import type { TeamId } from '../ids/TeamId.js'
+import type { SlotDemand } from '../slots/SlotDemand.js'
 import { TeamLane } from './TeamLane.js'
 import type { WaitingRequest } from './WaitingRequest.js'
 
@@ -31,6 +32,17 @@
 		this.forget(request)
 	}
 
+	/** Puts a request that did not run back to the front. */
+	putBack(request: WaitingRequest): void {
+		this.getLane(request.pool, request.team).putBack(request)
+		this.queueSizes.set(request.queue, this.getQueueSize(request.queue) + 1)
+	}
+
+	/** Requests of a team that wait for a slot, at most `room` of them. */
+	getDemands(pool: PoolId, team: TeamId, now: number, room: number): SlotDemand[] {
+		return this.lanes.get(pool)?.get(team)?.getDemands(now, room) ?? []
+	}
+
 	getNext(pool: PoolId, team: TeamId): WaitingRequest | undefined {
 		return this.lanes.get(pool)?.get(team)?.getNext()
 	}
--- a/packages/core/src/lib/scheduling/Scheduler.ts
+++ b/packages/core/src/lib/scheduling/Scheduler.ts
@@ -4,6 +4,7 @@
 import type { AllowanceSource } from './AllowanceSource.js'
 import type { PoolLoad } from './PoolLoad.js'
 import { RequestQueues } from './RequestQueues.js'
+import type { SlotDemand } from '../slots/SlotDemand.js'
 import type { ServerSource } from './ServerSource.js'
 import type { SharePolicy } from './SharePolicy.js'
 import type { Start } from './Start.js'
@@ -49,6 +50,24 @@
 		this.tickPool(request.pool)
 	}
 
+	/** Puts a request that did not run back to the front of its queue, as it was before its start. */
+	putBack(request: WaitingRequest): void {
+		this.count(request.pool, request.team, -1)
+		this.queues.putBack(request)
+	}
+
+	/**
+	 * Requests of a pool that wait for a slot, by team and urgency.
+	 *
+	 * @param getRoom - how many requests of a team may start now
+	 */
+	getDemands(pool: PoolId, getRoom: (team: TeamId) => number): SlotDemand[] {
+		const now = this.options.timers.now()
+		return this.queues
+			.getTeams(pool)
+			.flatMap((team) => this.queues.getDemands(pool, team, now, getRoom(team)))
+	}
+
 	/** Takes out a request that waits; false when it has started. */
 	cancel(request: WaitingRequest): boolean {
 		return this.queues.remove(request)
@@ -98,23 +117,26 @@
 
 	private startOne(pool: PoolId): boolean {
 		if (this.queues.getTeams(pool).length === 0) return false
-		const server = this.options.servers.reserve(pool)
+		return this.options.policy
+			.getOrder(this.getLoad(pool))
+			.some((team) => this.startFor(pool, team))
+	}
+
+	private startFor(pool: PoolId, team: TeamId): boolean {
+		const { servers, allowances } = this.options
+		const request = this.queues.getNext(pool, team)
+		if (!request) return false
+		const server = servers.reserve(pool, team)
 		if (server === undefined) return false
-		for (const team of this.options.policy.getOrder(this.getLoad(pool))) {
-			const unit = this.options.allowances.tryStart(team)
-			if (unit === undefined) continue
-			const request = this.queues.getNext(pool, team)
-			if (!request) {
-				this.options.allowances.finish(unit)
-				continue
-			}
-			this.queues.start(request)
-			this.count(pool, team, 1)
-			this.options.onStart({ request, unit, server })
-			return true
+		const unit = allowances.tryStart(team)
+		if (unit === undefined) {
+			servers.release(server, pool, team)
+			return false
 		}
-		this.options.servers.release(server)
-		return false
+		this.queues.start(request)
+		this.count(pool, team, 1)
+		this.options.onStart({ request, unit, server })
+		return true
 	}
 
 	private getLoad(pool: PoolId): PoolLoad {
--- a/packages/core/src/lib/scheduling/ServerSource.ts
+++ b/packages/core/src/lib/scheduling/ServerSource.ts
@@ -1,5 +1,6 @@
 import type { BackendServerId } from '../ids/BackendServerId.js'
 import type { PoolId } from '../ids/PoolId.js'
+import type { TeamId } from '../ids/TeamId.js'
 
 /**
  * Gives slots of backend servers.
@@ -10,9 +11,13 @@
 	/** Slots of a pool's backend servers in service. */
 	abstract getCapacity(pool: PoolId): number
 
-	/** Reserves a slot at a backend server of the pool, or undefined when none seems free. */
-	abstract reserve(pool: PoolId): BackendServerId | undefined
+	/**
+	 * Reserves a slot at a backend server of the pool for a request of the team.
+	 *
+	 * @returns undefined when none may be used now
+	 */
+	abstract reserve(pool: PoolId, team: TeamId): BackendServerId | undefined
 
 	/** Gives back a slot for which no request was started. */
-	abstract release(server: BackendServerId): void
+	abstract release(server: BackendServerId, pool: PoolId, team: TeamId): void
 }
--- a/packages/core/src/lib/slots/SlotOwner.ts
+++ b/packages/core/src/lib/slots/SlotOwner.ts
@@ -7,6 +7,7 @@
 import { OutlierEjection } from '../placement/OutlierEjection.js'
 import type { Milliseconds } from '../time/Milliseconds.js'
 import type { TimerService } from '../time/TimerService.js'
+import { ShareLedger } from './ShareLedger.js'
 import type { SlotDemand } from './SlotDemand.js'
 import type { SlotEnd } from './SlotEnd.js'
 import type { SlotGrant } from './SlotGrant.js'
@@ -48,11 +49,12 @@
 	readonly running: Map<TeamId, number>
 	readonly serverRunning: Map<BackendServerId, number>
 	readonly urgentInARow: Map<TeamId, number>
+	readonly ledger: ShareLedger
 }
 
 /**
  * Gives out the slots of pools for which this entry instance is the owner: the team that is
- * furthest below its share first, its urgent requests before its ordinary ones, the one that has
+ * furthest below its weighted max-min share first, its urgent requests before its ordinary ones, the one that has
  * waited longest first. Ownership is a matter of speed only: two owners at once, or one that
  * forgot, cost refusals by full backend servers and nothing else.
  *
@@ -99,6 +101,7 @@
 			pool,
 			servers.map((server) => server.name)
 		)
+		this.updateLedger(table, servers)
 		const grants: SlotGrant[] = []
 		for (let grant = this.grantOne(pool, table, servers); grant;) {
 			grants.push(grant)
@@ -146,9 +149,8 @@
 	}
 
 	private isBefore(table: PoolTable, a: Wish, b: Wish): boolean {
-		const levels = [a, b].map(({ demand }) => this.getLevel(table, demand.team))
-		const [levelA = 0, levelB = 0] = levels
-		if (levelA !== levelB) return levelA < levelB
+		const [deficitA, deficitB] = [this.getDeficit(table, a), this.getDeficit(table, b)]
+		if (deficitA !== deficitB) return deficitA > deficitB
 		if (a.demand.team !== b.demand.team) return a.demand.team < b.demand.team
 		if (a.demand.urgency !== b.demand.urgency) {
 			const inARow = table.urgentInARow.get(a.demand.team) ?? 0
@@ -158,9 +160,23 @@
 		return getWaitingSince(a) < getWaitingSince(b)
 	}
 
-	/** Running by weight once one more runs, so that teams of unequal weight fill up evenly. */
-	private getLevel(table: PoolTable, team: TeamId): number {
-		return ((table.running.get(team) ?? 0) + 1) / this.options.getShare(team)
+	private getDeficit(table: PoolTable, { demand }: Wish): number {
+		return table.ledger.getDeficit(demand.team, table.running.get(demand.team) ?? 0)
+	}
+
+	private updateLedger(table: PoolTable, servers: readonly Server[]): void {
+		const wished = new Map<TeamId, number>()
+		for (const { demand, left } of [...table.wishes.values()].flat()) {
+			wished.set(demand.team, (wished.get(demand.team) ?? 0) + left)
+		}
+		const teams = new Set([...wished.keys(), ...table.running.keys()])
+		const uses = [...teams].map((team) => {
+			const running = table.running.get(team) ?? 0
+			const use = { running, wished: wished.get(team) ?? 0, weight: this.options.getShare(team) }
+			return [team, use] as const
+		})
+		const capacity = servers.reduce((sum, server) => sum + server.slots, 0)
+		table.ledger.update(this.options.timers.now(), capacity, new Map(uses))
 	}
 
 	private chooseServer(
@@ -236,6 +252,7 @@
 			running: new Map(),
 			serverRunning: new Map(),
 			urgentInARow: new Map(),
+			ledger: new ShareLedger(),
 		}
 		this.pools.set(pool, table)
 		return table
--- a/packages/daemon/src/lib/callers/RequestManager.ts
+++ b/packages/daemon/src/lib/callers/RequestManager.ts
@@ -222,7 +222,7 @@
 		failed: { start: Start<Unit>; outcome: AttemptOutcome; runEndsAt: Milliseconds }
 	): void {
 		const { start, outcome, runEndsAt } = failed
-		const server = this.options.placement.reserve(row.queue.pool, row.attempts.excluded)
+		const server = this.options.placement.reserve(row.queue.pool, row.team, row.attempts.excluded)
 		const unit = getVerdict(outcome) === 'not-run' ? start.unit : undefined
 		const nextUnit = server && (unit ?? this.options.allowances.tryStart(row.team))
 		if (server === undefined || nextUnit === undefined) {
--- a/packages/daemon/src/lib/placement/PlacementManager.ts
+++ b/packages/daemon/src/lib/placement/PlacementManager.ts
@@ -12,6 +12,7 @@
 	type PoolId,
 	type ServerListing,
 	ServerSource,
+	type TeamId,
 	type TimerService,
 } from '@mastichead/core'
 
@@ -50,6 +51,7 @@
 
 	override reserve(
 		pool: PoolId,
+		_team?: TeamId,
 		excluded: ReadonlySet<BackendServerId> = new Set()
 	): BackendServerId | undefined {
 		const servers = this.getServers(pool)
