--- /dev/null
+++ b/packages/core/src/lib/placement/OutlierEjection.test.ts
@@ -0,0 +1,79 @@
+import { expect, test } from 'vitest'
+import { VirtualTimerService } from '../time/VirtualTimerService.js'
+import { OutlierEjection } from './OutlierEjection.js'
+
+const servers = ['server-1', 'server-2', 'server-3', 'server-4']
+
+function createFixture() {
+	const timers = new VirtualTimerService()
+	const ejection = new OutlierEjection({ timers })
+	ejection.setPool('quotes', servers)
+	const run = (server: string, result: 'success' | 'failure' | 'neutral') => {
+		const probe = ejection.noteStart(server)
+		ejection.noteEnd(server, { result, probe })
+	}
+	const fail = (server: string, times = 5) => {
+		for (let i = 0; i < times; i++) run(server, 'failure')
+	}
+	return { timers, ejection, run, fail }
+}
+
+test('ejects after failures in a row and lets one probe through at a time', () => {
+	const { timers, ejection, run, fail } = createFixture()
+	fail('server-1', 4)
+	run('server-1', 'neutral')
+	expect(ejection.isOpen('server-1')).toBe(true)
+	fail('server-1', 1)
+	expect(ejection.isOpen('server-1')).toBe(false)
+	timers.advance(5000)
+	expect(ejection.isOpen('server-1')).toBe(true)
+	const probe = ejection.noteStart('server-1')
+	expect(probe).toBe(true)
+	expect(ejection.isOpen('server-1')).toBe(false)
+	ejection.noteEnd('server-1', { result: 'success', probe })
+	expect(ejection.isEjected('server-1')).toBe(true)
+	run('server-1', 'success')
+	run('server-1', 'success')
+	expect(ejection.isEjected('server-1')).toBe(false)
+})
+
+test('a probe that fails doubles the ejection', () => {
+	const { timers, ejection, run, fail } = createFixture()
+	fail('server-1')
+	timers.advance(5000)
+	run('server-1', 'failure')
+	timers.advance(9999)
+	expect(ejection.isOpen('server-1')).toBe(false)
+	timers.advance(1)
+	expect(ejection.isOpen('server-1')).toBe(true)
+})
+
+test('an answer to a request sent before the ejection is no probe', () => {
+	const { ejection, fail } = createFixture()
+	const early = ejection.noteStart('server-1')
+	fail('server-1')
+	ejection.noteEnd('server-1', { result: 'success', probe: early })
+	expect(ejection.isEjected('server-1')).toBe(true)
+})
+
+test('never ejects more than the set part of a pool', () => {
+	const { ejection, fail } = createFixture()
+	for (const server of servers) fail(server, 50)
+	expect(servers.filter((server) => ejection.isEjected(server))).toEqual(['server-1', 'server-2'])
+})
+
+test('a server that is gone from its pool frees its place in the cap', () => {
+	const { ejection, fail } = createFixture()
+	fail('server-1')
+	fail('server-2')
+	ejection.setPool('quotes', ['server-2', 'server-3', 'server-4', 'server-5'])
+	fail('server-3')
+	expect(ejection.isEjected('server-3')).toBe(true)
+})
+
+test('a peer that has ejected the server lowers the limit', () => {
+	const { ejection, fail } = createFixture()
+	ejection.setPeerEjected('server-1', true)
+	fail('server-1', 2)
+	expect(ejection.isEjected('server-1')).toBe(true)
+})
