--- /dev/null
+++ b/bench/src/placementBench.ts
@@ -0,0 +1,112 @@
+import {
+	LeastOutstandingPlacement,
+	PowerOfTwoPlacement,
+	RandomPlacement,
+	RendezvousPlacement,
+	type PlacementPolicy,
+} from '@mastichead/core'
+import { createDemand } from './placement/createDemand.js'
+import { getCentralWaits } from './placement/getCentralWaits.js'
+import type { PlacementScenario } from './placement/PlacementScenario.js'
+import { runPlacement } from './placement/runPlacement.js'
+
+/** Slots of the pool: 9 backend servers with 8 each. */
+const SLOTS = 72
+
+/** Backend servers of the whole fleet, for the size of digests. */
+const FLEET_SERVERS = 35
+
+const common = {
+	duration: 120_000,
+	meanService: 400,
+	failAt: 20_000,
+	failingServers: 0,
+	weights: [8, 4, 2, 2, 1, 1, 1, 1],
+}
+
+const scenarios: readonly PlacementScenario[] = [
+	{ ...common, name: 'steady', load: 0.8, peak: 1 },
+	{ ...common, name: 'peaks', load: 0.8, peak: 5 },
+	{ ...common, name: 'failing server', load: 0.7, peak: 1, failingServers: 1 },
+	{ ...common, name: 'failing server, peaks', load: 0.7, peak: 5, failingServers: 1 },
+]
+
+const policies: readonly ((random: () => number) => PlacementPolicy)[] = [
+	(random) => new RandomPlacement(random),
+	(random) => new LeastOutstandingPlacement(random),
+	(random) => new RendezvousPlacement(random),
+	(random) => new PowerOfTwoPlacement(random),
+]
+
+/**
+ * A row of the table: waits in milliseconds, shares in percent.
+ *
+ * @internal
+ */
+interface Row {
+	readonly scenario: string
+	readonly policy: string
+	readonly offers: boolean
+	readonly requests: number
+	readonly p50Wait: number
+	readonly p99Wait: number
+	readonly centralP99Wait: number
+	readonly p99Ratio: number
+	readonly refusedPercent: number
+	readonly notRunPercent: number
+	readonly spilledPercent: number
+	readonly failingPercent: number
+	readonly digestBytesPerSecond: number
+}
+
+/**
+ * Compares the placement policies over 8 entry instances in virtual time, each with the same demand,
+ * beside one central queue.
+ *
+ * @public
+ */
+export function placementBench(options: { readonly seed: number }): Row[] {
+	return scenarios.flatMap((scenario) => {
+		const working = SLOTS - 8 * scenario.failingServers
+		const requests = createDemand(scenario, working, options.seed)
+		const central = getCentralWaits(requests, working, 0.5)
+		return policies.flatMap((createPolicy) =>
+			[false, true].map((offers) => {
+				const result = runPlacement({
+					scenario,
+					requests,
+					createPolicy,
+					digestInterval: 250,
+					offers,
+					fleetServers: FLEET_SERVERS,
+				})
+				const p99Wait = getQuantile(result.waits, 0.99)
+				const centralP99Wait = getQuantile(central, 0.99)
+				return {
+					scenario: scenario.name,
+					policy: createPolicy(Math.random).name,
+					offers,
+					requests: requests.length,
+					p50Wait: round(getQuantile(result.waits, 0.5)),
+					p99Wait: round(p99Wait),
+					centralP99Wait: round(centralP99Wait),
+					p99Ratio: round(p99Wait / centralP99Wait),
+					refusedPercent: round((100 * result.refused) / result.attempts),
+					notRunPercent: round((100 * result.lost) / requests.length),
+					spilledPercent: round((100 * result.spilled) / result.attempts),
+					failingPercent: round(100 * result.failingShare),
+					digestBytesPerSecond: Math.round(result.digestBytes),
+				}
+			})
+		)
+	})
+}
+
+function getQuantile(values: readonly number[], quantile: number): number {
+	const sorted = [...values].sort((left, right) => left - right)
+	return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * quantile))] ?? 0
+}
+
+function round(value: number): number {
+	return Math.round(value * 100) / 100
+}
