Hold one connection per request and claim request ids at their issuer

Cause: the first path used undici's pool, which cannot tell whether a byte was written, lets a request wait inside it, and keeps idle connections for 4 s. Each connection is now its own undici client, opened once, with its socket in hand: verdicts follow the bytes written, deadlines destroy the connection and its idle siblings, and an answer without a length, or that names another request id, is not passed on. Bodies are read ahead to 64 KiB, so small ones can be sent again and a slow caller takes no slot; longer ones are counted against the limit while they stream.

A retry that finds no backend server free waits again when it did not run. The caller's going away now ends with the verdict of its attempt. A start whose request is gone gives its count back to the scheduler.

--- a/packages/core/src/lib/requestIds/RequestId.ts
+++ b/packages/core/src/lib/requestIds/RequestId.ts
@@ -1,5 +1,5 @@
 /**
- * Name of one request, issued by an entry instance:
+ * Name of one request, issued by an entry instance; sequence 0 stands for ids without a record:
  * `<sequence in base 36>-<random>-<incarnation>`.
  *
  * @public
--- a/packages/core/src/lib/requestIds/RequestIdTable.test.ts
+++ b/packages/core/src/lib/requestIds/RequestIdTable.test.ts
@@ -48,6 +48,7 @@
 	expect(table.claim(id, 'a')).toEqual({ type: 'expired' })
 	expect(table.claim('0-0123456789abcdef-entry-1.b', 'a')).toEqual({ type: 'expired' })
 	expect(table.claim('zz-0123456789abcdef-entry-1.a', 'a')).toEqual({ type: 'unknown' })
+	expect(table.claim(table.createUnrecorded(), 'a')).toEqual({ type: 'expired' })
 	expect(table.claim('nonsense', 'a')).toEqual({ type: 'unknown' })
 	expect(table.size).toBe(0)
 })
--- a/packages/core/src/lib/requestIds/RequestIdTable.ts
+++ b/packages/core/src/lib/requestIds/RequestIdTable.ts
@@ -13,6 +13,9 @@
 /** Records kept at most. */
 const DEFAULT_MAXIMUM_RECORDS = 100_000
 
+/** Sequence of ids that have no record. */
+const UNRECORDED_SEQUENCE = 0
+
 /** Claims of one id that may end as not run before it is given up. */
 const MAXIMUM_RELEASES = 16
 
@@ -59,9 +62,9 @@
 	private readonly rows = new Map<RequestId, Row>()
 	private readonly retention: Milliseconds
 	private readonly maximumRecords: number
-	private nextSequence = 0
+	private nextSequence = UNRECORDED_SEQUENCE + 1
 	/** Sequences below it have no row any more. */
-	private firstSequence = 0
+	private firstSequence = UNRECORDED_SEQUENCE + 1
 
 	constructor(private readonly options: Options) {
 		this.retention = options.retention ?? DEFAULT_RETENTION
@@ -77,17 +80,21 @@
 	issue(): RequestId {
 		this.dropExpired()
 		const sequence = this.nextSequence++
-		const id = createRequestId({
-			issuer: this.options.issuer,
-			sequence,
-			random: this.options.createRandom(),
-		})
+		const id = this.create(sequence)
 		const issuedAt = this.options.timers.now()
 		this.rows.set(id, { id, sequence, issuedAt, released: new Set(), state: { type: 'open' } })
 		if (this.rows.size > this.maximumRecords) this.dropOldest()
 		return id
 	}
 
+	/**
+	 * Makes an id for a request that came without one. It has no record, so that a claim of it is
+	 * answered as expired.
+	 */
+	createUnrecorded(): RequestId {
+		return this.create(UNRECORDED_SEQUENCE)
+	}
+
 	/**
 	 * Claims an id for one submission. Idempotent per claimant, so a claim whose answer was lost can
 	 * be sent again.
@@ -128,6 +135,11 @@
 		row.state = { type: 'settled', verdict }
 	}
 
+	private create(sequence: number): RequestId {
+		const { issuer, createRandom } = this.options
+		return createRequestId({ issuer, sequence, random: createRandom() })
+	}
+
 	/** A claim may arrive after the claimant gave it up, so the release is noted in every state. */
 	private release(row: Row, claimant: string): void {
 		if (row.released.size < MAXIMUM_RELEASES) row.released.add(claimant)
--- a/packages/daemon/src/lib/backends/Attempt.ts
+++ b/packages/daemon/src/lib/backends/Attempt.ts
@@ -1,5 +1,4 @@
 import type { BackendServer, Milliseconds } from '@mastichead/core'
-import type { Readable } from 'node:stream'
 
 /**
  * One attempt to have a request run at a backend server.
@@ -11,10 +10,12 @@
 	readonly method: string
 	readonly path: string
 	readonly headers: Readonly<Record<string, string>>
-	readonly body: Buffer | Readable | undefined
-	/** Time until the head of the answer must have come. */
-	readonly headTimeout: Milliseconds
-	/** Longest pause within the body of the answer. */
+	readonly body: Buffer | AsyncIterable<Buffer>
+	/** Id of the request; an answer that names another one is not passed on. */
+	readonly requestId: string
+	/** Longest time from now to the end of the answer. */
+	readonly runTimeout: Milliseconds
+	/** Longest pause within the body of the answer while the caller has room for it. */
 	readonly bodyTimeout: Milliseconds
 	/** Called with the head of an answer that is to be passed on. */
 	readonly onHead: (status: number, headers: Readonly<Record<string, string | string[]>>) => void
--- a/packages/daemon/src/lib/backends/BackendManager.ts
+++ b/packages/daemon/src/lib/backends/BackendManager.ts
@@ -1,74 +1,126 @@
-import type { BackendServer, BackendServerId } from '@mastichead/core'
-import { Pool } from 'undici'
+import type {
+	AttemptOutcome,
+	BackendServer,
+	BackendServerId,
+	Subscription,
+	TimerService,
+} from '@mastichead/core'
+import { Readable } from 'node:stream'
 import type { Attempt } from './Attempt.js'
 import { AttemptHandler } from './AttemptHandler.js'
+import type { BackendConnection } from './BackendConnection.js'
+import { BackendConnections } from './BackendConnections.js'
 import type { RunningAttempt } from './RunningAttempt.js'
 
-const CONNECT_TIMEOUT_MILLISECONDS = 1000
-const KEEP_ALIVE_MILLISECONDS = 4000
+/** Time between closings of idle connections, and the longest time that one stays idle. */
+const IDLE_MILLISECONDS = 1000
 
-interface Target {
-	readonly address: string
-	readonly connections: number
-	readonly pool: Pool
+interface Options {
+	readonly timers: TimerService
+	/** Connections that this daemon may hold to a backend server. */
+	readonly getConnections: (server: BackendServer) => number
 }
 
 /**
- * Keeps the connections to backend servers and sends attempts over them. A connection that failed
- * or missed a deadline is destroyed and not used again.
+ * Keeps the connections to backend servers and sends attempts over them. A connection carries one
+ * request at a time; one that failed or missed a deadline is destroyed and never used again.
  *
  * @public
  */
 export class BackendManager {
-	private readonly targets = new Map<BackendServerId, Target>()
+	private readonly targets = new Map<BackendServerId, BackendConnections>()
+	private readonly sweeps: Subscription
 
-	/** @param getConnections - connections that this daemon may hold to a backend server */
-	constructor(private readonly getConnections: (server: BackendServer) => number) {}
+	constructor(private readonly options: Options) {
+		this.sweeps = options.timers.every(IDLE_MILLISECONDS, () => {
+			this.closeIdle()
+		})
+	}
+
+	/** Connections to backend servers that are open or being opened. */
+	get connectionCount(): number {
+		return [...this.targets.values()].reduce((sum, target) => sum + target.size, 0)
+	}
 
 	/** Sends an attempt. */
 	send(attempt: Attempt): RunningAttempt {
-		const handler = new AttemptHandler(attempt)
-		this.getPool(attempt.server).dispatch(
-			{
-				method: attempt.method,
-				path: attempt.path,
-				headers: attempt.headers,
-				body: attempt.body ?? null,
-				headersTimeout: Math.max(1, attempt.headTimeout),
-				bodyTimeout: attempt.bodyTimeout,
+		const target = this.getTarget(attempt.server)
+		const connection = target.acquire(this.options.getConnections(attempt.server))
+		if (!connection) return unavailable
+		const handler = new AttemptHandler({
+			attempt,
+			connection,
+			timers: this.options.timers,
+			onEnd: (outcome) => {
+				giveBack(target, connection, outcome)
 			},
-			handler
-		)
+		})
+		const { method, path, headers } = attempt
+		const body = Buffer.isBuffer(attempt.body)
+			? attempt.body
+			: Readable.from(sendThrough(attempt.body, connection))
+		connection.dispatch({ method, path, headers, body }, handler)
 		return handler
 	}
 
-	/** Closes the connections to backend servers that are not in `servers`. */
+	/** Closes the idle connections to backend servers that are not in `servers`. */
 	retain(servers: ReadonlyMap<BackendServerId, BackendServer>): void {
 		for (const [name, target] of this.targets) {
 			if (servers.get(name)?.address === target.address) continue
 			this.targets.delete(name)
-			void target.pool.close()
+			target.closeIdle()
 		}
 	}
 
-	/** Closes every connection once its request ended. */
-	async close(): Promise<void> {
-		await Promise.all([...this.targets.values()].map((target) => target.pool.destroy()))
+	/** Destroys every connection. */
+	close(): void {
+		this.sweeps.cancel()
+		for (const target of this.targets.values()) target.destroy()
 		this.targets.clear()
 	}
 
-	private getPool(server: BackendServer): Pool {
+	private getTarget(server: BackendServer): BackendConnections {
 		const known = this.targets.get(server.name)
-		const connections = this.getConnections(server)
-		if (known?.address === server.address && known.connections === connections) return known.pool
-		if (known) void known.pool.close()
-		const pool = new Pool(`http://${server.address}`, {
-			connections,
-			pipelining: 1,
-			connect: { timeout: CONNECT_TIMEOUT_MILLISECONDS },
-			keepAliveTimeout: KEEP_ALIVE_MILLISECONDS,
-		})
-		this.targets.set(server.name, { address: server.address, connections, pool })
-		return pool
+		if (known?.address === server.address) return known
+		known?.closeIdle()
+		const target = new BackendConnections(server.address, this.options.timers)
+		this.targets.set(server.name, target)
+		return target
+	}
+
+	private closeIdle(): void {
+		const instant = this.options.timers.now() - IDLE_MILLISECONDS
+		for (const [name, target] of this.targets) {
+			target.closeIdleBefore(instant)
+			if (target.size === 0) this.targets.delete(name)
+		}
 	}
 }
+
+const unavailable: RunningAttempt = {
+	ended: Promise.resolve<AttemptOutcome>({ type: 'connection-unavailable' }),
+	resume: () => undefined,
+	cancel: () => undefined,
+}
+
+/** An answer may end before its request does; the rest of the body must not meet the next answer. */
+async function* sendThrough(
+	body: AsyncIterable<Buffer>,
+	connection: BackendConnection
+): AsyncGenerator<Buffer> {
+	connection.isSending = true
+	yield* body
+	connection.isSending = false
+}
+
+function giveBack(
+	target: BackendConnections,
+	connection: BackendConnection,
+	outcome: AttemptOutcome
+): void {
+	if (outcome.type !== 'answered' && outcome.type !== 'refused') {
+		connection.destroy()
+		target.closeIdle()
+	} else if (connection.isUsable) target.release(connection)
+	else connection.destroy()
+}
--- a/packages/daemon/src/lib/callers/CallerServer.ts
+++ b/packages/daemon/src/lib/callers/CallerServer.ts
@@ -3,6 +3,7 @@
 import type { Logger } from 'winston'
 import type { Settings } from '../settings/Settings.js'
 import type { CallerAuthenticator } from './CallerAuthenticator.js'
+import { bodyTooLarge } from './bodyTooLarge.js'
 import { parseCallerHeaders } from './parseCallerHeaders.js'
 import type { Refusal } from './Refusal.js'
 import { RequestBody } from './RequestBody.js'
@@ -116,15 +117,20 @@
 			return
 		}
 		const { queue, team, headers } = admission
-		const body = await RequestBody.read(request)
-		if (!body) return
-		const claim = await this.options.requestIds.claim(headers.requestId)
+		const body = await RequestBody.read(request, this.options.settings.limits.bodyBytes)
+		if (body.failure) {
+			if (body.failure === 'too-large') this.refuse(request, response, bodyTooLarge)
+			return
+		}
+		const { requestIds, requests } = this.options
+		const claim = await requestIds.claim(headers.requestId, headers)
 		if (claim.type === 'refused') {
 			this.refuse(request, response, claim.refusal, headers.requestId)
 			return
 		}
-		const requestId = claim.requestId
-		this.options.requests.submit({ requestId, team, queue, headers, body, request, response })
+		const { requestId } = claim
+		if (response.destroyed) requestIds.settle(requestId, 'not-run')
+		else requests.submit({ requestId, team, queue, headers, body, request, response })
 	}
 
 	private admit(
@@ -183,12 +189,6 @@
 	verdict: 'not-run',
 	retryAfter: SHORT_RETRY_AFTER_MILLISECONDS,
 }
-const bodyTooLarge: Refusal = {
-	status: 413,
-	error: 'body-too-large',
-	message: 'the body is over the limit',
-	verdict: 'not-run',
-}
 const queueFull: Refusal = {
 	status: 503,
 	error: 'queue-full',
--- a/packages/daemon/src/lib/callers/Refusal.ts
+++ b/packages/daemon/src/lib/callers/Refusal.ts
@@ -20,6 +20,8 @@
 	| 'queue-full'
 	| 'start-too-late'
 	| 'request-id-unknown'
+	| 'request-id-expired'
+	| 'request-id-unavailable'
 	| 'request-repeated'
 	| 'shutting-down'
 	| 'not-ready'
--- a/packages/daemon/src/lib/callers/RequestBody.ts
+++ b/packages/daemon/src/lib/callers/RequestBody.ts
@@ -1,50 +1,89 @@
 import type { IncomingMessage } from 'node:http'
-import type { Readable } from 'node:stream'
 
 /** Bodies up to this many bytes are held, so that they can be sent again. */
 const MAXIMUM_HELD_BYTES = 65_536
 
 /**
- * The body of a caller's request: held when it is small, streamed when it is not.
+ * The body of a caller's request. Its first 64 KiB are read ahead, so that a small body can be sent
+ * again and a slow caller takes no slot; the rest is read only as fast as it is sent.
  *
  * @internal
  */
 export class RequestBody {
-	private isStreamed = false
+	/** Why the body will never be whole; absent while it may be. */
+	failure: 'too-large' | 'incomplete' | undefined
+	private readonly chunks: AsyncIterator<Buffer>
+	private held: Buffer[] = []
+	private heldBytes = 0
+	private readBytes = 0
+	private isEnded = false
+	private isTaken = false
+	private pending: Promise<Buffer | undefined> | undefined
 
 	private constructor(
-		private readonly held: Buffer | undefined,
-		private readonly stream: Readable | undefined
-	) {}
+		request: IncomingMessage,
+		private readonly maximumBytes: number
+	) {
+		this.chunks = request.iterator({ destroyOnReturn: false })
+	}
 
 	/**
-	 * Reads a small body whole; a larger one, or one of unknown length, stays in the connection.
+	 * Reads ahead.
 	 *
-	 * @returns undefined when the caller broke off before its body was whole
+	 * @param maximumBytes - a longer body fails as `too-large`
 	 */
-	static async read(request: IncomingMessage): Promise<RequestBody | undefined> {
-		const length = Number(request.headers['content-length'] ?? Number.NaN)
-		const isEmpty = Number.isNaN(length) && request.headers['transfer-encoding'] === undefined
-		if (isEmpty || length === 0) return new RequestBody(Buffer.alloc(0), undefined)
-		if (!(length <= MAXIMUM_HELD_BYTES)) return new RequestBody(undefined, request)
-		const chunks: Buffer[] = []
-		try {
-			for await (const chunk of request) chunks.push(chunk as Buffer)
-		} catch {
-			return undefined
+	static async read(request: IncomingMessage, maximumBytes: number): Promise<RequestBody> {
+		const body = new RequestBody(request, maximumBytes)
+		while (!body.isEnded && body.heldBytes <= MAXIMUM_HELD_BYTES) {
+			const chunk = await body.next()
+			if (!chunk) break
+			body.held.push(chunk)
+			body.heldBytes += chunk.length
 		}
-		return new RequestBody(Buffer.concat(chunks), undefined)
+		return body
 	}
 
 	/** Whether the whole body can still be sent. */
 	get isReplayable(): boolean {
-		return this.held !== undefined || !this.isStreamed
+		return this.failure === undefined && !this.isTaken
 	}
 
 	/** The body for one attempt. */
-	take(): Buffer | Readable | undefined {
-		if (this.held) return this.held
-		this.isStreamed = true
-		return this.stream
+	take(): Buffer | AsyncIterable<Buffer> {
+		if (this.isEnded && !this.isTaken) return Buffer.concat(this.held)
+		this.isTaken = true
+		return this.stream()
+	}
+
+	private async *stream(): AsyncGenerator<Buffer> {
+		const { held } = this
+		this.held = []
+		yield* held
+		for (let chunk = await this.next(); chunk; chunk = await this.next()) yield chunk
+		if (this.failure) throw new Error(`the body of the caller is ${this.failure}`)
+	}
+
+	private next(): Promise<Buffer | undefined> {
+		this.pending ??= this.readNext().finally(() => {
+			this.pending = undefined
+		})
+		return this.pending
+	}
+
+	private async readNext(): Promise<Buffer | undefined> {
+		if (this.isEnded || this.failure) return undefined
+		try {
+			const result = await this.chunks.next()
+			if (result.done) {
+				this.isEnded = true
+				return undefined
+			}
+			this.readBytes += result.value.length
+			if (this.readBytes <= this.maximumBytes) return result.value
+			this.failure = 'too-large'
+		} catch {
+			this.failure = 'incomplete'
+		}
+		return undefined
 	}
 }
--- a/packages/daemon/src/lib/callers/RequestIdSource.ts
+++ b/packages/daemon/src/lib/callers/RequestIdSource.ts
@@ -1,3 +1,4 @@
+import type { Verdict } from '@mastichead/core'
 import type { Refusal } from './Refusal.js'
 
 /**
@@ -10,14 +11,19 @@
 	abstract issue(): string
 
 	/**
-	 * Claims the id that a caller shows, or makes one.
+	 * Claims the id that a caller shows, or makes one. A claim is held until it is settled.
 	 *
 	 * @param requestId - empty when the caller shows none
+	 * @param request - `idempotent`: whether it may run again, so that it needs no claim
 	 */
 	abstract claim(
-		requestId: string
+		requestId: string,
+		request: { readonly idempotent: boolean }
 	): Promise<
 		| { readonly type: 'claimed'; readonly requestId: string }
 		| { readonly type: 'refused'; readonly refusal: Refusal }
 	>
+
+	/** Tells how the request that holds the claim of `requestId` ended. */
+	abstract settle(requestId: string, verdict: Verdict): void
 }
--- a/packages/daemon/src/lib/callers/RequestManager.ts
+++ b/packages/daemon/src/lib/callers/RequestManager.ts
@@ -28,6 +28,7 @@
 import type { CallerHeaders } from './CallerHeaders.js'
 import type { CallerRequest } from './CallerRequest.js'
 import type { RequestBody } from './RequestBody.js'
+import { bodyTooLarge } from './bodyTooLarge.js'
 import { sendRefusal } from './sendRefusal.js'
 
 /** Time between ticks of the scheduler, which also runs on demand. */
@@ -174,26 +175,26 @@
 		}
 		this.options.placement.release(start.server)
 		this.options.allowances.finish(start.unit)
+		this.scheduler.finish(start.request)
 	}
 
 	private async runAttempt(row: CallerRequest, start: Start<Unit>): Promise<void> {
 		const { placement, timers } = this.options
-		const { server, unit } = start
 		const runEndsAt = timers.now() + row.queue.runMilliseconds
-		row.attempts.start(server)
-		placement.noteStart(server)
-		const outcome = await this.send(row, server)
+		row.attempts.start(start.server)
+		const isProbe = placement.noteStart(start.server)
+		const outcome = await this.send(row, start.server)
 		row.running = undefined
-		placement.noteEnd(server, outcome)
+		placement.noteEnd(start.server, outcome, isProbe)
+		this.logAttempt(row, start.server, outcome)
 		const decision = row.attempts.end(outcome, { replayable: row.body.isReplayable })
-		this.logAttempt(row, server, outcome)
-		if (decision.type === 'retry' && !row.hasEnded) {
-			this.retry(row, { start, outcome, runEndsAt })
-			return
-		}
-		if (decision.type === 'final') this.end(row, decision.answer)
-		else if (decision.type === 'wait' && !row.hasEnded) this.requeue(row)
-		this.giveBack({ request: start.request, server, unit }, outcome, runEndsAt)
+		if (decision.type !== 'final' && row.response.destroyed) {
+			this.end(row, createFinalAnswer(outcome, row.attempts.verdict))
+		} else if (decision.type === 'retry') {
+			if (this.retry(row, { start, outcome, runEndsAt })) return
+		} else if (decision.type === 'wait') this.requeue(row)
+		else this.end(row, decision.answer)
+		this.giveBack(start, outcome, runEndsAt)
 	}
 
 	private send(row: CallerRequest, server: BackendServerId): Promise<AttemptOutcome> {
@@ -205,7 +206,8 @@
 			path: row.headers.path,
 			headers: getAttemptHeaders(row),
 			body: row.body.take(),
-			headTimeout: row.queue.runMilliseconds,
+			requestId: row.requestId,
+			runTimeout: row.queue.runMilliseconds,
 			bodyTimeout: BODY_TIMEOUT_MILLISECONDS,
 			onHead: (status, headers) => {
 				this.passHead(row, server, { status, headers })
@@ -213,31 +215,38 @@
 			onData: (chunk) => this.passData(row, chunk),
 		})
 		row.running = { server, attempt }
-		if (row.hasEnded) attempt.cancel()
 		return attempt.ended
 	}
 
+	/**
+	 * Sends the request to another backend server. Without one it waits again when it did not run,
+	 * and ends otherwise.
+	 *
+	 * @returns whether the start that failed was taken over, with what it holds
+	 */
 	private retry(
 		row: CallerRequest,
 		failed: { start: Start<Unit>; outcome: AttemptOutcome; runEndsAt: Milliseconds }
-	): void {
+	): boolean {
 		const { start, outcome, runEndsAt } = failed
-		const server = this.options.placement.reserve(row.queue.pool, row.attempts.excluded)
-		const unit = getVerdict(outcome) === 'not-run' ? start.unit : undefined
-		const nextUnit = server && (unit ?? this.options.allowances.tryStart(row.team))
-		if (server === undefined || nextUnit === undefined) {
-			if (server !== undefined) this.options.placement.release(server)
-			this.end(row, createFinalAnswer(outcome, row.attempts.verdict))
-			this.giveBack(start, outcome, runEndsAt)
-			return
+		const { placement, allowances } = this.options
+		const isNotRun = getVerdict(outcome) === 'not-run'
+		const server = placement.reserve(row.queue.pool, row.attempts.excluded)
+		const unit = server && (isNotRun ? start.unit : allowances.tryStart(row.team))
+		if (server === undefined || unit === undefined) {
+			if (server !== undefined) placement.release(server)
+			if (isNotRun) this.requeue(row)
+			else this.end(row, createFinalAnswer(outcome, row.attempts.verdict))
+			return false
 		}
 		this.giveBackSlot(start.server, outcome, runEndsAt)
-		if (unit === undefined) {
-			this.options.timers.after(runEndsAt - this.options.timers.now(), () => {
-				this.options.allowances.finish(start.unit)
+		if (!isNotRun) {
+			this.afterRun(outcome, runEndsAt, () => {
+				allowances.finish(start.unit)
 			})
 		}
-		void this.runAttempt(row, { request: start.request, server, unit: nextUnit })
+		void this.runAttempt(row, { request: start.request, server, unit })
+		return true
 	}
 
 	private requeue(row: CallerRequest): void {
@@ -300,8 +309,11 @@
 
 	private end(row: CallerRequest, answer: FinalAnswer): void {
 		if (row.hasEnded) return
-		if (answer.type === 'answered') row.response.end()
-		else sendRefusal(row.response, answer, row.requestId)
+		const { response, requestId, body } = row
+		if (answer.type === 'answered') response.end()
+		else if (body.failure === 'too-large') {
+			sendRefusal(response, { ...bodyTooLarge, verdict: answer.verdict }, requestId)
+		} else sendRefusal(response, answer, requestId)
 		this.forget(row, answer.verdict)
 	}
 
@@ -318,11 +330,15 @@
 		})
 	}
 
+	/** The end of a running attempt ends the request, with the verdict of that attempt. */
 	private handleClose(row: CallerRequest): void {
 		if (row.hasEnded) return
+		if (row.running) {
+			row.running.attempt.cancel()
+			return
+		}
 		this.scheduler.cancel(row.waiting)
-		row.running?.attempt.cancel()
-		this.forget(row, row.running ? 'may-have-run' : row.attempts.verdict)
+		this.forget(row, row.attempts.verdict)
 	}
 
 	private forget(row: CallerRequest, verdict: Verdict): void {
@@ -367,5 +383,7 @@
 		'mastichead-deadline-milliseconds': String(row.queue.runMilliseconds),
 	}
 	if (row.contentType !== undefined) headers['content-type'] = row.contentType
+	const length = row.request.headers['content-length']
+	if (length !== undefined) headers['content-length'] = length
 	return headers
 }
--- a/packages/daemon/src/lib/placement/PlacementManager.ts
+++ b/packages/daemon/src/lib/placement/PlacementManager.ts
@@ -36,7 +36,6 @@
  */
 export class PlacementManager extends ServerSource {
 	private readonly running = new Map<BackendServerId, number>()
-	private readonly probes = new Set<BackendServerId>()
 	private readonly ejection: OutlierEjection
 
 	constructor(private readonly options: Options) {
@@ -78,15 +77,14 @@
 		else this.running.delete(server)
 	}
 
-	/** Notes that a request is sent to a reserved backend server. */
-	noteStart(server: BackendServerId): void {
-		if (this.ejection.noteStart(server)) this.probes.add(server)
+	/** Notes that a request is sent to a reserved backend server; returns whether it is a probe. */
+	noteStart(server: BackendServerId): boolean {
+		return this.ejection.noteStart(server)
 	}
 
 	/** Notes how an attempt ended; its slot is released apart. */
-	noteEnd(server: BackendServerId, outcome: AttemptOutcome): void {
-		const probe = this.probes.delete(server)
-		this.ejection.noteEnd(server, { result: getResult(outcome), probe })
+	noteEnd(server: BackendServerId, outcome: AttemptOutcome, isProbe: boolean): void {
+		this.ejection.noteEnd(server, { result: getResult(outcome), probe: isProbe })
 	}
 
 	/** Requests of this daemon that run, or may still run, at a backend server. */
--- /dev/null
+++ b/packages/daemon/src/lib/requestIds/RequestIdManager.ts
@@ -0,0 +1,137 @@
+import {
+	getRequestIdParts,
+	RequestIdTable,
+	type InstanceId,
+	type RequestId,
+	type RequestIdClaim,
+	type TimerService,
+	type Verdict,
+} from '@mastichead/core'
+import { randomBytes } from 'node:crypto'
+import type { Logger } from 'winston'
+import { RequestIdSource } from '../callers/RequestIdSource.js'
+import type { ClaimTransport } from './ClaimTransport.js'
+import { createClaimRefusal } from './createClaimRefusal.js'
+
+/** Bytes of the random part of an id. */
+const RANDOM_BYTES = 16
+
+/** Times that a claim is sent to its issuer. */
+const CLAIM_TRIES = 2
+
+/** Waits before a settlement is sent again, in milliseconds. */
+const SETTLE_DELAYS = [100, 1000, 5000]
+
+interface Options {
+	readonly timers: TimerService
+	/** This incarnation. */
+	readonly instance: InstanceId
+	readonly transport: ClaimTransport
+	readonly logger: Logger
+	/** Makes the random part of an id (default 16 random bytes in hex). */
+	readonly createRandom?: () => string
+}
+
+/**
+ * Issues request ids, keeps the records of those that it issued, and claims at the issuer what
+ * callers show. The claim is held from before the request is queued to its end.
+ *
+ * @public
+ */
+export class RequestIdManager extends RequestIdSource {
+	private readonly table: RequestIdTable
+	/** Claims that this daemon holds, by id. */
+	private readonly claims = new Map<RequestId, string>()
+	private lastClaim = 0
+
+	constructor(private readonly options: Options) {
+		super()
+		const { timers, instance } = options
+		const createRandom = options.createRandom ?? (() => randomBytes(RANDOM_BYTES).toString('hex'))
+		this.table = new RequestIdTable({ timers, issuer: instance, createRandom })
+	}
+
+	/** Claims that this daemon holds. */
+	get claimCount(): number {
+		return this.claims.size
+	}
+
+	override issue(): RequestId {
+		return this.table.issue()
+	}
+
+	override async claim(
+		requestId: RequestId,
+		request: { readonly idempotent: boolean }
+	): ReturnType<RequestIdSource['claim']> {
+		if (requestId === '') return { type: 'claimed', requestId: this.table.createUnrecorded() }
+		if (request.idempotent) return { type: 'claimed', requestId }
+		const issuer = getRequestIdParts(requestId)?.issuer
+		if (issuer === undefined) return refuse({ type: 'unknown' })
+		const claimant = `${this.options.instance}#${++this.lastClaim}`
+		const claim = await this.claimAtIssuer(issuer, requestId, claimant)
+		if (claim.type !== 'first') return refuse(claim)
+		this.claims.set(requestId, claimant)
+		return { type: 'claimed', requestId }
+	}
+
+	override settle(requestId: RequestId, verdict: Verdict): void {
+		const claimant = this.claims.get(requestId)
+		if (claimant === undefined) return
+		this.claims.delete(requestId)
+		this.settleAtIssuer(requestId, claimant, verdict)
+	}
+
+	/** Answers a claim of an id that this daemon issued. */
+	claimHere(requestId: RequestId, claimant: string): RequestIdClaim {
+		return this.table.claim(requestId, claimant)
+	}
+
+	/** Notes how a claim of an id that this daemon issued ended. */
+	settleHere(requestId: RequestId, claimant: string, verdict: Verdict): void {
+		this.table.settle(requestId, claimant, verdict)
+	}
+
+	private async claimAtIssuer(
+		issuer: InstanceId,
+		requestId: RequestId,
+		claimant: string
+	): Promise<RequestIdClaim | { readonly type: 'unreachable' }> {
+		if (issuer === this.options.instance) return this.claimHere(requestId, claimant)
+		for (let count = 0; count < CLAIM_TRIES; count++) {
+			const claim = await this.options.transport.claim(issuer, { requestId, claimant })
+			if (claim.type !== 'unreachable') return claim
+		}
+		this.options.logger.warn('claim-unanswered', { requestId, issuer })
+		this.settleAtIssuer(requestId, claimant, 'not-run')
+		return { type: 'unreachable' }
+	}
+
+	private settleAtIssuer(requestId: RequestId, claimant: string, verdict: Verdict): void {
+		const issuer = getRequestIdParts(requestId)?.issuer
+		if (issuer === undefined) return
+		if (issuer === this.options.instance) this.settleHere(requestId, claimant, verdict)
+		else void this.sendSettlement(issuer, { requestId, claimant, verdict }, 0)
+	}
+
+	private async sendSettlement(
+		issuer: InstanceId,
+		settlement: { requestId: RequestId; claimant: string; verdict: Verdict },
+		failures: number
+	): Promise<void> {
+		if (await this.options.transport.settle(issuer, settlement)) return
+		const delay = SETTLE_DELAYS[failures]
+		if (delay === undefined) {
+			const { requestId, verdict } = settlement
+			this.options.logger.warn('settlement-unanswered', { requestId, issuer, verdict })
+			return
+		}
+		this.options.timers.after(delay, () => {
+			void this.sendSettlement(issuer, settlement, failures + 1)
+		})
+	}
+}
+
+function refuse(claim: Parameters<typeof createClaimRefusal>[0]) {
+	return { type: 'refused', refusal: createClaimRefusal(claim) } as const
+}
--- /dev/null
+++ b/packages/daemon/src/lib/requestIds/formatClaim.ts
@@ -0,0 +1,20 @@
+import type { RequestIdClaim } from '@mastichead/core'
+
+/**
+ * Writes the answer to a claim as it goes over the wire.
+ *
+ * @internal
+ */
+export function formatClaim(claim: RequestIdClaim): string {
+	switch (claim.type) {
+		case 'first':
+		case 'running':
+			return claim.type
+		case 'settled':
+			return claim.verdict
+		case 'expired':
+			return 'may-have-run'
+		case 'unknown':
+			return 'not-run'
+	}
+}
