Bound slow callers, answer bad input with a verdict, test the callers' path

Node checked its timeouts every 30 s, so a limit of 1 s took 30 s; it now checks every second. Connections per address are bounded. A shutdown keeps idle connections until nothing came on them for 250 ms, since a request that is on its way would otherwise be cut, and waits for answers to be handed over before it closes.

--- a/packages/daemon/src/lib/Daemon.ts
+++ b/packages/daemon/src/lib/Daemon.ts
@@ -95,6 +95,7 @@
 		this.callers = new CallerServer({
 			settings,
 			logger,
+			timers,
 			requests: this.requests,
 			authenticator: this.keys,
 			requestIds: this.requestIds,
@@ -127,7 +128,7 @@
 				resolve('expired')
 			})
 		})
-		const end = await Promise.race([this.requests.waitUntilIdle(), expired])
+		const end = await Promise.race([this.waitUntilIdle(), expired])
 		if (end === 'expired') logger.warn('shutdown-cut', { requests: this.requests.size })
 		await this.allowances.leave()
 		this.requests.stop()
@@ -137,6 +138,11 @@
 		logger.info('daemon-stopped')
 	}
 
+	private async waitUntilIdle(): Promise<void> {
+		await this.requests.waitUntilIdle()
+		await this.callers.waitUntilQuiet()
+	}
+
 	private getPeerAddress(): string {
 		const { host, port, advertisedHost } = this.options.settings.listeners.peers
 		return `${advertisedHost ?? host}:${port}`
--- a/packages/daemon/src/lib/callers/CallerServer.ts
+++ b/packages/daemon/src/lib/callers/CallerServer.ts
@@ -1,9 +1,10 @@
-import type { FleetState, Queue, TeamId } from '@mastichead/core'
+import type { FleetState, Queue, TeamId, TimerService } from '@mastichead/core'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Logger } from 'winston'
 import type { Settings } from '../settings/Settings.js'
 import type { CallerAuthenticator } from './CallerAuthenticator.js'
 import { bodyTooLarge } from './bodyTooLarge.js'
+import { CallerConnections } from './CallerConnections.js'
 import { parseCallerHeaders } from './parseCallerHeaders.js'
 import type { Refusal } from './Refusal.js'
 import { RequestBody } from './RequestBody.js'
@@ -12,11 +13,18 @@
 import { sendRefusal } from './sendRefusal.js'
 
 const QUEUE_PATH_PATTERN = /^\/v1\/queues\/([^/]+)\/requests$/
+/** Time between checks for callers whose headers or body do not come in time. */
+const TIMEOUT_CHECK_MILLISECONDS = 1000
+
 const SHORT_RETRY_AFTER_MILLISECONDS = 1000
 
+/** Time in which a request that was sent before its caller knew of the shutdown arrives. */
+const LINGER_MILLISECONDS = 250
+
 interface Options {
 	readonly settings: Settings
 	readonly logger: Logger
+	readonly timers: TimerService
 	readonly requests: RequestManager
 	readonly authenticator: CallerAuthenticator
 	readonly requestIds: RequestIdSource
@@ -30,6 +38,7 @@
  */
 export class CallerServer {
 	private readonly server: Server
+	private readonly connections: CallerConnections
 	private isLeaving = false
 
 	constructor(private readonly options: Options) {
@@ -40,6 +49,7 @@
 				headersTimeout: limits.headersTimeoutMilliseconds,
 				requestTimeout: limits.requestTimeoutMilliseconds,
 				keepAliveTimeout: limits.idleTimeoutMilliseconds,
+				connectionsCheckingInterval: TIMEOUT_CHECK_MILLISECONDS,
 			},
 			(request, response) => {
 				this.handle(request, response).catch((error: unknown) => {
@@ -49,6 +59,7 @@
 			}
 		)
 		this.server.maxConnections = limits.connections
+		this.connections = new CallerConnections(this.server, limits.connectionsPerCaller)
 	}
 
 	/** Starts listening; rejects when the port cannot be opened. */
@@ -60,22 +71,35 @@
 		})
 	}
 
-	/** Takes nothing new; connections end after the answers that are under way. */
+	/**
+	 * Takes nothing new: readiness is off, new requests are refused as not run, and each connection
+	 * ends with its answer. Idle connections stay, since a request may be on its way on them.
+	 */
 	leave(): void {
 		this.isLeaving = true
-		this.server.close()
-		this.server.closeIdleConnections()
+		this.connections.leave()
+	}
+
+	/**
+	 * Resolves once every answer was handed over, those to requests that were on their way included.
+	 */
+	async waitUntilQuiet(): Promise<void> {
+		await this.connections.waitUntilQuiet()
+		await new Promise<void>((resolve) => {
+			this.options.timers.after(LINGER_MILLISECONDS, resolve)
+		})
+		await this.connections.waitUntilQuiet()
 	}
 
 	/** Ends every connection. */
 	stop(): void {
+		this.server.close()
 		this.server.closeAllConnections()
 	}
 
 	private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
-		if (this.isLeaving) response.setHeader('connection', 'close')
-		const { pathname } = new URL(request.url ?? '/', 'http://caller')
-		if (pathname === '/healthz') {
+		const pathname = getPathname(request)
+		if (pathname === '/healthz' || pathname === '/readyz') {
 			this.answerHealth(response)
 			return
 		}
@@ -88,7 +112,7 @@
 			this.refuse(request, response, notFound)
 			return
 		}
-		await this.handleRequest(decodeURIComponent(queueName), request, response)
+		await this.handleRequest(queueName, request, response)
 	}
 
 	private answerHealth(response: ServerResponse): void {
@@ -154,7 +178,7 @@
 		const headers = parseCallerHeaders(request.headers)
 		if (typeof headers === 'string') return refuse(createHeaderMalformed(headers))
 		const length = Number(request.headers['content-length'] ?? 0)
-		if (length > this.options.settings.limits.bodyBytes) return refuse(bodyTooLarge)
+		if (!(length <= this.options.settings.limits.bodyBytes)) return refuse(bodyTooLarge)
 		if (!this.options.requests.hasRoom(queue)) return refuse(queueFull)
 		return { type: 'admitted', queue, team: result.team, headers }
 	}
@@ -165,11 +189,22 @@
 		refusal: Refusal,
 		requestId = ''
 	): void {
+		if (!request.complete) response.setHeader('connection', 'close')
 		request.resume()
 		sendRefusal(response, refusal, requestId)
 	}
 }
 
+/** The path without its query, with escapes resolved; empty when they are malformed. */
+function getPathname(request: IncomingMessage): string {
+	const path = (request.url ?? '').split('?', 1)[0] ?? ''
+	try {
+		return decodeURIComponent(path)
+	} catch {
+		return ''
+	}
+}
+
 const notFound: Refusal = {
 	status: 404,
 	error: 'not-found',
--- /dev/null
+++ b/packages/daemon/src/lib/testing/createCallerPath.ts
@@ -0,0 +1,110 @@
+import {
+	FleetShare,
+	PowerOfTwoPlacement,
+	SystemTimerService,
+	type FleetState,
+} from '@mastichead/core'
+import { createLogger } from 'winston'
+import { BackendManager } from '../backends/BackendManager.js'
+import { CallerServer } from '../callers/CallerServer.js'
+import { RequestManager } from '../callers/RequestManager.js'
+import { KeyManager } from '../keys/KeyManager.js'
+import { MetricsManager } from '../metrics/MetricsManager.js'
+import { PlacementManager } from '../placement/PlacementManager.js'
+import type { ClaimTransport } from '../requestIds/ClaimTransport.js'
+import { RequestIdManager } from '../requestIds/RequestIdManager.js'
+import { UnconnectedClaimTransport } from '../requestIds/UnconnectedClaimTransport.js'
+import { parseSettings } from '../settings/parseSettings.js'
+import { CountingAllowances } from './CountingAllowances.js'
+
+interface Options {
+	readonly state: FleetState
+	readonly port: number
+	readonly instance?: string
+	readonly transport?: ClaimTransport
+	/** Lines of YAML below `limits:`, each with its indent. */
+	readonly limits?: string
+}
+
+/**
+ * Composes the callers' path of a daemon over a given fleet state, without log and peers.
+ *
+ * @internal
+ */
+export async function createCallerPath(options: Options) {
+	const settings = createSettings(options)
+	const timers = new SystemTimerService()
+	const logger = createLogger({ silent: true })
+	const getState = () => options.state
+	const allowances = new CountingAllowances()
+	const instance = options.instance ?? 'entry-1.a'
+	const placement = new PlacementManager({
+		timers,
+		policy: new PowerOfTwoPlacement(Math.random),
+		availabilityZone: 'zone-1',
+		instance,
+		getState,
+		getPeerRunning: () => 0,
+		getListings: () => new Map(),
+	})
+	const backends = new BackendManager({
+		timers,
+		getConnections: (server) => placement.getConnections(server),
+	})
+	const transport = options.transport ?? new UnconnectedClaimTransport()
+	const requestIds = new RequestIdManager({ timers, instance, transport, logger })
+	const requests = new RequestManager({
+		timers,
+		logger,
+		metrics: new MetricsManager(),
+		allowances,
+		placement,
+		backends,
+		policy: new FleetShare(),
+		getState,
+		getPeerLoad: () => new Map(),
+		onEnd: (requestId, verdict) => {
+			requestIds.settle(requestId, verdict)
+		},
+	})
+	const callers = new CallerServer({
+		settings,
+		logger,
+		timers,
+		requests,
+		authenticator: new KeyManager(getState),
+		requestIds,
+		getState,
+	})
+	await callers.start()
+	/** What is held: all zero once nothing runs any more. */
+	const getHeld = () => ({
+		requests: requests.size,
+		allowances: allowances.count,
+		slots: placement.getBusyServers().size,
+		claims: requestIds.claimCount,
+		connections: backends.connectionCount,
+	})
+	const stop = () => {
+		callers.stop()
+		requests.stop()
+		backends.close()
+	}
+	return { callers, requests, requestIds, backends, placement, getHeld, stop }
+}
+
+function createSettings(options: Options) {
+	const result = parseSettings(`
+instance: entry-1
+availabilityZone: zone-1
+listeners:
+  callers: { port: ${options.port} }
+  operators: { port: 1 }
+  peers: { port: 2 }
+platform: { urls: ['http://127.0.0.1:1'] }
+operators: [{ name: test, tokenHash: ${'a'.repeat(64)} }]
+limits: { headersTimeoutMilliseconds: 1000, requestTimeoutMilliseconds: 1000${options.limits ?? ''} }
+`)
+	if (result.type === 'error') throw new Error(result.error.message)
+	return result.settings
+}
