--- a/packages/daemon/src/lib/Daemon.ts
+++ b/packages/daemon/src/lib/Daemon.ts
@@ -17,6 +17,7 @@
 import { MetricsManager } from './metrics/MetricsManager.js'
 import { PlacementManager } from './placement/PlacementManager.js'
 import { RequestIdManager } from './requestIds/RequestIdManager.js'
+import { UnconnectedClaimTransport } from './requestIds/UnconnectedClaimTransport.js'
 import type { Settings } from './settings/Settings.js'
 
 const INCARNATION_BYTES = 6
@@ -84,8 +85,16 @@
 			getPeerRunning: () => 0,
 			getListings: () => new Map(),
 		})
-		this.backends = new BackendManager((server) => this.placement.getConnections(server))
-		this.requestIds = new RequestIdManager(timers, this.instance)
+		this.backends = new BackendManager({
+			timers,
+			getConnections: (server) => this.placement.getConnections(server),
+		})
+		this.requestIds = new RequestIdManager({
+			timers,
+			logger,
+			instance: this.instance,
+			transport: new UnconnectedClaimTransport(),
+		})
 		this.requests = new RequestManager({
 			timers,
 			logger,
@@ -103,6 +112,7 @@
 		this.callers = new CallerServer({
 			settings,
 			logger,
+			timers,
 			requests: this.requests,
 			authenticator: this.keys,
 			requestIds: this.requestIds,
@@ -138,7 +148,7 @@
 				resolve('expired')
 			})
 		})
-		const end = await Promise.race([this.requests.waitUntilIdle(), expired])
+		const end = await Promise.race([this.waitUntilIdle(), expired])
 		if (end === 'expired') logger.warn('shutdown-cut', { requests: this.requests.size })
 		await this.allowances.leave()
 		this.requests.stop()
@@ -146,7 +156,7 @@
 		this.snapshots.stop()
 		await this.log.stop()
 		this.callers.stop()
-		await this.backends.close()
+		this.backends.close()
 		logger.info('daemon-stopped')
 	}
 
@@ -158,6 +168,11 @@
 		}
 	}
 
+	private async waitUntilIdle(): Promise<void> {
+		await this.requests.waitUntilIdle()
+		await this.callers.waitUntilQuiet()
+	}
+
 	private getPeerAddress(): string {
 		const { host, port, advertisedHost } = this.options.settings.listeners.peers
 		return `${advertisedHost ?? host}:${port}`
