--- a/packages/core/src/lib/allowance/Borrower.ts
+++ b/packages/core/src/lib/allowance/Borrower.ts
@@ -118,6 +118,11 @@
 		return [...this.returns.values()]
 	}
 
+	/** Whether nothing is borrowed or asked for, and every return is confirmed. */
+	isSettled(): boolean {
+		return this.loans.size === 0 && this.asked.size === 0 && this.returns.size === 0
+	}
+
 	/** Forgets a return that the lender confirmed, or whose lender is gone. */
 	settleReturn(confirmed: LoanReturn): void {
 		const pending = this.returns.get(confirmed.loan)
--- a/packages/daemon/src/lib/Daemon.ts
+++ b/packages/daemon/src/lib/Daemon.ts
@@ -17,13 +17,13 @@
 import { SnapshotManager } from './log/SnapshotManager.js'
 import { MembershipManager } from './membership/MembershipManager.js'
 import { MetricsManager } from './metrics/MetricsManager.js'
+import { LocalClaimHandler } from './peers/LocalClaimHandler.js'
 import { LocalDigestSource } from './peers/LocalDigestSource.js'
 import { LocalPeerHandler } from './peers/LocalPeerHandler.js'
+import { PeerClaimTransport } from './peers/PeerClaimTransport.js'
 import { PeerManager } from './peers/PeerManager.js'
-import { UnconnectedClaimHandler } from './peers/UnconnectedClaimHandler.js'
 import { PlacementManager } from './placement/PlacementManager.js'
 import { RequestIdManager } from './requestIds/RequestIdManager.js'
-import { UnconnectedClaimTransport } from './requestIds/UnconnectedClaimTransport.js'
 import type { Settings } from './settings/Settings.js'
 
 const INCARNATION_BYTES = 6
@@ -119,7 +119,7 @@
 			timers,
 			logger,
 			instance: this.instance,
-			transport: new UnconnectedClaimTransport(),
+			transport: new PeerClaimTransport(this.peers),
 		})
 		this.requests = new RequestManager({
 			timers,
@@ -218,7 +218,7 @@
 			handler: new LocalPeerHandler({
 				allowances: () => this.allowances,
 				log: this.log,
-				claims: new UnconnectedClaimHandler(),
+				claims: new LocalClaimHandler(() => this.requestIds),
 				exchange: (digest) => this.peers.answerExchange(digest),
 			}),
 			onKeyKnowledge: (knowledge, askedAt) => {
--- a/packages/daemon/src/lib/membership/MembershipManager.ts
+++ b/packages/daemon/src/lib/membership/MembershipManager.ts
@@ -66,7 +66,8 @@
 	async leave(grace: Milliseconds): Promise<boolean> {
 		const { timers, holder, log, logger } = this.options
 		const end = timers.now() + grace
-		while (!holder.canLeave() && timers.now() < end) {
+		const isReleased = () => holder.canLeave() && holder.borrower.isSettled()
+		while (!isReleased() && timers.now() < end) {
 			await new Promise<void>((resolve) => {
 				timers.after(RELEASE_POLL_MILLISECONDS, resolve)
 			})
--- /dev/null
+++ b/packages/daemon/src/lib/peers/LocalClaimHandler.ts
@@ -0,0 +1,29 @@
+import type { Verdict } from '@mastichead/core'
+import type { ClaimRequest, SettleRequest } from '@mastichead/protocol'
+import { formatClaim } from '../requestIds/formatClaim.js'
+import type { RequestIdManager } from '../requestIds/RequestIdManager.js'
+import { ClaimHandler } from './ClaimHandler.js'
+
+/**
+ * Settles claims of peers on the request ids that this daemon issued.
+ *
+ * @internal
+ */
+export class LocalClaimHandler extends ClaimHandler {
+	constructor(private readonly requestIds: () => RequestIdManager) {
+		super()
+	}
+
+	override claim({ requestId, executor }: ClaimRequest): string {
+		return formatClaim(this.requestIds().claimHere(requestId, executor))
+	}
+
+	override settle({ requestId, executor, verdict }: SettleRequest): void {
+		this.requestIds().settleHere(requestId, executor, parseVerdict(verdict))
+	}
+}
+
+/** A verdict that is not understood counts as one that rules nothing out. */
+function parseVerdict(text: string): Verdict {
+	return text === 'ran' || text === 'not-run' ? text : 'may-have-run'
+}
--- /dev/null
+++ b/packages/daemon/src/lib/peers/PeerClaimTransport.ts
@@ -0,0 +1,35 @@
+import type { InstanceId, RequestId, RequestIdClaim, Verdict } from '@mastichead/core'
+import { ClaimTransport } from '../requestIds/ClaimTransport.js'
+import { parseClaim } from '../requestIds/parseClaim.js'
+import type { PeerManager } from './PeerManager.js'
+
+/**
+ * Carries claims over the ports of the peers.
+ *
+ * @internal
+ */
+export class PeerClaimTransport extends ClaimTransport {
+	constructor(private readonly peers: PeerManager) {
+		super()
+	}
+
+	override async claim(
+		issuer: InstanceId,
+		{ requestId, claimant }: { readonly requestId: RequestId; readonly claimant: string }
+	): Promise<RequestIdClaim | { readonly type: 'unreachable' }> {
+		const outcome = await this.peers.claim(issuer, requestId, claimant)
+		return outcome === undefined ? { type: 'unreachable' } : parseClaim(outcome)
+	}
+
+	override settle(
+		issuer: InstanceId,
+		settlement: {
+			readonly requestId: RequestId
+			readonly claimant: string
+			readonly verdict: Verdict
+		}
+	): Promise<boolean> {
+		const { requestId, claimant, verdict } = settlement
+		return this.peers.settle(issuer, { requestId, executor: claimant, verdict })
+	}
+}
