--- /dev/null
+++ b/bench/src/allowances/SimulatedFleet.ts
@@ -0,0 +1,223 @@
+import {
+	Fold,
+	getAllowanceTotal,
+	VirtualTimerService,
+	type AllowancePolicy,
+	type LoanRequest,
+	type LogEntry,
+	type Milliseconds,
+	type Proposal,
+} from '@mastichead/core'
+import { createRandom } from '../createRandom.js'
+import { SimulatedMember } from './SimulatedMember.js'
+
+const TEAM = 'team'
+const TICK: Milliseconds = 100
+const DIGEST_INTERVAL: Milliseconds = 500
+const HEARTBEAT_INTERVAL: Milliseconds = 5000
+const START_INTERVAL: Milliseconds = 20
+const PEER_LATENCY: Milliseconds = 1.5
+const LOG_LATENCY: Milliseconds = 30
+const CALL_DEADLINE: Milliseconds = 1000
+const PROPOSE_DEADLINE: Milliseconds = 5000
+
+interface Options {
+	readonly members: number
+	readonly limit: number
+	readonly runMilliseconds: Milliseconds
+	readonly seed: number
+	readonly createPolicy: () => AllowancePolicy
+}
+
+/**
+ * Members of three availability zones around one log in virtual time, with one team. Asserts the
+ * upper limit on every start.
+ *
+ * @internal
+ */
+export class SimulatedFleet {
+	readonly timers = new VirtualTimerService()
+	readonly members: SimulatedMember[] = []
+	readonly counts = { appends: 0, loanCalls: 0, digests: 0 }
+	/** Zone that is cut from the others and from the log. */
+	cutZone: number | undefined
+	isLogDown = false
+	running = 0
+	private readonly log: LogEntry[] = []
+	private readonly head: Fold
+	private readonly random: () => number
+
+	constructor(private readonly options: Options) {
+		this.random = createRandom(options.seed)
+		this.head = this.createFold()
+		for (let index = 0; index < options.members; index++) this.addMember(index)
+		this.timers.every(START_INTERVAL, () => {
+			for (const member of this.members) this.startAll(member)
+		})
+	}
+
+	/** Units that run at the members of a zone. */
+	getRunning(zone?: number): number {
+		let running = 0
+		for (const member of this.members) {
+			if (zone === undefined || member.zone === zone) running += member.units.size
+		}
+		return running
+	}
+
+	/** Members that are alive. */
+	get alive(): SimulatedMember[] {
+		return this.members.filter((member) => member.isAlive)
+	}
+
+	advance(duration: Milliseconds): void {
+		this.timers.advance(duration)
+	}
+
+	private createFold(): Fold {
+		const fold = new Fold()
+		const { limit, runMilliseconds } = this.options
+		fold.state.teams.set(TEAM, { name: TEAM, share: 1, limit })
+		fold.state.runBounds = [{ runMilliseconds }]
+		return fold
+	}
+
+	private addMember(index: number): void {
+		const name = `entry-${index}`
+		const policy = this.options.createPolicy()
+		const member = new SimulatedMember(name, index % 3, this.createFold(), this.timers, policy)
+		this.members.push(member)
+		const join = { availabilityZone: `${index % 3}`, peerAddress: `${name}:1` }
+		member.holder.expectRenewal(`${name}/join`)
+		this.propose(member, { kind: 'join', id: `${name}/join`, instance: name, ...join })
+		const offset = this.random() * TICK
+		this.timers.after(offset, () => {
+			this.timers.every(TICK, () => {
+				this.tick(member)
+			})
+			this.timers.every(DIGEST_INTERVAL, () => {
+				this.sendDigest(member)
+			})
+			this.timers.every(HEARTBEAT_INTERVAL, () => {
+				this.heartbeat(member)
+			})
+		})
+	}
+
+	private canReach(from: SimulatedMember, to: SimulatedMember): boolean {
+		if (!from.isAlive || !to.isAlive) return false
+		return from.zone === to.zone || (from.zone !== this.cutZone && to.zone !== this.cutZone)
+	}
+
+	private canReachLog(member: SimulatedMember): boolean {
+		return member.isAlive && !this.isLogDown && member.zone !== this.cutZone
+	}
+
+	private propose(member: SimulatedMember, proposal: Proposal): void {
+		this.counts.appends++
+		this.timers.after(LOG_LATENCY, () => {
+			if (!this.canReachLog(member)) return
+			const entry = { offset: this.log.length, at: this.timers.now(), proposal }
+			this.log.push(entry)
+			this.head.take(entry)
+			this.timers.after(LOG_LATENCY, () => {
+				for (const reader of this.members) if (this.canReachLog(reader)) reader.read(this.log)
+				if (proposal.kind === 'allowance') member.isProposing = false
+			})
+		})
+	}
+
+	private heartbeat(member: SimulatedMember): void {
+		if (!member.isAlive) return
+		const id = `${member.name}/${member.heartbeats++}`
+		member.holder.expectRenewal(id)
+		this.propose(member, { kind: 'heartbeat', id, instance: member.name })
+	}
+
+	private tick(member: SimulatedMember): void {
+		if (!member.isAlive) return
+		const queued = new Map([[TEAM, member.queued]])
+		const { changes, requests, returns } = member.planner.tick(member.state, queued)
+		if (!member.isProposing) this.proposeChanges(member, changes)
+		for (const request of requests) this.borrow(member, request)
+		for (const loanReturn of returns) {
+			this.call(member, loanReturn.lender, (lender) => {
+				lender.holder.takeBack(loanReturn)
+				member.holder.borrower.settleReturn(loanReturn)
+			})
+		}
+	}
+
+	private proposeChanges(
+		member: SimulatedMember,
+		changes: Parameters<SimulatedMember['holder']['createProposal']>[0]
+	): void {
+		const proposal = member.holder.createProposal(changes)
+		if (!proposal) return
+		member.isProposing = true
+		this.propose(member, proposal)
+		this.timers.after(PROPOSE_DEADLINE, () => {
+			member.isProposing = false
+		})
+	}
+
+	private borrow(member: SimulatedMember, request: LoanRequest): void {
+		const askedAt = this.timers.now()
+		let isAnswered = false
+		this.call(member, request.lender, (lender) => {
+			const reply = lender.planner.lend(lender.state, request)
+			this.timers.after(PEER_LATENCY, () => {
+				isAnswered = true
+				member.planner.settle(request, reply, askedAt)
+				this.startAll(member)
+			})
+		})
+		this.timers.after(CALL_DEADLINE, () => {
+			if (!isAnswered) member.planner.settle(request, undefined, askedAt)
+		})
+	}
+
+	private call(
+		from: SimulatedMember,
+		to: string,
+		deliver: (member: SimulatedMember) => void
+	): void {
+		this.counts.loanCalls++
+		const target = this.members.find(({ name }) => name === to)
+		if (!target) return
+		this.timers.after(PEER_LATENCY, () => {
+			if (this.canReach(from, target)) deliver(target)
+		})
+	}
+
+	private sendDigest(member: SimulatedMember): void {
+		for (const other of this.members) {
+			if (other === member || !this.canReach(member, other)) continue
+			this.counts.digests++
+			const load = member.planner.getLoad(member.state, TEAM)
+			this.timers.after(PEER_LATENCY, () => {
+				other.planner.peerLoads.update(member.name, [[TEAM, load]])
+			})
+		}
+	}
+
+	private startAll(member: SimulatedMember): void {
+		for (const unit of member.startAll(TEAM)) {
+			this.running++
+			const duration = this.options.runMilliseconds * (0.2 + 0.8 * this.random())
+			this.timers.after(duration, () => {
+				this.running--
+				member.units.delete(unit)
+				member.holder.finish(unit)
+				this.startAll(member)
+			})
+		}
+		this.check()
+	}
+
+	private check(): void {
+		const total = getAllowanceTotal(this.head.state, TEAM)
+		const limit = Math.max(this.options.limit, total)
+		if (this.running > limit) throw new Error(`${this.running} run, limit ${limit}`)
+	}
+}
--- a/packages/core/src/lib/allowance/AllowancePlanner.ts
+++ b/packages/core/src/lib/allowance/AllowancePlanner.ts
@@ -128,7 +128,7 @@
 			granted: state.members.get(holder.instance)?.allowances.get(team) ?? 0,
 			free: holder.getFree(team),
 			capacity: holder.getCapacity(team),
-			peak: this.peaks.update(team, running + queued),
+			peak: this.peaks.update(team, Math.min(limit, running + queued)),
 			reserved: this.reservations.getReserved(team),
 			isNext: next !== undefined && this.reservations.isNext(team, next, asker),
 			peers: this.peerLoads.get(team),
--- a/packages/core/src/lib/allowance/LendingPolicy.ts
+++ b/packages/core/src/lib/allowance/LendingPolicy.ts
@@ -14,19 +14,23 @@
  */
 export class LendingPolicy extends AllowancePolicy {
 	override plan(situation: TeamSituation): TeamPlan {
-		const { capacity, queued, peak, running } = situation
+		const { running, queued, peak } = situation
 		const level = getLevel(situation)
-		const keep = Math.min(peak, getKept(situation, level))
-		const wanted = Math.min(running + queued, getEntitled(level)) - capacity
-		const loans = wanted > 0 && isInForce(situation) ? chooseLenders(situation, level, wanted) : []
-		return { delta: getLedgerDelta(situation), maximum: getMaximum(situation, level), keep, loans }
+		const kept = getKept(situation, level)
+		const needed = level === Infinity ? peak : running + queued
+		return {
+			delta: getLedgerDelta(situation),
+			maximum: isInForce(situation) ? kept : situation.evenShare,
+			keep: Math.min(needed, kept),
+			loans: isInForce(situation) ? chooseLenders(situation, level) : [],
+		}
 	}
 
 	override getLendable(situation: TeamSituation): number {
 		const { capacity, free, running, queued, isNext } = situation
 		if (!isInForce(situation)) return 0
 		const level = getLevel(situation)
-		const part = level < 1 && isNext ? 1 : Math.floor(level)
+		const part = level < 1 && !isNext ? 0 : Math.ceil(level)
 		const need = Math.min(running + queued, part)
 		return Math.max(0, Math.min(free, capacity - need))
 	}
@@ -41,34 +45,37 @@
 	return total <= limit
 }
 
-/** Units that a member may hold when all needs at the level are met. */
-function getEntitled(level: number): number {
-	return Math.ceil(level)
-}
-
-function getKept(situation: TeamSituation, level: number): number {
-	const { capacity, reserved, isNext } = situation
+function getKept({ capacity, reserved, isNext }: TeamSituation, level: number): number {
 	if (reserved === 0) return Infinity
 	if (level < 1) return isNext ? 1 : 0
 	return Math.max(Math.floor(level), capacity - reserved)
 }
 
-function getMaximum(situation: TeamSituation, level: number): number {
-	if (!isInForce(situation)) return situation.evenShare
-	return getKept(situation, level)
+/**
+ * Asks members with free units for what the fair level rounded up leaves wanted, and members that
+ * run more than it for what the level rounded down does, so that single units do not go round.
+ */
+function chooseLenders(
+	{ peers, running, queued, capacity }: TeamSituation,
+	level: number
+): { lender: string; amount: number }[] {
+	const demand = running + queued
+	const free = peers.map((peer) => ({ peer, amount: peer.free }))
+	const wanted = Math.min(demand, Math.ceil(level)) - capacity
+	const chosen = choose(free, wanted)
+	if (chosen.length > 0) return chosen
+	const part = level < 1 ? 0 : Math.ceil(level)
+	const above = peers.map((peer) => ({ peer, amount: peer.running - part }))
+	return choose(above, Math.min(demand, Math.max(1, Math.floor(level))) - capacity)
 }
 
-/** Asks members with free units first, then those that run more than their part. */
-function chooseLenders(
-	{ peers }: TeamSituation,
-	level: number,
+function choose(
+	offers: { readonly peer: PeerLoad; readonly amount: number }[],
 	wanted: number
 ): { lender: string; amount: number }[] {
-	const offers = peers.map((peer) => ({ peer, amount: getOffer(peer, level) }))
-	offers.sort((a, b) => b.amount - a.amount)
 	const chosen: { lender: string; amount: number }[] = []
 	let left = wanted
-	for (const { peer, amount } of offers) {
+	for (const { peer, amount } of offers.sort((a, b) => b.amount - a.amount)) {
 		if (left <= 0 || amount <= 0) break
 		const asked = Math.min(left, amount)
 		chosen.push({ lender: peer.instance, amount: asked })
@@ -76,9 +83,3 @@
 	}
 	return chosen
 }
-
-function getOffer(peer: PeerLoad, level: number): number {
-	if (peer.free > 0) return peer.free
-	const part = level < 1 ? 0 : Math.floor(level)
-	return Math.max(0, peer.running - part)
-}
--- a/packages/core/src/lib/allowance/Reservations.ts
+++ b/packages/core/src/lib/allowance/Reservations.ts
@@ -6,6 +6,9 @@
 /** Time for which an unanswered need is remembered; the member asks again sooner. */
 const RESERVATION_TIME: Milliseconds = 1500
 
+/** Time for which a member may go on using a unit that others wait for. */
+const TURN: Milliseconds = 1000
+
 interface Reservation {
 	amount: number
 	until: Milliseconds
@@ -38,18 +41,21 @@
 		return reserved
 	}
 
-	/** Notes that a member got a unit. */
+	/** Notes that a member got a unit. Its turn begins with the first. */
 	noteServed(team: TeamId, instance: InstanceId): void {
+		if (this.isInTurn(team, instance)) return
 		const served = this.servedAt.get(team) ?? new Map<InstanceId, Milliseconds>()
 		this.servedAt.set(team, served.set(instance, this.timerService.now()))
 	}
 
 	/**
-	 * Whether no member that waits got its last unit earlier than this one.
+	 * Whether it is the turn of a member: it lasts a while, and then goes to the one that waits
+	 * whose last turn began first.
 	 *
 	 * @param asker - a member that waits from now on
 	 */
 	isNext(team: TeamId, instance: InstanceId, asker?: InstanceId): boolean {
+		if (this.isInTurn(team, instance)) return true
 		const own = this.getServedAt(team, instance)
 		const others = new Set(this.getWaiting(team).keys())
 		if (asker !== undefined) others.add(asker)
@@ -64,6 +70,10 @@
 		return others.filter((other) => this.getServedAt(team, other) < own).length
 	}
 
+	private isInTurn(team: TeamId, instance: InstanceId): boolean {
+		return this.timerService.now() - this.getServedAt(team, instance) < TURN
+	}
+
 	private getServedAt(team: TeamId, instance: InstanceId): Milliseconds {
 		return this.servedAt.get(team)?.get(instance) ?? -Infinity
 	}
