Model-check the core protocol, and let a member lapse once per floor lease

Traces of the ledger model are replayed on the real fold and holder.

A member now lapses again only once its floor of the last time can no longer be in use; the seeded mistake `lapse-twice` is the old behaviour.

Ruled out: halving what the holder may use once it saw its own lapse. A heartbeat in flight would have to count as taken, and a cut holder would go to a quarter for no reason. The price of the choice: a member that lapsed, came back and crashed within an hour is counted in full for that hour.

--- a/bench/src/allowances/SimulatedMember.ts
+++ b/bench/src/allowances/SimulatedMember.ts
@@ -1,7 +1,8 @@
+import type {
+	Fold} from '@mastichead/core';
 import {
 	AllowanceHolder,
 	AllowancePlanner,
-	Fold,
 	type AllowancePolicy,
 	type AllowanceUnit,
 	type FleetState,
--- a/packages/core/src/lib/allowance/expireMembers.ts
+++ b/packages/core/src/lib/allowance/expireMembers.ts
@@ -26,5 +26,5 @@
 		const floor = getFloor(amount)
 		if (floor > 0) allowances.set(team, floor)
 	}
-	return { ...member, lapsed: true, allowances }
+	return { ...member, lapsed: true, lapsedFrom: member.renewedAt, allowances }
 }
--- a/packages/core/src/lib/allowance/getMemberPhase.ts
+++ b/packages/core/src/lib/allowance/getMemberPhase.ts
@@ -12,6 +12,9 @@
  * - `lapsed`: its floor
  * - `gone`: nothing
  *
+ * A member lapses once while its floor of the last time may be in use: it may have sent the
+ * heartbeat that ended the lapse before it was cut off, and not know of it.
+ *
  * @param at - platform clock to judge by
  *
  * @public
@@ -22,10 +25,11 @@
 	at: Milliseconds
 ): 'current' | 'lapsed' | 'gone' {
 	const silence = at - member.renewedAt
-	if (silence > getReclaimTime(state, at, allowanceTerms.floorLease)) return 'gone'
+	const floorTime = getReclaimTime(state, at, allowanceTerms.floorLease)
+	if (silence > floorTime) return 'gone'
 	if (member.lapsed) return 'lapsed'
-	if (silence > getReclaimTime(state, at, allowanceTerms.lease)) return 'lapsed'
-	return 'current'
+	if (silence <= getReclaimTime(state, at, allowanceTerms.lease)) return 'current'
+	return at - (member.lapsedFrom ?? -Infinity) > floorTime ? 'lapsed' : 'current'
 }
 
 function getReclaimTime(state: FleetState, at: Milliseconds, lease: Milliseconds): Milliseconds {
--- a/packages/core/src/lib/state/Member.ts
+++ b/packages/core/src/lib/state/Member.ts
@@ -19,6 +19,8 @@
 	readonly renewedAt: Milliseconds
 	/** Whether only the floor of its allowances is left, until its next heartbeat. */
 	readonly lapsed: boolean
+	/** Its `renewedAt` when it last lapsed; absent before the first time. */
+	readonly lapsedFrom?: Milliseconds | undefined
 	/** Sequence of its last allowance proposal; 0 before the first. */
 	readonly sequence: number
 	/** Allowance that it holds by team; no row stands for 0. */
--- /dev/null
+++ b/spec/src/allowances/LedgerMistake.ts
@@ -0,0 +1,14 @@
+/**
+ * Mistakes that the search must find in the ledger model.
+ *
+ * @public
+ */
+export type LedgerMistake =
+	| 'grants-without-room'
+	| 'start-without-clock'
+	| 'lease-from-reading'
+	| 'reclaim-without-run-bound'
+	| 'duplicates-count'
+	| 'releases-forgotten'
+	| 'lapse-undone'
+	| 'lapse-twice'
--- /dev/null
+++ b/spec/src/allowances/LedgerModel.test.ts
@@ -0,0 +1,54 @@
+import { expect, test } from 'vitest'
+import { search } from '../search.js'
+import type { LedgerAction } from './LedgerAction.js'
+import type { LedgerMistake } from './LedgerMistake.js'
+import { LedgerModel } from './LedgerModel.js'
+import { LedgerReplay } from './LedgerReplay.js'
+import { ledgerSearches } from './ledgerSearches.js'
+
+type SearchName = keyof typeof ledgerSearches
+
+const mistakes: [LedgerMistake, SearchName, string][] = [
+	['grants-without-room', 'duplicates', 'ledger-within-limit'],
+	['lapse-undone', 'leases', 'ledger-within-limit'],
+	['start-without-clock', 'duplicates', 'running-within-limit'],
+	['lease-from-reading', 'duplicates', 'running-within-limit'],
+	['reclaim-without-run-bound', 'leases', 'running-within-limit'],
+	['duplicates-count', 'duplicates', 'running-within-limit'],
+	['releases-forgotten', 'releases', 'running-within-limit'],
+	['lapse-twice', 'leases', 'running-within-limit'],
+]
+
+test.each(mistakes)('finds %s in the search for %s', (mistake, name, invariant) => {
+	const result = search(new LedgerModel(ledgerSearches[name], mistake))
+	expect(result.violation?.invariant).toBe(invariant)
+})
+
+function replay(name: SearchName, trace: readonly LedgerAction[]): void {
+	const model = new LedgerModel(ledgerSearches[name])
+	const real = new LedgerReplay(ledgerSearches[name])
+	let state = model.createInitial()
+	for (const [index, action] of trace.entries()) {
+		state = model.apply(state, action)
+		real.apply(action)
+		const expected = state.holders.map(({ runs }, member) => ({
+			amount: state.ledger.members[member]?.amount,
+			usable: model.getUsable(state, member),
+			runs: runs.length,
+		}))
+		expect(real.getFigures(), JSON.stringify(trace.slice(0, index + 1))).toEqual(expected)
+	}
+}
+
+test.each<[SearchName, number]>([
+	['duplicates', 3],
+	['leases', 200],
+	['releases', 200],
+	['lowered limit', 200],
+])('the fold and the holder do as the model in traces of %s', (name, sampleEvery) => {
+	const model = new LedgerModel(ledgerSearches[name])
+	const { samples, violation } = search(model, { sampleEvery })
+	expect(violation).toBeUndefined()
+	expect(samples.length).toBeGreaterThan(300)
+	for (const trace of samples) replay(name, trace)
+})
--- /dev/null
+++ b/spec/src/allowances/LedgerReplay.ts
@@ -0,0 +1,161 @@
+import {
+	AllowanceHolder,
+	Fold,
+	VirtualTimerService,
+	type AllowanceUnit,
+	type Proposal,
+} from '@mastichead/core'
+import type { LedgerAction } from './LedgerAction.js'
+import { terms } from './terms.js'
+
+const TEAM = 'team'
+
+interface Run {
+	readonly member: number
+	readonly endsAt: number
+	readonly unit: AllowanceUnit
+}
+
+/**
+ * Replays traces of the ledger model on the real fold and holders.
+ *
+ * @internal
+ */
+export class LedgerReplay {
+	private readonly timers = new VirtualTimerService()
+	private readonly fold = new Fold()
+	private readonly holders: AllowanceHolder[] = []
+	private flight: { readonly proposal: Proposal; readonly copies: number }[] = []
+	private runs: Run[] = []
+	private made = 0
+
+	constructor(private readonly options: { members: number; limit: number; copies: number }) {
+		this.setLimit(options.limit)
+		this.fold.state.runBounds = [{ runMilliseconds: terms.run }]
+		for (let index = 0; index < options.members; index++) this.join(index)
+	}
+
+	apply(action: LedgerAction): void {
+		switch (action.kind) {
+			case 'advance':
+				this.advance(action.by)
+				break
+			case 'append':
+				this.append(action.index)
+				break
+			case 'limit':
+				this.setLimit(action.limit)
+				break
+			case 'grab':
+				this.grab()
+				break
+			case 'yield':
+				this.yield()
+				break
+			case 'heartbeat':
+				this.send(this.createHeartbeat(action.member))
+				break
+			case 'ask':
+				this.send(this.createChange(action.member, 2))
+				break
+			case 'release':
+				this.send(this.createChange(action.member, -1))
+				break
+			case 'read':
+				this.getHolder(action.member).observe(this.fold.state)
+				break
+			case 'start':
+				this.start(action.member)
+				break
+		}
+	}
+
+	/** Ledger amount, usable units and runs of each member. */
+	getFigures(): { amount: number; usable: number; runs: number }[] {
+		return this.holders.map((holder, member) => ({
+			amount: this.fold.state.members.get(holder.instance)?.allowances.get(TEAM) ?? 0,
+			usable: holder.getUsable(TEAM),
+			runs: this.runs.filter((run) => run.member === member).length,
+		}))
+	}
+
+	private join(index: number): void {
+		const instance = `member-${index}`
+		const holder = new AllowanceHolder(instance, this.timers)
+		this.holders.push(holder)
+		const id = `${instance}/join`
+		holder.expectRenewal(id)
+		this.take({ kind: 'join', id, instance, availabilityZone: 'a', peerAddress: 'a:1' })
+		holder.observe(this.fold.state)
+	}
+
+	private advance(by: number): void {
+		this.timers.advance(by)
+		const ended = this.runs.filter(({ endsAt }) => endsAt <= this.timers.now())
+		for (const { member, unit } of ended) this.getHolder(member).finish(unit)
+		this.runs = this.runs.filter((run) => !ended.includes(run))
+	}
+
+	/** A repeated append gets an id of its own, as if the fold had forgotten the first. */
+	private append(index: number): void {
+		const [sent] = this.flight.splice(index, 1)
+		if (!sent) return
+		const { proposal, copies } = sent
+		const isRepeated = copies < this.options.copies
+		this.take(isRepeated ? { ...proposal, id: `${proposal.id}/${this.made++}` } : proposal)
+		if (copies > 1) this.flight.push({ proposal, copies: copies - 1 })
+	}
+
+	private grab(): void {
+		const member = this.holders.length - 1
+		const holder = this.getHolder(member)
+		this.take(this.createHeartbeat(member))
+		const change = this.createChange(member, this.options.limit)
+		this.take(change)
+		holder.observe(this.fold.state)
+		while (holder.getFree(TEAM) > 0) this.start(member)
+	}
+
+	private yield(): void {
+		const member = this.holders.length - 1
+		this.take(this.createChange(member, -this.getHolder(member).getFree(TEAM)))
+		this.getHolder(member).observe(this.fold.state)
+	}
+
+	private start(member: number): void {
+		const unit = this.getHolder(member).tryStart(TEAM)
+		if (!unit) throw new Error('the model may start, the holder may not')
+		this.runs.push({ member, unit, endsAt: this.timers.now() + terms.run })
+	}
+
+	private createHeartbeat(member: number): Proposal {
+		const { instance } = this.getHolder(member)
+		const id = `${instance}/heartbeat/${this.made++}`
+		this.getHolder(member).expectRenewal(id)
+		return { kind: 'heartbeat', id, instance }
+	}
+
+	private createChange(member: number, delta: number): Proposal {
+		const proposal = this.getHolder(member).createProposal([{ team: TEAM, delta }])
+		if (!proposal) throw new Error('the model may release, the holder may not')
+		return proposal
+	}
+
+	private send(proposal: Proposal): void {
+		this.flight.push({ proposal, copies: this.options.copies })
+	}
+
+	private take(proposal: Proposal): void {
+		this.fold.take({ offset: this.fold.state.offset + 1, at: this.timers.now(), proposal })
+	}
+
+	private setLimit(limit: number): void {
+		this.fold.state.teams.set(TEAM, { name: TEAM, share: 1, limit })
+	}
+
+	private getHolder(member: number): AllowanceHolder {
+		const holder = this.holders[member]
+		if (!holder) throw new Error('no such member')
+		return holder
+	}
+}
--- /dev/null
+++ b/spec/src/allowances/takeRecord.ts
@@ -0,0 +1,69 @@
+import type { Ledger } from './Ledger.js'
+import type { LedgerMistake } from './LedgerMistake.js'
+import type { LedgerRecord } from './LedgerRecord.js'
+
+/**
+ * Folds a record into the ledger.
+ *
+ * @returns undefined when the record is rejected
+ *
+ * @internal
+ */
+export function takeRecord(
+	ledger: Ledger,
+	at: number,
+	record: LedgerRecord,
+	mistake: LedgerMistake | undefined
+): Ledger | undefined {
+	const member = ledger.members[record.member]
+	if (!member || member.isGone || isStale(member, record, mistake)) return undefined
+	const taken =
+		record.kind === 'heartbeat'
+			? renew(member, at, record.sentAt, mistake)
+			: change(ledger, member, record, mistake)
+	const members = ledger.members.map((row, index) => (index === record.member ? taken : row))
+	return { ...ledger, members }
+}
+
+function isStale(
+	member: Member,
+	record: LedgerRecord,
+	mistake: LedgerMistake | undefined
+): boolean {
+	if (record.kind === 'heartbeat' || mistake === 'duplicates-count') return false
+	return record.sequence <= member.sequence
+}
+
+type Member = Ledger['members'][number]
+
+function renew(
+	member: Member,
+	at: number,
+	sentAt: number,
+	mistake: LedgerMistake | undefined
+): Member {
+	const isUndone = member.lapsed && mistake === 'lapse-undone'
+	return {
+		...member,
+		amount: isUndone ? member.amount * 2 + 1 : member.amount,
+		renewedAt: at,
+		lapsed: false,
+		sentAt: Math.max(member.sentAt, sentAt),
+	}
+}
+
+function change(
+	ledger: Ledger,
+	member: Member,
+	record: Extract<LedgerRecord, { kind: 'allowance' }>,
+	mistake: LedgerMistake | undefined
+): Member {
+	const sequence = Math.max(member.sequence, record.sequence)
+	if (record.delta < 0) {
+		return { ...member, sequence, amount: Math.max(0, member.amount + record.delta) }
+	}
+	const total = ledger.members.reduce((sum, { amount }) => sum + amount, 0)
+	const room = mistake === 'grants-without-room' ? record.delta : ledger.limit - total
+	const grant = member.lapsed ? 0 : Math.max(0, Math.min(record.delta, room))
+	return { ...member, sequence, amount: member.amount + grant }
+}
--- /dev/null
+++ b/spec/src/configuration/ConfigurationMistake.ts
@@ -0,0 +1,7 @@
+/**
+ * Mistakes that the search must find in the configuration model.
+ *
+ * @public
+ */
+export type ConfigurationMistake =
+	'base-ignored' | 'older-copy-taken' | 'serves-before-caught-up' | 'lost-answer-guessed'
--- /dev/null
+++ b/spec/src/loans/LoanAction.ts
@@ -0,0 +1,10 @@
+/**
+ * Actions of the loan model.
+ *
+ * @public
+ */
+export type LoanAction =
+	| { readonly kind: 'advance'; readonly by: number }
+	| { readonly kind: 'deliver'; readonly index: number }
+	| { readonly kind: 'ask' | 'start-lender' }
+	| { readonly kind: 'abandon' | 'renew' | 'give-back' | 'start-borrower'; readonly loan: number }
--- /dev/null
+++ b/spec/src/loans/LoanMessage.ts
@@ -0,0 +1,8 @@
+/**
+ * Messages of the loan model. `askedAt` is what the borrower remembers of its request.
+ *
+ * @public
+ */
+export type LoanMessage =
+	| { readonly kind: 'request' | 'answer'; readonly loan: number; readonly askedAt: number }
+	| { readonly kind: 'return'; readonly loan: number }
