Add credentials for calls between peers

Peers must trust each other by certificate, and renewed files must be taken into use without a restart. grpc-js has a file-watching certificate provider for both sides, so nothing of our own is needed; the peer listener now has to name its authority.

--- a/packages/daemon/src/lib/settings/settingsSchema.ts
+++ b/packages/daemon/src/lib/settings/settingsSchema.ts
@@ -25,7 +25,11 @@
 	tls: tls.optional(),
 })
 
-const peersListener = listener.extend({ advertisedHost: z.string().min(1).optional() })
+/** Peers trust each other by certificate, so their authority must be named. */
+const peersListener = listener.extend({
+	advertisedHost: z.string().min(1).optional(),
+	tls: tls.extend({ clientCertificateAuthorityFile: z.string().min(1) }).optional(),
+})
 
 const operator = z.strictObject({
 	name,
