Add the command line

Operators drive the fleet from outside; every change must be safe to repeat.

- A change carries a proposal id made by the command line.
When an answer is lost it is asked for again with that id, at the next daemon, up to three rounds; what stays open ends with exit code 4 and a line that says how to settle it.
- Keys are made by the command line, which sends only the hash: had the daemon made them, a repeat after a lost answer would have shown a secret that never works.

--- /dev/null
+++ b/packages/cli/bin/mastichead.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import '../dist/main.js'
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,1 +1,3 @@
-export {}
+export { type CliContext } from './lib/CliContext.js'
+export { type ExitCode } from './lib/ExitCode.js'
+export { runCli } from './lib/runCli.js'
--- /dev/null
+++ b/packages/cli/src/lib/client/createClient.ts
@@ -0,0 +1,43 @@
+import { readFileSync } from 'node:fs'
+import { Agent } from 'undici'
+import type { CliContext } from '../CliContext.js'
+import { CliError } from '../CliError.js'
+import type { GlobalOptions } from './GlobalOptions.js'
+import { OperatorClient } from './OperatorClient.js'
+
+const MILLISECONDS_PER_SECOND = 1_000
+
+/**
+ * Makes a client from the command line's options and the environment.
+ *
+ * @internal
+ */
+export function createClient(options: GlobalOptions, context: CliContext): OperatorClient {
+	const { MASTICHEAD_SERVERS, MASTICHEAD_TOKEN, MASTICHEAD_CERTIFICATE_AUTHORITY } =
+		context.environment
+	const servers = options.server ?? (MASTICHEAD_SERVERS ?? '').split(/[\s,]+/).filter(Boolean)
+	const token = options.token ?? MASTICHEAD_TOKEN
+	if (servers.length === 0) throw new CliError(2, 'no daemon named: --server or MASTICHEAD_SERVERS')
+	if (!token) throw new CliError(2, 'no operator token: MASTICHEAD_TOKEN or --token')
+	for (const server of servers) {
+		if (!/^https?:\/\//.test(server) || !URL.canParse(server)) {
+			throw new CliError(2, `not a URL: ${server}`)
+		}
+	}
+	const authority = options.certificateAuthority ?? MASTICHEAD_CERTIFICATE_AUTHORITY
+	return new OperatorClient({
+		servers,
+		token,
+		timeout: options.timeout * MILLISECONDS_PER_SECOND,
+		dispatcher: createDispatcher(authority),
+	})
+}
+
+function createDispatcher(authority: string | undefined): Agent {
+	if (authority === undefined) return new Agent()
+	try {
+		return new Agent({ connect: { ca: readFileSync(authority, 'utf8') } })
+	} catch (error) {
+		throw new CliError(2, `${authority}: ${error instanceof Error ? error.message : String(error)}`)
+	}
+}
--- /dev/null
+++ b/packages/cli/src/lib/commands/writeResult.ts
@@ -0,0 +1,17 @@
+import type { GlobalOptions } from '../client/GlobalOptions.js'
+import type { CliContext } from '../CliContext.js'
+
+/**
+ * Writes the result of a command as JSON or as text, whichever the user asked for.
+ *
+ * @internal
+ */
+export function writeResult(
+	context: CliContext,
+	options: GlobalOptions,
+	result: unknown,
+	text: string
+): void {
+	if (options.output === 'json') context.writeOutput(`${JSON.stringify(result, undefined, 2)}\n`)
+	else context.writeOutput(text.endsWith('\n') || text === '' ? text : `${text}\n`)
+}
--- /dev/null
+++ b/packages/cli/src/lib/createProgram.ts
@@ -0,0 +1,73 @@
+import { Command, InvalidArgumentError, Option } from 'commander'
+import type { CliContext } from './CliContext.js'
+import { addFleetCommands } from './commands/addFleetCommands.js'
+import { addKeyCommands } from './commands/addKeyCommands.js'
+import { addMaintenanceCommands } from './commands/addMaintenanceCommands.js'
+import { addReportCommands } from './commands/addReportCommands.js'
+
+const DEFAULT_TIMEOUT_SECONDS = 15
+
+const HELP = `
+Exit codes:
+  0  done
+  1  refused: rejected, invalid or not found; nothing changed
+  2  wrong use of the command line, or a file that cannot be read
+  3  no daemon could be reached, or none reached the platform's log; nothing changed
+  4  the outcome of a change is unknown; the message says how to settle it
+  5  the operator token was refused
+
+Environment:
+  MASTICHEAD_SERVERS                URLs of operators' ports, separated by spaces or commas
+  MASTICHEAD_TOKEN                  operator token
+  MASTICHEAD_CERTIFICATE_AUTHORITY  file with the authority of the daemons' certificates
+
+Examples:
+  mastichead validate examples/padania.yaml
+  mastichead apply examples/padania.yaml --base 0
+  mastichead keys issue installers
+  mastichead waves create spring quotes-1 quotes-2 quotes-3 --parallelism 1
+  mastichead status --watch --server http://127.0.0.1:21201 --server http://127.0.0.1:21202
+`
+
+/**
+ * Makes the command line with all its commands.
+ *
+ * @internal
+ */
+export function createProgram(context: CliContext): Command {
+	const program = new Command('mastichead')
+		.description('Operates a fleet through the daemons of its entry instances.')
+		.option(
+			'--server <url>',
+			"operators' port of a daemon; may be repeated, tried in order",
+			addServer
+		)
+		.option('--token <token>', 'operator token; better given in the environment')
+		.option('--certificate-authority <file>', "authority of the daemons' certificates")
+		.option('--timeout <seconds>', 'time for each answer', parseSeconds, DEFAULT_TIMEOUT_SECONDS)
+		.addOption(new Option('--output <form>').choices(['text', 'json']).default('text'))
+		.addHelpText('after', HELP)
+	addFleetCommands(program, context)
+	addKeyCommands(program, context)
+	addMaintenanceCommands(program, context)
+	addReportCommands(program, context)
+	configure(program, context)
+	return program
+}
+
+/** Subcommands are made before this runs, so each is set up like the program itself. */
+function configure(command: Command, context: CliContext): void {
+	command.exitOverride()
+	command.configureOutput({ writeOut: context.writeOutput, writeErr: context.writeError })
+	for (const subcommand of command.commands) configure(subcommand, context)
+}
+
+function addServer(server: string, servers: readonly string[] = []): readonly string[] {
+	return [...servers, server]
+}
+
+function parseSeconds(text: string): number {
+	const value = Number(text)
+	if (value > 0) return value
+	throw new InvalidArgumentError('It is not a number of seconds.')
+}
--- /dev/null
+++ b/packages/cli/src/lib/output/MergedRow.ts
@@ -0,0 +1,27 @@
+import type { Verdict } from '@mastichead/core'
+
+/**
+ * Percentiles of one distribution, in milliseconds.
+ *
+ * @internal
+ */
+interface Percentiles {
+	readonly count: number
+	readonly p50: number
+	readonly p90: number
+	readonly p99: number
+	readonly maximum: number
+}
+
+/**
+ * Distributions of one team or queue, merged over daemons.
+ *
+ * @internal
+ */
+export interface MergedRow {
+	readonly name: string
+	readonly outcomes: Readonly<Record<Verdict, number>>
+	readonly wait: Percentiles
+	readonly service: Percentiles
+	readonly total: Percentiles
+}
--- a/packages/daemon/src/lib/operators/FleetResource.ts
+++ b/packages/daemon/src/lib/operators/FleetResource.ts
@@ -40,16 +40,24 @@
 			return createErrorAnswer('invalid', message, proposalId)
 		}
 		const { state } = this.context.log
-		if (base !== state.version) {
-			const message = `the version in force is ${state.version}, not ${base}`
-			return createErrorAnswer('rejected', message, proposalId)
-		}
+		if (base !== state.version) return this.refuseBase(proposalId, base)
 		const patch = createFleetPatch(getFleet(state), parsed.fleet)
 		const proposal = { kind: 'apply', id: proposalId, base, patch, operator } as const
 		const outcome = await this.context.log.propose(proposal)
 		return createProposalAnswer(proposalId, outcome, getVersion)
 	}
 
+	/** A daemon that is behind cannot tell whether the base is stale. */
+	private refuseBase(proposalId: string, base: number): OperatorAnswer {
+		const { version } = this.context.log.state
+		if (base > version) {
+			const message = `this daemon has seen version ${version}, not yet ${base}`
+			return createErrorAnswer('not-appended', message, proposalId)
+		}
+		const message = `the version in force is ${version}, not ${base}`
+		return createErrorAnswer('rejected', message, proposalId)
+	}
+
 	/** A repeated apply gets the decision that its first asking got. */
 	private getDecided(proposalId: string): OperatorAnswer | undefined {
 		const decision = this.context.log.state.decisions.get(proposalId)
