Wire the operators' server into the daemon

The port opens before the log is followed, so that an instance that cannot catch up can be asked why, and closes last.

A withdrawal is answered after 3 s without the log: the key is already refused here and told to peers by then.

Peers' rows in the status are still empty.

--- a/packages/daemon/src/lib/Daemon.ts
+++ b/packages/daemon/src/lib/Daemon.ts
@@ -15,6 +15,8 @@
 import { LogManager } from './log/LogManager.js'
 import { SnapshotManager } from './log/SnapshotManager.js'
 import { MetricsManager } from './metrics/MetricsManager.js'
+import { OperatorServer } from './operators/OperatorServer.js'
+import { StatusManager } from './operators/StatusManager.js'
 import { PlacementManager } from './placement/PlacementManager.js'
 import { RequestIdManager } from './requestIds/RequestIdManager.js'
 import type { Settings } from './settings/Settings.js'
@@ -46,6 +48,9 @@
 	readonly metrics = new MetricsManager()
 	readonly requests: RequestManager
 	readonly callers: CallerServer
+	readonly status: StatusManager
+	readonly operators: OperatorServer
+	private isLeaving = false
 
 	constructor(private readonly options: Options) {
 		const { settings, logger, timers } = options
@@ -108,6 +113,27 @@
 			requestIds: this.requestIds,
 			getState,
 		})
+		this.status = new StatusManager({
+			timers,
+			instance: this.instance,
+			availabilityZone,
+			log: this.log,
+			loads: this.requests.scheduler,
+			getUsable: (team) => this.allowances.holder.getUsable(team),
+			getPeers: () => [],
+			isLeaving: () => this.isLeaving,
+		})
+		this.operators = new OperatorServer({
+			settings,
+			logger,
+			timers,
+			context: {
+				log: this.log,
+				keys: this.keys,
+				status: this.status,
+				metrics: this.metrics,
+			},
+		})
 	}
 
 	/** Opens every port; rejects when one cannot be opened. */
@@ -116,6 +142,7 @@
 		this.log.onChange(() => {
 			this.backends.retain(this.log.state.backendServers)
 		})
+		await this.operators.start()
 		this.snapshots.start()
 		this.log.start()
 		this.keys.start()
@@ -131,6 +158,7 @@
 	/** Shuts down gracefully within `shutdown.graceMilliseconds`. */
 	async stop(): Promise<void> {
 		const { logger, settings, timers } = this.options
+		this.isLeaving = true
 		this.callers.leave()
 		const grace = settings.shutdown.graceMilliseconds
 		const expired = new Promise<'expired'>((resolve) => {
@@ -147,6 +175,8 @@
 		await this.log.stop()
 		this.callers.stop()
 		await this.backends.close()
+		this.operators.destroy()
+		await this.operators.stop()
 		logger.info('daemon-stopped')
 	}
 
--- a/packages/daemon/src/lib/operators/KeyResource.ts
+++ b/packages/daemon/src/lib/operators/KeyResource.ts
@@ -1,12 +1,11 @@
-import { z } from 'zod'
+import type { WithdrawalReach } from '@mastichead/core'
 import { createErrorAnswer } from './createErrorAnswer.js'
 import type { OperatorAnswer } from './OperatorAnswer.js'
 import type { OperatorRequest } from './OperatorRequest.js'
 import { OperatorResource } from './OperatorResource.js'
-import { proposalIdSchema } from './proposalIdSchema.js'
-import { readBody } from './readBody.js'
 
-const withdrawSchema = z.strictObject({ proposalId: proposalIdSchema })
+/** Time to wait for the log before the operator is told that it does not answer. */
+const LOG_DEADLINE_MILLISECONDS = 3_000
 
 /**
  * One caller key and its withdrawal. A key that this daemon does not know is withdrawn all the
@@ -17,16 +16,24 @@
 export class KeyResource extends OperatorResource {
 	override readonly path = '/v1/keys/:key'
 
-	override async delete({ operator, parameters, body }: OperatorRequest): Promise<OperatorAnswer> {
+	override async delete({ operator, parameters }: OperatorRequest): Promise<OperatorAnswer> {
 		const key = parameters.key ?? ''
 		if (!/^[0-9a-f]{16}$/.test(key)) {
 			return createErrorAnswer('malformed', 'a key id has 16 hex digits')
 		}
-		const read = readBody(withdrawSchema, body)
-		if (read.type === 'error') return read.answer
-		const { proposalId } = read.body
-		const outcome = await this.context.keys.withdraw({ id: proposalId, key, operator })
-		const status = outcome.reached === 'log' ? 200 : 202
-		return { type: 'json', status, body: { proposalId, id: key, ...outcome } }
+		const withdrawal = await this.context.keys.withdraw(key, operator, LOG_DEADLINE_MILLISECONDS)
+		switch (withdrawal.type) {
+			case 'logged':
+				return createReachAnswer(200, { id: key, reached: 'log' })
+			case 'spreading':
+				return createReachAnswer(202, { id: key, reached: 'peers', reason: withdrawal.reason })
+		}
 	}
 }
+
+function createReachAnswer(
+	status: number,
+	body: { readonly id: string; readonly reached: WithdrawalReach; readonly reason?: string }
+): OperatorAnswer {
+	return { type: 'json', status, body }
+}
--- a/packages/daemon/src/lib/operators/OperatorContext.ts
+++ b/packages/daemon/src/lib/operators/OperatorContext.ts
@@ -1,6 +1,6 @@
+import type { KeyManager } from '../keys/KeyManager.js'
+import type { LogManager } from '../log/LogManager.js'
 import type { MetricsManager } from '../metrics/MetricsManager.js'
-import type { KeyWithdrawals } from './KeyWithdrawals.js'
-import type { ProposalLog } from './ProposalLog.js'
 import type { StatusSource } from './StatusSource.js'
 
 /**
@@ -9,8 +9,8 @@
  * @public
  */
 export interface OperatorContext {
-	readonly log: ProposalLog
-	readonly keys: KeyWithdrawals
+	readonly log: Pick<LogManager, 'state' | 'propose'>
+	readonly keys: Pick<KeyManager, 'withdraw'>
 	readonly status: StatusSource
 	readonly metrics: MetricsManager
 }
--- a/packages/daemon/src/lib/operators/createProposalAnswer.ts
+++ b/packages/daemon/src/lib/operators/createProposalAnswer.ts
@@ -1,7 +1,7 @@
 import type { ProposalId } from '@mastichead/core'
+import type { ProposalOutcome } from '../log/ProposalOutcome.js'
 import { createErrorAnswer } from './createErrorAnswer.js'
 import type { OperatorAnswer } from './OperatorAnswer.js'
-import type { ProposalOutcome } from './ProposalOutcome.js'
 
 /**
  * Answers a change with what became of its proposal.
@@ -14,17 +14,13 @@
 	outcome: ProposalOutcome,
 	body: (offset: number) => object
 ): OperatorAnswer {
-	switch (outcome.type) {
-		case 'not-appended':
-			return createErrorAnswer('not-appended', outcome.reason, proposalId)
-		case 'unknown':
-			return createErrorAnswer('outcome-unknown', outcome.reason, proposalId)
-		case 'decided': {
-			const { decision } = outcome
-			if (decision.type === 'rejected') {
-				return createErrorAnswer('rejected', decision.reason, proposalId)
-			}
-			return { type: 'json', status: 200, body: { proposalId, ...body(decision.offset) } }
-		}
+	if (outcome.type === 'undecided') {
+		const type = outcome.mayTakeEffect ? 'outcome-unknown' : 'not-appended'
+		return createErrorAnswer(type, outcome.reason, proposalId)
 	}
+	const { decision } = outcome
+	if (decision.type === 'rejected') {
+		return createErrorAnswer('rejected', decision.reason, proposalId)
+	}
+	return { type: 'json', status: 200, body: { proposalId, ...body(decision.offset) } }
 }
