--- a/packages/standins/src/lib/demo/runDemo.ts
+++ b/packages/standins/src/lib/demo/runDemo.ts
@@ -59,14 +59,14 @@
 	if (!(await show(print, padania, ['validate', file]))) return false
 	if (!(await show(print, padania, ['apply', file]))) return false
 	const issued = await runCommand(padania, [
-		...['keys', 'issue', '--team', 'connections-desk', '--output', 'json'],
+		...['keys', 'issue', 'connections-desk', '--output', 'json'],
 	])
 	const key = /mh_[0-9a-f]{16}_[A-Za-z0-9_-]+/.exec(issued.output)?.[0]
 	if (key === undefined) {
 		print(issued.output)
 		return false
 	}
-	print('$ mastichead keys issue --team connections-desk   (the key is shown once)')
+	print('$ mastichead keys issue connections-desk   (the key is shown once)')
 	await delay(APPLY_SETTLE_MILLISECONDS)
 	const isServed = await showRequests(padania, key, print)
 	const isShown =
