--- /dev/null
+++ b/packages/core/src/lib/fleet/createSampleFleet.ts
@@ -0,0 +1,59 @@
+import { assert } from '../assert.js'
+import type { BackendServer } from './BackendServer.js'
+import type { Fleet } from './Fleet.js'
+
+const DEFAULT_SIZE = { zones: 3, pools: 2, teams: 3, backendServers: 6, queues: 2 }
+const RACK_SIZE = 4
+const ADDRESS_BYTE = 250
+
+function times<Row>(count: number, create: (index: number) => Row): Row[] {
+	return Array.from({ length: count }, (_, index) => create(index))
+}
+
+function pick(names: readonly string[], index: number): string {
+	const name = names[index % names.length]
+	assert(name !== undefined, 'the list is not empty')
+	return name
+}
+
+/**
+ * A valid fleet document of a given size, the same each time, for tests and the bench.
+ *
+ * @param size - rows of each table; at least one zone, pool and team
+ *
+ * @public
+ */
+export function createSampleFleet(size: Partial<typeof DEFAULT_SIZE> = {}): Fleet {
+	const counts = { ...DEFAULT_SIZE, ...size }
+	const zones = times(counts.zones, (index) => `zone-${index}`)
+	const pools = times(counts.pools, (index) => `pool-${index}`)
+	const teams = times(counts.teams, (index) => `team-${index}`)
+	return {
+		name: 'sample',
+		availabilityZones: zones,
+		pools: pools.map((name) => ({
+			name,
+			spare: false,
+			minimumAvailable: 0,
+			maximumUnavailable: 1,
+		})),
+		teams: teams.map((name) => ({ name, share: 1, limit: 100 })),
+		queues: times(counts.queues, (index) => ({
+			name: `queue-${index}`,
+			pool: pick(pools, index),
+			urgency: 'ordinary' as const,
+			timeoutMilliseconds: 30_000,
+			runMilliseconds: 60_000,
+			maximumQueued: 1000,
+		})),
+		backendServers: times(counts.backendServers, (index): BackendServer => ({
+			name: `server-${index}`,
+			availabilityZone: pick(zones, index),
+			rack: `rack-${Math.floor(index / RACK_SIZE)}`,
+			address: `10.0.${Math.floor(index / ADDRESS_BYTE)}.${index % ADDRESS_BYTE}:8080`,
+			pool: pick(pools, index),
+			slots: 8,
+			connections: 64,
+		})),
+	}
+}
