Compare verdicts with what ran in 10,000 seeded histories with faults

Daemons of a history run the real claims, queue, attempts and settlement in virtual time; attempts end in every way, with runs that start late; claims and settlements are lost, delayed and repeated; daemons are killed and their addresses taken by new incarnations; callers hang up and repeat ids through other daemons.

Letting in a late copy of a released claim breaks no verdict: the id then only stays busy, which the test of the table holds.

--- a/packages/daemon/src/lib/callers/RequestManager.ts
+++ b/packages/daemon/src/lib/callers/RequestManager.ts
@@ -50,6 +50,8 @@
 	readonly policy: SharePolicy
 	readonly getState: () => FleetState
 	readonly getPeerLoad: (pool: PoolId) => ReadonlyMap<TeamId, TeamLoad>
+	/** Bounds retries (default an empty one). */
+	readonly budget?: RetryBudget
 	/** Called once with the verdict of each request that was accepted. */
 	readonly onEnd: (requestId: string, verdict: Verdict) => void
 }
@@ -81,7 +83,7 @@
 
 	constructor(private readonly options: Options<Unit>) {
 		const { timers, allowances, placement, policy, getPeerLoad } = options
-		this.budget = new RetryBudget()
+		this.budget = options.budget ?? new RetryBudget()
 		this.scheduler = new Scheduler<Unit>({
 			timers,
 			allowances,
--- /dev/null
+++ b/packages/daemon/src/lib/requestIds/requestHistories.failure.test.ts
@@ -0,0 +1,193 @@
+import { VirtualTimerService, type AttemptOutcome, type RequestId } from '@mastichead/core'
+import fc from 'fast-check'
+import { setImmediate as turn } from 'node:timers/promises'
+import { expect, test } from 'vitest'
+import { createTestFleetState } from '../testing/createTestFleetState.js'
+import { FaultyClaimTransport } from '../testing/FaultyClaimTransport.js'
+import { HistoryDaemon } from '../testing/HistoryDaemon.js'
+import type { RecordedResponse } from '../testing/RecordedResponse.js'
+import { ScriptedBackends } from '../testing/ScriptedBackends.js'
+
+const HISTORIES = 10_000
+const SEED = 20_261_203
+const DAEMONS = 3
+const SLICE_MILLISECONDS = 25
+
+const state = createTestFleetState({
+	addresses: ['127.0.0.1:1', '127.0.0.1:2', '127.0.0.1:3'],
+	runMilliseconds: 400,
+	timeoutMilliseconds: 400,
+})
+const queue = getQueue()
+
+/** Outcomes before anything ran, and those after which it may have run, now or a little later. */
+const notRun: AttemptOutcome['type'][] = [
+	'connection-refused',
+	'connection-timeout',
+	'refused',
+	'reset-before-write',
+]
+const mayHaveRun: AttemptOutcome['type'][] = [
+	'reset-after-write',
+	'head-timeout',
+	'malformed-response',
+	'truncated-response',
+	'body-timeout',
+]
+
+const answered = { outcome: { type: 'answered', status: 200 } as const, after: 10, runAfter: 1 }
+
+const script = fc.oneof(
+	{ weight: 3, arbitrary: fc.constant(answered) },
+	{
+		weight: 3,
+		arbitrary: fc.record({
+			outcome: fc.constantFrom(...notRun).map((type) => ({ type }) as AttemptOutcome),
+			after: fc.constantFrom(1, 60),
+		}),
+	},
+	{
+		weight: 3,
+		arbitrary: fc.record({
+			outcome: fc.constantFrom(...mayHaveRun).map((type) => ({ type }) as AttemptOutcome),
+			after: fc.constantFrom(5, 300),
+			runAfter: fc.constantFrom(undefined, 1, 200),
+		}),
+	}
+)
+
+const fault = fc.record({
+	isLost: fc.nat(5).map((n) => n === 0),
+	isAnswerLost: fc.nat(5).map((n) => n === 0),
+	repeatAfter: fc.constantFrom(undefined, undefined, undefined, 150, 900),
+})
+
+const step = fc.record({
+	kind: fc.constantFrom('submit', 'submit', 'submit', 'submit', 'kill', 'hang-up'),
+	daemon: fc.nat(DAEMONS - 1),
+	/** Which issued id it carries; the last stands for none. */
+	id: fc.nat(2),
+	idempotent: fc.nat(4).map((n) => n === 0),
+	wait: fc.constantFrom(0, 25, 250, 1000),
+})
+
+const history = fc.record({
+	steps: fc.array(step, { minLength: 3, maxLength: 10 }),
+	scripts: fc.array(script, { minLength: 4, maxLength: 12 }),
+	faults: fc.array(fault, { minLength: 4, maxLength: 12 }),
+})
+
+type History = typeof history extends fc.Arbitrary<infer Value> ? Value : never
+
+interface Draws<Value> {
+	readonly values: readonly Value[]
+	next: number
+}
+
+function draw<Value>(draws: Draws<Value>): Value {
+	const value = draws.values[draws.next++ % draws.values.length]
+	if (value === undefined) throw new Error('nothing to draw')
+	return value
+}
+
+const totals = { submissions: 0, answers: 0, notRun: 0, mayHaveRun: 0, ran: 0, runs: 0, kills: 0 }
+
+async function play({ steps, scripts, faults }: History) {
+	const timers = new VirtualTimerService()
+	const scriptDraws = { values: scripts, next: 0 }
+	const faultDraws = { values: faults, next: 0 }
+	const runs = new Map<string, number>()
+	const problems: string[] = []
+	const daemons: HistoryDaemon[] = []
+	let made = 0
+
+	/** A killed daemon is replaced at its address, so calls reach another incarnation. */
+	const getTarget = (issuer: string) => daemons[Number(issuer.split('.')[0])]?.requestIds
+	const createDaemon = (index: number) => {
+		const backends = new ScriptedBackends({
+			timers,
+			draw: () => draw(scriptDraws),
+			onRun: (id) => runs.set(id, (runs.get(id) ?? 0) + 1),
+		})
+		const transport = new FaultyClaimTransport({ timers, getTarget, draw: () => draw(faultDraws) })
+		const instance = `${index}.${made++}`
+		const random = () => (made++ % 7) / 7
+		return new HistoryDaemon({ timers, instance, state, transport, backends, random })
+	}
+	const pass = async (time: number) => {
+		for (let passed = 0; passed < time; passed += SLICE_MILLISECONDS) {
+			timers.advance(SLICE_MILLISECONDS)
+			await turn()
+		}
+	}
+
+	for (let index = 0; index < DAEMONS; index++) daemons.push(createDaemon(index))
+	const ids: (RequestId | undefined)[] = [daemons[0], daemons[1]].map((daemon) =>
+		daemon?.requestIds.issue()
+	)
+	const open: Promise<RecordedResponse>[] = []
+	for (const { kind, daemon: index, id, idempotent, wait } of steps) {
+		const daemon = daemons[index]
+		if (kind === 'submit' && daemon) {
+			totals.submissions++
+			const requestId = idempotent ? `idempotent-${made++}` : (ids[id] ?? '')
+			const submission = { requestId, idempotent, queue }
+			open.push(
+				daemon.submit(submission, (answeredId, verdict) => {
+					const count = runs.get(answeredId) ?? 0
+					if (!isTrue(verdict, count)) problems.push(`${answeredId}: ${verdict}, ${count} runs`)
+				})
+			)
+		}
+		if (kind === 'kill' && daemon) {
+			totals.kills++
+			daemon.kill()
+			daemons[index] = createDaemon(index)
+		}
+		if (kind === 'hang-up')
+			void open.at(-1)?.then((response) => {
+				response.destroy()
+			})
+		await turn()
+		await pass(wait)
+	}
+	await pass(3000)
+	for (const [id, count] of runs) {
+		totals.runs += count
+		if (count > 1 && !id.startsWith('idempotent')) problems.push(`${id}: ${count} runs`)
+	}
+	expect(problems).toEqual([])
+	for (const daemon of daemons) {
+		expect(daemon.requests.size).toBe(0)
+		expect(daemon.requestIds.claimCount).toBe(0)
+		expect(daemon.allowances.count).toBe(0)
+		daemon.kill()
+	}
+}
+
+function getQueue() {
+	const found = state.queues.get('quotes')
+	if (!found) throw new Error('there is no queue')
+	return found
+}
+
+function isTrue(verdict: string, runs: number): boolean {
+	totals.answers++
+	switch (verdict) {
+		case 'not-run':
+			totals.notRun++
+			return runs === 0
+		case 'ran':
+			totals.ran++
+			return runs > 0
+		default:
+			totals.mayHaveRun++
+			return verdict === 'may-have-run'
+	}
+}
+
+test('verdicts agree with what the backend servers saw', { timeout: 300_000 }, async () => {
+	await fc.assert(fc.asyncProperty(history, play), { seed: SEED, numRuns: HISTORIES })
+	console.info(`${HISTORIES} histories: ${JSON.stringify(totals)}`)
+	expect(Math.min(totals.notRun, totals.mayHaveRun, totals.ran, totals.kills)).toBeGreaterThan(1000)
+})
--- /dev/null
+++ b/packages/daemon/src/lib/testing/HistoryDaemon.ts
@@ -0,0 +1,123 @@
+import {
+	FleetShare,
+	RandomPlacement,
+	RetryBudget,
+	type FleetState,
+	type Queue,
+	type TimerService,
+} from '@mastichead/core'
+import type { IncomingMessage } from 'node:http'
+import { createLogger } from 'winston'
+import { RequestBody } from '../callers/RequestBody.js'
+import { RequestManager } from '../callers/RequestManager.js'
+import { MetricsManager } from '../metrics/MetricsManager.js'
+import { PlacementManager } from '../placement/PlacementManager.js'
+import type { ClaimTransport } from '../requestIds/ClaimTransport.js'
+import { RequestIdManager } from '../requestIds/RequestIdManager.js'
+import { CountingAllowances } from './CountingAllowances.js'
+import { RecordedResponse } from './RecordedResponse.js'
+import type { ScriptedBackends } from './ScriptedBackends.js'
+
+const logger = createLogger({ silent: true })
+const EMPTY_REQUEST = { headers: {}, method: 'POST' } as unknown as IncomingMessage
+
+interface Options {
+	readonly timers: TimerService
+	readonly instance: string
+	readonly state: FleetState
+	readonly transport: ClaimTransport
+	readonly backends: ScriptedBackends
+	readonly random: () => number
+}
+
+/**
+ * The part of a daemon that decides verdicts, in virtual time: claims, queue, attempts, settlement.
+ *
+ * @internal
+ */
+export class HistoryDaemon {
+	readonly requestIds: RequestIdManager
+	readonly requests: RequestManager
+	readonly allowances = new CountingAllowances()
+
+	constructor(private readonly options: Options) {
+		const { timers, instance, state, transport, backends, random } = options
+		const getState = () => state
+		let made = 0
+		const createRandom = () => (made++).toString(16).padStart(16, '0')
+		this.requestIds = new RequestIdManager({ timers, instance, transport, logger, createRandom })
+		this.requests = new RequestManager({
+			timers,
+			logger,
+			metrics: new MetricsManager(),
+			allowances: this.allowances,
+			placement: new PlacementManager({
+				timers,
+				policy: new RandomPlacement(random),
+				availabilityZone: 'zone-1',
+				instance,
+				getState,
+				getPeerRunning: () => 0,
+				getListings: () => new Map(),
+			}),
+			backends,
+			policy: new FleetShare(),
+			getState,
+			getPeerLoad: () => new Map(),
+			budget: createFullBudget(),
+			onEnd: (requestId, verdict) => {
+				this.requestIds.settle(requestId, verdict)
+			},
+		})
+	}
+
+	get isDead(): boolean {
+		return this.options.backends.isDead
+	}
+
+	/** Kills the daemon: no answer, claim or attempt of it goes out any more. */
+	kill(): void {
+		this.options.backends.isDead = true
+		this.requests.stop()
+	}
+
+	/**
+	 * Submits a request as the callers' port does.
+	 *
+	 * @param onAnswer - called with the request's id and verdict
+	 */
+	async submit(
+		submission: { readonly requestId: string; readonly idempotent: boolean; readonly queue: Queue },
+		onAnswer: (requestId: string, verdict: string) => void
+	): Promise<RecordedResponse> {
+		const { idempotent, queue } = submission
+		const claim = await this.requestIds.claim(submission.requestId, { idempotent })
+		const requestId = claim.type === 'claimed' ? claim.requestId : submission.requestId
+		const recorded = new RecordedResponse((verdict) => {
+			if (!this.isDead) onAnswer(requestId, verdict)
+		})
+		if (claim.type === 'refused') {
+			recorded.setHeader('mastichead-verdict', claim.refusal.verdict)
+			recorded.end()
+			return recorded
+		}
+		const body = await RequestBody.read(createEmptyBody(), 0)
+		const headers = { requestId, idempotent, timeout: undefined, path: '/' }
+		const { response } = recorded
+		const request = EMPTY_REQUEST
+		this.requests.submit({ requestId, team: 'desk', queue, headers, body, request, response })
+		return recorded
+	}
+}
+
+/** A short history would earn no retry by itself. */
+function createFullBudget(): RetryBudget {
+	const budget = new RetryBudget({ burst: 20 })
+	for (let count = 0; count < 200; count++) budget.addRequest()
+	return budget
+}
+
+function createEmptyBody(): IncomingMessage {
+	const iterator = () => ({ next: () => Promise.resolve({ done: true, value: undefined }) })
+	return { iterator } as unknown as IncomingMessage
+}
