--- a/packages/daemon/src/lib/Daemon.ts
+++ b/packages/daemon/src/lib/Daemon.ts
@@ -11,7 +11,9 @@
 import { CallerServer } from './callers/CallerServer.js'
 import { RequestManager } from './callers/RequestManager.js'
 import { KeyManager } from './keys/KeyManager.js'
+import { HttpLogClient } from './log/HttpLogClient.js'
 import { LogManager } from './log/LogManager.js'
+import { SnapshotManager } from './log/SnapshotManager.js'
 import { MetricsManager } from './metrics/MetricsManager.js'
 import { PlacementManager } from './placement/PlacementManager.js'
 import { RequestIdManager } from './requestIds/RequestIdManager.js'
@@ -19,6 +21,7 @@
 import type { Settings } from './settings/Settings.js'
 
 const INCARNATION_BYTES = 6
+const READY_POLL_MILLISECONDS = 20
 
 interface Options {
 	readonly settings: Settings
@@ -35,6 +38,7 @@
 	/** Name of this incarnation; a daemon that starts again has another. */
 	readonly instance: InstanceId
 	readonly log: LogManager
+	readonly snapshots: SnapshotManager
 	readonly keys: KeyManager
 	readonly allowances: AllowanceManager
 	readonly placement: PlacementManager
@@ -48,10 +52,23 @@
 		const { settings, logger, timers } = options
 		const { availabilityZone } = settings
 		this.instance = `${settings.instance}.${randomBytes(INCARNATION_BYTES).toString('hex')}`
-		const url = settings.platform.urls[0] ?? ''
-		this.log = new LogManager({ timers, logger, url, instance: settings.instance })
+		const client = new HttpLogClient(timers, settings.platform.urls, settings.instance)
+		this.log = new LogManager(timers, client, logger)
 		const getState = () => this.log.state
-		this.keys = new KeyManager(getState)
+		this.snapshots = new SnapshotManager(
+			timers,
+			this.log,
+			logger,
+			this.instance,
+			settings.platform.snapshotMilliseconds
+		)
+		this.keys = new KeyManager(
+			timers,
+			this.log,
+			logger,
+			this.instance,
+			settings.keys.isolatedServeMilliseconds
+		)
 		this.allowances = new AllowanceManager({
 			timers,
 			log: this.log,
@@ -106,10 +123,13 @@
 	/** Opens every port; rejects when one cannot be opened. */
 	async start(): Promise<void> {
 		const { logger, settings } = this.options
-		this.log.subscribe(() => {
+		this.log.onChange(() => {
 			this.backends.retain(this.log.state.backendServers)
 		})
-		await this.log.start()
+		this.snapshots.start()
+		this.log.start()
+		this.keys.start()
+		await this.waitUntilReady()
 		await this.allowances.start()
 		await this.callers.start()
 		logger.info('daemon-started', {
@@ -132,12 +152,22 @@
 		if (end === 'expired') logger.warn('shutdown-cut', { requests: this.requests.size })
 		await this.allowances.leave()
 		this.requests.stop()
-		this.log.stop()
+		this.keys.stop()
+		this.snapshots.stop()
+		await this.log.stop()
 		this.callers.stop()
 		this.backends.close()
 		logger.info('daemon-stopped')
 	}
 
+	private async waitUntilReady(): Promise<void> {
+		while (!this.log.isReady) {
+			await new Promise<void>((resolve) => {
+				this.options.timers.after(READY_POLL_MILLISECONDS, resolve)
+			})
+		}
+	}
+
 	private async waitUntilIdle(): Promise<void> {
 		await this.requests.waitUntilIdle()
 		await this.callers.waitUntilQuiet()
--- a/packages/daemon/src/lib/callers/RequestManager.ts
+++ b/packages/daemon/src/lib/callers/RequestManager.ts
@@ -233,7 +233,7 @@
 		const { start, outcome, runEndsAt } = failed
 		const { placement, allowances } = this.options
 		const isNotRun = getVerdict(outcome) === 'not-run'
-		const server = placement.reserve(row.queue.pool, row.attempts.excluded)
+		const server = placement.reserve(row.queue.pool, row.team, row.attempts.excluded)
 		const unit = server && (isNotRun ? start.unit : allowances.tryStart(row.team))
 		if (server === undefined || unit === undefined) {
 			if (server !== undefined) placement.release(server)
