Follow the instance list and share connections among current members

Cause: leaving and removed backend servers of the platform's list still got work, since nothing read the list; members that vanished counted for the share of connections for an hour. Backend servers in service are worked out once per offset and list instead of once per request.

--- a/packages/daemon/src/lib/Daemon.ts
+++ b/packages/daemon/src/lib/Daemon.ts
@@ -15,6 +15,7 @@
 import { LogManager } from './log/LogManager.js'
 import { SnapshotManager } from './log/SnapshotManager.js'
 import { MetricsManager } from './metrics/MetricsManager.js'
+import { InstanceListManager } from './placement/InstanceListManager.js'
 import { PlacementManager } from './placement/PlacementManager.js'
 import { RequestIdManager } from './requestIds/RequestIdManager.js'
 import { UnconnectedClaimTransport } from './requestIds/UnconnectedClaimTransport.js'
@@ -41,6 +42,7 @@
 	readonly snapshots: SnapshotManager
 	readonly keys: KeyManager
 	readonly allowances: AllowanceManager
+	readonly instances: InstanceListManager
 	readonly placement: PlacementManager
 	readonly backends: BackendManager
 	readonly requestIds: RequestIdManager
@@ -76,6 +78,12 @@
 			availabilityZone,
 			peerAddress: this.getPeerAddress(),
 		})
+		this.instances = new InstanceListManager({
+			timers,
+			logger,
+			urls: settings.platform.urls,
+			instance: settings.instance,
+		})
 		this.placement = new PlacementManager({
 			timers,
 			policy: new PowerOfTwoPlacement(Math.random),
@@ -83,7 +91,7 @@
 			instance: this.instance,
 			getState,
 			getPeerRunning: () => 0,
-			getListings: () => new Map(),
+			getListings: () => this.instances.listings,
 		})
 		this.backends = new BackendManager({
 			timers,
@@ -129,6 +137,7 @@
 		this.snapshots.start()
 		this.log.start()
 		this.keys.start()
+		this.instances.start()
 		await this.waitUntilReady()
 		await this.allowances.start()
 		await this.callers.start()
@@ -153,6 +162,7 @@
 		await this.allowances.leave()
 		this.requests.stop()
 		this.keys.stop()
+		this.instances.stop()
 		this.snapshots.stop()
 		await this.log.stop()
 		this.callers.stop()
--- a/packages/daemon/src/lib/placement/PlacementManager.ts
+++ b/packages/daemon/src/lib/placement/PlacementManager.ts
@@ -6,6 +6,7 @@
 	getConnectionShare,
 	getPlaceableServers,
 	type InstanceId,
+	type Member,
 	OutlierEjection,
 	type PlacementCandidate,
 	type PlacementPolicy,
@@ -38,6 +39,10 @@
 export class PlacementManager extends ServerSource {
 	private readonly running = new Map<BackendServerId, number>()
 	private readonly ejection: OutlierEjection
+	/** Backend servers in service by pool, until the fleet or the list changes. */
+	private readonly servers = new Map<PoolId, readonly BackendServer[]>()
+	private serversOffset = -1
+	private serversListings: ReadonlyMap<BackendServerId, ServerListing> | undefined
 
 	constructor(private readonly options: Options) {
 		super()
@@ -54,10 +59,6 @@
 		excluded: ReadonlySet<BackendServerId> = new Set()
 	): BackendServerId | undefined {
 		const servers = this.getServers(pool)
-		this.ejection.setPool(
-			pool,
-			servers.map((server) => server.name)
-		)
 		const { availabilityZone, instance } = this.options
 		const server = this.options.policy.choose({
 			availabilityZone,
@@ -105,11 +106,26 @@
 
 	/** Connections that this daemon may hold to a backend server. */
 	getConnections(server: BackendServer): number {
-		return getConnectionShare(server, this.options.getState().members.size)
+		return getConnectionShare(server, this.getCurrentMembers().length)
 	}
 
 	private getServers(pool: PoolId): readonly BackendServer[] {
-		return getPlaceableServers(this.options.getState(), pool, this.options.getListings())
+		const state = this.options.getState()
+		const listings = this.options.getListings()
+		if (state.offset !== this.serversOffset || listings !== this.serversListings) {
+			this.servers.clear()
+			this.serversOffset = state.offset
+			this.serversListings = listings
+		}
+		const known = this.servers.get(pool)
+		if (known) return known
+		const servers = getPlaceableServers(state, pool, listings)
+		this.servers.set(pool, servers)
+		this.ejection.setPool(
+			pool,
+			servers.map((server) => server.name)
+		)
+		return servers
 	}
 
 	private getCandidate(server: BackendServer): PlacementCandidate {
@@ -125,10 +141,15 @@
 	}
 
 	private getZoneInstances(): InstanceId[] {
-		return [...this.options.getState().members.values()]
+		return this.getCurrentMembers()
 			.filter((member) => member.availabilityZone === this.options.availabilityZone)
 			.map((member) => member.instance)
 	}
+
+	/** Members whose lease has not lapsed; those that vanished hold no connections. */
+	private getCurrentMembers(): Member[] {
+		return [...this.options.getState().members.values()].filter((member) => !member.lapsed)
+	}
 }
 
 function getResult(outcome: AttemptOutcome): 'success' | 'failure' | 'neutral' {
--- a/packages/daemon/src/lib/testing/createCallerPath.ts
+++ b/packages/daemon/src/lib/testing/createCallerPath.ts
@@ -15,6 +15,7 @@
 import { RequestIdManager } from '../requestIds/RequestIdManager.js'
 import { UnconnectedClaimTransport } from '../requestIds/UnconnectedClaimTransport.js'
 import { parseSettings } from '../settings/parseSettings.js'
+import { FixedLog } from './FixedLog.js'
 import { CountingAllowances } from './CountingAllowances.js'
 
 interface Options {
@@ -72,7 +73,12 @@
 		logger,
 		timers,
 		requests,
-		authenticator: new KeyManager(getState),
+		authenticator: new KeyManager(
+			timers,
+			new FixedLog(timers, logger, options.state),
+			logger,
+			instance
+		),
 		requestIds,
 		getState,
 	})
