--- a/packages/daemon/src/lib/testing/createCallerPath.ts
+++ b/packages/daemon/src/lib/testing/createCallerPath.ts
@@ -8,6 +8,7 @@
 import { BackendManager } from '../backends/BackendManager.js'
 import { CallerServer } from '../callers/CallerServer.js'
 import { RequestManager } from '../callers/RequestManager.js'
+import type { KeyLog } from '../keys/KeyLog.js'
 import { KeyManager } from '../keys/KeyManager.js'
 import { MetricsManager } from '../metrics/MetricsManager.js'
 import { PlacementManager } from '../placement/PlacementManager.js'
@@ -15,7 +16,6 @@
 import { RequestIdManager } from '../requestIds/RequestIdManager.js'
 import { UnconnectedClaimTransport } from '../requestIds/UnconnectedClaimTransport.js'
 import { parseSettings } from '../settings/parseSettings.js'
-import { FixedLog } from './FixedLog.js'
 import { CountingAllowances } from './CountingAllowances.js'
 
 interface Options {
@@ -48,6 +48,11 @@
 		getPeerRunning: () => 0,
 		getListings: () => new Map(),
 	})
+	const log: KeyLog = {
+		state: options.state,
+		platformContactAt: timers.now(),
+		propose: () => Promise.reject(new Error('there is no log')),
+	}
 	const backends = new BackendManager({
 		timers,
 		getConnections: (server) => placement.getConnections(server),
@@ -73,12 +78,7 @@
 		logger,
 		timers,
 		requests,
-		authenticator: new KeyManager(
-			timers,
-			new FixedLog(timers, logger, options.state),
-			logger,
-			instance
-		),
+		authenticator: new KeyManager(timers, log, logger, instance),
 		requestIds,
 		getState,
 	})
