--- a/packages/daemon/src/lib/Daemon.ts
+++ b/packages/daemon/src/lib/Daemon.ts
@@ -24,6 +24,7 @@
 import { LocalPeerHandler } from './peers/LocalPeerHandler.js'
 import { PeerClaimTransport } from './peers/PeerClaimTransport.js'
 import { PeerManager } from './peers/PeerManager.js'
+import { InstanceListManager } from './placement/InstanceListManager.js'
 import { PlacementManager } from './placement/PlacementManager.js'
 import { RequestIdManager } from './requestIds/RequestIdManager.js'
 import type { Settings } from './settings/Settings.js'
@@ -53,6 +54,7 @@
 	readonly peers: PeerManager
 	readonly allowances: AllowanceManager
 	readonly membership: MembershipManager
+	readonly instances: InstanceListManager
 	readonly placement: PlacementManager
 	readonly backends: BackendManager
 	readonly requestIds: RequestIdManager
@@ -106,6 +108,12 @@
 				this.callers.leave()
 			},
 		})
+		this.instances = new InstanceListManager({
+			timers,
+			logger,
+			urls: settings.platform.urls,
+			instance: settings.instance,
+		})
 		this.placement = new PlacementManager({
 			timers,
 			policy: new PowerOfTwoPlacement(Math.random),
@@ -113,7 +121,7 @@
 			instance: this.instance,
 			getState,
 			getPeerRunning: (server) => this.peers.getPeerRunning(server),
-			getListings: () => new Map(),
+			getListings: () => this.instances.listings,
 		})
 		this.backends = new BackendManager({
 			timers,
@@ -183,6 +191,7 @@
 		this.keys.start()
 		this.log.setPeerLogs(() => this.peers.getPeerLogs())
 		await this.peers.start()
+		this.instances.start()
 		await this.waitUntilReady()
 		await this.membership.start()
 		this.allowances.start()
@@ -213,6 +222,7 @@
 		this.peers.stop()
 		this.requests.stop()
 		this.keys.stop()
+		this.instances.stop()
 		this.snapshots.stop()
 		await this.log.stop()
 		this.callers.stop()
