--- /dev/null
+++ b/packages/core/src/lib/moves/GreedyMovePolicy.ts
@@ -0,0 +1,40 @@
+import { MovePolicy } from './MovePolicy.js'
+import type { MoveView } from './MoveView.js'
+import type { PoolMove } from './PoolMove.js'
+import type { PoolSupply } from './PoolSupply.js'
+
+/**
+ * Moves backend servers to whatever pool has more work than slots at this instant, from the pools
+ * with the most idle ones. A baseline.
+ *
+ * @public
+ */
+export class GreedyMovePolicy extends MovePolicy {
+	override readonly name = 'greedy'
+
+	override plan({ pools }: MoveView): readonly PoolMove[] {
+		const idle = new Map(pools.map((pool) => [pool.pool, countIdle(pool)]))
+		const moves: PoolMove[] = []
+		for (const pool of pools) {
+			for (let missing = countMissing(pool); missing > 0; missing -= 1) {
+				const [donor, count] = [...idle].reduce((a, b) => (b[1] > a[1] ? b : a))
+				if (count < 1 || donor === pool.pool) break
+				idle.set(donor, count - 1)
+				moves.push({ from: donor, to: pool.pool })
+			}
+		}
+		return moves
+	}
+}
+
+function countWanted({ slots, demand }: PoolSupply): number {
+	return Math.ceil((demand.running + demand.queued) / slots)
+}
+
+function countMissing(pool: PoolSupply): number {
+	return countWanted(pool) - pool.available - pool.arriving
+}
+
+function countIdle(pool: PoolSupply): number {
+	return Math.min(pool.givable, pool.available - countWanted(pool))
+}
--- /dev/null
+++ b/packages/core/src/lib/moves/MovePlannerOptions.ts
@@ -0,0 +1,9 @@
+/**
+ * Options of {@link MovePlanner}.
+ *
+ * @public
+ */
+export interface MovePlannerOptions {
+	/** Moves under way at once; by default 8. */
+	readonly maximumMoving?: number | undefined
+}
--- /dev/null
+++ b/packages/core/src/lib/moves/MovePolicy.ts
@@ -0,0 +1,14 @@
+import type { MoveView } from './MoveView.js'
+import type { PoolMove } from './PoolMove.js'
+
+/**
+ * Decides which pools give backend servers to which. Called every tick.
+ *
+ * @public
+ */
+export abstract class MovePolicy {
+	abstract readonly name: string
+
+	/** Moves to begin now. The planner takes as many as budgets allow, in this order. */
+	abstract plan(view: MoveView): readonly PoolMove[]
+}
--- /dev/null
+++ b/packages/core/src/lib/moves/createMoveView.ts
@@ -0,0 +1,68 @@
+import type { PoolId } from '../ids/PoolId.js'
+import type { FleetState } from '../state/FleetState.js'
+import type { Milliseconds } from '../time/Milliseconds.js'
+import type { AvailabilityLedger } from '../waves/AvailabilityLedger.js'
+import type { MoveView } from './MoveView.js'
+import type { PoolDemand } from './PoolDemand.js'
+
+/** Backend servers above its minimum that a pool keeps, so that its own can be maintained. */
+const MAINTENANCE_RESERVE = 1
+
+/**
+ * Puts together what a move policy decides on.
+ *
+ * @param demands - demand by pool; a pool without a row is passed over
+ * @param now - instant of the proposer's monotonic clock
+ * @public
+ */
+export function createMoveView(
+	state: FleetState,
+	ledger: AvailabilityLedger,
+	demands: ReadonlyMap<PoolId, PoolDemand>,
+	now: Milliseconds
+): MoveView {
+	const arriving = countArriving(state)
+	const slots = countSlots(state)
+	const pools = [...state.pools.values()].flatMap((pool) => {
+		const demand = demands.get(pool.name)
+		if (!demand) return []
+		const { available, unavailable } = ledger.getAvailability(pool.name)
+		const givable = Math.min(
+			available - pool.minimumAvailable - MAINTENANCE_RESERVE,
+			pool.maximumUnavailable - unavailable
+		)
+		return {
+			pool: pool.name,
+			spare: pool.spare,
+			available,
+			arriving: arriving.get(pool.name) ?? 0,
+			givable: Math.max(0, givable),
+			slots: slots.get(pool.name) ?? slots.get(undefined) ?? 1,
+			demand,
+		}
+	})
+	return { now, pools }
+}
+
+function countArriving(state: FleetState): ReadonlyMap<PoolId, number> {
+	const arriving = new Map<PoolId, number>()
+	for (const { pool, activity } of state.placements.values()) {
+		let to: PoolId | undefined
+		if (activity.type === 'joining') to = pool
+		if (activity.type === 'draining' && activity.reason === 'move') to = activity.to
+		if (to !== undefined) arriving.set(to, (arriving.get(to) ?? 0) + 1)
+	}
+	return arriving
+}
+
+/** Mean slots of a backend server by pool, and of the whole fleet under `undefined`. */
+function countSlots(state: FleetState): ReadonlyMap<PoolId | undefined, number> {
+	const sums = new Map<PoolId | undefined, { slots: number; count: number }>()
+	for (const { name, slots } of state.backendServers.values()) {
+		for (const key of [state.placements.get(name)?.pool, undefined]) {
+			const sum = sums.get(key) ?? { slots: 0, count: 0 }
+			sums.set(key, { slots: sum.slots + slots, count: sum.count + 1 })
+		}
+	}
+	return new Map([...sums].map(([pool, { slots, count }]) => [pool, slots / count]))
+}
--- /dev/null
+++ b/packages/core/src/lib/waves/WavePlanner.ts
@@ -0,0 +1,168 @@
+import type { BackendServerId } from '../ids/BackendServerId.js'
+import type { WaveId } from '../ids/WaveId.js'
+import type { WaveStep } from '../log/WaveStep.js'
+import type { FleetState } from '../state/FleetState.js'
+import type { Placement } from '../state/Placement.js'
+import type { Wave } from '../state/Wave.js'
+import type { Milliseconds } from '../time/Milliseconds.js'
+import { AvailabilityLedger } from './AvailabilityLedger.js'
+import { isInWave } from './isInWave.js'
+import type { MaintenanceEvidence } from './MaintenanceEvidence.js'
+import { orderCandidates } from './orderCandidates.js'
+import type { PlannedWaveStep } from './PlannedWaveStep.js'
+import type { WavePlan } from './WavePlan.js'
+import type { WavePlannerOptions } from './WavePlannerOptions.js'
+
+const MAINTENANCE_TIMEOUT: Milliseconds = 3_600_000
+
+/**
+ * Works out which steps of the waves are due. It keeps nothing between calls, so that any daemon
+ * may go on where another stopped; the fold decides on what it proposes.
+ *
+ * Within a wave, the pools that need the most rounds go first, since they end last.
+ *
+ * @public
+ */
+export class WavePlanner {
+	private readonly maintenanceTimeout: Milliseconds
+
+	constructor(options: WavePlannerOptions = {}) {
+		this.maintenanceTimeout = options.maintenanceTimeout ?? MAINTENANCE_TIMEOUT
+	}
+
+	plan(state: FleetState, evidence: MaintenanceEvidence): WavePlan {
+		const steps: PlannedWaveStep[] = []
+		const reasons = new Map<WaveId, string>()
+		const waves = [...state.waves.values()].filter(hasWork)
+		if (waves.length === 0) return { steps, reasons }
+		const ledger = new AvailabilityLedger(state)
+		for (const wave of waves) {
+			steps.push(...this.planStarted(state, evidence, ledger, wave))
+			if (wave.state === 'running') steps.push(...planDrains(state, ledger, wave, reasons))
+			else if (wave.state === 'paused') reasons.set(wave.id, wave.reason)
+		}
+		return { steps, reasons }
+	}
+
+	private planStarted(
+		state: FleetState,
+		evidence: MaintenanceEvidence,
+		ledger: AvailabilityLedger,
+		wave: Wave
+	): PlannedWaveStep[] {
+		const steps: PlannedWaveStep[] = []
+		for (const [backendServer, stepState] of wave.steps) {
+			if (stepState === 'done' || stepState === 'failed' || stepState === 'skipped') continue
+			const placement = state.placements.get(backendServer)
+			let step: WaveStep | undefined
+			if (!placement) step = 'abort'
+			else if (stepState === 'draining') {
+				step = planDraining(evidence, ledger, wave, backendServer, placement)
+			} else if (stepState === 'maintenance') {
+				step = this.planMaintenance(state, evidence, ledger, wave, backendServer, placement)
+			}
+			if (step) steps.push(createStep(wave.id, backendServer, step, placement))
+		}
+		return steps
+	}
+
+	private planMaintenance(
+		state: FleetState,
+		evidence: MaintenanceEvidence,
+		ledger: AvailabilityLedger,
+		wave: Wave,
+		backendServer: BackendServerId,
+		placement: Placement
+	): WaveStep | undefined {
+		if (!isInWave(placement, wave.id, 'maintenance')) return 'abort'
+		const progress = evidence.getProgress(wave.id, backendServer)
+		if (progress === 'failed') return 'fail'
+		const isHealthy = ledger.health.getHealth(backendServer) === 'healthy'
+		if (progress === 'done' && isHealthy && evidence.isReady(backendServer)) return 'finish'
+		const age = state.at - (placement.since?.at ?? state.at)
+		if (age > this.maintenanceTimeout && progress !== 'unknown') return 'fail'
+		return undefined
+	}
+}
+
+function hasWork(wave: Wave): boolean {
+	if (wave.state === 'running' || wave.state === 'paused') return true
+	return wave.state === 'aborted' && [...wave.steps.values()].includes('maintenance')
+}
+
+/** A drain goes on while the wave runs and the budget holds; otherwise its capacity comes back. */
+function planDraining(
+	evidence: MaintenanceEvidence,
+	ledger: AvailabilityLedger,
+	wave: Wave,
+	backendServer: BackendServerId,
+	placement: Placement
+): WaveStep | undefined {
+	if (!isInWave(placement, wave.id, 'draining')) return 'abort'
+	if (wave.state !== 'running') return 'abort'
+	if (ledger.checkPool(placement.pool) !== undefined) return 'abort'
+	return evidence.isDrained(backendServer) ? 'maintain' : undefined
+}
+
+function planDrains(
+	state: FleetState,
+	ledger: AvailabilityLedger,
+	wave: Wave,
+	reasons: Map<WaveId, string>
+): PlannedWaveStep[] {
+	const steps: PlannedWaveStep[] = []
+	const out = countOut(wave)
+	let room = wave.parallelism - out
+	let reason = room > 0 ? undefined : `${out} out, parallelism ${wave.parallelism}`
+	for (const candidates of orderCandidates(state, ledger, wave)) {
+		if (room <= 0) break
+		for (const backendServer of candidates) {
+			if (room <= 0) break
+			const rejection = ledger.checkTake(backendServer)
+			if (rejection !== undefined) {
+				reason ??= rejection
+				break
+			}
+			ledger.take(backendServer)
+			room -= 1
+			steps.push(createStep(wave.id, backendServer, 'drain', state.placements.get(backendServer)))
+		}
+	}
+	if (steps.length > 0) return steps
+	reason ??= out > 0 ? 'the steps under way end first' : describeHeldUp(state, ledger, wave)
+	if (reason !== undefined) reasons.set(wave.id, reason)
+	return steps
+}
+
+function countOut(wave: Wave): number {
+	let out = 0
+	for (const step of wave.steps.values()) {
+		if (step === 'draining' || step === 'maintenance') out += 1
+	}
+	return out
+}
+
+/** Names a backend server that the wave still waits for although nothing of it is under way. */
+function describeHeldUp(
+	state: FleetState,
+	ledger: AvailabilityLedger,
+	wave: Wave
+): string | undefined {
+	for (const [backendServer, step] of wave.steps) {
+		const placement = state.placements.get(backendServer)
+		if (step !== 'waiting' || !placement) continue
+		const { type } = placement.activity
+		const what = type === 'serving' ? ledger.health.getHealth(backendServer) : type
+		return `${backendServer} of pool ${placement.pool} is ${what}`
+	}
+	return undefined
+}
+
+function createStep(
+	wave: WaveId,
+	backendServer: BackendServerId,
+	step: WaveStep,
+	placement: Placement | undefined
+): PlannedWaveStep {
+	return { wave, backendServer, step, since: placement?.since?.offset ?? 0 }
+}
--- /dev/null
+++ b/packages/core/src/lib/waves/WavePlannerOptions.ts
@@ -0,0 +1,11 @@
+import type { Milliseconds } from '../time/Milliseconds.js'
+
+/**
+ * Options of {@link WavePlanner}.
+ *
+ * @public
+ */
+export interface WavePlannerOptions {
+	/** Time after which a maintenance that has not ended counts as failed; by default one hour. */
+	readonly maintenanceTimeout?: Milliseconds | undefined
+}
--- /dev/null
+++ b/packages/core/src/lib/waves/orderCandidates.ts
@@ -0,0 +1,72 @@
+import type { AvailabilityZoneId } from '../ids/AvailabilityZoneId.js'
+import type { BackendServerId } from '../ids/BackendServerId.js'
+import type { PoolId } from '../ids/PoolId.js'
+import type { FleetState } from '../state/FleetState.js'
+import type { Wave } from '../state/Wave.js'
+import type { AvailabilityLedger } from './AvailabilityLedger.js'
+
+interface PoolCandidates {
+	readonly zones: Map<AvailabilityZoneId, BackendServerId[]>
+	readonly begun: Set<AvailabilityZoneId>
+	waiting: number
+}
+
+/**
+ * Orders the backend servers that a wave may take next: one list a pool, pools with the most rounds
+ * left first, in a pool zone by zone with those already begun first, in a zone rack by rack.
+ *
+ * @internal
+ */
+export function orderCandidates(
+	state: FleetState,
+	ledger: AvailabilityLedger,
+	wave: Wave
+): readonly (readonly BackendServerId[])[] {
+	const pools = groupByPool(state, ledger, wave)
+	const rounds = (pool: PoolId, { waiting }: PoolCandidates): number =>
+		waiting / Math.max(1, state.pools.get(pool)?.maximumUnavailable ?? 1)
+	return [...pools]
+		.sort(([a, left], [b, right]) => rounds(b, right) - rounds(a, left) || compare(a, b))
+		.map(([, candidates]) => orderPool(state, candidates))
+}
+
+function groupByPool(
+	state: FleetState,
+	ledger: AvailabilityLedger,
+	wave: Wave
+): ReadonlyMap<PoolId, PoolCandidates> {
+	const pools = new Map<PoolId, PoolCandidates>()
+	for (const [backendServer, step] of wave.steps) {
+		const zone = state.backendServers.get(backendServer)?.availabilityZone
+		const pool = state.placements.get(backendServer)?.pool
+		if (zone === undefined || pool === undefined) continue
+		const row = pools.get(pool) ?? createPoolCandidates()
+		pools.set(pool, row)
+		if (step === 'draining' || step === 'maintenance') row.begun.add(zone)
+		if (step !== 'waiting' || !ledger.isAvailable(backendServer)) continue
+		row.waiting += 1
+		const names = row.zones.get(zone)
+		if (names) names.push(backendServer)
+		else row.zones.set(zone, [backendServer])
+	}
+	return pools
+}
+
+function createPoolCandidates(): PoolCandidates {
+	return { zones: new Map(), begun: new Set(), waiting: 0 }
+}
+
+function orderPool(
+	state: FleetState,
+	{ zones, begun }: PoolCandidates
+): readonly BackendServerId[] {
+	const rack = (name: BackendServerId): string => state.backendServers.get(name)?.rack ?? ''
+	return [...zones]
+		.sort(([a], [b]) => Number(begun.has(b)) - Number(begun.has(a)) || compare(a, b))
+		.flatMap(([, names]) => names.sort((a, b) => compare(rack(a), rack(b)) || compare(a, b)))
+}
+
+function compare(a: string, b: string): number {
+	if (a === b) return 0
+	return a < b ? -1 : 1
+}
