--- /dev/null
+++ b/packages/daemon/src/lib/requestIds/UnconnectedClaimTransport.ts
@@ -0,0 +1,16 @@
+import { ClaimTransport } from './ClaimTransport.js'
+
+/**
+ * Transport of a daemon without peers: it reaches no other issuer.
+ *
+ * @public
+ */
+export class UnconnectedClaimTransport extends ClaimTransport {
+	override claim(): ReturnType<ClaimTransport['claim']> {
+		return Promise.resolve({ type: 'unreachable' })
+	}
+
+	override settle(): Promise<boolean> {
+		return Promise.resolve(false)
+	}
+}
