Serve callers over TLS and stop the operators' port gracefully

The callers' port had no TLS although the settings offer it. It now uses the same listener as the operators' port, which also counts connections for both; the callers' answer to one connection too many stays as it was.

The operators' port cut answers under way at the end of a shutdown. A stop now waits for them, at most 5 s, and closes connections as they become idle.

--- a/packages/daemon/src/lib/Daemon.ts
+++ b/packages/daemon/src/lib/Daemon.ts
@@ -185,7 +185,6 @@
 		await this.log.stop()
 		this.callers.stop()
 		this.backends.close()
-		this.operators.destroy()
 		await this.operators.stop()
 		logger.info('daemon-stopped')
 	}
--- a/packages/daemon/src/lib/callers/CallerConnections.ts
+++ b/packages/daemon/src/lib/callers/CallerConnections.ts
@@ -4,27 +4,18 @@
 import type { Refusal } from './Refusal.js'
 
 /**
- * Watches the connections of an HTTP server: bounds them per address, answers what is not HTTP, and
+ * Watches the connections of an HTTP server: answers what is not HTTP or one connection too many, and
  * lets each end with the answer that is under way once the server leaves.
  *
  * @internal
  */
 export class CallerConnections {
-	/** Open connections by remote address. */
-	private readonly counts = new Map<string, number>()
 	/** Answers under way by connection. */
 	private readonly responses = new Map<Duplex, ServerResponse>()
 	private isLeaving = false
 	private onQuiet: (() => void) | undefined
 
-	/** @param maximumPerAddress - connections of one remote address at once */
-	constructor(
-		server: Server,
-		private readonly maximumPerAddress: number
-	) {
-		server.on('connection', (socket) => {
-			this.handleConnection(socket)
-		})
+	constructor(server: Server) {
 		server.prependListener('request', (request, response) => {
 			this.handleRequest(request, response)
 		})
@@ -39,6 +30,11 @@
 		for (const response of this.responses.values()) closeAfter(response)
 	}
 
+	/** Answers a connection that is over the limit of its caller. */
+	refuseExcess(socket: Socket): void {
+		endWith(socket, tooManyConnections)
+	}
+
 	/** Resolves once no answer is under way. */
 	async waitUntilQuiet(): Promise<void> {
 		if (this.responses.size === 0) return
@@ -47,21 +43,6 @@
 		})
 	}
 
-	private handleConnection(socket: Socket): void {
-		const address = socket.remoteAddress ?? ''
-		const count = this.counts.get(address) ?? 0
-		if (count >= this.maximumPerAddress) {
-			endWith(socket, tooManyConnections)
-			return
-		}
-		this.counts.set(address, count + 1)
-		socket.once('close', () => {
-			const left = (this.counts.get(address) ?? 1) - 1
-			if (left > 0) this.counts.set(address, left)
-			else this.counts.delete(address)
-		})
-	}
-
 	private handleRequest(request: IncomingMessage, response: ServerResponse): void {
 		const { socket } = request
 		this.responses.set(socket, response)
--- a/packages/daemon/src/lib/callers/CallerServer.ts
+++ b/packages/daemon/src/lib/callers/CallerServer.ts
@@ -1,6 +1,7 @@
 import type { FleetState, Queue, TeamId, TimerService } from '@mastichead/core'
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Logger } from 'winston'
+import { HttpListener } from '../http/HttpListener.js'
 import type { Settings } from '../settings/Settings.js'
 import type { CallerAuthenticator } from './CallerAuthenticator.js'
 import { bodyTooLarge } from './bodyTooLarge.js'
@@ -13,9 +14,6 @@
 import { sendRefusal } from './sendRefusal.js'
 
 const QUEUE_PATH_PATTERN = /^\/v1\/queues\/([^/]+)\/requests$/
-/** Time between checks for callers whose headers or body do not come in time. */
-const TIMEOUT_CHECK_MILLISECONDS = 1000
-
 const SHORT_RETRY_AFTER_MILLISECONDS = 1000
 
 /** Time in which a request that was sent before its caller knew of the shutdown arrives. */
@@ -37,38 +35,34 @@
  * @public
  */
 export class CallerServer {
-	private readonly server: Server
+	private readonly listener: HttpListener
 	private readonly connections: CallerConnections
 	private isLeaving = false
 
 	constructor(private readonly options: Options) {
-		const { limits } = options.settings
-		this.server = createServer(
-			{
-				maxHeaderSize: limits.headerBytes,
-				headersTimeout: limits.headersTimeoutMilliseconds,
-				requestTimeout: limits.requestTimeoutMilliseconds,
-				keepAliveTimeout: limits.idleTimeoutMilliseconds,
-				connectionsCheckingInterval: TIMEOUT_CHECK_MILLISECONDS,
-			},
-			(request, response) => {
+		const { settings, logger, timers } = options
+		this.listener = new HttpListener({
+			name: 'callers',
+			listener: settings.listeners.callers,
+			limits: settings.limits,
+			timers,
+			logger,
+			handler: (request, response) => {
 				this.handle(request, response).catch((error: unknown) => {
-					options.logger.error('request-crashed', { reason: String(error) })
+					logger.error('request-crashed', { reason: String(error) })
 					response.destroy()
 				})
-			}
-		)
-		this.server.maxConnections = limits.connections
-		this.connections = new CallerConnections(this.server, limits.connectionsPerCaller)
+			},
+			onExcess: (socket) => {
+				this.connections.refuseExcess(socket)
+			},
+		})
+		this.connections = new CallerConnections(this.listener.server)
 	}
 
 	/** Starts listening; rejects when the port cannot be opened. */
 	async start(): Promise<void> {
-		const { host, port } = this.options.settings.listeners.callers
-		await new Promise<void>((resolve, reject) => {
-			this.server.once('error', reject)
-			this.server.listen(port, host, resolve)
-		})
+		await this.listener.start()
 	}
 
 	/**
@@ -93,8 +87,7 @@
 
 	/** Ends every connection. */
 	stop(): void {
-		this.server.close()
-		this.server.closeAllConnections()
+		this.listener.destroy()
 	}
 
 	private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
--- a/packages/daemon/src/lib/http/ConnectionCounter.ts
+++ b/packages/daemon/src/lib/http/ConnectionCounter.ts
@@ -8,9 +8,9 @@
 
 	constructor(private readonly maximum: number) {}
 
-	/** Callers with an open connection. */
-	get size(): number {
-		return this.open.size
+	/** Open connections of all callers. */
+	get count(): number {
+		return [...this.open.values()].reduce((sum, count) => sum + count, 0)
 	}
 
 	/** Counts a connection; false when the caller is at its limit. */
--- a/packages/daemon/src/lib/http/HttpListener.test.ts
+++ b/packages/daemon/src/lib/http/HttpListener.test.ts
@@ -1,4 +1,5 @@
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import type { RequestListener } from 'node:http'
 import { connect as connectPlain, type Socket } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
@@ -25,7 +26,11 @@
 
 async function start(
 	tls: ListenerSettings['tls'],
-	limits: Partial<ReturnType<typeof createTestSettings>['limits']> = {}
+	limits: Partial<ReturnType<typeof createTestSettings>['limits']> = {},
+	handler: RequestListener = (request, response) => {
+		request.resume()
+		response.end('ok')
+	}
 ): Promise<number> {
 	listener = new HttpListener({
 		name: 'callers',
@@ -33,10 +38,7 @@
 		limits: { ...createTestSettings().limits, ...limits },
 		timers,
 		logger: createLogger({ level: 'error' }),
-		handler: (request, response) => {
-			request.resume()
-			response.end('ok')
-		},
+		handler,
 	})
 	await listener.start()
 	return listener.port ?? 0
@@ -146,4 +148,25 @@
 			})
 			.toBe('HTTP/1.1 200 OK')
 	})
+
+	it('lets an answer under way end when it stops, and closes the connection', async () => {
+		let answer = (): unknown => undefined
+		const port = await start(undefined, {}, (_request, response) => {
+			answer = () => response.end('late')
+		})
+		const socket = connectPlain(port, '127.0.0.1')
+		socket.write('GET / HTTP/1.1\r\nHost: a\r\n\r\n')
+		const text = readAll(socket)
+		await expect.poll(() => listener?.connectionCount).toBe(1)
+		const stopped = listener?.stop()
+		await expect.poll(() => answer()).toBeDefined()
+		await expect
+			.poll(() => {
+				timers.advance(50)
+				return listener?.connectionCount
+			})
+			.toBe(0)
+		await stopped
+		expect(await text).toMatch(/^HTTP\/1.1 200 OK[^]*late$/)
+	})
 })
--- a/packages/daemon/src/lib/http/HttpListener.ts
+++ b/packages/daemon/src/lib/http/HttpListener.ts
@@ -17,6 +17,10 @@
 const TLS_RELOAD_INTERVAL_MILLISECONDS = 5_000
 /** Time between looks for connections over their time limit. */
 const CONNECTION_CHECK_INTERVAL_MILLISECONDS = 1_000
+/** Time between closings of connections that became idle during a stop. */
+const IDLE_CHECK_INTERVAL_MILLISECONDS = 50
+/** Time that a stop leaves to answers under way. */
+const STOP_BOUND_MILLISECONDS = 5_000
 
 /**
  * One listening HTTP port with limits on headers, time and connections, and with TLS from files
@@ -33,6 +37,8 @@
 	/**
 	 * @param options.name - name of the listener in settings and logs, such as `callers`
 	 * @param options.listener - address and TLS files
+	 * @param options.onExcess - called with a connection that is over the limit of its caller;
+	 * destroys it by default
 	 */
 	constructor(
 		private readonly options: {
@@ -42,6 +48,7 @@
 			readonly timers: TimerService
 			readonly logger: Logger
 			readonly handler: RequestListener
+			readonly onExcess?: (socket: Socket) => void
 		}
 	) {
 		const { listener, limits, handler } = options
@@ -60,6 +67,11 @@
 		return typeof address === 'object' ? address?.port : undefined
 	}
 
+	/** Connections that are open. */
+	get connectionCount(): number {
+		return this.connections.count
+	}
+
 	/** Opens the port; rejects with the system's error when that fails. */
 	async start(): Promise<void> {
 		const { host, port } = this.options.listener
@@ -76,20 +88,33 @@
 		})
 	}
 
-	/** Takes no new connection and resolves once every request under way has ended. */
+	/**
+	 * Takes no new connection and resolves once every answer under way was given, or after a bound;
+	 * what is left then is cut.
+	 */
 	async stop(): Promise<void> {
+		const { timers } = this.options
 		this.reload?.cancel()
 		if (!this.server.listening) return
+		const sweep = timers.every(IDLE_CHECK_INTERVAL_MILLISECONDS, () => {
+			this.server.closeIdleConnections()
+		})
+		const cut = timers.after(STOP_BOUND_MILLISECONDS, () => {
+			this.server.closeAllConnections()
+		})
 		await new Promise<void>((resolve) => {
 			this.server.close(() => {
 				resolve()
 			})
-			this.server.closeIdleConnections()
 		})
+		sweep.cancel()
+		cut.cancel()
 	}
 
-	/** Closes every connection at once. */
+	/** Takes no new connection and closes every one at once. */
 	destroy(): void {
+		this.reload?.cancel()
+		if (this.server.listening) this.server.close()
 		this.server.closeAllConnections()
 	}
 
@@ -114,7 +139,8 @@
 		const caller = socket.remoteAddress ?? ''
 		if (!this.connections.add(caller)) {
 			this.options.logger.warn('connection-refused', { listener: this.options.name, caller })
-			socket.destroy()
+			if (this.options.onExcess) this.options.onExcess(socket)
+			else socket.destroy()
 			return
 		}
 		socket.once('close', () => {
