--- a/packages/core/src/lib/waves/maintenance.failure.test.ts
+++ b/packages/core/src/lib/waves/maintenance.failure.test.ts
@@ -168,6 +168,8 @@
 			peerAddress: '',
 			renewedAt: 0,
 			sequence: 0,
+			joinedOffset: 0,
+			lapsed: false,
 			allowances: new Map(),
 		}
 		state.members.set(instance, row)
