Get slots from the owner of each pool, over the peers' port

Cause: a burst of 300 requests at 7 daemons ended with 124 refused as not run, since daemons could not see each other's use of the backend servers, and full ones refused until the retry budget was empty. Each pool's slots now have an owner, an entry instance chosen by hash among those that can be reached; an owner that does not answer is passed over for 2 s and the next one is told what is in use. A request that has to start again waits at the front of its queue. Conclusion: shares and placement meet at the owner; losing it costs speed only.

--- a/bench/src/shares/ShareDaemon.ts
+++ b/bench/src/shares/ShareDaemon.ts
@@ -97,8 +97,9 @@
 	}
 
 	private refuse(request: WaitingRequest, server: BackendServerId): void {
-		this.scheduler.putBack(request)
 		this.options.onEnd(server, request.team, 'full')
+		this.scheduler.finish(request)
+		this.scheduler.putBack(request)
 	}
 
 	private later(act: () => void): void {
--- a/packages/core/src/lib/scheduling/Scheduler.ts
+++ b/packages/core/src/lib/scheduling/Scheduler.ts
@@ -39,6 +39,8 @@
  */
 export class Scheduler<Unit = unknown> {
 	readonly queues = new RequestQueues()
+	/** Called when requests of a pool came, ended or wait again. */
+	onChange: (pool: PoolId) => void = () => undefined
 	private readonly running = new Map<PoolId, Map<TeamId, number>>()
 	private isTicking = false
 
@@ -48,12 +50,14 @@
 	submit(request: WaitingRequest): void {
 		this.queues.add(request)
 		this.tickPool(request.pool)
+		this.onChange(request.pool)
 	}
 
-	/** Puts a request that did not run back to the front of its queue, as it was before its start. */
+	/** Puts a request that has to start again to the front of its queue. */
 	putBack(request: WaitingRequest): void {
-		this.count(request.pool, request.team, -1)
 		this.queues.putBack(request)
+		this.tickPool(request.pool)
+		this.onChange(request.pool)
 	}
 
 	/**
@@ -77,6 +81,7 @@
 	finish(request: WaitingRequest): void {
 		this.count(request.pool, request.team, -1)
 		this.tickPool(request.pool)
+		this.onChange(request.pool)
 	}
 
 	/** Refuses late requests and starts what may start, in every pool. */
--- a/packages/core/src/lib/slots/SlotHolder.ts
+++ b/packages/core/src/lib/slots/SlotHolder.ts
@@ -31,13 +31,18 @@
  * @public
  */
 export class SlotHolder {
-	private readonly pools = new Map<PoolId, PoolTable>()
+	private readonly tables = new Map<PoolId, PoolTable>()
 
 	constructor(
 		private readonly instance: InstanceId,
 		private readonly timers: TimerService
 	) {}
 
+	/** Pools with slots, or with ends to report. */
+	get pools(): Iterable<PoolId> {
+		return this.tables.keys()
+	}
+
 	/** Names the owner of a pool's slots; a new one hears first of what is in use. */
 	setOwner(pool: PoolId, owner: InstanceId | undefined): void {
 		const table = this.getTable(pool)
@@ -49,7 +54,7 @@
 	}
 
 	getOwner(pool: PoolId): InstanceId | undefined {
-		return this.pools.get(pool)?.owner
+		return this.tables.get(pool)?.owner
 	}
 
 	/** Takes a grant of the owner. One that does not come from it is passed over. */
@@ -59,10 +64,14 @@
 		table.rows.set(grant.id, { grant, grantedAt: this.timers.now(), isInUse: false })
 	}
 
-	/** Uses a slot for a request of the team. */
-	reserve(pool: PoolId, team: TeamId): BackendServerId | undefined {
+	/** Uses a slot for a request of the team, at a backend server that is not excluded. */
+	reserve(
+		pool: PoolId,
+		team: TeamId,
+		excluded: ReadonlySet<BackendServerId> = new Set()
+	): BackendServerId | undefined {
 		for (const row of this.getRows(pool)) {
-			if (row.isInUse || row.grant.team !== team) continue
+			if (row.isInUse || row.grant.team !== team || excluded.has(row.grant.server)) continue
 			row.isInUse = true
 			return row.grant.server
 		}
@@ -90,7 +99,7 @@
 	/** Gives back grants that no request has used in time. */
 	expire(): void {
 		const oldest = this.timers.now() - UNUSED_MILLISECONDS
-		for (const table of this.pools.values()) {
+		for (const table of this.tables.values()) {
 			for (const row of table.rows.values()) {
 				if (!row.isInUse && row.grantedAt <= oldest) this.remove(row.grant, 'unused')
 			}
@@ -108,7 +117,7 @@
 
 	/** Whether grants ended since the last report. */
 	hasEnds(pool: PoolId): boolean {
-		return (this.pools.get(pool)?.ends.length ?? 0) > 0
+		return (this.tables.get(pool)?.ends.length ?? 0) > 0
 	}
 
 	/** Makes the next report to the owner of a pool. */
@@ -132,14 +141,14 @@
 	}
 
 	private getRows(pool: PoolId): Iterable<Row> {
-		return this.pools.get(pool)?.rows.values() ?? []
+		return this.tables.get(pool)?.rows.values() ?? []
 	}
 
 	private getTable(pool: PoolId): PoolTable {
-		const known = this.pools.get(pool)
+		const known = this.tables.get(pool)
 		if (known) return known
 		const table: PoolTable = { owner: undefined, isNewOwner: true, ends: [], rows: new Map() }
-		this.pools.set(pool, table)
+		this.tables.set(pool, table)
 		return table
 	}
 }
--- a/packages/core/src/lib/slots/SlotOwner.ts
+++ b/packages/core/src/lib/slots/SlotOwner.ts
@@ -64,6 +64,8 @@
 	private readonly pools = new Map<PoolId, PoolTable>()
 	private readonly ejection: OutlierEjection
 	private readonly probes = new Set<string>()
+	/** Backend servers whose last request failed; they are used after the others. */
+	private readonly failing = new Set<BackendServerId>()
 	private lastGrant = 0
 
 	constructor(private readonly options: Options) {
@@ -189,8 +191,10 @@
 				(table.serverRunning.get(server.name) ?? 0) < server.slots &&
 				this.ejection.isOpen(server.name)
 		)
-		const local = open.filter((server) => server.availabilityZone === zone)
-		const tier = local.length > 0 ? local : open
+		const good = open.filter((server) => !this.failing.has(server.name))
+		const usable = good.length > 0 ? good : open
+		const local = usable.filter((server) => server.availabilityZone === zone)
+		const tier = local.length > 0 ? local : usable
 		let best: Server | undefined
 		let bestLoad = Infinity
 		for (const server of tier) {
@@ -211,6 +215,8 @@
 		const grant = table.grants.get(id)
 		if (!grant) return
 		const probe = this.probes.delete(id)
+		if (result === 'failure') this.failing.add(grant.server)
+		if (result === 'success') this.failing.delete(grant.server)
 		const isNeutral = result === 'unused' || result === 'full'
 		this.ejection.noteEnd(grant.server, { result: isNeutral ? 'neutral' : result, probe })
 		if (result !== 'full') {
--- a/packages/daemon/src/lib/Daemon.ts
+++ b/packages/daemon/src/lib/Daemon.ts
@@ -1,9 +1,4 @@
-import {
-	FleetShare,
-	type InstanceId,
-	PowerOfTwoPlacement,
-	type TimerService,
-} from '@mastichead/core'
+import { LocalShare, type InstanceId, type TimerService } from '@mastichead/core'
 import { credentials, ServerCredentials } from '@grpc/grpc-js'
 import { randomBytes } from 'node:crypto'
 import type { Logger } from 'winston'
@@ -23,10 +18,11 @@
 import { LocalDigestSource } from './peers/LocalDigestSource.js'
 import { LocalPeerHandler } from './peers/LocalPeerHandler.js'
 import { PeerClaimTransport } from './peers/PeerClaimTransport.js'
+import { PeerSlotTransport } from './peers/PeerSlotTransport.js'
 import { PeerManager } from './peers/PeerManager.js'
 import { InstanceListManager } from './placement/InstanceListManager.js'
-import { PlacementManager } from './placement/PlacementManager.js'
 import { RequestIdManager } from './requestIds/RequestIdManager.js'
+import { SlotManager } from './slots/SlotManager.js'
 import type { Settings } from './settings/Settings.js'
 
 const INCARNATION_BYTES = 6
@@ -55,7 +51,7 @@
 	readonly allowances: AllowanceManager
 	readonly membership: MembershipManager
 	readonly instances: InstanceListManager
-	readonly placement: PlacementManager
+	readonly slots: SlotManager
 	readonly backends: BackendManager
 	readonly requestIds: RequestIdManager
 	readonly metrics = new MetricsManager()
@@ -114,18 +110,18 @@
 			urls: settings.platform.urls,
 			instance: settings.instance,
 		})
-		this.placement = new PlacementManager({
+		this.slots = new SlotManager({
 			timers,
-			policy: new PowerOfTwoPlacement(Math.random),
-			availabilityZone,
 			instance: this.instance,
+			transport: new PeerSlotTransport(this.peers),
 			getState,
-			getPeerRunning: (server) => this.peers.getPeerRunning(server),
 			getListings: () => this.instances.listings,
+			getScheduler: () => this.requests.scheduler,
+			getRoom: (team) => this.allowances.getRoom(team),
 		})
 		this.backends = new BackendManager({
 			timers,
-			getConnections: (server) => this.placement.getConnections(server),
+			getConnections: (server) => this.slots.getConnections(server),
 		})
 		this.requestIds = new RequestIdManager({
 			timers,
@@ -138,9 +134,9 @@
 			logger,
 			metrics: this.metrics,
 			allowances: this.allowances,
-			placement: this.placement,
+			slots: this.slots,
 			backends: this.backends,
-			policy: new FleetShare(),
+			policy: new LocalShare(),
 			getState,
 			getPeerLoad: (pool) => this.peers.getPeerLoad(pool),
 			onEnd: (requestId, verdict) => {
@@ -195,6 +191,7 @@
 		await this.waitUntilReady()
 		await this.membership.start()
 		this.allowances.start()
+		this.slots.start()
 		await this.callers.start()
 		logger.info('daemon-started', {
 			incarnation: this.instance,
@@ -220,6 +217,7 @@
 		await this.membership.leave(LEAVE_GRACE_MILLISECONDS)
 		this.allowances.stop()
 		this.peers.stop()
+		this.slots.stop()
 		this.requests.stop()
 		this.keys.stop()
 		this.instances.stop()
@@ -248,13 +246,15 @@
 			source: new LocalDigestSource({
 				allowances: () => this.allowances,
 				scheduler: () => this.requests.scheduler,
-				placement: () => this.placement,
+				slots: () => this.slots,
 				keys: () => this.keys,
 				isLeaving: () => this.isLeaving,
 			}),
 			handler: new LocalPeerHandler({
 				allowances: () => this.allowances,
 				log: this.log,
+				slots: () => this.slots,
+				instance: this.instance,
 				claims: new LocalClaimHandler(() => this.requestIds),
 				exchange: (digest) => this.peers.answerExchange(digest),
 			}),
--- a/packages/daemon/src/lib/allowances/AllowanceManager.ts
+++ b/packages/daemon/src/lib/allowances/AllowanceManager.ts
@@ -68,6 +68,11 @@
 		this.planner.leave()
 	}
 
+	/** Requests of a team that may start here now. */
+	getRoom(team: TeamId): number {
+		return Math.max(0, this.holder.getCapacity(team) - this.holder.getRunning(team))
+	}
+
 	override tryStart(team: TeamId): AllowanceUnit | undefined {
 		return this.planner.tryStart(team)
 	}
--- a/packages/daemon/src/lib/callers/RequestManager.ts
+++ b/packages/daemon/src/lib/callers/RequestManager.ts
@@ -24,7 +24,8 @@
 import type { Logger } from 'winston'
 import type { BackendManager } from '../backends/BackendManager.js'
 import type { MetricsManager } from '../metrics/MetricsManager.js'
-import type { PlacementManager } from '../placement/PlacementManager.js'
+import { getSlotResult } from '../slots/getSlotResult.js'
+import type { RequestSlots } from '../slots/RequestSlots.js'
 import type { CallerHeaders } from './CallerHeaders.js'
 import type { CallerRequest } from './CallerRequest.js'
 import type { RequestBody } from './RequestBody.js'
@@ -45,7 +46,7 @@
 	readonly logger: Logger
 	readonly metrics: MetricsManager
 	readonly allowances: AllowanceSource<Unit>
-	readonly placement: PlacementManager
+	readonly slots: RequestSlots
 	readonly backends: BackendManager
 	readonly policy: SharePolicy
 	readonly getState: () => FleetState
@@ -82,12 +83,12 @@
 	private onIdle: () => void = () => undefined
 
 	constructor(private readonly options: Options<Unit>) {
-		const { timers, allowances, placement, policy, getPeerLoad } = options
+		const { timers, allowances, slots, policy, getPeerLoad } = options
 		this.budget = options.budget ?? new RetryBudget()
 		this.scheduler = new Scheduler<Unit>({
 			timers,
 			allowances,
-			servers: placement,
+			servers: slots,
 			policy,
 			getPeerLoad,
 			getShares: () => this.getShares(),
@@ -98,6 +99,9 @@
 				this.refuseLate(waiting)
 			},
 		})
+		this.scheduler.onChange = (pool) => {
+			slots.wake(pool)
+		}
 		this.ticks = timers.every(TICK_MILLISECONDS, () => {
 			this.scheduler.tick()
 		})
@@ -175,28 +179,24 @@
 			void this.runAttempt(row, start)
 			return
 		}
-		this.options.placement.release(start.server)
+		this.options.slots.release(start.server, start.request.pool, start.request.team)
 		this.options.allowances.finish(start.unit)
 		this.scheduler.finish(start.request)
 	}
 
 	private async runAttempt(row: CallerRequest, start: Start<Unit>): Promise<void> {
-		const { placement, timers } = this.options
-		const runEndsAt = timers.now() + row.queue.runMilliseconds
+		const runEndsAt = this.options.timers.now() + row.queue.runMilliseconds
 		row.attempts.start(start.server)
-		const isProbe = placement.noteStart(start.server)
 		const outcome = await this.send(row, start.server)
 		row.running = undefined
-		placement.noteEnd(start.server, outcome, isProbe)
 		this.logAttempt(row, start.server, outcome)
 		const decision = row.attempts.end(outcome, { replayable: row.body.isReplayable })
-		if (decision.type !== 'final' && row.response.destroyed) {
+		if (decision.type === 'final') this.end(row, decision.answer)
+		else if (row.response.destroyed) {
 			this.end(row, createFinalAnswer(outcome, row.attempts.verdict))
-		} else if (decision.type === 'retry') {
-			if (this.retry(row, { start, outcome, runEndsAt })) return
-		} else if (decision.type === 'wait') this.requeue(row)
-		else this.end(row, decision.answer)
+		}
 		this.giveBack(start, outcome, runEndsAt)
+		if (!row.hasEnded) this.requeue(row)
 	}
 
 	private send(row: CallerRequest, server: BackendServerId): Promise<AttemptOutcome> {
@@ -220,66 +220,24 @@
 		return attempt.ended
 	}
 
-	/**
-	 * Sends the request to another backend server. Without one it waits again when it did not run,
-	 * and ends otherwise.
-	 *
-	 * @returns whether the start that failed was taken over, with what it holds
-	 */
-	private retry(
-		row: CallerRequest,
-		failed: { start: Start<Unit>; outcome: AttemptOutcome; runEndsAt: Milliseconds }
-	): boolean {
-		const { start, outcome, runEndsAt } = failed
-		const { placement, allowances } = this.options
-		const isNotRun = getVerdict(outcome) === 'not-run'
-		const server = placement.reserve(row.queue.pool, row.team, row.attempts.excluded)
-		const unit = server && (isNotRun ? start.unit : allowances.tryStart(row.team))
-		if (server === undefined || unit === undefined) {
-			if (server !== undefined) placement.release(server)
-			if (isNotRun) this.requeue(row)
-			else this.end(row, createFinalAnswer(outcome, row.attempts.verdict))
-			return false
-		}
-		this.giveBackSlot(start.server, outcome, runEndsAt)
-		if (!isNotRun) {
-			this.afterRun(outcome, runEndsAt, () => {
-				allowances.finish(start.unit)
-			})
-		}
-		void this.runAttempt(row, { request: start.request, server, unit })
-		return true
-	}
-
+	/** Lets the request wait for another slot, before those that came after it. */
 	private requeue(row: CallerRequest): void {
 		const deadline = row.waiting.startBy
 		this.requests.delete(row.waiting.id)
 		row.waiting = this.createWaiting(row, deadline)
 		this.requests.set(row.waiting.id, row)
-		this.scheduler.submit(row.waiting)
+		this.scheduler.putBack(row.waiting)
 	}
 
 	/** What may still run at the backend server keeps its slot and allowance until its deadline. */
 	private giveBack(start: Start<Unit>, outcome: AttemptOutcome, runEndsAt: Milliseconds): void {
-		this.giveBackSlot(start.server, outcome, runEndsAt)
-		this.afterRun(outcome, runEndsAt, () => {
-			this.options.allowances.finish(start.unit)
-			this.scheduler.finish(start.request)
-		})
-	}
-
-	private giveBackSlot(
-		server: BackendServerId,
-		outcome: AttemptOutcome,
-		runEndsAt: Milliseconds
-	): void {
-		this.afterRun(outcome, runEndsAt, () => {
-			this.options.placement.release(server)
-		})
-	}
-
-	private afterRun(outcome: AttemptOutcome, runEndsAt: Milliseconds, act: () => void): void {
-		const { timers } = this.options
+		const { request, server, unit } = start
+		const { timers, slots, allowances } = this.options
+		const act = (): void => {
+			allowances.finish(unit)
+			slots.end({ pool: request.pool, team: request.team, server }, getSlotResult(outcome))
+			this.scheduler.finish(request)
+		}
 		if (canStillRun(outcome)) timers.after(runEndsAt - timers.now(), act)
 		else act()
 	}
--- a/packages/daemon/src/lib/peers/LocalDigestSource.ts
+++ b/packages/daemon/src/lib/peers/LocalDigestSource.ts
@@ -3,13 +3,13 @@
 import type { AllowanceManager } from '../allowances/AllowanceManager.js'
 import type { KeyKnowledge } from '../keys/KeyKnowledge.js'
 import type { KeyManager } from '../keys/KeyManager.js'
-import type { PlacementManager } from '../placement/PlacementManager.js'
+import type { SlotManager } from '../slots/SlotManager.js'
 import { DigestSource } from './DigestSource.js'
 
 interface Options {
 	readonly allowances: () => AllowanceManager
 	readonly scheduler: () => Scheduler
-	readonly placement: () => PlacementManager
+	readonly slots: () => SlotManager
 	readonly keys: () => KeyManager
 	readonly isLeaving: () => boolean
 }
@@ -39,12 +39,11 @@
 	}
 
 	override getServers(): ServerLoad[] {
-		const placement = this.options.placement()
-		return [...placement.getBusyServers()].map(([server, running]) => ({
+		return [...this.options.slots().getBusyServers()].map(([server, running]) => ({
 			server,
 			running,
 			connections: running,
-			ejected: placement.isEjected(server),
+			ejected: false,
 		}))
 	}
 
--- a/packages/daemon/src/lib/peers/LocalPeerHandler.ts
+++ b/packages/daemon/src/lib/peers/LocalPeerHandler.ts
@@ -7,11 +7,16 @@
 	ReadLogRequest,
 	ReturnRequest,
 	SettleRequest,
+	SlotGrants,
+	SlotReport,
 } from '@mastichead/protocol'
+import type { InstanceId } from '@mastichead/core'
 import type { AllowanceManager } from '../allowances/AllowanceManager.js'
 import type { LogManager } from '../log/LogManager.js'
 import type { ClaimHandler } from './ClaimHandler.js'
+import type { SlotManager } from '../slots/SlotManager.js'
 import { PeerHandler } from './PeerHandler.js'
+import { parseSlotReport } from './parseSlotReport.js'
 
 /** Log entries in one answer at most. */
 const PAGE_ENTRIES = 1000
@@ -20,6 +25,8 @@
 	readonly allowances: () => AllowanceManager
 	readonly log: LogManager
 	readonly claims: ClaimHandler
+	readonly slots: () => SlotManager
+	readonly instance: InstanceId
 	readonly exchange: (digest: Digest) => Digest
 }
 
@@ -63,4 +70,22 @@
 	override settle(request: SettleRequest): void {
 		this.options.claims.settle(request)
 	}
+
+	override reportSlots(report: SlotReport): SlotGrants {
+		const grants = this.options.slots().takeReport(parseSlotReport(report))
+		return { owner: this.options.instance, pool: report.pool, grants }
+	}
+
+	override takeSlots({ owner, pool, grants }: SlotGrants): void {
+		const { instance } = this.options
+		const rows = grants.map(({ id, server, team, urgency }) => ({
+			id,
+			server,
+			team,
+			instance,
+			pool,
+			urgency: urgency === 'urgent' ? ('urgent' as const) : ('ordinary' as const),
+		}))
+		this.options.slots().takeGrants(owner, rows)
+	}
 }
--- a/packages/daemon/src/lib/peers/PeerHandler.ts
+++ b/packages/daemon/src/lib/peers/PeerHandler.ts
@@ -7,6 +7,8 @@
 	ReadLogRequest,
 	ReturnRequest,
 	SettleRequest,
+	SlotGrants,
+	SlotReport,
 } from '@mastichead/protocol'
 
 /**
@@ -23,4 +25,7 @@
 	/** @returns outcome of the claim, as the wire names it */
 	abstract claim(request: ClaimRequest): string
 	abstract settle(request: SettleRequest): void
+	/** Takes a report as owner of a pool's slots. */
+	abstract reportSlots(report: SlotReport): SlotGrants
+	abstract takeSlots(grants: SlotGrants): void
 }
--- a/packages/daemon/src/lib/peers/PeerManager.test.ts
+++ b/packages/daemon/src/lib/peers/PeerManager.test.ts
@@ -84,6 +84,14 @@
 	override settle() {
 		return
 	}
+
+	override reportSlots({ pool }: { pool: string }) {
+		return { owner: 'owner', pool, grants: [] }
+	}
+
+	override takeSlots() {
+		return
+	}
 }
 
 async function createPeer(instance: InstanceId) {
--- a/packages/daemon/src/lib/peers/PeerManager.ts
+++ b/packages/daemon/src/lib/peers/PeerManager.ts
@@ -8,6 +8,7 @@
 	LoanReturn,
 	Milliseconds,
 	PoolId,
+	SlotGrant,
 	Subscription,
 	TeamId,
 	TeamLoad,
@@ -17,8 +18,11 @@
 	BorrowReply,
 	ClaimReply,
 	Digest,
+	GrantSlotsReply,
 	ReturnReply,
 	SettleReply,
+	SlotGrants,
+	SlotReport,
 } from '@mastichead/protocol'
 import type { Logger } from 'winston'
 import type { KeyKnowledge } from '../keys/KeyKnowledge.js'
@@ -37,6 +41,7 @@
 const EXCHANGE_DEADLINE_MILLISECONDS = 1000
 const LOAN_DEADLINE_MILLISECONDS = 1000
 const CLAIM_DEADLINE_MILLISECONDS = 1000
+const SLOT_DEADLINE_MILLISECONDS = 500
 
 /** Bytes a second that the rows of all digests may take in each direction. */
 const ROW_BYTES_PER_SECOND = 10_000
@@ -143,6 +148,40 @@
 		return running
 	}
 
+	/** Members that answered or called lately and do not leave. */
+	getReachable(): InstanceId[] {
+		return this.getFreshPeers()
+			.filter((peer) => !peer.isLeaving)
+			.flatMap(({ instance }) => (instance === undefined ? [] : [instance]))
+	}
+
+	/** Reports to the owner of a pool's slots. @returns undefined when no answer came */
+	reportSlots(owner: InstanceId, report: SlotReport): Promise<SlotGrants | undefined> {
+		const call = this.table
+			.find(owner)
+			?.client.call<SlotGrants>(
+				(stub, callback) => stub.reportSlots(report, callback),
+				SLOT_DEADLINE_MILLISECONDS
+			)
+		return call ?? Promise.resolve(undefined)
+	}
+
+	/** Brings slots to a peer. @returns whether it answered */
+	async grantSlots(instance: InstanceId, grants: readonly SlotGrant[]): Promise<boolean> {
+		const message = {
+			owner: this.options.instance,
+			pool: grants[0]?.pool ?? '',
+			grants: [...grants],
+		}
+		const reply = await this.table
+			.find(instance)
+			?.client.call<GrantSlotsReply>(
+				(stub, callback) => stub.grantSlots(message, callback),
+				SLOT_DEADLINE_MILLISECONDS
+			)
+		return reply !== undefined
+	}
+
 	/** Peers that answered or called lately. */
 	get reachablePeers(): number {
 		return this.getFreshPeers().length
--- a/packages/daemon/src/lib/peers/PeerServer.ts
+++ b/packages/daemon/src/lib/peers/PeerServer.ts
@@ -13,6 +13,8 @@
 	type ReadLogRequest,
 	type ReturnRequest,
 	type SettleRequest,
+	type SlotGrants,
+	type SlotReport,
 } from '@mastichead/protocol'
 import type { Logger } from 'winston'
 import type { PeerHandler } from './PeerHandler.js'
@@ -50,6 +52,11 @@
 				handler.settle(request)
 				return {}
 			}),
+			reportSlots: this.serve((report: SlotReport) => handler.reportSlots(report)),
+			grantSlots: this.serve((grants: SlotGrants) => {
+				handler.takeSlots(grants)
+				return {}
+			}),
 		} satisfies Record<keyof typeof PeerService, unknown>)
 	}
 
--- /dev/null
+++ b/packages/daemon/src/lib/peers/PeerSlotTransport.ts
@@ -0,0 +1,48 @@
+import type { InstanceId, SlotGrant, SlotReport } from '@mastichead/core'
+import { SlotTransport } from '../slots/SlotTransport.js'
+import type { PeerManager } from './PeerManager.js'
+
+/**
+ * Carries reports and grants of slots over the peers' ports.
+ *
+ * @internal
+ */
+export class PeerSlotTransport extends SlotTransport {
+	constructor(private readonly peers: PeerManager) {
+		super()
+	}
+
+	override getReachable(): readonly InstanceId[] {
+		return this.peers.getReachable()
+	}
+
+	override async report(
+		owner: InstanceId,
+		report: SlotReport
+	): Promise<readonly SlotGrant[] | undefined> {
+		const reply = await this.peers.reportSlots(owner, {
+			instance: report.instance,
+			pool: report.pool,
+			demands: report.demands.map(({ team, urgency, count, oldestAge }) => ({
+				team,
+				urgency,
+				count,
+				oldestAgeMilliseconds: oldestAge,
+			})),
+			ends: [...report.ends],
+			listsInUse: report.inUse !== undefined,
+			inUse: [...(report.inUse ?? [])],
+		})
+		const { instance, pool } = report
+		return reply?.grants.map((grant) => ({
+			...grant,
+			instance,
+			pool,
+			urgency: grant.urgency === 'urgent' ? 'urgent' : 'ordinary',
+		}))
+	}
+
+	override grant(instance: InstanceId, grants: readonly SlotGrant[]): Promise<boolean> {
+		return this.peers.grantSlots(instance, grants)
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/lib/slots/RequestSlots.ts
@@ -0,0 +1,23 @@
+import {
+	type BackendServerId,
+	type PoolId,
+	ServerSource,
+	type SlotEnd,
+	type TeamId,
+} from '@mastichead/core'
+
+/**
+ * Slots of backend servers as requests use them.
+ *
+ * @public
+ */
+export abstract class RequestSlots extends ServerSource {
+	/** Ends the use of a slot once its request can run no more. */
+	abstract end(
+		use: { readonly pool: PoolId; readonly team: TeamId; readonly server: BackendServerId },
+		result: SlotEnd['result']
+	): void
+
+	/** Notes that requests of a pool came, ended or wait again. */
+	abstract wake(pool: PoolId): void
+}
--- /dev/null
+++ b/packages/daemon/src/lib/slots/SlotManager.ts
@@ -0,0 +1,287 @@
+import {
+	type BackendServer,
+	type BackendServerId,
+	type FleetState,
+	getConnectionShare,
+	getPlaceableServers,
+	getRendezvousScore,
+	type InstanceId,
+	type Milliseconds,
+	type PoolId,
+	type Scheduler,
+	type ServerListing,
+	type SlotDemand,
+	type SlotEnd,
+	type SlotGrant,
+	SlotHolder,
+	SlotOwner,
+	type SlotReport,
+	type Subscription,
+	type TeamId,
+	type TimerService,
+} from '@mastichead/core'
+import { RequestSlots } from './RequestSlots.js'
+import type { SlotTransport } from './SlotTransport.js'
+
+/** Shortest time between two reports of a pool. */
+const REPORT_MILLISECONDS = 1
+
+/** Time between looks at what has become too old. */
+const HOUSEKEEPING_MILLISECONDS = 50
+
+/** Time between reports of a pool in which only the number of waiting requests changed. */
+const DEMAND_MILLISECONDS = 4
+
+/** Time after which demands are reported again although nothing changed. */
+const REFRESH_MILLISECONDS = 500
+
+/** Time for which an owner that did not answer is passed over. */
+const SUSPECT_MILLISECONDS = 2000
+
+interface Options {
+	readonly timers: TimerService
+	readonly instance: InstanceId
+	readonly transport: SlotTransport
+	readonly getState: () => FleetState
+	/** What the platform's instance list says of each backend server. */
+	readonly getListings: () => ReadonlyMap<BackendServerId, ServerListing>
+	readonly getScheduler: () => Scheduler
+	/** Requests of a team that the own allowance lets start now. */
+	readonly getRoom: (team: TeamId) => number
+}
+
+interface Reporting {
+	isUnderWay: boolean
+	/** Waiting requests of the last report. */
+	waiting: number
+	reportedAt: Milliseconds
+	isPlanned: boolean
+}
+
+/**
+ * Gets slots of backend servers from the owner of each pool, an entry instance chosen by hash among
+ * those that can be reached, and gives out the slots of the pools that this one owns.
+ *
+ * @public
+ */
+export class SlotManager extends RequestSlots {
+	private readonly holder: SlotHolder
+	private readonly owner: SlotOwner
+	private readonly reportings = new Map<PoolId, Reporting>()
+	private readonly suspects = new Map<InstanceId, Milliseconds>()
+	private known: ReadonlySet<InstanceId> = new Set()
+	private readonly running = new Map<BackendServerId, number>()
+	private timer: Subscription | undefined
+
+	constructor(private readonly options: Options) {
+		super()
+		const { timers, instance, getState } = options
+		this.holder = new SlotHolder(instance, timers)
+		this.owner = new SlotOwner({
+			timers,
+			instance,
+			getServers: (pool) => this.getServers(pool),
+			getShare: (team) => getState().teams.get(team)?.share ?? 1,
+			getZone: (name) => getState().members.get(name)?.availabilityZone,
+		})
+	}
+
+	start(): void {
+		this.timer = this.options.timers.every(HOUSEKEEPING_MILLISECONDS, () => {
+			this.tick()
+		})
+	}
+
+	stop(): void {
+		this.timer?.cancel()
+	}
+
+	override getCapacity(pool: PoolId): number {
+		return this.getServers(pool).reduce((sum, server) => sum + server.slots, 0)
+	}
+
+	override reserve(
+		pool: PoolId,
+		team: TeamId,
+		excluded: ReadonlySet<BackendServerId> = new Set()
+	): BackendServerId | undefined {
+		const server = this.holder.reserve(pool, team, excluded)
+		if (server !== undefined) this.running.set(server, this.getRunning(server) + 1)
+		return server
+	}
+
+	override release(server: BackendServerId, pool: PoolId, team: TeamId): void {
+		this.end({ pool, team, server }, 'unused')
+	}
+
+	/** Ends the use of a slot once its request can run no more. */
+	override end(
+		use: { readonly pool: PoolId; readonly team: TeamId; readonly server: BackendServerId },
+		result: SlotEnd['result']
+	): void {
+		this.holder.end(use, result)
+		const running = this.getRunning(use.server) - 1
+		if (running > 0) this.running.set(use.server, running)
+		else this.running.delete(use.server)
+		this.wake(use.pool)
+	}
+
+	/** Requests of this daemon that run, or may still run, at a backend server. */
+	getRunning(server: BackendServerId): number {
+		return this.running.get(server) ?? 0
+	}
+
+	/** Backend servers with requests of this daemon. */
+	getBusyServers(): ReadonlyMap<BackendServerId, number> {
+		return this.running
+	}
+
+	/** Connections that this daemon may hold to a backend server. */
+	getConnections(server: BackendServer): number {
+		return getConnectionShare(server, this.options.transport.getReachable().length + 1)
+	}
+
+	/** Reports on a pool in which something changed, as soon as the last report allows. */
+	wake(pool: PoolId): void {
+		const reporting = this.getReporting(pool)
+		if (reporting.isPlanned || reporting.isUnderWay) return
+		const wait = reporting.reportedAt + REPORT_MILLISECONDS - this.options.timers.now()
+		if (wait <= 0) {
+			this.reportIfDue(pool)
+			return
+		}
+		reporting.isPlanned = true
+		this.options.timers.after(wait, () => {
+			reporting.isPlanned = false
+			this.reportIfDue(pool)
+		})
+	}
+
+	/** Takes a report of another entry instance as owner; returns what it is granted at once. */
+	takeReport(report: SlotReport): SlotGrant[] {
+		this.owner.take(report)
+		return this.grantAll(report.pool, report.instance)
+	}
+
+	/** Takes grants of an owner. */
+	takeGrants(owner: InstanceId, grants: readonly SlotGrant[]): void {
+		for (const grant of grants) this.holder.take(grant, owner)
+		if (grants.length > 0) this.options.getScheduler().tick()
+	}
+
+	/** Reports to the owners what is due. */
+	private tick(): void {
+		this.holder.expire()
+		this.dropUnreachable()
+		const pools = new Set([...this.options.getScheduler().queues.getPools(), ...this.holder.pools])
+		for (const pool of pools) this.reportIfDue(pool)
+	}
+
+	private reportIfDue(pool: PoolId): void {
+		const reporting = this.getReporting(pool)
+		if (reporting.isUnderWay) return
+		const demands = this.getDemands(pool)
+		const waiting = demands.reduce((sum, demand) => sum + demand.count, 0)
+		if (!this.isDue(pool, reporting, waiting)) return
+		reporting.waiting = waiting
+		reporting.reportedAt = this.options.timers.now()
+		void this.report(pool, demands, reporting)
+	}
+
+	private isDue(
+		pool: PoolId,
+		{ waiting: reported, reportedAt }: Reporting,
+		waiting: number
+	): boolean {
+		const age = this.options.timers.now() - reportedAt
+		if (this.holder.hasEnds(pool)) return true
+		if (waiting > 0 && age >= REFRESH_MILLISECONDS) return true
+		if (waiting === reported) return false
+		return reported === 0 || age >= DEMAND_MILLISECONDS
+	}
+
+	private async report(
+		pool: PoolId,
+		demands: readonly SlotDemand[],
+		reporting: Reporting
+	): Promise<void> {
+		const owner = this.chooseOwner(pool)
+		this.holder.setOwner(pool, owner)
+		const report = this.holder.createReport(pool, demands)
+		if (owner === this.options.instance) {
+			this.takeGrants(owner, this.takeReport(report))
+			return
+		}
+		reporting.isUnderWay = true
+		const grants = await this.options.transport.report(owner, report)
+		reporting.isUnderWay = false
+		if (grants) {
+			this.takeGrants(owner, grants)
+			this.wake(pool)
+			return
+		}
+		this.suspects.set(owner, this.options.timers.now() + SUSPECT_MILLISECONDS)
+		this.holder.setOwner(pool, undefined)
+		reporting.waiting = 0
+	}
+
+	/** Grants what is free; what is for others than the reporting instance is sent to them. */
+	private grantAll(pool: PoolId, reporter: InstanceId): SlotGrant[] {
+		const grants = this.owner.grant(pool)
+		const byInstance = new Map<InstanceId, SlotGrant[]>()
+		for (const grant of grants) {
+			byInstance.set(grant.instance, [...(byInstance.get(grant.instance) ?? []), grant])
+		}
+		for (const [instance, rows] of byInstance) {
+			if (instance !== reporter) void this.bring(instance, rows)
+		}
+		return byInstance.get(reporter) ?? []
+	}
+
+	private async bring(instance: InstanceId, grants: readonly SlotGrant[]): Promise<void> {
+		if (instance === this.options.instance) {
+			this.takeGrants(instance, grants)
+			return
+		}
+		if (await this.options.transport.grant(instance, grants)) return
+		this.owner.drop(instance)
+	}
+
+	private getDemands(pool: PoolId): SlotDemand[] {
+		const scheduler = this.options.getScheduler()
+		return scheduler.getDemands(pool, (team) => {
+			const unused = this.holder.getUnused(pool, team)
+			const waiting = scheduler.queues.getSize(pool, team)
+			return Math.min(waiting, this.options.getRoom(team)) - unused
+		})
+	}
+
+	private chooseOwner(pool: PoolId): InstanceId {
+		const now = this.options.timers.now()
+		const { instance, transport } = this.options
+		let best = instance
+		for (const candidate of transport.getReachable()) {
+			if ((this.suspects.get(candidate) ?? 0) > now) continue
+			if (getRendezvousScore(candidate, pool) > getRendezvousScore(best, pool)) best = candidate
+		}
+		return best
+	}
+
+	private dropUnreachable(): void {
+		const reachable = new Set(this.options.transport.getReachable())
+		for (const instance of this.known) if (!reachable.has(instance)) this.owner.drop(instance)
+		this.known = reachable
+	}
+
+	private getServers(pool: PoolId): readonly BackendServer[] {
+		return getPlaceableServers(this.options.getState(), pool, this.options.getListings())
+	}
+
+	private getReporting(pool: PoolId): Reporting {
+		const known = this.reportings.get(pool)
+		if (known) return known
+		const reporting: Reporting = { isUnderWay: false, waiting: 0, reportedAt: 0, isPlanned: false }
+		this.reportings.set(pool, reporting)
+		return reporting
+	}
+}
--- a/packages/daemon/src/lib/testing/createCallerPath.ts
+++ b/packages/daemon/src/lib/testing/createCallerPath.ts
@@ -1,9 +1,4 @@
-import {
-	FleetShare,
-	PowerOfTwoPlacement,
-	SystemTimerService,
-	type FleetState,
-} from '@mastichead/core'
+import { LocalShare, SystemTimerService, type FleetState } from '@mastichead/core'
 import { createLogger } from 'winston'
 import { BackendManager } from '../backends/BackendManager.js'
 import { CallerServer } from '../callers/CallerServer.js'
@@ -11,11 +6,12 @@
 import type { KeyLog } from '../keys/KeyLog.js'
 import { KeyManager } from '../keys/KeyManager.js'
 import { MetricsManager } from '../metrics/MetricsManager.js'
-import { PlacementManager } from '../placement/PlacementManager.js'
 import type { ClaimTransport } from '../requestIds/ClaimTransport.js'
 import { RequestIdManager } from '../requestIds/RequestIdManager.js'
 import { UnconnectedClaimTransport } from '../requestIds/UnconnectedClaimTransport.js'
 import { parseSettings } from '../settings/parseSettings.js'
+import { AloneSlotTransport } from '../slots/AloneSlotTransport.js'
+import { SlotManager } from '../slots/SlotManager.js'
 import { CountingAllowances } from './CountingAllowances.js'
 
 interface Options {
@@ -39,14 +35,14 @@
 	const getState = () => options.state
 	const allowances = new CountingAllowances()
 	const instance = options.instance ?? 'entry-1.a'
-	const placement = new PlacementManager({
+	const slots: SlotManager = new SlotManager({
 		timers,
-		policy: new PowerOfTwoPlacement(Math.random),
-		availabilityZone: 'zone-1',
 		instance,
+		transport: new AloneSlotTransport(),
 		getState,
-		getPeerRunning: () => 0,
 		getListings: () => new Map(),
+		getScheduler: () => requests.scheduler,
+		getRoom: () => Infinity,
 	})
 	const log: KeyLog = {
 		state: options.state,
@@ -55,18 +51,18 @@
 	}
 	const backends = new BackendManager({
 		timers,
-		getConnections: (server) => placement.getConnections(server),
+		getConnections: (server) => slots.getConnections(server),
 	})
 	const transport = options.transport ?? new UnconnectedClaimTransport()
 	const requestIds = new RequestIdManager({ timers, instance, transport, logger })
-	const requests = new RequestManager({
+	const requests: RequestManager = new RequestManager({
 		timers,
 		logger,
 		metrics: new MetricsManager(),
 		allowances,
-		placement,
+		slots,
 		backends,
-		policy: new FleetShare(),
+		policy: new LocalShare(),
 		getState,
 		getPeerLoad: () => new Map(),
 		onEnd: (requestId, verdict) => {
@@ -82,21 +78,23 @@
 		requestIds,
 		getState,
 	})
+	slots.start()
 	await callers.start()
 	/** What is held: all zero once nothing runs any more. */
 	const getHeld = () => ({
 		requests: requests.size,
 		allowances: allowances.count,
-		slots: placement.getBusyServers().size,
+		slots: slots.getBusyServers().size,
 		claims: requestIds.claimCount,
 		connections: backends.connectionCount,
 	})
 	const stop = () => {
 		callers.stop()
 		requests.stop()
+		slots.stop()
 		backends.close()
 	}
-	return { callers, requests, requestIds, backends, placement, getHeld, stop }
+	return { callers, requests, requestIds, backends, slots, getHeld, stop }
 }
 
 function createSettings(options: Options) {
