--- a/packages/core/src/lib/slots/SlotOwner.ts
+++ b/packages/core/src/lib/slots/SlotOwner.ts
@@ -13,7 +13,7 @@
 import type { SlotGrant } from './SlotGrant.js'
 import type { SlotReport } from './SlotReport.js'
 
-/** Time for which a slot counts as taken after a backend server refused for want of one. */
+/** Time for which a backend server that refused a request gets no other one. */
 const FULL_MILLISECONDS = 200
 
 /** Urgent grants to a team in a row while its ordinary requests wait. */
@@ -66,6 +66,7 @@
 	private readonly probes = new Set<string>()
 	/** Backend servers whose last request failed; they are used after the others. */
 	private readonly failing = new Set<BackendServerId>()
+	private readonly fullUntil = new Map<BackendServerId, Milliseconds>()
 	private lastGrant = 0
 
 	constructor(private readonly options: Options) {
@@ -186,9 +187,11 @@
 		servers: readonly Server[],
 		zone: AvailabilityZoneId | undefined
 	): Server | undefined {
+		const now = this.options.timers.now()
 		const open = servers.filter(
 			(server) =>
 				(table.serverRunning.get(server.name) ?? 0) < server.slots &&
+				(this.fullUntil.get(server.name) ?? 0) <= now &&
 				this.ejection.isOpen(server.name)
 		)
 		const good = open.filter((server) => !this.failing.has(server.name))
@@ -219,13 +222,10 @@
 		if (result === 'success') this.failing.delete(grant.server)
 		const isNeutral = result === 'unused' || result === 'full'
 		this.ejection.noteEnd(grant.server, { result: isNeutral ? 'neutral' : result, probe })
-		if (result !== 'full') {
-			this.remove(table, grant)
-			return
+		this.remove(table, grant)
+		if (result === 'full') {
+			this.fullUntil.set(grant.server, this.options.timers.now() + FULL_MILLISECONDS)
 		}
-		this.options.timers.after(FULL_MILLISECONDS, () => {
-			this.remove(table, grant)
-		})
 	}
 
 	/** Takes over the grants that an entry instance has in use, whoever gave them. */
--- a/packages/daemon/src/lib/callers/CallerServer.test.ts
+++ b/packages/daemon/src/lib/callers/CallerServer.test.ts
@@ -211,19 +211,32 @@
 
 test('a refusal by the backend server is tried again elsewhere within the budget', async () => {
 	const refusal = 'HTTP/1.1 503 X\r\nMastichead-Verdict: not-run\r\nContent-Length: 0\r\n\r\n'
-	const refuse: Answer = (socket) => socket.write(refusal)
-	const fixture = await createFixture([refuse, echo])
+	let answered = 0
+	const refuseLater: Answer = (socket, text) => {
+		if (++answered <= 20) echo(socket, text)
+		else socket.write(refusal)
+	}
+	const fixture = await createFixture([refuseLater, echo])
 	const results = []
 	for (let i = 0; i < 60; i++) results.push(await fixture.post())
-	const refused = fixture.servers[0]?.seen.length ?? 0
-	const ran = fixture.servers[1]?.seen.length ?? 0
-	expect(results.filter(({ status }) => status === 200)).toHaveLength(ran)
+	expect(results.filter(({ status }) => status === 200)).toHaveLength(60)
+	const seen = fixture.servers.reduce((sum, server) => sum + server.seen.length, 0)
+	expect(seen).toBeGreaterThan(60)
+	expect(seen).toBeLessThanOrEqual(66)
+	await fixture.expectNothingHeld()
+})
+
+test('a refusal by every backend server ends as not run once the budget is spent', async () => {
+	const refusal = 'HTTP/1.1 503 X\r\nMastichead-Verdict: not-run\r\nContent-Length: 0\r\n\r\n'
+	const refuse: Answer = (socket) => socket.write(refusal)
+	const fixture = await createFixture([refuse, refuse])
+	const results = []
+	for (let i = 0; i < 20; i++) results.push(await fixture.post())
 	for (const { status, verdict, headers } of results) {
-		if (status !== 200)
-			expect([status, verdict, headers['retry-after']]).toEqual([503, 'not-run', '1'])
+		expect([status, verdict, headers['retry-after']]).toEqual([503, 'not-run', '1'])
 	}
-	expect(refused + ran).toBeGreaterThan(60)
-	expect(refused + ran).toBeLessThanOrEqual(66)
+	const seen = fixture.servers.reduce((sum, server) => sum + server.seen.length, 0)
+	expect(seen).toBeLessThanOrEqual(22)
 	await fixture.expectNothingHeld()
 })
 
