--- /dev/null
+++ b/packages/daemon/src/lib/log/LogManager.test.ts
@@ -0,0 +1,274 @@
+import { hashState, parseProposal } from '@mastichead/core'
+import fc from 'fast-check'
+import { assert, expect, test } from 'vitest'
+import type { ProposalOutcome } from './ProposalOutcome.js'
+import { VirtualFleet } from './testing/VirtualFleet.js'
+import type { VirtualLog } from './testing/VirtualLog.js'
+
+const SEED = 20_260_402
+const FAULTS = ['none', 'down', 'silent', 'lost'] as const
+
+/** Starts daemons that have joined, with the sample fleet in force. */
+async function createAppliedFleet(count: number): Promise<VirtualFleet> {
+	const fleet = new VirtualFleet(count)
+	await fleet.advance(100)
+	for (const { name, log } of fleet.daemons) {
+		const joining = { instance: name, availabilityZone: 'zone-0', peerAddress: 'h:1' }
+		void log.propose({ kind: 'join', id: `join-${name}`, ...joining })
+	}
+	const first = getDaemon(fleet, 0)
+	const outcome = first.log.propose(fleet.createApply(first, 'first', 3))
+	await fleet.advance(200)
+	expect(await outcome).toMatchObject({ type: 'decided', decision: { type: 'accepted' } })
+	return fleet
+}
+
+function getDaemon(fleet: VirtualFleet, index: number): VirtualFleet['daemons'][number] {
+	const daemon = fleet.daemons[index]
+	assert(daemon)
+	return daemon
+}
+
+const step = fc.oneof(
+	fc.record({
+		type: fc.constant('propose' as const),
+		daemon: fc.nat(2),
+		teams: fc.integer({ min: 1, max: 5 }),
+	}),
+	fc.record({
+		type: fc.constant('fault' as const),
+		daemon: fc.nat(2),
+		fault: fc.constantFrom(...FAULTS),
+		latency: fc.constantFrom(2, 40, 900, 5000),
+	}),
+	fc.record({ type: fc.constant('cut' as const), daemon: fc.nat(2), cut: fc.boolean() }),
+	{
+		arbitrary: fc.record({
+			type: fc.constant('isolate' as const),
+			daemon: fc.integer({ min: 1, max: 2 }),
+		}),
+		weight: 2,
+	},
+	fc.record({ type: fc.constant('repeat' as const), back: fc.nat(5) }),
+	{
+		arbitrary: fc.record({
+			type: fc.constant('expire' as const),
+			kept: fc.integer({ min: 4, max: 12 }),
+		}),
+		weight: 3,
+	}
+)
+
+type Step = typeof step extends fc.Arbitrary<infer Value> ? Value : never
+
+interface Watch {
+	readonly decisions: Map<number, string>
+	readonly outcomes: Map<string, ProposalOutcome>
+}
+
+/** Fails when a daemon goes back, or decides otherwise than another at the same offset. */
+function watch(fleet: VirtualFleet): Watch {
+	const decisions = new Map<number, string>()
+	for (const { log } of fleet.daemons) {
+		let last = { offset: -1, version: 0 }
+		log.onEntry(({ offset }, decision) => {
+			const text = `${JSON.stringify(decision)} ${hashState(log.state)}`
+			if ((decisions.get(offset) ?? text) !== text) decisions.set(offset, 'differs')
+			else decisions.set(offset, text)
+		})
+		log.onChange(() => {
+			const { offset, version } = log.state
+			if (offset < last.offset || version < last.version) decisions.set(offset, 'went back')
+			last = { offset, version }
+		})
+	}
+	return { decisions, outcomes: new Map() }
+}
+
+function play(fleet: VirtualFleet, each: Step, seen: Watch): void {
+	const { platform } = fleet
+	switch (each.type) {
+		case 'propose': {
+			const daemon = getDaemon(fleet, each.daemon)
+			const id = `apply-${fleet.timers.now()}`
+			const proposal = fleet.createApply(daemon, id, each.teams)
+			void daemon.log.propose(proposal).then((outcome) => seen.outcomes.set(id, outcome))
+			return
+		}
+		case 'fault':
+			Object.assign(getDaemon(fleet, each.daemon).client, each)
+			return
+		case 'cut':
+			if (each.cut) fleet.cutFromPeers.add(`entry-${each.daemon}`)
+			else fleet.cutFromPeers.delete(`entry-${each.daemon}`)
+			return
+		case 'isolate':
+			fleet.cutFromPeers.add(`entry-${each.daemon}`)
+			getDaemon(fleet, each.daemon).client.fault = 'silent'
+			return
+		case 'repeat': {
+			const { record } = platform.records.at(-1 - each.back) ?? {}
+			if (record !== undefined) platform.append([record], fleet.timers.now())
+			return
+		}
+		case 'expire':
+			if (hasSnapshot(platform, platform.records.length - each.kept)) platform.expire(each.kept)
+	}
+}
+
+/** Whether a reader could start from the records from `first` on. */
+function hasSnapshot({ records }: VirtualLog, first: number): boolean {
+	return records.slice(Math.max(0, first)).some(({ record, offset }) => {
+		const proposal = parseProposal(record, offset)
+		return proposal.kind === 'snapshot' && proposal.through >= first - 1
+	})
+}
+
+function checkOutcomes(fleet: VirtualFleet, { outcomes }: Watch): void {
+	const logged = new Set(
+		fleet.platform.records.map(({ record, offset }) => parseProposal(record, offset).id)
+	)
+	for (const [id, outcome] of outcomes) {
+		if (outcome.type === 'decided') expect(logged.has(id)).toBe(true)
+		else if (!outcome.mayTakeEffect) expect(logged.has(id)).toBe(false)
+	}
+}
+
+test('under random faults daemons never differ or go back, and all reach the end', async () => {
+	const histories = fc.array(fc.tuple(step, fc.constantFrom(50, 700, 4000, 4000)), {
+		minLength: 20,
+		maxLength: 40,
+		size: 'max',
+	})
+	await fc.assert(
+		fc.asyncProperty(histories, async (steps) => {
+			const fleet = await createAppliedFleet(3)
+			const seen = watch(fleet)
+			for (const [each, pause] of steps) {
+				play(fleet, each, seen)
+				await fleet.advance(pause)
+			}
+			for (const { client } of fleet.daemons) {
+				client.fault = 'none'
+				client.latency = 2
+			}
+			await fleet.advance(40_000)
+			const hashes = new Set(fleet.daemons.map(({ log }) => hashState(log.state)))
+			expect([...seen.decisions.values()]).not.toContain('differs')
+			expect([...seen.decisions.values()]).not.toContain('went back')
+			expect(hashes.size).toBe(1)
+			checkOutcomes(fleet, seen)
+		}),
+		{ seed: SEED, numRuns: 40 }
+	)
+})
+
+test('an append whose answers are lost is settled by reading, and is in the log once', async () => {
+	const fleet = await createAppliedFleet(1)
+	const daemon = getDaemon(fleet, 0)
+	daemon.client.fault = 'lost'
+	const outcome = daemon.log.propose(fleet.createApply(daemon, 'lost', 4))
+	await fleet.advance(200)
+	expect(await outcome).toMatchObject({ type: 'decided', decision: { type: 'accepted' } })
+	daemon.client.fault = 'none'
+	await fleet.advance(10_000)
+	expect(fleet.platform.records.filter(({ record }) => record.includes('"lost"'))).toHaveLength(1)
+})
+
+test('an append during an outage is sent again and takes effect once', async () => {
+	const fleet = await createAppliedFleet(1)
+	const daemon = getDaemon(fleet, 0)
+	daemon.client.fault = 'down'
+	const outcome = daemon.log.propose(fleet.createApply(daemon, 'late', 4))
+	await fleet.advance(5000)
+	daemon.client.fault = 'none'
+	await fleet.advance(2500)
+	expect(await outcome).toMatchObject({ type: 'decided', decision: { type: 'accepted' } })
+	expect(fleet.platform.records.filter(({ record }) => record.includes('"late"'))).toHaveLength(1)
+})
+
+test('a proposal that cannot be sent ends at its deadline and says whether it may take effect', async () => {
+	const fleet = await createAppliedFleet(2)
+	const [first, second] = [getDaemon(fleet, 0), getDaemon(fleet, 1)]
+	first.client.fault = 'silent'
+	const never = first.log.propose(fleet.createApply(first, 'a', 4), 10)
+	const perhaps = first.log.propose(fleet.createApply(first, 'b', 5), 1000)
+	await fleet.advance(1100)
+	expect(await never).toMatchObject({ type: 'undecided', mayTakeEffect: false })
+	expect(await perhaps).toMatchObject({ type: 'undecided', mayTakeEffect: true })
+	expect(second.log.state.teams.size).toBe(3)
+})
+
+test('records appended together go out in one call', async () => {
+	const fleet = await createAppliedFleet(1)
+	const daemon = getDaemon(fleet, 0)
+	const before = daemon.client.appendCalls
+	const outcomes = Array.from({ length: 200 }, (_, index) =>
+		daemon.log.propose({ kind: 'heartbeat', id: `beat-${index}`, instance: 'x' })
+	)
+	await fleet.advance(100)
+	expect((await Promise.all(outcomes)).every(({ type }) => type === 'decided')).toBe(true)
+	expect(daemon.client.appendCalls - before).toBe(1)
+})
+
+test('a daemon cut from the log follows through its peers, with snapshots when far behind', async () => {
+	const fleet = await createAppliedFleet(2)
+	const [first, second] = [getDaemon(fleet, 0), getDaemon(fleet, 1)]
+	second.client.fault = 'silent'
+	await fleet.advance(3000)
+	void first.log.propose(fleet.createApply(first, 'near', 4))
+	await fleet.advance(1500)
+	expect(second.log.state.teams.size).toBe(4)
+	const fresh = fleet.add('silent')
+	expect(fresh.log.isReady).toBe(false)
+	await fleet.advance(1500)
+	expect(fresh.log.isReady).toBe(true)
+	expect(hashState(fresh.log.state)).toBe(hashState(first.log.state))
+})
+
+test('a fresh daemon starts from the newest snapshot once older records have expired', async () => {
+	const fleet = await createAppliedFleet(2)
+	const first = getDaemon(fleet, 0)
+	for (let round = 0; round < 30; round++) {
+		void first.log.propose(fleet.createApply(first, `apply-${round}`, 3 + (round % 2)))
+		await fleet.advance(2000)
+	}
+	fleet.platform.expire(10)
+	fleet.cutFromPeers.add('entry-2')
+	const fresh = fleet.add()
+	await fleet.advance(500)
+	expect(fresh.log.isReady).toBe(true)
+	expect(hashState(fresh.log.state)).toBe(hashState(first.log.state))
+	expect(fresh.log.state.version).toBeGreaterThan(fleet.platform.first)
+})
+
+test('one member takes each snapshot, and the next stands in for one that cannot', async () => {
+	const fleet = await createAppliedFleet(3)
+	const getMarks = () =>
+		fleet.platform.records
+			.map(({ record, offset }) => parseProposal(record, offset))
+			.filter((proposal) => proposal.kind === 'snapshot-mark')
+	const beat = async (seconds: number) => {
+		for (let second = 0; second < seconds; second++) {
+			fleet.platform.append([JSON.stringify({ kind: 'unknown' })], fleet.timers.now())
+			await fleet.advance(1000)
+		}
+	}
+	await beat(10)
+	expect(getMarks()).toHaveLength(1)
+	const proposer = fleet.daemons.find(({ name }) => name === getMarks()[0]?.instance)
+	assert(proposer)
+	proposer.client.fault = 'silent'
+	await beat(75)
+	const [, ...others] = getMarks()
+	expect(others.length).toBeGreaterThan(0)
+	expect(others.map(({ instance }) => instance)).not.toContain(proposer.name)
+})
+
+test('a fresh daemon with neither the log nor a peer is not ready', async () => {
+	const fleet = await createAppliedFleet(1)
+	fleet.cutFromPeers.add('entry-1')
+	const fresh = fleet.add('silent')
+	await fleet.advance(30_000)
+	expect(fresh.log.isReady).toBe(false)
+})
--- a/packages/daemon/src/lib/log/LogManager.ts
+++ b/packages/daemon/src/lib/log/LogManager.ts
@@ -80,6 +80,11 @@
 		return this.follower.isCaughtUp || this.reachedPeer
 	}
 
+	/** Offset to tell peers; -1 while not ready, since peers take what a ready one has for enough. */
+	get sharedOffset(): number {
+		return this.isReady ? this.state.offset : -1
+	}
+
 	/**
 	 * Monotonic instant before the last read was sent that the platform answered; everything in
 	 * the log by then is folded. Undefined before the first.
--- a/packages/daemon/src/lib/log/PeerCatchUp.ts
+++ b/packages/daemon/src/lib/log/PeerCatchUp.ts
@@ -23,7 +23,7 @@
 
 	/**
 	 * @param peers - the peers known now
-	 * @param onReached - called when the fold reached the offset that a peer had said
+	 * @param onReached - called when the fold is as far as every peer, or as the one that was asked
 	 */
 	constructor(
 		private readonly timers: TimerService,
@@ -45,7 +45,9 @@
 
 	private tick(): void {
 		const { offset } = this.log.state
-		const ahead = this.peers().filter((peer) => peer.offset > offset)
+		const peers = this.peers().filter((peer) => peer.offset >= 0)
+		const ahead = peers.filter((peer) => peer.offset > offset)
+		if (peers.length > 0 && ahead.length === 0) this.onReached()
 		if (ahead.length === 0 || offset !== this.behindOffset) {
 			this.behindSince = ahead.length > 0 ? this.timers.now() : undefined
 			this.behindOffset = offset
--- a/packages/daemon/src/lib/log/PeerLog.ts
+++ b/packages/daemon/src/lib/log/PeerLog.ts
@@ -8,7 +8,10 @@
 export abstract class PeerLog {
 	/** Name of the peer, for logs. */
 	abstract readonly name: string
-	/** Last offset that the peer said it had folded; -1 when it said none. */
+	/**
+	 * Last offset that the peer said it had folded, its `LogManager.sharedOffset`; -1 when it said
+	 * none or is not ready itself.
+	 */
 	abstract readonly offset: number
 
 	/**
--- a/packages/daemon/src/lib/log/ProposalTracker.ts
+++ b/packages/daemon/src/lib/log/ProposalTracker.ts
@@ -29,11 +29,8 @@
 		private readonly log: FoldedLog,
 		private readonly appender: LogAppender
 	) {
-		log.onEntry(({ proposal: { id } }, decision) => {
-			this.settle(id, { type: 'decided', decision })
-		})
 		log.onChange(() => {
-			this.settleKnown()
+			this.settleDecided()
 		})
 	}
 
@@ -87,8 +84,8 @@
 		pending.resolve(outcome)
 	}
 
-	/** Decisions that came with a snapshot were not met as entries. */
-	private settleKnown(): void {
+	/** Settles by the decisions of the state, since some come with a snapshot and not as entries. */
+	private settleDecided(): void {
 		for (const id of [...this.pending.keys()]) {
 			const decision = this.log.state.decisions.get(id)
 			if (decision) this.settle(id, { type: 'decided', decision })
--- a/packages/daemon/src/lib/log/SnapshotManager.ts
+++ b/packages/daemon/src/lib/log/SnapshotManager.ts
@@ -102,6 +102,7 @@
 		if (through <= this.lastThrough) return
 		this.lastThrough = through
 		this.lastAt = at
+		this.markedAt = undefined
 		this.logger.info('snapshot-complete', { through, parts: snapshot.parts.length })
 	}
 
--- /dev/null
+++ b/packages/daemon/src/lib/log/testing/VirtualFleet.ts
@@ -0,0 +1,128 @@
+import {
+	createFleetPatch,
+	createSampleFleet,
+	getFleet,
+	type Proposal,
+	VirtualTimerService,
+} from '@mastichead/core'
+import { createLogger } from '../../logs/createLogger.js'
+import { KeyManager } from '../../keys/KeyManager.js'
+import { LogManager } from '../LogManager.js'
+import { PeerLog } from '../PeerLog.js'
+import type { PeerLogPage } from '../PeerLogPage.js'
+import { SnapshotManager } from '../SnapshotManager.js'
+import { VirtualLog } from './VirtualLog.js'
+import { VirtualLogClient } from './VirtualLogClient.js'
+
+const STEP_MILLISECONDS = 10
+const EXCHANGE_MILLISECONDS = 500
+const SNAPSHOT_MILLISECONDS = 8000
+
+interface VirtualDaemon {
+	readonly name: string
+	readonly client: VirtualLogClient
+	readonly log: LogManager
+	readonly keys: KeyManager
+	readonly snapshots: SnapshotManager
+}
+
+class VirtualPeerLog extends PeerLog {
+	constructor(
+		private readonly peer: VirtualDaemon,
+		private readonly isReachable: () => boolean
+	) {
+		super()
+	}
+
+	override get name(): string {
+		return this.peer.name
+	}
+
+	override get offset(): number {
+		return this.isReachable() ? this.peer.log.sharedOffset : -1
+	}
+
+	override readLog(from: number): Promise<PeerLogPage | undefined> {
+		return Promise.resolve(this.isReachable() ? this.peer.log.readLog(from) : undefined)
+	}
+}
+
+/**
+ * Daemons' log, keys and snapshots on one virtual log, in virtual time, for tests.
+ *
+ * @internal
+ */
+export class VirtualFleet {
+	readonly timers = new VirtualTimerService()
+	readonly platform = new VirtualLog()
+	readonly daemons: VirtualDaemon[] = []
+	/** Names of daemons that reach no peer. */
+	readonly cutFromPeers = new Set<string>()
+	/** Side of a network partition by daemon; those without one are together. */
+	readonly sides = new Map<string, string>()
+	private readonly logger = createLogger({ level: 'error' })
+
+	/** @param count - daemons to start */
+	constructor(count: number) {
+		for (let index = 0; index < count; index++) this.add()
+		this.timers.every(EXCHANGE_MILLISECONDS, () => {
+			this.exchange()
+		})
+	}
+
+	/** Starts one more daemon, with a fault between it and the platform if wanted. */
+	add(fault: VirtualLogClient['fault'] = 'none', isolatedServe?: number): VirtualDaemon {
+		const name = `entry-${this.daemons.length}`
+		const client = new VirtualLogClient(this.timers, this.platform)
+		client.fault = fault
+		const log = new LogManager(this.timers, client, this.logger)
+		const keys = new KeyManager(this.timers, log, this.logger, name, isolatedServe)
+		const snapshots = new SnapshotManager(
+			this.timers,
+			log,
+			this.logger,
+			name,
+			SNAPSHOT_MILLISECONDS
+		)
+		const daemon = { name, client, log, keys, snapshots }
+		this.daemons.push(daemon)
+		log.setPeerLogs(() =>
+			this.daemons
+				.filter((peer) => peer !== daemon)
+				.map((peer) => new VirtualPeerLog(peer, () => this.canReach(daemon, peer)))
+		)
+		snapshots.start()
+		log.start()
+		keys.start()
+		return daemon
+	}
+
+	/** Moves the clock, and lets promises settle after each step. */
+	async advance(duration: number): Promise<void> {
+		for (let passed = 0; passed < duration; passed += STEP_MILLISECONDS) {
+			this.timers.advance(STEP_MILLISECONDS)
+			await new Promise((resolve) => setImmediate(resolve))
+		}
+	}
+
+	/** An apply that takes the sample fleet to `teams` teams, from what a daemon knows. */
+	createApply(daemon: VirtualDaemon, id: string, teams: number): Proposal {
+		const { state } = daemon.log
+		const patch = createFleetPatch(getFleet(state), createSampleFleet({ teams }))
+		return { kind: 'apply', id, base: state.version, patch, operator: 'o' }
+	}
+
+	private canReach(from: VirtualDaemon, to: VirtualDaemon): boolean {
+		if (this.cutFromPeers.has(from.name) || this.cutFromPeers.has(to.name)) return false
+		return this.sides.get(from.name) === this.sides.get(to.name)
+	}
+
+	private exchange(): void {
+		for (const daemon of this.daemons) {
+			for (const peer of this.daemons) {
+				if (peer === daemon || !this.canReach(daemon, peer)) continue
+				daemon.keys.learn(peer.keys.getKnowledge(), this.timers.now())
+			}
+		}
+	}
+}
