--- a/packages/core/src/lib/allowance/AllowanceHolder.ts
+++ b/packages/core/src/lib/allowance/AllowanceHolder.ts
@@ -39,10 +39,12 @@
 	private runMilliseconds: Milliseconds = 0
 	private renewedAt: Milliseconds = -Infinity
 	private hasEnded = false
+	private wasDropped = false
 	private sequence = 0
 	private readonly renewals = new Map<ProposalId, Milliseconds>()
 	private readonly decreases = new Map<number, ReadonlyMap<TeamId, number>>()
 	private readonly running = new Map<TeamId, number>()
+	private readonly maximums = new Map<TeamId, number>()
 
 	constructor(
 		readonly instance: InstanceId,
@@ -57,6 +59,11 @@
 		return this.hasEnded
 	}
 
+	/** Whether the fold dropped it; only a new incarnation can join again. */
+	get isDropped(): boolean {
+		return this.wasDropped
+	}
+
 	/** Notes that a join or heartbeat is about to be sent. To be called before each first send. */
 	expectRenewal(id: ProposalId): void {
 		if (!this.renewals.has(id)) this.renewals.set(id, this.timerService.now())
@@ -65,7 +72,7 @@
 	/** Takes what the folded state says of this member. To be called after each folded batch. */
 	observe(state: FleetState): void {
 		const seen = state.members.get(this.instance)
-		if (this.member && seen?.joinedOffset !== this.member.joinedOffset) this.end()
+		if (this.member && seen?.joinedOffset !== this.member.joinedOffset) this.drop()
 		this.member = seen
 		this.runMilliseconds = getRunBoundInForce(state)
 		if (!seen) return
@@ -103,7 +110,7 @@
 
 	/** Takes a unit for a request that starts at once; undefined when none is free. */
 	tryStart(team: TeamId): AllowanceUnit | undefined {
-		if (this.hasEnded) return undefined
+		if (this.hasEnded || this.getRunning(team) >= this.getMaximum(team)) return undefined
 		const startedAt = this.timerService.now()
 		const unit: AllowanceUnit = { team, startedAt, loan: undefined, isFinished: false }
 		if (this.getFree(team) > 0) {
@@ -116,6 +123,12 @@
 		return unit
 	}
 
+	/** Bounds what may run for a team below what is held; Infinity for no bound. */
+	setMaximum(team: TeamId, maximum: number): void {
+		if (maximum === Infinity) this.maximums.delete(team)
+		else this.maximums.set(team, maximum)
+	}
+
 	/** Frees a unit. Idempotent. */
 	finish(unit: AllowanceUnit): void {
 		if (unit.isFinished) return
@@ -149,19 +162,29 @@
 		}
 	}
 
-	/** Answers a request for a loan, or for another lease of one. */
-	lend(request: LoanRequest): LoanReply {
+	/**
+	 * Answers a request for a loan, or for another lease of one.
+	 *
+	 * @param spare - units that the holder does not need itself
+	 */
+	lend(request: LoanRequest, spare = Infinity): LoanReply {
 		const { team } = request
 		const end = this.timerService.now() + allowanceTerms.loanLease
 		const isForThis = request.lender === this.instance && !this.hasEnded
 		const held = isForThis ? this.getHeld(team, end) : 0
 		const free = held - this.lender.getLent(team) - this.getOwnRunning(team)
 		const canRenew = held >= this.lender.getLent(team) && isForThis
-		return this.lender.lend(request, free, canRenew, this.runMilliseconds)
+		return this.lender.lend(request, Math.min(free, spare), canRenew, this.runMilliseconds)
+	}
+
+	/** Answer to a request that gets nothing. */
+	refuse(): LoanReply {
+		const { loanLease } = allowanceTerms
+		return { amount: 0, leaseMilliseconds: loanLease, runMilliseconds: this.runMilliseconds }
 	}
 
 	/** Takes back a loan or a part of it. */
-	takeBack(loanReturn: LoanReturn): void {
+	takeBack(loanReturn: Pick<LoanReturn, 'loan' | 'remaining'>): void {
 		this.lender.takeBack(loanReturn)
 		for (const team of this.running.keys()) this.moveToOwn(team)
 	}
@@ -184,6 +207,11 @@
 		this.hasEnded = true
 	}
 
+	private drop(): void {
+		this.wasDropped ||= !this.hasEnded
+		this.end()
+	}
+
 	private getHeld(team: TeamId, at: Milliseconds): number {
 		const { member } = this
 		if (!member || this.hasEnded) return 0
@@ -248,6 +276,10 @@
 		}
 	}
 
+	private getMaximum(team: TeamId): number {
+		return this.maximums.get(team) ?? Infinity
+	}
+
 	private getOwnRunning(team: TeamId): number {
 		return this.running.get(team) ?? 0
 	}
--- a/packages/daemon/src/lib/keys/KeyFreshness.ts
+++ b/packages/daemon/src/lib/keys/KeyFreshness.ts
@@ -1,6 +1,6 @@
 import type { FleetState, InstanceId, Milliseconds, TimerService } from '@mastichead/core'
-import type { LogManager } from '../log/LogManager.js'
 import type { KeyKnowledge } from './KeyKnowledge.js'
+import type { KeyLog } from './KeyLog.js'
 
 const NEVER = -Infinity
 
@@ -27,7 +27,7 @@
 
 	constructor(
 		private readonly timers: TimerService,
-		private readonly log: LogManager,
+		private readonly log: KeyLog,
 		private readonly instance: InstanceId
 	) {}
 
--- a/packages/daemon/src/lib/keys/KeyManager.ts
+++ b/packages/daemon/src/lib/keys/KeyManager.ts
@@ -15,9 +15,9 @@
 import type { Logger } from 'winston'
 import { CallerAuthenticator } from '../callers/CallerAuthenticator.js'
 import type { Refusal } from '../callers/Refusal.js'
-import type { LogManager } from '../log/LogManager.js'
 import type { KeyIssue } from './KeyIssue.js'
 import type { KeyKnowledge } from './KeyKnowledge.js'
+import type { KeyLog } from './KeyLog.js'
 import type { KeyWithdrawal } from './KeyWithdrawal.js'
 import { createKeyRefusal } from './createKeyRefusal.js'
 import { KeyFreshness } from './KeyFreshness.js'
@@ -48,7 +48,7 @@
 	 */
 	constructor(
 		private readonly timers: TimerService,
-		private readonly log: LogManager,
+		private readonly log: KeyLog,
 		private readonly logger: Logger,
 		private readonly instance: InstanceId,
 		private readonly isolatedServe: Milliseconds = DEFAULT_ISOLATED_SERVE_MILLISECONDS
