--- a/packages/daemon/src/lib/callers/CallerConnections.ts
+++ b/packages/daemon/src/lib/callers/CallerConnections.ts
@@ -15,7 +15,8 @@
 	/** Answers under way by connection. */
 	private readonly responses = new Map<Duplex, ServerResponse>()
 	private isLeaving = false
-	private onQuiet: (() => void) | undefined
+	/** Requests that came. */
+	requestCount = 0
 
 	/** @param maximumPerAddress - connections of one remote address at once */
 	constructor(
@@ -39,12 +40,14 @@
 		for (const response of this.responses.values()) closeAfter(response)
 	}
 
-	/** Resolves once no answer is under way. */
-	async waitUntilQuiet(): Promise<void> {
-		if (this.responses.size === 0) return
-		await new Promise<void>((resolve) => {
-			this.onQuiet = resolve
-		})
+	/** Open connections. */
+	get size(): number {
+		return [...this.counts.values()].reduce((sum, count) => sum + count, 0)
+	}
+
+	/** Answers under way. */
+	get responseCount(): number {
+		return this.responses.size
 	}
 
 	private handleConnection(socket: Socket): void {
@@ -64,11 +67,11 @@
 
 	private handleRequest(request: IncomingMessage, response: ServerResponse): void {
 		const { socket } = request
+		this.requestCount++
 		this.responses.set(socket, response)
 		if (this.isLeaving) closeAfter(response)
 		response.once('close', () => {
 			if (this.responses.get(socket) === response) this.responses.delete(socket)
-			if (this.responses.size === 0) this.onQuiet?.()
 		})
 	}
 
--- a/packages/daemon/src/lib/callers/CallerServer.ts
+++ b/packages/daemon/src/lib/callers/CallerServer.ts
@@ -1,5 +1,6 @@
 import type { FleetState, Queue, TeamId, TimerService } from '@mastichead/core'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { Server as NetServer } from 'node:net'
 import type { Logger } from 'winston'
 import type { Settings } from '../settings/Settings.js'
 import type { CallerAuthenticator } from './CallerAuthenticator.js'
@@ -18,8 +19,11 @@
 
 const SHORT_RETRY_AFTER_MILLISECONDS = 1000
 
-/** Time in which a request that was sent before its caller knew of the shutdown arrives. */
-const LINGER_MILLISECONDS = 250
+/** Time without a request after which idle connections are closed by a shutdown. */
+const QUIET_MILLISECONDS = 1000
+
+/** Time between looks at the connections during a shutdown. */
+const QUIET_POLL_MILLISECONDS = 20
 
 interface Options {
 	readonly settings: Settings
@@ -81,14 +85,24 @@
 	}
 
 	/**
-	 * Resolves once every answer was handed over, those to requests that were on their way included.
+	 * Accepts no more connections and resolves once every answer was handed over and no request came
+	 * on the open connections for a while. Closing an idle connection would cut the request that its
+	 * caller has just sent on it.
 	 */
 	async waitUntilQuiet(): Promise<void> {
-		await this.connections.waitUntilQuiet()
-		await new Promise<void>((resolve) => {
-			this.options.timers.after(LINGER_MILLISECONDS, resolve)
-		})
-		await this.connections.waitUntilQuiet()
+		const { timers } = this.options
+		NetServer.prototype.close.call(this.server)
+		let seen = this.connections.requestCount
+		let quietSince = timers.now()
+		while (this.connections.size > 0 && timers.now() - quietSince < QUIET_MILLISECONDS) {
+			await new Promise<void>((resolve) => {
+				timers.after(QUIET_POLL_MILLISECONDS, resolve)
+			})
+			const { requestCount, responseCount } = this.connections
+			if (requestCount === seen && responseCount === 0) continue
+			seen = requestCount
+			quietSince = timers.now()
+		}
 	}
 
 	/** Ends every connection. */
--- a/packages/daemon/src/lib/placement/PlacementManager.ts
+++ b/packages/daemon/src/lib/placement/PlacementManager.ts
@@ -7,6 +7,7 @@
 	getPlaceableServers,
 	type InstanceId,
 	type Member,
+	type Milliseconds,
 	OutlierEjection,
 	type PlacementCandidate,
 	type PlacementPolicy,
@@ -19,6 +20,9 @@
 
 const SERVER_ERROR_STATUS = 500
 
+/** Time for which a backend server gets nothing after it refused a request as full or leaving. */
+const REFUSED_MILLISECONDS = 100
+
 interface Options {
 	readonly timers: TimerService
 	readonly policy: PlacementPolicy
@@ -39,6 +43,8 @@
 export class PlacementManager extends ServerSource {
 	private readonly running = new Map<BackendServerId, number>()
 	private readonly ejection: OutlierEjection
+	/** Until when backend servers that refused get nothing. */
+	private readonly refusedUntil = new Map<BackendServerId, Milliseconds>()
 	/** Backend servers in service by pool, until the fleet or the list changes. */
 	private readonly servers = new Map<PoolId, readonly BackendServer[]>()
 	private serversOffset = -1
@@ -66,7 +72,7 @@
 			zoneInstances: this.getZoneInstances(),
 			excluded,
 			candidates: servers
-				.filter((row) => this.ejection.isOpen(row.name))
+				.filter((row) => this.isOpen(row.name))
 				.map((row) => this.getCandidate(row)),
 		})
 		if (server === undefined) return undefined
@@ -88,6 +94,8 @@
 	/** Notes how an attempt ended; its slot is released apart. */
 	noteEnd(server: BackendServerId, outcome: AttemptOutcome, isProbe: boolean): void {
 		this.ejection.noteEnd(server, { result: getResult(outcome), probe: isProbe })
+		if (outcome.type !== 'refused') return
+		this.refusedUntil.set(server, this.options.timers.now() + REFUSED_MILLISECONDS)
 	}
 
 	/** Requests of this daemon that run, or may still run, at a backend server. */
@@ -109,6 +117,15 @@
 		return getConnectionShare(server, this.getCurrentMembers().length)
 	}
 
+	private isOpen(server: BackendServerId): boolean {
+		const refusedUntil = this.refusedUntil.get(server)
+		if (refusedUntil !== undefined) {
+			if (this.options.timers.now() < refusedUntil) return false
+			this.refusedUntil.delete(server)
+		}
+		return this.ejection.isOpen(server)
+	}
+
 	private getServers(pool: PoolId): readonly BackendServer[] {
 		const state = this.options.getState()
 		const listings = this.options.getListings()
