--- a/packages/daemon/src/lib/Daemon.ts
+++ b/packages/daemon/src/lib/Daemon.ts
@@ -4,6 +4,7 @@
 	PowerOfTwoPlacement,
 	type TimerService,
 } from '@mastichead/core'
+import { credentials, ServerCredentials } from '@grpc/grpc-js'
 import { randomBytes } from 'node:crypto'
 import type { Logger } from 'winston'
 import { AllowanceManager } from './allowances/AllowanceManager.js'
@@ -14,17 +15,24 @@
 import { HttpLogClient } from './log/HttpLogClient.js'
 import { LogManager } from './log/LogManager.js'
 import { SnapshotManager } from './log/SnapshotManager.js'
+import { MembershipManager } from './membership/MembershipManager.js'
 import { MetricsManager } from './metrics/MetricsManager.js'
 import { OperatorServer } from './operators/OperatorServer.js'
 import { StatusManager } from './operators/StatusManager.js'
+import { LocalClaimHandler } from './peers/LocalClaimHandler.js'
+import { LocalDigestSource } from './peers/LocalDigestSource.js'
+import { LocalPeerHandler } from './peers/LocalPeerHandler.js'
+import { PeerClaimTransport } from './peers/PeerClaimTransport.js'
+import { PeerManager } from './peers/PeerManager.js'
 import { InstanceListManager } from './placement/InstanceListManager.js'
 import { PlacementManager } from './placement/PlacementManager.js'
 import { RequestIdManager } from './requestIds/RequestIdManager.js'
-import { UnconnectedClaimTransport } from './requestIds/UnconnectedClaimTransport.js'
 import type { Settings } from './settings/Settings.js'
 
 const INCARNATION_BYTES = 6
 const READY_POLL_MILLISECONDS = 20
+/** Time for loans to come back before a graceful shutdown gives up its leave. */
+const LEAVE_GRACE_MILLISECONDS = 5000
 
 interface Options {
 	readonly settings: Settings
@@ -43,7 +51,9 @@
 	readonly log: LogManager
 	readonly snapshots: SnapshotManager
 	readonly keys: KeyManager
+	readonly peers: PeerManager
 	readonly allowances: AllowanceManager
+	readonly membership: MembershipManager
 	readonly instances: InstanceListManager
 	readonly placement: PlacementManager
 	readonly backends: BackendManager
@@ -76,12 +86,27 @@
 			this.instance,
 			settings.keys.isolatedServeMilliseconds
 		)
+		this.peers = this.createPeers()
 		this.allowances = new AllowanceManager({
 			timers,
 			log: this.log,
 			instance: this.instance,
+			loans: this.peers,
+			getQueued: () => this.requests.scheduler.getQueuedByTeam(),
+			onGain: () => {
+				this.requests.scheduler.tick()
+			},
+		})
+		this.membership = new MembershipManager({
+			timers,
+			logger,
+			log: this.log,
+			holder: this.allowances.holder,
 			availabilityZone,
 			peerAddress: this.getPeerAddress(),
+			onDropped: () => {
+				this.callers.leave()
+			},
 		})
 		this.instances = new InstanceListManager({
 			timers,
@@ -95,7 +120,7 @@
 			availabilityZone,
 			instance: this.instance,
 			getState,
-			getPeerRunning: () => 0,
+			getPeerRunning: (server) => this.peers.getPeerRunning(server),
 			getListings: () => this.instances.listings,
 		})
 		this.backends = new BackendManager({
@@ -106,7 +131,7 @@
 			timers,
 			logger,
 			instance: this.instance,
-			transport: new UnconnectedClaimTransport(),
+			transport: new PeerClaimTransport(this.peers),
 		})
 		this.requests = new RequestManager({
 			timers,
@@ -117,7 +142,7 @@
 			backends: this.backends,
 			policy: new FleetShare(),
 			getState,
-			getPeerLoad: () => new Map(),
+			getPeerLoad: (pool) => this.peers.getPeerLoad(pool),
 			onEnd: (requestId, verdict) => {
 				this.requestIds.settle(requestId, verdict)
 			},
@@ -164,9 +189,12 @@
 		this.snapshots.start()
 		this.log.start()
 		this.keys.start()
+		this.log.setPeerLogs(() => this.peers.getPeerLogs())
+		await this.peers.start()
 		this.instances.start()
 		await this.waitUntilReady()
-		await this.allowances.start()
+		await this.membership.start()
+		this.allowances.start()
 		await this.callers.start()
 		logger.info('daemon-started', {
 			incarnation: this.instance,
@@ -187,7 +215,11 @@
 		})
 		const end = await Promise.race([this.waitUntilIdle(), expired])
 		if (end === 'expired') logger.warn('shutdown-cut', { requests: this.requests.size })
-		await this.allowances.leave()
+		this.allowances.leave()
+		this.peers.exchangeNow()
+		await this.membership.leave(LEAVE_GRACE_MILLISECONDS)
+		this.allowances.stop()
+		this.peers.stop()
 		this.requests.stop()
 		this.keys.stop()
 		this.instances.stop()
@@ -195,11 +227,47 @@
 		await this.log.stop()
 		this.callers.stop()
 		this.backends.close()
-		this.operators.destroy()
 		await this.operators.stop()
 		logger.info('daemon-stopped')
 	}
 
+	private createPeers(): PeerManager {
+		const { settings, logger, timers } = this.options
+		const { host, port } = settings.listeners.peers
+		return new PeerManager({
+			timers,
+			logger,
+			instance: this.instance,
+			host,
+			port,
+			address: this.getPeerAddress(),
+			seeds: settings.seeds,
+			serverCredentials: ServerCredentials.createInsecure(),
+			channelCredentials: credentials.createInsecure(),
+			getState: () => this.log.state,
+			source: new LocalDigestSource({
+				allowances: () => this.allowances,
+				scheduler: () => this.requests.scheduler,
+				placement: () => this.placement,
+				keys: () => this.keys,
+				isLeaving: () => this.isLeaving,
+			}),
+			handler: new LocalPeerHandler({
+				allowances: () => this.allowances,
+				log: this.log,
+				claims: new LocalClaimHandler(() => this.requestIds),
+				exchange: (digest) => this.peers.answerExchange(digest),
+			}),
+			onKeyKnowledge: (knowledge, askedAt) => {
+				this.keys.learn(knowledge, askedAt)
+			},
+			onLoads: ({ instance, teams, leaving }) => {
+				const loads = teams.map((load) => [load.team, { ...load, free: load.lendable }] as const)
+				this.allowances.learn(instance, loads, leaving)
+			},
+		})
+	}
+
 	private async waitUntilReady(): Promise<void> {
 		while (!this.log.isReady) {
 			await new Promise<void>((resolve) => {
--- a/packages/daemon/src/lib/callers/CallerConnections.ts
+++ b/packages/daemon/src/lib/callers/CallerConnections.ts
@@ -4,28 +4,19 @@
 import type { Refusal } from './Refusal.js'
 
 /**
- * Watches the connections of an HTTP server: bounds them per address, answers what is not HTTP, and
+ * Watches the connections of an HTTP server: answers what is not HTTP or one connection too many, and
  * lets each end with the answer that is under way once the server leaves.
  *
  * @internal
  */
 export class CallerConnections {
-	/** Open connections by remote address. */
-	private readonly counts = new Map<string, number>()
 	/** Answers under way by connection. */
 	private readonly responses = new Map<Duplex, ServerResponse>()
 	private isLeaving = false
 	/** Requests that came. */
 	requestCount = 0
 
-	/** @param maximumPerAddress - connections of one remote address at once */
-	constructor(
-		server: Server,
-		private readonly maximumPerAddress: number
-	) {
-		server.on('connection', (socket) => {
-			this.handleConnection(socket)
-		})
+	constructor(server: Server) {
 		server.prependListener('request', (request, response) => {
 			this.handleRequest(request, response)
 		})
@@ -40,29 +31,14 @@
 		for (const response of this.responses.values()) closeAfter(response)
 	}
 
-	/** Open connections. */
-	get size(): number {
-		return [...this.counts.values()].reduce((sum, count) => sum + count, 0)
-	}
-
 	/** Answers under way. */
 	get responseCount(): number {
 		return this.responses.size
 	}
 
-	private handleConnection(socket: Socket): void {
-		const address = socket.remoteAddress ?? ''
-		const count = this.counts.get(address) ?? 0
-		if (count >= this.maximumPerAddress) {
-			endWith(socket, tooManyConnections)
-			return
-		}
-		this.counts.set(address, count + 1)
-		socket.once('close', () => {
-			const left = (this.counts.get(address) ?? 1) - 1
-			if (left > 0) this.counts.set(address, left)
-			else this.counts.delete(address)
-		})
+	/** Answers a connection that is over the limit of its caller. */
+	refuseExcess(socket: Socket): void {
+		endWith(socket, tooManyConnections)
 	}
 
 	private handleRequest(request: IncomingMessage, response: ServerResponse): void {
