--- a/packages/standins/src/lib/failures/verdicts.failure.test.ts
+++ b/packages/standins/src/lib/failures/verdicts.failure.test.ts
@@ -136,6 +136,26 @@
 	await waitForService()
 })
 
+test('repeats of a request id through all entry instances at once run once', async () => {
+	const caller = new QuoteCaller(key)
+	const before = await getRuns(SERVERS)
+	for (let round = 0; round < 20; round++) {
+		const urls = deployment.callerUrls
+		const id = await caller.issueId(urls[round % 4] ?? '')
+		const atOnce = await Promise.all(
+			[...urls, ...urls].map((url, index) => caller.post(url, `quote ${index}`, id))
+		)
+		expect(atOnce.filter(({ status }) => status === 200)).toHaveLength(1)
+		const repeats = await Promise.all(urls.map((url) => caller.post(url, 'quote', id)))
+		for (const { status, verdict } of repeats) expect([status, verdict]).toEqual([409, 'ran'])
+	}
+	const runs = await getRuns(SERVERS)
+	for (const id of before.keys()) runs.delete(id)
+	expect(runs.size).toBe(20)
+	expectTrueVerdicts(caller, runs)
+	await caller.close()
+})
+
 test('a killed entry instance: no repeat of its requests runs again', async () => {
 	const caller = new QuoteCaller(key)
 	const before = await getRuns(SERVERS)
