--- /dev/null
+++ b/bench/src/placement/PlacementWay.ts
@@ -0,0 +1,10 @@
+import type { PlacementPolicy } from '@mastichead/core'
+
+/**
+ * How entry instances find slots: by a policy and digests, or from the owner of the pool's slots.
+ *
+ * @internal
+ */
+export type PlacementWay =
+	| { readonly type: 'policy'; readonly create: (random: () => number) => PlacementPolicy }
+	| { readonly type: 'owner' }
--- /dev/null
+++ b/bench/src/placement/PolicySlots.ts
@@ -0,0 +1,117 @@
+import {
+	OutlierEjection,
+	type BackendServerId,
+	type Milliseconds,
+	type PlacementCandidate,
+	type PlacementPolicy,
+	type TimerService,
+} from '@mastichead/core'
+import type { SimulatedDigest } from './SimulatedDigest.js'
+import type { SimulatedServer } from './SimulatedServer.js'
+import { SimulatedSlots } from './SimulatedSlots.js'
+
+/** Time for which a backend server gets nothing after it refused, in milliseconds. */
+const REFUSED_TIME = 100
+
+interface Options {
+	readonly index: number
+	readonly name: string
+	readonly availabilityZone: string
+	readonly zoneInstances: readonly string[]
+	readonly timers: TimerService
+	readonly policy: PlacementPolicy
+	readonly servers: readonly SimulatedServer[]
+}
+
+/**
+ * Slots by a placement policy, the own counts and the digests of the other entry instances.
+ *
+ * @internal
+ */
+export class PolicySlots extends SimulatedSlots {
+	readonly digests = new Map<number, SimulatedDigest>()
+	private readonly running = new Map<BackendServerId, number>()
+	private readonly refusedUntil = new Map<BackendServerId, Milliseconds>()
+	/** Whether each running request is a probe, oldest first. */
+	private readonly probes = new Map<BackendServerId, boolean[]>()
+	private readonly ejection: OutlierEjection
+
+	constructor(private readonly options: Options) {
+		super()
+		this.ejection = new OutlierEjection({ timers: options.timers })
+		this.ejection.setPool('pool', this.getNames())
+	}
+
+	override reserve(excluded: ReadonlySet<BackendServerId>): BackendServerId | undefined {
+		const { policy, availabilityZone, zoneInstances, name, servers } = this.options
+		const candidates = servers
+			.filter((server) => this.isOpen(server.name))
+			.map((server) => this.createCandidate(server))
+		const instance = name
+		const server = policy.choose({
+			availabilityZone,
+			zoneInstances,
+			instance,
+			excluded,
+			candidates,
+		})
+		if (server === undefined) return undefined
+		this.running.set(server, this.getRunning(server) + 1)
+		const probes = this.probes.get(server) ?? []
+		this.probes.set(server, probes)
+		probes.push(this.ejection.noteStart(server))
+		return server
+	}
+
+	override end(server: BackendServerId, result: 'success' | 'failure' | 'full'): void {
+		this.running.set(server, this.getRunning(server) - 1)
+		const probe = this.probes.get(server)?.shift() ?? false
+		this.ejection.noteEnd(server, { result: result === 'full' ? 'neutral' : result, probe })
+		if (result !== 'full') return
+		this.refusedUntil.set(server, this.options.timers.now() + REFUSED_TIME)
+	}
+
+	createDigest(): SimulatedDigest {
+		return {
+			from: this.options.index,
+			running: new Map(this.running),
+			ejected: new Set(this.getNames().filter((name) => this.ejection.isEjected(name))),
+		}
+	}
+
+	takeDigest(digest: SimulatedDigest): void {
+		this.digests.set(digest.from, digest)
+		for (const name of this.getNames()) {
+			const ejected = [...this.digests.values()].some((known) => known.ejected.has(name))
+			this.ejection.setPeerEjected(name, ejected)
+		}
+	}
+
+	private isOpen(server: BackendServerId): boolean {
+		const refusedUntil = this.refusedUntil.get(server) ?? 0
+		return this.options.timers.now() >= refusedUntil && this.ejection.isOpen(server)
+	}
+
+	private createCandidate(server: SimulatedServer): PlacementCandidate {
+		const { name, availabilityZone, slots } = server
+		const running = this.getRunning(name)
+		let peerRunning = 0
+		for (const digest of this.digests.values()) peerRunning += digest.running.get(name) ?? 0
+		return {
+			name,
+			availabilityZone,
+			slots,
+			running,
+			peerRunning,
+			freeConnections: slots - running,
+		}
+	}
+
+	private getRunning(server: BackendServerId): number {
+		return this.running.get(server) ?? 0
+	}
+
+	private getNames(): BackendServerId[] {
+		return this.options.servers.map((server) => server.name)
+	}
+}
--- a/bench/src/placement/SimulatedDigest.ts
+++ b/bench/src/placement/SimulatedDigest.ts
@@ -7,7 +7,6 @@
  */
 export interface SimulatedDigest {
 	readonly from: number
-	readonly queued: number
 	readonly running: ReadonlyMap<BackendServerId, number>
 	readonly ejected: ReadonlySet<BackendServerId>
 }
--- a/bench/src/placement/SimulatedEntry.ts
+++ b/bench/src/placement/SimulatedEntry.ts
@@ -1,18 +1,16 @@
 import {
-	OutlierEjection,
 	RequestAttempts,
 	type AttemptOutcome,
 	type AvailabilityZoneId,
-	type BackendServerId,
 	type Milliseconds,
-	type PlacementCandidate,
-	type PlacementPolicy,
 	type RetryBudget,
-	type VirtualTimerService,
+	type SlotGrant,
+	type TimerService,
 } from '@mastichead/core'
-import type { SimulatedDigest } from './SimulatedDigest.js'
+import { OwnedSlots } from './OwnedSlots.js'
 import type { SimulatedRequest } from './SimulatedRequest.js'
 import type { SimulatedServer } from './SimulatedServer.js'
+import type { SimulatedSlots } from './SimulatedSlots.js'
 
 interface Waiting {
 	readonly request: SimulatedRequest
@@ -20,147 +18,95 @@
 }
 
 interface Options {
-	readonly index: number
 	readonly availabilityZone: AvailabilityZoneId
-	readonly zoneInstances: readonly string[]
-	readonly timers: VirtualTimerService
-	readonly policy: PlacementPolicy
+	readonly timers: TimerService
+	readonly slots: SimulatedSlots
 	readonly budget: RetryBudget
 	readonly servers: readonly SimulatedServer[]
 	/** One-way latency to a zone. */
 	readonly getLatency: (zone: AvailabilityZoneId) => Milliseconds
-	/** Called when a slot was freed that this entry instance has no use for. */
-	readonly onSpare?: (server: BackendServerId) => void
+	/** Called when the queue or the use of slots changed. */
+	readonly onChange: () => void
 }
 
 /**
- * An entry instance of a placement run: a queue and the real decisions on placement, ejection and
- * retries.
+ * An entry instance of a placement run: a queue and the real decisions on retries.
  *
  * @internal
  */
 export class SimulatedEntry {
-	readonly name: string
 	attempts = 0
 	/** Requests that ended without a run. */
 	lost = 0
+	/** Attempts at a backend server of another zone. */
 	spilled = 0
-	readonly digests = new Map<number, SimulatedDigest>()
 	private readonly queue: Waiting[] = []
-	private readonly running = new Map<BackendServerId, number>()
-	private readonly ejection: OutlierEjection
 
-	constructor(private readonly options: Options) {
-		this.name = `entry-${options.index}`
-		this.ejection = new OutlierEjection({ timers: options.timers })
-		this.ejection.setPool(
-			'pool',
-			options.servers.map((server) => server.name)
-		)
-	}
+	constructor(private readonly options: Options) {}
 
 	get queued(): number {
 		return this.queue.length
 	}
 
+	/** Age of the oldest request that waits. */
+	get oldestAge(): Milliseconds {
+		const oldest = this.queue[0]
+		return oldest ? this.options.timers.now() - oldest.request.at : 0
+	}
+
 	receive(request: SimulatedRequest): void {
-		const { timers, budget } = this.options
+		const { timers, budget, onChange } = this.options
 		const attempts = new RequestAttempts({ timers, budget, idempotent: false, deadline: Infinity })
 		this.queue.push({ request, attempts })
 		this.dispatch()
+		onChange()
 	}
 
-	createDigest(): SimulatedDigest {
-		const names = this.options.servers.map((server) => server.name)
-		return {
-			from: this.options.index,
-			queued: this.queue.length,
-			running: new Map(this.running),
-			ejected: new Set(names.filter((name) => this.ejection.isEjected(name))),
-		}
-	}
-
-	takeDigest(digest: SimulatedDigest): void {
-		this.digests.set(digest.from, digest)
-		for (const { name } of this.options.servers) {
-			const ejected = [...this.digests.values()].some((known) => known.ejected.has(name))
-			this.ejection.setPeerEjected(name, ejected)
-		}
+	/** Takes slots that the owner of the pool's slots gave. */
+	takeGrants(grants: readonly SlotGrant[]): void {
+		const { slots, onChange } = this.options
+		if (!(slots instanceof OwnedSlots)) return
+		for (const grant of grants) slots.holder.take(grant, 'entry-0')
 		this.dispatch()
+		onChange()
 	}
 
 	dispatch(): void {
 		for (let waiting = this.queue[0]; waiting; waiting = this.queue[0]) {
-			const server = this.choose(waiting)
+			const name = this.options.slots.reserve(waiting.attempts.excluded)
+			const server = this.options.servers.find((row) => row.name === name)
 			if (!server) return
 			this.queue.shift()
 			this.send(waiting, server)
 		}
 	}
 
-	private choose(waiting: Waiting): SimulatedServer | undefined {
-		const { policy, servers, availabilityZone, zoneInstances } = this.options
-		const candidates = servers
-			.filter((server) => this.ejection.isOpen(server.name))
-			.map((server) => this.createCandidate(server))
-		const name = policy.choose({
-			availabilityZone,
-			zoneInstances,
-			instance: this.name,
-			excluded: waiting.attempts.excluded,
-			candidates,
-		})
-		return servers.find((server) => server.name === name)
-	}
-
-	private createCandidate(server: SimulatedServer): PlacementCandidate {
-		const running = this.getRunning(server.name)
-		let peerRunning = 0
-		for (const digest of this.digests.values()) {
-			peerRunning += digest.running.get(server.name) ?? 0
-		}
-		const { name, availabilityZone, slots } = server
-		const freeConnections = slots - running
-		return { name, availabilityZone, slots, running, peerRunning, freeConnections }
-	}
-
 	private send(waiting: Waiting, server: SimulatedServer): void {
 		const { timers, getLatency, availabilityZone } = this.options
 		const latency = getLatency(server.availabilityZone)
-		const probe = this.ejection.noteStart(server.name)
 		waiting.attempts.start(server.name)
 		this.attempts++
 		if (server.availabilityZone !== availabilityZone) this.spilled++
-		this.running.set(server.name, this.getRunning(server.name) + 1)
 		timers.after(latency, () => {
 			server.receive(waiting.request, (outcome) => {
 				timers.after(latency, () => {
-					this.end(waiting, server, outcome, probe)
+					this.end(waiting, server, outcome)
 				})
 			})
 		})
 	}
 
-	private end(
-		waiting: Waiting,
-		server: SimulatedServer,
-		outcome: AttemptOutcome,
-		probe: boolean
-	): void {
-		this.running.set(server.name, this.getRunning(server.name) - 1)
-		const failed = outcome.type === 'answered' && outcome.status >= 500
-		const result = outcome.type === 'refused' ? 'neutral' : failed ? 'failure' : 'success'
-		this.ejection.noteEnd(server.name, { result, probe })
+	private end(waiting: Waiting, server: SimulatedServer, outcome: AttemptOutcome): void {
+		this.options.slots.end(server.name, getResult(outcome))
 		const decision = waiting.attempts.end(outcome, { replayable: true })
 		if (decision.type === 'retry') this.queue.unshift(waiting)
 		else if (outcome.type === 'refused') this.lost++
 		this.dispatch()
-		if (this.queue.length === 0 && outcome.type === 'answered' && !failed) {
-			this.options.onSpare?.(server.name)
-		}
+		this.options.onChange()
 	}
+}
 
-	private getRunning(server: BackendServerId): number {
-		return this.running.get(server) ?? 0
-	}
+function getResult(outcome: AttemptOutcome): 'success' | 'failure' | 'full' {
+	if (outcome.type === 'refused') return 'full'
+	return outcome.type === 'answered' && outcome.status < 500 ? 'success' : 'failure'
 }
--- a/bench/src/placement/createDemand.ts
+++ b/bench/src/placement/createDemand.ts
@@ -1,4 +1,4 @@
-import { createSeededRandom } from './createSeededRandom.js'
+import { createRandom } from '../createRandom.js'
 import type { PlacementScenario } from './PlacementScenario.js'
 import type { SimulatedRequest } from './SimulatedRequest.js'
 
@@ -20,7 +20,7 @@
 	slots: number,
 	seed: number
 ): SimulatedRequest[] {
-	const random = createSeededRandom(seed)
+	const random = createRandom(seed)
 	const exponential = (mean: number) => -mean * Math.log(1 - random())
 	const meanRate = (scenario.load * slots) / scenario.meanService
 	const maximumRate = meanRate * scenario.peak
--- a/bench/src/placementBench.ts
+++ b/bench/src/placementBench.ts
@@ -3,19 +3,16 @@
 	PowerOfTwoPlacement,
 	RandomPlacement,
 	RendezvousPlacement,
-	type PlacementPolicy,
 } from '@mastichead/core'
 import { createDemand } from './placement/createDemand.js'
 import { getCentralWaits } from './placement/getCentralWaits.js'
 import type { PlacementScenario } from './placement/PlacementScenario.js'
+import type { PlacementWay } from './placement/PlacementWay.js'
 import { runPlacement } from './placement/runPlacement.js'
 
 /** Slots of the pool: 9 backend servers with 8 each. */
 const SLOTS = 72
 
-/** Backend servers of the whole fleet, for the size of digests. */
-const FLEET_SERVERS = 35
-
 const common = {
 	duration: 120_000,
 	meanService: 400,
@@ -31,12 +28,16 @@
 	{ ...common, name: 'failing server, peaks', load: 0.7, peak: 5, failingServers: 1 },
 ]
 
-const policies: readonly ((random: () => number) => PlacementPolicy)[] = [
-	(random) => new RandomPlacement(random),
-	(random) => new LeastOutstandingPlacement(random),
-	(random) => new RendezvousPlacement(random),
-	(random) => new PowerOfTwoPlacement(random),
-]
+const ways: Readonly<Record<string, PlacementWay>> = {
+	random: { type: 'policy', create: (random) => new RandomPlacement(random) },
+	'least outstanding': {
+		type: 'policy',
+		create: (random) => new LeastOutstandingPlacement(random),
+	},
+	rendezvous: { type: 'policy', create: (random) => new RendezvousPlacement(random) },
+	'power of two': { type: 'policy', create: (random) => new PowerOfTwoPlacement(random) },
+	owner: { type: 'owner' },
+}
 
 /**
  * A row of the table: waits in milliseconds, shares in percent.
@@ -45,8 +46,7 @@
  */
 interface Row {
 	readonly scenario: string
-	readonly policy: string
-	readonly offers: boolean
+	readonly way: string
 	readonly requests: number
 	readonly p50Wait: number
 	readonly p99Wait: number
@@ -56,12 +56,12 @@
 	readonly notRunPercent: number
 	readonly spilledPercent: number
 	readonly failingPercent: number
-	readonly digestBytesPerSecond: number
+	readonly bytesPerSecond: number
 }
 
 /**
- * Compares the placement policies over 8 entry instances in virtual time, each with the same demand,
- * beside one central queue.
+ * Compares the ways to find slots over 8 entry instances in virtual time, each with the same
+ * demand, beside one central queue.
  *
  * @public
  */
@@ -70,35 +70,25 @@
 		const working = SLOTS - 8 * scenario.failingServers
 		const requests = createDemand(scenario, working, options.seed)
 		const central = getCentralWaits(requests, working, 0.5)
-		return policies.flatMap((createPolicy) =>
-			[false, true].map((offers) => {
-				const result = runPlacement({
-					scenario,
-					requests,
-					createPolicy,
-					digestInterval: 250,
-					offers,
-					fleetServers: FLEET_SERVERS,
-				})
-				const p99Wait = getQuantile(result.waits, 0.99)
-				const centralP99Wait = getQuantile(central, 0.99)
-				return {
-					scenario: scenario.name,
-					policy: createPolicy(Math.random).name,
-					offers,
-					requests: requests.length,
-					p50Wait: round(getQuantile(result.waits, 0.5)),
-					p99Wait: round(p99Wait),
-					centralP99Wait: round(centralP99Wait),
-					p99Ratio: round(p99Wait / centralP99Wait),
-					refusedPercent: round((100 * result.refused) / result.attempts),
-					notRunPercent: round((100 * result.lost) / requests.length),
-					spilledPercent: round((100 * result.spilled) / result.attempts),
-					failingPercent: round(100 * result.failingShare),
-					digestBytesPerSecond: Math.round(result.digestBytes),
-				}
-			})
-		)
+		return Object.entries(ways).map(([name, way]) => {
+			const result = runPlacement(scenario, requests, way)
+			const p99Wait = getQuantile(result.waits, 0.99)
+			const centralP99Wait = getQuantile(central, 0.99)
+			return {
+				scenario: scenario.name,
+				way: name,
+				requests: requests.length,
+				p50Wait: round(getQuantile(result.waits, 0.5)),
+				p99Wait: round(p99Wait),
+				centralP99Wait: round(centralP99Wait),
+				p99Ratio: round(p99Wait / centralP99Wait),
+				refusedPercent: round((100 * result.refused) / result.attempts),
+				notRunPercent: round((100 * result.lost) / requests.length),
+				spilledPercent: round((100 * result.spilled) / result.attempts),
+				failingPercent: round(100 * result.failingShare),
+				bytesPerSecond: Math.round(result.bytesPerSecond),
+			}
+		})
 	})
 }
 
