--- a/packages/core/src/lib/health/HealthView.ts
+++ b/packages/core/src/lib/health/HealthView.ts
@@ -1,9 +1,9 @@
+import { allowanceTerms } from '../allowance/allowanceTerms.js'
 import type { AvailabilityZoneId } from '../ids/AvailabilityZoneId.js'
 import type { BackendServerId } from '../ids/BackendServerId.js'
 import type { InstanceId } from '../ids/InstanceId.js'
 import type { FleetState } from '../state/FleetState.js'
 import type { Health } from './Health.js'
-import { OBSERVER_LEASE } from './observerLease.js'
 
 /** Observers that a verdict on a backend server needs to come from its own availability zone. */
 const MINIMUM_OBSERVERS = 2
@@ -24,7 +24,7 @@
 
 	constructor(private readonly state: FleetState) {
 		for (const member of state.members.values()) {
-			if (state.at - member.renewedAt > OBSERVER_LEASE) continue
+			if (state.at - member.renewedAt > allowanceTerms.lease) continue
 			this.live.add(member.instance)
 			const zone = this.liveByZone.get(member.availabilityZone) ?? new Set()
 			zone.add(member.instance)
--- a/packages/core/src/lib/log/proposalSchema.ts
+++ b/packages/core/src/lib/log/proposalSchema.ts
@@ -72,6 +72,7 @@
 		id,
 		backendServer: id,
 		draining: z.boolean(),
+		override: z.boolean().optional(),
 		operator: z.string(),
 	}),
 	z.looseObject({
@@ -81,6 +82,7 @@
 		from: id,
 		to: id,
 		step: z.enum(['drain', 'reassign', 'finish', 'abort']),
+		since: offset.optional(),
 		proposer: z.string(),
 	}),
 	z.looseObject({
@@ -96,6 +98,7 @@
 		wave: id,
 		backendServer: id,
 		step: z.enum(['drain', 'maintain', 'finish', 'fail', 'abort']),
+		since: offset.optional(),
 		proposer: z.string(),
 	}),
 	z.looseObject({ kind: z.literal('health'), id, instance: id, failed: names, healthy: names }),
--- a/packages/core/src/lib/waves/maintenance.failure.test.ts
+++ b/packages/core/src/lib/waves/maintenance.failure.test.ts
@@ -1,5 +1,9 @@
 import fc from 'fast-check'
 import { expect, test } from 'vitest'
+import { assert } from '../assert.js'
+import type { BackendServer } from '../fleet/BackendServer.js'
+import type { FleetPatch } from '../fleet/FleetPatch.js'
+import type { Pool } from '../fleet/Pool.js'
 import { Fold } from '../fold/Fold.js'
 import type { LogEntry } from '../log/LogEntry.js'
 import type { Proposal } from '../log/Proposal.js'
@@ -9,7 +13,7 @@
 import type { MoveView } from '../moves/MoveView.js'
 import type { PoolMove } from '../moves/PoolMove.js'
 import type { FleetState } from '../state/FleetState.js'
-import { createFleetState } from '../state/createFleetState.js'
+import type { Wave } from '../state/Wave.js'
 import { MaintenanceEvidence } from './MaintenanceEvidence.js'
 import type { MaintenanceProgress } from './MaintenanceProgress.js'
 import { WavePlanner } from './WavePlanner.js'
@@ -33,6 +37,14 @@
 	| { type: 'report'; member: number }
 	| { type: 'lie'; member: number; pool: number }
 	| { type: 'beat' }
+	| {
+			type: 'apply'
+			pool: number
+			maximumUnavailable: number
+			server: number
+			removed: boolean
+			stale: boolean
+	  }
 	| { type: 'drain'; server: number; draining: boolean; override: boolean }
 	| { type: 'move'; server: number; from: number; to: number; abort: boolean }
 	| { type: 'wave'; wave: number; action: 'create' | 'pause' | 'resume' | 'abort' }
@@ -120,6 +132,17 @@
 			),
 		}),
 	},
+	{
+		weight: 2,
+		arbitrary: fc.record({
+			type: fc.constant('apply' as const),
+			pool: index(3),
+			maximumUnavailable: fc.integer({ min: 1, max: 3 }),
+			server: index(18),
+			removed: fc.boolean(),
+			stale: fc.nat(3).map((n) => n === 0),
+		}),
+	},
 	{
 		weight: 1,
 		arbitrary: fc.record({ type: fc.constant('kill' as const), controller: index(MEMBERS) }),
@@ -133,46 +156,44 @@
 	}
 )
 
-function createState(): FleetState {
-	const state = createFleetState()
-	for (const name of POOLS) {
-		state.pools.set(name, {
-			name,
-			spare: name === 'spare',
-			minimumAvailable: 3,
-			maximumUnavailable: 2,
-		})
-	}
-	POOLS.forEach((pool, at) => {
-		for (let count = 0; count < SERVERS_PER_POOL; count += 1) {
+function createServers(): readonly BackendServer[] {
+	return POOLS.flatMap((pool, at) =>
+		Array.from({ length: SERVERS_PER_POOL }, (_, count) => {
+			const availabilityZone = ZONES[count % 3] ?? ''
+			const rack = `${availabilityZone}${at}`
+			const address = `127.0.0.1:${2000 + at * 100 + count}`
 			const name = `${pool}-${count}`
-			const zone = ZONES[count % 3] ?? ''
-			const row = {
-				name,
-				availabilityZone: zone,
-				rack: `${zone}${at}`,
-				address: '',
-				pool,
-				slots: 8,
-				connections: 64,
-			}
-			state.backendServers.set(name, row)
-			state.placements.set(name, { pool, health: 'healthy', activity: { type: 'serving' } })
-		}
-	})
-	for (let member = 0; member < MEMBERS; member += 1) {
+			return { name, availabilityZone, rack, address, pool, slots: 8, connections: 64 }
+		})
+	)
+}
+
+function createPool(name: string, maximumUnavailable: number): Pool {
+	return { name, spare: name === 'spare', minimumAvailable: 3, maximumUnavailable }
+}
+
+function createPatch(patch: Partial<FleetPatch>): FleetPatch {
+	const none = { put: [], remove: [] }
+	const zones = { name: 'test', availabilityZones: ZONES }
+	return { ...zones, pools: none, queues: none, teams: none, backendServers: none, ...patch }
+}
+
+function createFirstProposals(): readonly Proposal[] {
+	const pools = { put: POOLS.map((name) => createPool(name, 2)), remove: [] }
+	const backendServers = { put: createServers(), remove: [] }
+	const patch = createPatch({ pools, backendServers })
+	const joins = Array.from({ length: MEMBERS }, (_, member): Proposal => {
 		const instance = `member-${member}`
-		const row = {
+		const availabilityZone = ZONES[member % 3] ?? ''
+		return {
+			kind: 'join',
+			id: `join-${member}`,
 			instance,
-			availabilityZone: ZONES[member % 3] ?? '',
-			peerAddress: '',
-			renewedAt: 0,
-			sequence: 0,
-			allowances: new Map(),
+			availabilityZone,
+			peerAddress: '127.0.0.1:1',
 		}
-		state.members.set(instance, row)
-	}
-	return state
+	})
+	return [{ kind: 'apply', id: 'first', base: 0, patch, operator: 'o' }, ...joins]
 }
 
 /** Asks for moves all the time, so that they meet everything else. */
@@ -196,7 +217,7 @@
 class World extends MaintenanceEvidence {
 	now = 0
 	readonly entries: LogEntry[] = []
-	readonly truth = new Fold(createState())
+	readonly truth = new Fold()
 	private readonly late: Proposal[] = []
 	private readonly running = new Map<string, number[]>()
 	private readonly broken = new Set<string>()
@@ -206,7 +227,13 @@
 	private readonly controllers = Array.from({ length: MEMBERS }, (_, at) =>
 		createController(`member-${at}`)
 	)
-	private readonly names = [...this.truth.state.backendServers.keys()]
+	private readonly names = createServers().map(({ name }) => name)
+
+	constructor() {
+		super()
+		for (const proposal of createFirstProposals()) this.append(proposal)
+		assert(this.truth.state.members.size === MEMBERS, 'every daemon joined')
+	}
 
 	override isDrained(server: string): boolean {
 		const since = this.truth.state.placements.get(server)?.since?.offset ?? 0
@@ -265,6 +292,9 @@
 					healthy: [],
 				})
 				return
+			case 'apply':
+				this.apply(command)
+				return
 			case 'beat':
 				this.beat()
 				return
@@ -326,6 +356,9 @@
 
 	/** An operator puts every backend server in service in the pool of the fleet document. */
 	restore(): void {
+		for (let server = 0; server < this.names.length; server += 1) {
+			this.apply({ pool: server % 3, maximumUnavailable: 2, server, removed: false, stale: false })
+		}
 		for (const { name, pool } of this.truth.state.backendServers.values()) {
 			const from = this.truth.state.placements.get(name)?.pool ?? ''
 			this.append({
@@ -405,6 +438,22 @@
 		this.running.set(server, [...ends, this.now + RUN_TICKS * TICK])
 	}
 
+	/** Changes a budget, and takes a backend server out of the file or puts it back. */
+	private apply(command: Omit<Extract<Command, { type: 'apply' }>, 'type'>): void {
+		const row = createServers()[command.server]
+		if (!row) return
+		const pools = {
+			put: [createPool(POOLS[command.pool] ?? '', command.maximumUnavailable)],
+			remove: [],
+		}
+		const backendServers = command.removed
+			? { put: [], remove: [row.name] }
+			: { put: [row], remove: [] }
+		const base = this.truth.state.version - (command.stale ? 1 : 0)
+		const patch = createPatch({ pools, backendServers })
+		this.append({ kind: 'apply', id: this.id(), base, patch, operator: 'o' })
+	}
+
 	private report(at: number): void {
 		const instance = `member-${at}`
 		const { placements } = this.truth.state
@@ -447,7 +496,7 @@
 ): Controller {
 	return {
 		member,
-		fold: new Fold(createState()),
+		fold: new Fold(),
 		waves: new WavePlanner(),
 		moves: new MovePlanner(policy),
 	}
@@ -493,6 +542,24 @@
 	}
 }
 
+/** Zones of a pool, other than that of `server`, where a wave has some out and some left in service. */
+function getOpenZones(state: FleetState, wave: Wave, server: string): readonly string[] {
+	const pool = state.placements.get(server)?.pool
+	const getZone = (name: string) => state.backendServers.get(name)?.availabilityZone ?? ''
+	const inPool = [...wave.steps].filter(([name]) => state.placements.get(name)?.pool === pool)
+	const out = inPool.filter(([, step]) => step === 'draining' || step === 'maintenance')
+	const left = inPool.filter(([name, step]) => {
+		const placement = state.placements.get(name)
+		return (
+			step === 'waiting' && placement?.activity.type === 'serving' && placement.health === 'healthy'
+		)
+	})
+	const zones = new Set(out.map(([name]) => getZone(name)))
+	return left
+		.map(([name]) => getZone(name))
+		.filter((zone) => zone !== getZone(server) && zones.has(zone))
+}
+
 /** What holds after an accepted step, beyond what holds always. */
 function checkStep(
 	state: FleetState,
@@ -503,6 +570,7 @@
 	const moved = [...state.placements]
 		.filter(([name, { pool }]) => before.get(name) !== pool)
 		.map(([name]) => name)
+	if (proposal.kind === 'apply') return
 	const isReassign =
 		proposal.kind === 'move' && (proposal.step === 'reassign' || proposal.step === 'abort')
 	expect(isReassign ? [] : moved).toEqual([])
@@ -520,9 +588,13 @@
 	if (isStopped) expect(world.getRunning(proposal.backendServer)).toBe(0)
 	if (!isOut) return
 	const { available, unavailable } = countPool(state, pool)
-	expect(available).toBeGreaterThanOrEqual(3)
-	expect(unavailable).toBeLessThanOrEqual(2)
-	if (proposal.kind === 'wave-step') expect(state.waves.get(proposal.wave)?.state).toBe('running')
+	expect(available).toBeGreaterThanOrEqual(state.pools.get(pool)?.minimumAvailable ?? 0)
+	expect(unavailable).toBeLessThanOrEqual(state.pools.get(pool)?.maximumUnavailable ?? 0)
+	if (proposal.kind !== 'wave-step') return
+	const wave = state.waves.get(proposal.wave)
+	expect(wave?.state).toBe('running')
+	if (wave && proposal.step === 'drain')
+		expect(getOpenZones(state, wave, proposal.backendServer)).toEqual([])
 }
 
 test('budgets, pools and running work survive racing waves, moves, operators and faults', () => {
@@ -532,7 +604,7 @@
 			const world = new World()
 			world.run({ type: 'wave', wave: 0, action: 'create' })
 			for (const each of commands) world.run(each)
-			const replica = new Fold(createState())
+			const replica = new Fold()
 			for (const entry of world.entries) replica.take(entry)
 			expect(replica.state).toEqual(world.truth.state)
 			accepted += [...world.truth.state.decisions.values()].filter(
