Run health checks, waves and moves in every daemon

A drain counts as through once every member said in a digest, with an offset past the drain, that nothing of it runs there. Running counts in the digests could not be used for that: their rows share a byte budget and may be late.

--- a/packages/daemon/src/lib/Daemon.ts
+++ b/packages/daemon/src/lib/Daemon.ts
@@ -16,6 +16,9 @@
 import { LogManager } from './log/LogManager.js'
 import { SnapshotManager } from './log/SnapshotManager.js'
 import { MembershipManager } from './membership/MembershipManager.js'
+import { createMaintenance } from './maintenance/createMaintenance.js'
+import type { HealthManager } from './maintenance/HealthManager.js'
+import type { MaintenanceManager } from './maintenance/MaintenanceManager.js'
 import { MetricsManager } from './metrics/MetricsManager.js'
 import { OperatorServer } from './operators/OperatorServer.js'
 import { StatusManager } from './operators/StatusManager.js'
@@ -61,6 +64,8 @@
 	readonly metrics = new MetricsManager()
 	readonly requests: RequestManager
 	readonly callers: CallerServer
+	readonly health: HealthManager
+	readonly maintenance: MaintenanceManager
 	readonly status: StatusManager
 	readonly operators: OperatorServer
 	private isLeaving = false
@@ -156,6 +161,19 @@
 			requestIds: this.requestIds,
 			getState,
 		})
+		const { health, maintenance } = createMaintenance({
+			settings,
+			logger,
+			timers,
+			log: this.log,
+			instance: this.instance,
+			peers: this.peers,
+			placement: this.placement,
+			scheduler: this.requests.scheduler,
+			metrics: this.metrics,
+		})
+		this.health = health
+		this.maintenance = maintenance
 		this.status = new StatusManager({
 			timers,
 			instance: this.instance,
@@ -195,6 +213,8 @@
 		await this.waitUntilReady()
 		await this.membership.start()
 		this.allowances.start()
+		this.health.start()
+		this.maintenance.start()
 		await this.callers.start()
 		logger.info('daemon-started', {
 			incarnation: this.instance,
@@ -206,6 +226,8 @@
 	async stop(): Promise<void> {
 		const { logger, settings, timers } = this.options
 		this.isLeaving = true
+		this.maintenance.stop()
+		this.health.stop()
 		this.callers.leave()
 		const grace = settings.shutdown.graceMilliseconds
 		const expired = new Promise<'expired'>((resolve) => {
@@ -251,6 +273,7 @@
 				placement: () => this.placement,
 				keys: () => this.keys,
 				isLeaving: () => this.isLeaving,
+				getState: () => this.log.state,
 			}),
 			handler: new LocalPeerHandler({
 				allowances: () => this.allowances,
--- /dev/null
+++ b/packages/daemon/src/lib/maintenance/HealthSource.ts
@@ -0,0 +1,11 @@
+import type { BackendServer } from '@mastichead/core'
+
+/**
+ * Asks backend servers whether they are well.
+ *
+ * @public
+ */
+export abstract class HealthSource {
+	/** Resolves to whether the backend server answered in time that it is well. Never rejects. */
+	abstract check(server: BackendServer): Promise<boolean>
+}
--- /dev/null
+++ b/packages/daemon/src/lib/maintenance/createMaintenance.ts
@@ -0,0 +1,74 @@
+import {
+	type InstanceId,
+	MovePlanner,
+	type Scheduler,
+	type TimerService,
+	WavePlanner,
+} from '@mastichead/core'
+import type { Logger } from 'winston'
+import type { LogManager } from '../log/LogManager.js'
+import type { MetricsManager } from '../metrics/MetricsManager.js'
+import type { PeerManager } from '../peers/PeerManager.js'
+import type { PlacementManager } from '../placement/PlacementManager.js'
+import type { Settings } from '../settings/Settings.js'
+import { createMovePolicy } from './createMovePolicy.js'
+import { DaemonEvidence } from './DaemonEvidence.js'
+import { getPoolDemands } from './getPoolDemands.js'
+import { HealthManager } from './HealthManager.js'
+import { HttpHealthSource } from './HttpHealthSource.js'
+import { HttpMaintenancePlatform } from './HttpMaintenancePlatform.js'
+import { MaintenanceManager } from './MaintenanceManager.js'
+
+interface Options {
+	readonly settings: Settings
+	readonly logger: Logger
+	readonly timers: TimerService
+	readonly log: LogManager
+	readonly instance: InstanceId
+	readonly peers: PeerManager
+	readonly placement: PlacementManager
+	readonly scheduler: Pick<Scheduler, 'getOwnLoad'>
+	readonly metrics: MetricsManager
+}
+
+/**
+ * Puts together what a daemon does for health, waves and moves.
+ *
+ * @internal
+ */
+export function createMaintenance(options: Options): {
+	readonly health: HealthManager
+	readonly maintenance: MaintenanceManager
+} {
+	const { settings, logger, timers, log, instance, peers, placement, scheduler, metrics } = options
+	const { healthPath, healthTimeoutMilliseconds, timeoutMilliseconds } = settings.maintenance
+	const source = new HttpHealthSource({ path: healthPath, timeout: healthTimeoutMilliseconds })
+	const evidence = new DaemonEvidence({
+		log,
+		instance,
+		peers,
+		health: source,
+		platform: new HttpMaintenancePlatform({
+			urls: settings.platform.urls,
+			instance: settings.instance,
+		}),
+		getOwnRunning: (server) => placement.getRunning(server),
+	})
+	const maintenance = new MaintenanceManager({
+		timers,
+		logger,
+		log,
+		instance,
+		peers,
+		evidence,
+		waves: new WavePlanner({ maintenanceTimeout: timeoutMilliseconds }),
+		moves: new MovePlanner(createMovePolicy(settings.moves)),
+		getDemands: () =>
+			getPoolDemands(
+				log.state,
+				(pool) => [scheduler.getOwnLoad(pool), peers.getPeerLoad(pool)],
+				(queue) => metrics.getMeanService(queue)
+			),
+	})
+	return { health: new HealthManager({ timers, logger, log, instance, source }), maintenance }
+}
--- /dev/null
+++ b/packages/daemon/src/lib/maintenance/createMovePolicy.ts
@@ -0,0 +1,23 @@
+import {
+	FixedMovePolicy,
+	ForecastMovePolicy,
+	GreedyMovePolicy,
+	type MovePolicy,
+} from '@mastichead/core'
+import type { Settings } from '../settings/Settings.js'
+
+/**
+ * Makes the move policy that the settings name.
+ *
+ * @internal
+ */
+export function createMovePolicy({ policy, weights, perHour }: Settings['moves']): MovePolicy {
+	switch (policy) {
+		case 'fixed':
+			return new FixedMovePolicy()
+		case 'greedy':
+			return new GreedyMovePolicy()
+		case 'forecast':
+			return new ForecastMovePolicy({ weights, movesPerHour: perHour })
+	}
+}
--- a/packages/daemon/src/lib/metrics/MetricsManager.ts
+++ b/packages/daemon/src/lib/metrics/MetricsManager.ts
@@ -1,7 +1,8 @@
 import { formatTextExposition } from './formatTextExposition.js'
-import type { HistogramReport } from '@mastichead/core'
+import type { HistogramReport, Milliseconds, QueueId } from '@mastichead/core'
 import { RecorderTable } from './RecorderTable.js'
 import type { RequestMeasurement } from './RequestMeasurement.js'
+import { ServiceTimes } from './ServiceTimes.js'
 
 const DEFAULT_MAXIMUM_TEAMS = 512
 const DEFAULT_MAXIMUM_QUEUES = 512
@@ -15,6 +16,7 @@
 export class MetricsManager {
 	private readonly teams: RecorderTable
 	private readonly queues: RecorderTable
+	private readonly serviceTimes: ServiceTimes
 
 	/**
 	 * @param options.maximumTeams - teams with a row of their own; default 512
@@ -23,6 +25,7 @@
 	constructor(options: { readonly maximumTeams?: number; readonly maximumQueues?: number } = {}) {
 		this.teams = new RecorderTable(options.maximumTeams ?? DEFAULT_MAXIMUM_TEAMS)
 		this.queues = new RecorderTable(options.maximumQueues ?? DEFAULT_MAXIMUM_QUEUES)
+		this.serviceTimes = new ServiceTimes(options.maximumQueues ?? DEFAULT_MAXIMUM_QUEUES)
 	}
 
 	/** Bytes held by all distributions. */
@@ -34,6 +37,13 @@
 	recordRequest(measurement: RequestMeasurement): void {
 		this.teams.use(measurement.team).record(measurement)
 		this.queues.use(measurement.queue).record(measurement)
+		const { queue, serviceMilliseconds } = measurement
+		if (serviceMilliseconds !== undefined) this.serviceTimes.record(queue, serviceMilliseconds)
+	}
+
+	/** Mean service time of the latest requests of a queue; undefined before the first. */
+	getMeanService(queue: QueueId): Milliseconds | undefined {
+		return this.serviceTimes.get(queue)
 	}
 
 	/** Everything recorded since the start, in a form that a reader can merge. */
--- a/packages/daemon/src/lib/peers/DigestSource.ts
+++ b/packages/daemon/src/lib/peers/DigestSource.ts
@@ -1,3 +1,4 @@
+import type { BackendServerId } from '@mastichead/core'
 import type { ServerLoad, TeamLoad } from '@mastichead/protocol'
 import type { KeyKnowledge } from '../keys/KeyKnowledge.js'
 
@@ -11,6 +12,8 @@
 	abstract getTeams(): readonly TeamLoad[]
 	/** Loads of the backend servers that this daemon uses. */
 	abstract getServers(): readonly ServerLoad[]
+	/** Draining backend servers at which this daemon runs nothing. */
+	abstract getDrained(): readonly BackendServerId[]
 	abstract getKeyKnowledge(): KeyKnowledge
 	abstract isLeaving(): boolean
 }
--- a/packages/daemon/src/lib/peers/LocalDigestSource.ts
+++ b/packages/daemon/src/lib/peers/LocalDigestSource.ts
@@ -1,4 +1,11 @@
-import type { PoolId, Scheduler, TeamId, TeamLoad as PoolTeamLoad } from '@mastichead/core'
+import type {
+	BackendServerId,
+	FleetState,
+	PoolId,
+	Scheduler,
+	TeamId,
+	TeamLoad as PoolTeamLoad,
+} from '@mastichead/core'
 import type { PoolLoad, ServerLoad, TeamLoad } from '@mastichead/protocol'
 import type { AllowanceManager } from '../allowances/AllowanceManager.js'
 import type { KeyKnowledge } from '../keys/KeyKnowledge.js'
@@ -12,6 +19,7 @@
 	readonly placement: () => PlacementManager
 	readonly keys: () => KeyManager
 	readonly isLeaving: () => boolean
+	readonly getState: () => FleetState
 }
 
 /**
@@ -48,6 +56,16 @@
 		}))
 	}
 
+	override getDrained(): BackendServerId[] {
+		const placement = this.options.placement()
+		const drained: BackendServerId[] = []
+		for (const [server, { activity }] of this.options.getState().placements) {
+			if (activity.type !== 'draining' || placement.getRunning(server) > 0) continue
+			drained.push(server)
+		}
+		return drained
+	}
+
 	override getKeyKnowledge(): KeyKnowledge {
 		return this.options.keys().getKnowledge()
 	}
--- a/packages/daemon/src/lib/peers/Peer.ts
+++ b/packages/daemon/src/lib/peers/Peer.ts
@@ -13,6 +13,10 @@
 	readonly teams = new Map<TeamId, TeamLoad>()
 	readonly servers = new Map<BackendServerId, ServerLoad>()
 	offset = -1
+	/** Draining backend servers at which it runs nothing, by its last digest. */
+	drained: ReadonlySet<BackendServerId> = new Set()
+	/** Offset of its last digest. */
+	drainedOffset = -1
 	isLeaving = false
 	isExchanging = false
 	/** Instant at which it was last heard; -Infinity before the first. */
@@ -34,7 +38,15 @@
 		this.heardAt = now
 		this.offset = Math.max(this.offset, digest.offset)
 		this.isLeaving = digest.leaving
+		this.updateDrained(digest)
 		for (const load of digest.teams) this.teams.set(load.team, load)
 		for (const load of digest.servers) this.servers.set(load.server, load)
 	}
+
+	/** A digest that comes late must not take the place of a newer one. */
+	private updateDrained({ offset, drained }: Digest): void {
+		if (offset < this.drainedOffset) return
+		this.drainedOffset = offset
+		this.drained = new Set(drained)
+	}
 }
--- a/packages/daemon/src/lib/peers/PeerManager.test.ts
+++ b/packages/daemon/src/lib/peers/PeerManager.test.ts
@@ -44,6 +44,10 @@
 		return [{ server: 's1', running: 4, connections: 4, ejected: false }]
 	}
 
+	override getDrained() {
+		return ['s2']
+	}
+
 	override getKeyKnowledge() {
 		return { instance: this.instance, withdrawnKeys: ['key-1'], age: 5, offset: -1 }
 	}
--- a/packages/daemon/src/lib/peers/PeerManager.ts
+++ b/packages/daemon/src/lib/peers/PeerManager.ts
@@ -143,6 +143,20 @@
 		return running
 	}
 
+	/** Incarnations heard lately that have folded the log up to `offset`. */
+	getCurrentInstances(offset: number): InstanceId[] {
+		return this.getFreshPeers().flatMap((peer) => {
+			if (peer.isLeaving || peer.offset < offset) return []
+			return peer.instance ?? []
+		})
+	}
+
+	/** Whether an incarnation said, having folded `offset`, that nothing of it runs at a draining server. */
+	isDrainedAt(instance: InstanceId, server: BackendServerId, offset: number): boolean {
+		const peer = this.table.find(instance)
+		return peer !== undefined && peer.drainedOffset >= offset && peer.drained.has(server)
+	}
+
 	/** Peers that answered or called lately. */
 	get reachablePeers(): number {
 		return this.getFreshPeers().length
@@ -250,6 +264,7 @@
 			teams: rows.flatMap(({ team }) => team ?? []),
 			servers: rows.flatMap(({ server }) => server ?? []),
 			stranger: false,
+			drained: [...source.getDrained()],
 		}
 	}
 
--- a/packages/daemon/src/lib/settings/settingsSchema.ts
+++ b/packages/daemon/src/lib/settings/settingsSchema.ts
@@ -36,6 +36,20 @@
 	tokenHash: z.string().regex(/^[0-9a-f]{64}$/, 'must be a SHA-256 in 64 hex digits'),
 })
 
+const weight = z.number().positive()
+
+const moves = z.strictObject({
+	policy: z.enum(['fixed', 'greedy', 'forecast']).default('forecast'),
+	weights: z
+		.strictObject({
+			shares: weight.default(1),
+			moves: weight.default(1),
+			buffer: weight.default(1),
+		})
+		.prefault({}),
+	perHour: z.number().min(0).default(60),
+})
+
 const limits = z.strictObject({
 	headerBytes: count.default(16_384),
 	bodyBytes: count.default(64 * MEBIBYTE),
@@ -73,6 +87,14 @@
 			error: 'names must differ',
 		}),
 	limits: limits.prefault({}),
+	maintenance: z
+		.strictObject({
+			healthPath: z.string().startsWith('/').default('/healthz'),
+			healthTimeoutMilliseconds: count.default(2 * SECOND_MILLISECONDS),
+			timeoutMilliseconds: count.default(60 * MINUTE_MILLISECONDS),
+		})
+		.prefault({}),
+	moves: moves.prefault({}),
 	shutdown: z
 		.strictObject({ graceMilliseconds: milliseconds.default(30 * SECOND_MILLISECONDS) })
 		.prefault({}),
