Show what peers' digests say in the status, and use TLS between peers

A daemon that cannot be asked was listed without the age of its last word. Calls between peers take their credentials from the settings.

--- a/packages/cli/src/lib/output/formatStatus.ts
+++ b/packages/cli/src/lib/output/formatStatus.ts
@@ -98,7 +98,7 @@
 			row.queued,
 			formatPercent(row.sharePart),
 			formatPercent(row.reachedPart),
-			row.allowances.map(({ instance, units }) => `${instance}:${units}`).join(' ') || '-',
+			row.allowances.map(({ instance, units }) => `${getName(instance)}:${units}`).join(' ') || '-',
 		])
 	)
 }
@@ -144,6 +144,11 @@
 	)
 }
 
+/** Name of the instance without the suffix of its incarnation. */
+function getName(instance: string): string {
+	return instance.replace(/\.[0-9a-f]{12}$/, '')
+}
+
 function formatPercent(part: number): string {
 	return `${Math.round(part * PERCENT)}%`
 }
--- a/packages/core/src/lib/reports/TeamLoadStatus.ts
+++ b/packages/core/src/lib/reports/TeamLoadStatus.ts
@@ -10,7 +10,7 @@
 	readonly team: TeamId
 	readonly running: number
 	readonly queued: number
-	/** Allowance that the daemon may use now, loans included. */
-	readonly usable: number
+	/** Allowance that the daemon may use now, loans included; only a daemon itself knows it. */
+	readonly usable?: number | undefined
 	readonly pools: readonly PoolLoadStatus[]
 }
--- a/packages/daemon/src/lib/Daemon.ts
+++ b/packages/daemon/src/lib/Daemon.ts
@@ -4,7 +4,6 @@
 	PowerOfTwoPlacement,
 	type TimerService,
 } from '@mastichead/core'
-import { credentials, ServerCredentials } from '@grpc/grpc-js'
 import { randomBytes } from 'node:crypto'
 import type { Logger } from 'winston'
 import { AllowanceManager } from './allowances/AllowanceManager.js'
@@ -21,6 +20,7 @@
 import { StatusManager } from './operators/StatusManager.js'
 import { LocalDigestSource } from './peers/LocalDigestSource.js'
 import { LocalPeerHandler } from './peers/LocalPeerHandler.js'
+import { PeerCredentials } from './peers/PeerCredentials.js'
 import { PeerManager } from './peers/PeerManager.js'
 import { UnconnectedClaimHandler } from './peers/UnconnectedClaimHandler.js'
 import { PlacementManager } from './placement/PlacementManager.js'
@@ -155,7 +155,7 @@
 			log: this.log,
 			loads: this.requests.scheduler,
 			getUsable: (team) => this.allowances.holder.getUsable(team),
-			getPeers: () => [],
+			getPeers: () => this.peers.getStatuses(),
 			isLeaving: () => this.isLeaving,
 		})
 		this.operators = new OperatorServer({
@@ -223,7 +223,8 @@
 
 	private createPeers(): PeerManager {
 		const { settings, logger, timers } = this.options
-		const { host, port } = settings.listeners.peers
+		const { host, port, tls } = settings.listeners.peers
+		const credentials = new PeerCredentials(tls)
 		return new PeerManager({
 			timers,
 			logger,
@@ -232,8 +233,8 @@
 			port,
 			address: this.getPeerAddress(),
 			seeds: settings.seeds,
-			serverCredentials: ServerCredentials.createInsecure(),
-			channelCredentials: credentials.createInsecure(),
+			serverCredentials: credentials.server,
+			channelCredentials: credentials.channel,
 			getState: () => this.log.state,
 			source: new LocalDigestSource({
 				allowances: () => this.allowances,
--- a/packages/daemon/src/lib/peers/Peer.ts
+++ b/packages/daemon/src/lib/peers/Peer.ts
@@ -13,6 +13,10 @@
 	readonly teams = new Map<TeamId, TeamLoad>()
 	readonly servers = new Map<BackendServerId, ServerLoad>()
 	offset = -1
+	/** Version of the fleet document in force there. */
+	version = 0
+	/** Age that its knowledge of the log had when it was last heard; undefined when it had none. */
+	logAge: Milliseconds | undefined
 	isLeaving = false
 	isExchanging = false
 	/** Instant at which it was last heard; -Infinity before the first. */
@@ -33,6 +37,8 @@
 	update(digest: Digest, now: Milliseconds): void {
 		this.heardAt = now
 		this.offset = Math.max(this.offset, digest.offset)
+		this.version = Math.max(this.version, digest.version)
+		this.logAge = digest.logAgeMilliseconds
 		this.isLeaving = digest.leaving
 		for (const load of digest.teams) this.teams.set(load.team, load)
 		for (const load of digest.servers) this.servers.set(load.server, load)
--- a/packages/daemon/src/lib/peers/PeerManager.ts
+++ b/packages/daemon/src/lib/peers/PeerManager.ts
@@ -1,6 +1,7 @@
 import type { ChannelCredentials, ServerCredentials } from '@grpc/grpc-js'
 import type {
 	BackendServerId,
+	DaemonStatus,
 	FleetState,
 	InstanceId,
 	LoanReply,
@@ -24,6 +25,7 @@
 import type { KeyKnowledge } from '../keys/KeyKnowledge.js'
 import type { PeerLog } from '../log/PeerLog.js'
 import { createDigestRows } from './createDigestRows.js'
+import { createPeerStatus } from './createPeerStatus.js'
 import type { DigestRow } from './DigestRow.js'
 import type { DigestSource } from './DigestSource.js'
 import { LoanTransport } from './LoanTransport.js'
@@ -143,6 +145,22 @@
 		return running
 	}
 
+	/** What the last digest of each member says of it. */
+	getStatuses(): DaemonStatus[] {
+		const { timers, getState } = this.options
+		const { members } = getState()
+		const now = timers.now()
+		const statuses: DaemonStatus[] = []
+		for (const peer of this.table.values()) {
+			const { instance } = peer
+			const availabilityZone = instance && members.get(instance)?.availabilityZone
+			if (instance === undefined || availabilityZone === undefined) continue
+			const options = { availabilityZone, now, maximumAge: MAXIMUM_LOAD_AGE_MILLISECONDS }
+			statuses.push(createPeerStatus(peer, { instance, ...options }))
+		}
+		return statuses
+	}
+
 	/** Peers that answered or called lately. */
 	get reachablePeers(): number {
 		return this.getFreshPeers().length
