Say in the status which daemons do not hear each other

Tried on a real cut (two daemons, calls between them through forwarders that were closed, one cut off from the platform): asked at both, the merged status showed nothing wrong, since each daemon speaks for itself.

--- a/packages/core/src/lib/reports/StatusReport.ts
+++ b/packages/core/src/lib/reports/StatusReport.ts
@@ -4,6 +4,7 @@
 import type { MoveStatus } from './MoveStatus.js'
 import type { PoolStatus } from './PoolStatus.js'
 import type { TeamStatus } from './TeamStatus.js'
+import type { UnheardDaemon } from './UnheardDaemon.js'
 import type { WaveStatus } from './WaveStatus.js'
 import type { ZoneStatus } from './ZoneStatus.js'
 
@@ -20,6 +21,8 @@
 	readonly offset: number
 	readonly zones: readonly ZoneStatus[]
 	readonly daemons: readonly DaemonStatus[]
+	/** Daemons that the one that answers does not hear. */
+	readonly unheard: readonly UnheardDaemon[]
 	readonly teams: readonly TeamStatus[]
 	readonly pools: readonly PoolStatus[]
 	/** Backend servers that are not in service. */
--- a/packages/core/src/lib/reports/createStatusReport.test.ts
+++ b/packages/core/src/lib/reports/createStatusReport.test.ts
@@ -155,6 +155,7 @@
 		const merged = mergeStatusReports([first, second])
 		expect(merged).toMatchObject({ offset: 12, teams: [{ running: 12 }, {}, {}] })
 		expect(merged?.daemons.map((row) => row.source)).toEqual(['self', 'self'])
+		expect(merged?.unheard).toEqual([{ instance: 'd1', by: 'd2' }])
 		expect(mergeStatusReports([])).toBeUndefined()
 	})
 })
--- a/packages/core/src/lib/reports/createStatusReport.ts
+++ b/packages/core/src/lib/reports/createStatusReport.ts
@@ -30,6 +30,7 @@
 }): StatusReport {
 	const { state, instance } = options
 	const ledger = new AvailabilityLedger(state)
+	const daemons = addSilentMembers(state, options.daemons)
 	const report: StatusReport = {
 		instance,
 		fleet: state.name,
@@ -42,14 +43,21 @@
 			running: 0,
 			queued: 0,
 		})),
-		daemons: [],
+		daemons,
+		unheard: daemons
+			.filter((daemon) => !daemon.reachable)
+			.map((daemon) => ({
+				instance: daemon.instance,
+				by: instance,
+				ageMilliseconds: daemon.ageMilliseconds,
+			})),
 		teams: [...state.teams.values()].map((team) => createTeam(state, team)),
 		pools: [...state.pools.values()].map((pool) => createPool(state, pool, ledger)),
 		outOfService: getOutOfService(state, ledger),
 		moves: getMoves(state),
 		waves: [...state.waves.values()].map((wave) => getWaveStatus(state, wave, ledger)),
 	}
-	return countDaemons(report, addSilentMembers(state, options.daemons))
+	return countDaemons(report, daemons)
 }
 
 function addSilentMembers(
--- a/packages/core/src/lib/reports/mergeStatusReports.ts
+++ b/packages/core/src/lib/reports/mergeStatusReports.ts
@@ -18,7 +18,8 @@
 		const known = daemons.get(daemon.instance)
 		if (!known || getAge(daemon) < getAge(known)) daemons.set(daemon.instance, daemon)
 	}
-	return countDaemons(newest, [...daemons.values()])
+	const unheard = reports.flatMap((report) => report.unheard)
+	return countDaemons({ ...newest, unheard }, [...daemons.values()])
 }
 
 function getAge(daemon: DaemonStatus): number {
