--- /dev/null
+++ b/tests/docs/docs.test.ts
@@ -0,0 +1,52 @@
+import { readdirSync, readFileSync } from 'node:fs'
+import { dirname, join } from 'node:path'
+import { describe, expect, it } from 'vitest'
+
+const DAEMON_SOURCES = 'packages/daemon/src'
+
+function getFiles(directory: string, suffix: string): string[] {
+	return readdirSync(directory, { recursive: true, encoding: 'utf8' })
+		.filter((file) => file.endsWith(suffix) && !file.includes('node_modules'))
+		.map((file) => join(directory, file))
+}
+
+function getPages(): string[] {
+	const pages = ['docs/interface.md', 'docs/glossary.md', ...getFiles('docs/operators', '.md')]
+	return ['README.md', 'CONTRIBUTING.md', ...pages]
+}
+
+describe('documentation', () => {
+	it('lists every log event, and no other', () => {
+		const events = new Set<string>()
+		for (const file of getFiles(DAEMON_SOURCES, '.ts')) {
+			if (file.includes('.test.') || file.includes('/testing/')) continue
+			const code = readFileSync(file, 'utf8').replaceAll(/^ \*.*$/gm, '')
+			for (const [, event] of code.matchAll(/logger\.(?:info|warn|error|debug)\(\s*'([^']+)'/g)) {
+				if (event !== undefined) events.add(event)
+			}
+		}
+		const page = readFileSync('docs/operators/log-events.md', 'utf8')
+		const listed = [...page.matchAll(/^\| `([a-z-]+)` /gm)].map(([, event]) => event)
+		expect(listed.toSorted()).toEqual([...events].toSorted())
+	})
+
+	it('has no link to a file that is not there', () => {
+		const broken = getPages().flatMap((page) => {
+			const text = readFileSync(page, 'utf8')
+			const links = [...text.matchAll(/\]\(([^)#:]+)(?:#[^)]*)?\)/g)].map(([, link]) => link ?? '')
+			return links
+				.filter((link) => !isFile(join(dirname(page), link)))
+				.map((link) => `${page}: ${link}`)
+		})
+		expect(broken).toEqual([])
+	})
+})
+
+function isFile(path: string): boolean {
+	try {
+		readFileSync(path)
+		return true
+	} catch {
+		return false
+	}
+}
