--- a/packages/daemon/src/lib/Daemon.ts
+++ b/packages/daemon/src/lib/Daemon.ts
@@ -1,5 +1,4 @@
 import { LocalShare, type InstanceId, type TimerService } from '@mastichead/core'
-import { credentials, ServerCredentials } from '@grpc/grpc-js'
 import { randomBytes } from 'node:crypto'
 import type { Logger } from 'winston'
 import { AllowanceManager } from './allowances/AllowanceManager.js'
@@ -21,8 +20,9 @@
 import { LocalDigestSource } from './peers/LocalDigestSource.js'
 import { LocalPeerHandler } from './peers/LocalPeerHandler.js'
 import { PeerClaimTransport } from './peers/PeerClaimTransport.js'
-import { PeerSlotTransport } from './peers/PeerSlotTransport.js'
+import { PeerCredentials } from './peers/PeerCredentials.js'
 import { PeerManager } from './peers/PeerManager.js'
+import { PeerSlotTransport } from './peers/PeerSlotTransport.js'
 import { InstanceListManager } from './placement/InstanceListManager.js'
 import { RequestIdManager } from './requestIds/RequestIdManager.js'
 import { SlotManager } from './slots/SlotManager.js'
@@ -177,7 +177,7 @@
 			log: this.log,
 			loads: this.requests.scheduler,
 			getUsable: (team) => this.allowances.holder.getUsable(team),
-			getPeers: () => [],
+			getPeers: () => this.peers.getStatuses(),
 			isLeaving: () => this.isLeaving,
 		})
 		this.operators = new OperatorServer({
@@ -253,7 +253,8 @@
 
 	private createPeers(): PeerManager {
 		const { settings, logger, timers } = this.options
-		const { host, port } = settings.listeners.peers
+		const { host, port, tls } = settings.listeners.peers
+		const credentials = new PeerCredentials(tls)
 		return new PeerManager({
 			timers,
 			logger,
@@ -262,8 +263,8 @@
 			port,
 			address: this.getPeerAddress(),
 			seeds: settings.seeds,
-			serverCredentials: ServerCredentials.createInsecure(),
-			channelCredentials: credentials.createInsecure(),
+			serverCredentials: credentials.server,
+			channelCredentials: credentials.channel,
 			getState: () => this.log.state,
 			source: new LocalDigestSource({
 				allowances: () => this.allowances,
--- a/packages/daemon/src/lib/peers/PeerManager.ts
+++ b/packages/daemon/src/lib/peers/PeerManager.ts
@@ -1,6 +1,7 @@
 import type { ChannelCredentials, ServerCredentials } from '@grpc/grpc-js'
 import type {
 	BackendServerId,
+	DaemonStatus,
 	FleetState,
 	InstanceId,
 	LoanReply,
@@ -28,6 +29,7 @@
 import type { KeyKnowledge } from '../keys/KeyKnowledge.js'
 import type { PeerLog } from '../log/PeerLog.js'
 import { createDigestRows } from './createDigestRows.js'
+import { createPeerStatus } from './createPeerStatus.js'
 import type { DigestRow } from './DigestRow.js'
 import type { DigestSource } from './DigestSource.js'
 import { LoanTransport } from './LoanTransport.js'
@@ -148,6 +150,22 @@
 		return running
 	}
 
+	/** What the last digest of each member says of it. */
+	getStatuses(): DaemonStatus[] {
+		const { timers, getState } = this.options
+		const { members } = getState()
+		const now = timers.now()
+		const statuses: DaemonStatus[] = []
+		for (const peer of this.table.values()) {
+			const { instance } = peer
+			const availabilityZone = instance && members.get(instance)?.availabilityZone
+			if (instance === undefined || availabilityZone === undefined) continue
+			const options = { availabilityZone, now, maximumAge: MAXIMUM_LOAD_AGE_MILLISECONDS }
+			statuses.push(createPeerStatus(peer, { instance, ...options }))
+		}
+		return statuses
+	}
+
 	/** Members that answered or called lately and do not leave. */
 	getReachable(): InstanceId[] {
 		return this.getFreshPeers()
