--- /dev/null
+++ b/bench/src/capacity/ProcessUse.ts
@@ -0,0 +1,11 @@
+/**
+ * What a process used over a span.
+ *
+ * @internal
+ */
+export interface ProcessUse {
+	/** Part of one core, in percent. */
+	readonly processorPercent: number
+	/** Resident memory, in bytes. */
+	readonly residentBytes: number
+}
--- /dev/null
+++ b/bench/src/capacity/createLargeFleet.ts
@@ -0,0 +1,56 @@
+import type { Fleet, Urgency } from '@mastichead/core'
+
+const POOLS_PER_SERVER = 211 / 6000
+const TEAMS_PER_SERVER = 350 / 6000
+const ZONES = 9
+const SERVERS_PER_RACK = 4
+const SLOTS = 8
+const CONNECTIONS = 64
+const LIMIT = 100
+const ADDRESS_ROW = 200
+
+/**
+ * Makes a fleet in the proportions of the size to design for: 211 pools and 350 teams for 6,000
+ * backend servers. Every backend server has a loopback address of its own.
+ *
+ * @param port - port of all backend servers
+ * @internal
+ */
+export function createLargeFleet(servers: number, port: number): Fleet {
+	const availabilityZones = createNames('zone', ZONES)
+	const pools = createNames('pool', Math.max(2, Math.round(servers * POOLS_PER_SERVER)))
+	const teams = createNames('team', Math.max(2, Math.round(servers * TEAMS_PER_SERVER)))
+	const urgencies: readonly Urgency[] = ['urgent', 'ordinary']
+	return {
+		name: `fleet-${servers}`,
+		availabilityZones,
+		pools: pools.map((name) => ({
+			name,
+			spare: false,
+			minimumAvailable: 1,
+			maximumUnavailable: 4,
+		})),
+		teams: teams.map((name, index) => ({ name, share: 1 + (index % 8), limit: LIMIT })),
+		queues: pools.map((pool, index) => ({
+			name: `queue-${index}`,
+			pool,
+			urgency: urgencies[index % 2] ?? 'urgent',
+			timeoutMilliseconds: 30_000,
+			runMilliseconds: 20_000,
+			maximumQueued: 256,
+		})),
+		backendServers: Array.from({ length: servers }, (_, index) => ({
+			name: `server-${index}`,
+			availabilityZone: availabilityZones[index % ZONES] ?? '',
+			rack: `rack-${index % ZONES}-${Math.floor(index / ZONES / SERVERS_PER_RACK)}`,
+			address: `127.1.${Math.floor(index / ADDRESS_ROW)}.${(index % ADDRESS_ROW) + 1}:${port}`,
+			pool: pools[Math.floor(index / ZONES) % pools.length] ?? '',
+			slots: SLOTS,
+			connections: CONNECTIONS,
+		})),
+	}
+}
+
+function createNames(kind: string, count: number): string[] {
+	return Array.from({ length: count }, (_, index) => `${kind}-${index}`)
+}
--- /dev/null
+++ b/bench/src/capacity/measureIdleDaemons.ts
@@ -0,0 +1,99 @@
+import { createFleetPatch, createFleetState, type Fleet, getFleet } from '@mastichead/core'
+import { Deployment } from '@mastichead/standins'
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { setTimeout as delay } from 'node:timers/promises'
+import { request } from 'undici'
+import { stringify } from 'yaml'
+import type { ProcessUse } from './ProcessUse.js'
+import { readProcess } from './readProcess.js'
+import { startHealthResponder } from './startHealthResponder.js'
+
+const SETTLE_MILLISECONDS = 6000
+const MEASURE_MILLISECONDS = 5000
+
+interface Options {
+	readonly fleet: Fleet
+	readonly daemons: number
+	readonly basePort: number
+	readonly serverPort: number
+}
+
+/**
+ * Runs entry instances on a fleet without requests and measures what each uses for control.
+ *
+ * @returns the mean over the entry instances, and bytes a second that each read from the platform
+ * @internal
+ */
+export async function measureIdleDaemons(
+	options: Options
+): Promise<ProcessUse & { readonly platformBytes: number }> {
+	const { fleet, daemons, basePort, serverPort } = options
+	const directory = mkdtempSync(join(tmpdir(), 'mastichead-bench-'))
+	const fleetFile = join(directory, 'fleet.yaml')
+	writeFileSync(fleetFile, stringify(fleet))
+	const responder = await startHealthResponder(serverPort)
+	const deployment = new Deployment({ fleetFile, basePort, daemons, pools: [] })
+	try {
+		await deployment.start()
+		await apply(deployment, fleet)
+		await listInstances(deployment, fleet)
+		await delay(SETTLE_MILLISECONDS)
+		return await measure(deployment)
+	} finally {
+		await deployment.stop()
+		responder.closeAllConnections()
+		responder.close()
+		rmSync(directory, { recursive: true })
+	}
+}
+
+async function apply(deployment: Deployment, fleet: Fleet): Promise<void> {
+	const patch = createFleetPatch(getFleet(createFleetState()), fleet)
+	const proposal = { kind: 'apply', id: 'bench-apply', base: 0, patch, operator: 'bench' }
+	await request(`${deployment.platformUrl}/log/append`, {
+		method: 'POST',
+		body: JSON.stringify({ records: [JSON.stringify(proposal)] }),
+	})
+}
+
+async function listInstances(deployment: Deployment, fleet: Fleet): Promise<void> {
+	const rows = fleet.backendServers.map(({ name, address, availabilityZone }) => ({
+		...{ name, address, availabilityZone },
+		...{ kind: 'backend', state: 'live' },
+	}))
+	await request(`${deployment.platformUrl}/instances`, {
+		method: 'PUT',
+		body: JSON.stringify(rows),
+	})
+}
+
+async function measure(
+	deployment: Deployment
+): Promise<ProcessUse & { readonly platformBytes: number }> {
+	const pids = deployment.instances.map(({ name }) => deployment.processes.getPid(name) ?? 0)
+	const before = pids.map(readProcess)
+	const bytesBefore = await readPlatformBytes(deployment)
+	const startedAt = performance.now()
+	await delay(MEASURE_MILLISECONDS)
+	const seconds = (performance.now() - startedAt) / 1000
+	const after = pids.map(readProcess)
+	const bytes = (await readPlatformBytes(deployment)) - bytesBefore
+	const used = after.reduce(
+		(sum, row, index) => sum + row.processorSeconds - (before[index]?.processorSeconds ?? 0),
+		0
+	)
+	const resident = after.reduce((sum, row) => sum + row.residentBytes, 0)
+	return {
+		processorPercent: (100 * used) / seconds / pids.length,
+		residentBytes: resident / pids.length,
+		platformBytes: bytes / seconds / pids.length,
+	}
+}
+
+async function readPlatformBytes(deployment: Deployment): Promise<number> {
+	const answer = await request(`${deployment.platformUrl}/faults`)
+	const { bytes } = (await answer.body.json()) as { bytes: number }
+	return bytes
+}
--- /dev/null
+++ b/bench/src/capacity/measureSlotOwner.ts
@@ -0,0 +1,50 @@
+import { SlotOwner, VirtualTimerService } from '@mastichead/core'
+
+const INSTANCES = 8
+const SERVERS = 28
+const SLOTS = 8
+const ROUNDS = 2000
+const POOL = 'pool'
+
+/**
+ * Processor time of an owner for one request (a demand, a grant and an end) while so many teams
+ * wait for a pool of the mean size, in microseconds.
+ *
+ * @internal
+ */
+export function measureSlotOwner(teams: number): number {
+	const timers = new VirtualTimerService()
+	const owner = new SlotOwner({
+		timers,
+		instance: 'owner',
+		getServers: () =>
+			Array.from({ length: SERVERS }, (_, index) => ({
+				name: `server-${index}`,
+				availabilityZone: `zone-${index % 9}`,
+				slots: SLOTS,
+			})),
+		getShare: () => 1,
+		getZone: () => 'zone-1',
+	})
+	const held: { id: string }[] = []
+	const report = (round: number): void => {
+		const ended = held.length >= SERVERS * SLOTS ? held.shift() : undefined
+		owner.take({
+			instance: `entry-${round % INSTANCES}`,
+			pool: POOL,
+			ends: ended ? [{ grant: ended.id, result: 'success' }] : [],
+			demands: Array.from({ length: Math.ceil(teams / INSTANCES) }, (_, index) => ({
+				team: `team-${(round % INSTANCES) * Math.ceil(teams / INSTANCES) + index}`,
+				urgency: 'ordinary',
+				count: 1,
+				oldestAge: 10,
+			})),
+		})
+		held.push(...owner.grant(POOL))
+		timers.advance(1)
+	}
+	for (let round = 0; round < ROUNDS; round++) report(round)
+	const startedAt = performance.now()
+	for (let round = 0; round < ROUNDS; round++) report(round)
+	return ((performance.now() - startedAt) * 1000) / ROUNDS
+}
--- /dev/null
+++ b/bench/src/capacity/startHealthResponder.ts
@@ -0,0 +1,17 @@
+import { createServer, type Server } from 'node:http'
+
+/**
+ * Starts one HTTP server on all loopback addresses that stands for many healthy backend servers.
+ *
+ * @internal
+ */
+export async function startHealthResponder(port: number): Promise<Server> {
+	const server = createServer((_request, response) => {
+		response.writeHead(200, { 'content-length': 2 })
+		response.end('{}')
+	})
+	await new Promise<void>((resolve) => {
+		server.listen(port, '0.0.0.0', resolve)
+	})
+	return server
+}
--- a/packages/standins/src/lib/http/sendJson.ts
+++ b/packages/standins/src/lib/http/sendJson.ts
@@ -3,13 +3,14 @@
 /**
  * Answers with a JSON body.
  *
+ * @returns its bytes
+ *
  * @internal
  */
-export function sendJson(response: ServerResponse, status: number, body: unknown): void {
+export function sendJson(response: ServerResponse, status: number, body: unknown): number {
 	const text = JSON.stringify(body)
-	response.writeHead(status, {
-		'content-type': 'application/json',
-		'content-length': Buffer.byteLength(text),
-	})
+	const length = Buffer.byteLength(text)
+	response.writeHead(status, { 'content-type': 'application/json', 'content-length': length })
 	response.end(text)
+	return length
 }
--- a/packages/standins/src/lib/platform/InstanceList.ts
+++ b/packages/standins/src/lib/platform/InstanceList.ts
@@ -13,12 +13,16 @@
 export class InstanceList {
 	private versions: Version[] = [{ at: 0, rows: new Map() }]
 
-	put(row: ListedInstance, now: number): void {
-		this.change(now, (rows) => rows.set(row.name, row))
+	put(added: readonly ListedInstance[], now: number): void {
+		this.change(now, (rows) => {
+			for (const row of added) rows.set(row.name, row)
+		})
 	}
 
 	remove(name: string, now: number): void {
-		this.change(now, (rows) => rows.delete(name))
+		this.change(now, (rows) => {
+			rows.delete(name)
+		})
 	}
 
 	/** The list as it was at `at`. */
--- a/packages/standins/src/lib/platform/PlatformServer.ts
+++ b/packages/standins/src/lib/platform/PlatformServer.ts
@@ -33,6 +33,8 @@
 	}
 	private appends = 0
 	private records = 0
+	/** Bytes of the answers to the log's readers and the list's. */
+	private bytes = 0
 
 	/** @param options - `retention`: records that the log keeps, 100,000 by default */
 	constructor(options: { retention?: number } = {}) {
@@ -82,7 +84,11 @@
 		if (request.method === 'PUT') {
 			this.setFaults(JSON.parse(await readBody(request)) as Partial<PlatformFaults>)
 		}
-		sendJson(response, 200, { ...this.faults, appends: this.appends, records: this.records })
+		sendJson(response, 200, { ...this.faults, ...this.getCounts() })
+	}
+
+	private getCounts(): { appends: number; records: number; bytes: number } {
+		return { appends: this.appends, records: this.records, bytes: this.bytes }
 	}
 
 	private async handleAppend(request: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -114,7 +120,11 @@
 			return
 		}
 		const entries = this.log.read(from, limit)
-		sendJson(response, 200, { first: this.log.first, next: from + entries.length, entries })
+		this.bytes += sendJson(response, 200, {
+			first: this.log.first,
+			next: from + entries.length,
+			entries,
+		})
 	}
 
 	private async handleInstances(
@@ -128,11 +138,15 @@
 			sendJson(response, 200, this.jobs.handle(name, body))
 			return
 		}
-		if (request.method === 'PUT') {
-			this.instances.put(JSON.parse(await readBody(request)) as ListedInstance, Date.now())
-		}
+		if (request.method === 'PUT') this.putInstances(await readBody(request))
 		if (request.method === 'DELETE') this.instances.remove(name, Date.now())
 		const shownAt = Date.now() - this.faults.listLagMilliseconds
-		sendJson(response, 200, { instances: this.instances.getRows(shownAt) })
+		this.bytes += sendJson(response, 200, { instances: this.instances.getRows(shownAt) })
+	}
+
+	/** @param body - JSON of one row, or of many */
+	private putInstances(body: string): void {
+		const rows = JSON.parse(body) as ListedInstance | readonly ListedInstance[]
+		this.instances.put([rows].flat(), Date.now())
 	}
 }
--- a/packages/standins/src/lib/processes/ProcessGroup.ts
+++ b/packages/standins/src/lib/processes/ProcessGroup.ts
@@ -54,6 +54,10 @@
 		return this.rows.get(name)?.lines ?? []
 	}
 
+	getPid(name: string): number | undefined {
+		return this.rows.get(name)?.child.pid
+	}
+
 	getNames(): string[] {
 		return [...this.rows.keys()]
 	}
