--- a/packages/daemon/src/lib/keys/KeyFreshness.ts
+++ b/packages/daemon/src/lib/keys/KeyFreshness.ts
@@ -50,6 +50,7 @@
 	 */
 	learn(knowledge: KeyKnowledge, askedAt: Milliseconds): void {
 		this.settle()
+		if (knowledge.offset < 0) return
 		if (this.waiting.has(knowledge.instance)) return
 		this.waiting.set(knowledge.instance, { knowledge, askedAt })
 		this.settle()
--- a/packages/daemon/src/lib/keys/KeyKnowledge.ts
+++ b/packages/daemon/src/lib/keys/KeyKnowledge.ts
@@ -15,6 +15,6 @@
 	 * peers; undefined when it has none.
 	 */
 	readonly age: Milliseconds | undefined
-	/** Offset that the teller has folded up to. */
+	/** Offset that the teller has folded up to; -1 while it is not ready. */
 	readonly offset: number
 }
--- a/packages/daemon/src/lib/keys/KeyLog.ts
+++ b/packages/daemon/src/lib/keys/KeyLog.ts
@@ -5,4 +5,4 @@
  *
  * @internal
  */
-export type KeyLog = Pick<LogManager, 'state' | 'propose' | 'platformContactAt'>
+export type KeyLog = Pick<LogManager, 'state' | 'propose' | 'platformContactAt' | 'sharedOffset'>
--- a/packages/daemon/src/lib/keys/KeyManager.ts
+++ b/packages/daemon/src/lib/keys/KeyManager.ts
@@ -119,19 +119,19 @@
 			instance: this.instance,
 			withdrawnKeys: [...this.withdrawn.keys()],
 			age: this.freshness.getLogAge(),
-			offset: this.log.state.offset,
+			offset: this.log.sharedOffset,
 		}
 	}
 
 	/**
 	 * Takes in what a peer told.
 	 *
-	 * @param askedAt - monotonic instant before the peer was asked; when the peer told of its own
-	 *   accord, the instant before the last answer from it was asked for
+	 * @param askedAt - monotonic instant before the peer was asked; -Infinity when it told of its
+	 *   own accord, since such a message may have been under way for long
 	 */
 	learn(knowledge: KeyKnowledge, askedAt: Milliseconds): void {
 		for (const id of knowledge.withdrawnKeys) this.learnWithdrawn(id, 'peer')
-		this.freshness.learn(knowledge, askedAt)
+		if (askedAt > -Infinity) this.freshness.learn(knowledge, askedAt)
 	}
 
 	private findTeam(id: KeyId, secret: string): TeamId | undefined {
--- a/packages/daemon/src/lib/peers/Peer.ts
+++ b/packages/daemon/src/lib/peers/Peer.ts
@@ -17,8 +17,6 @@
 	isExchanging = false
 	/** Instant at which it was last heard; -Infinity before the first. */
 	heardAt: Milliseconds = -Infinity
-	/** Instant before the last answered exchange with it was sent. */
-	answeredAskAt: Milliseconds = -Infinity
 
 	/**
 	 * @param instance - incarnation; undefined for a seed that has not answered
--- a/packages/daemon/src/lib/peers/PeerManager.ts
+++ b/packages/daemon/src/lib/peers/PeerManager.ts
@@ -216,7 +216,6 @@
 		peer.isExchanging = false
 		if (!reply || (peer.instance !== undefined && reply.instance !== peer.instance)) return
 		if (!reply.stranger) peer.delta.confirm()
-		peer.answeredAskAt = askedAt
 		peer.update(reply, this.options.timers.now())
 		this.learn(reply, askedAt)
 	}
@@ -226,7 +225,7 @@
 		const peer = this.table.find(digest.instance)
 		peer?.update(digest, this.options.timers.now())
 		if (peer) this.options.onLoads(digest)
-		this.learn(digest, peer?.answeredAskAt ?? -Infinity)
+		this.learn(digest, -Infinity)
 		return { ...this.createDigest([]), stranger: peer === undefined }
 	}
 
@@ -238,8 +237,8 @@
 
 	private createDigest(rows: readonly DigestRow[]): Digest {
 		const { source, getState, instance } = this.options
-		const { withdrawnKeys, age } = source.getKeyKnowledge()
-		const { offset, version } = getState()
+		const { withdrawnKeys, age, offset } = source.getKeyKnowledge()
+		const { version } = getState()
 		return {
 			instance,
 			offset,
--- a/packages/daemon/src/lib/testing/createCallerPath.ts
+++ b/packages/daemon/src/lib/testing/createCallerPath.ts
@@ -51,6 +51,7 @@
 	const log: KeyLog = {
 		state: options.state,
 		platformContactAt: timers.now(),
+		sharedOffset: -1,
 		propose: () => Promise.reject(new Error('there is no log')),
 	}
 	const backends = new BackendManager({
