--- a/packages/core/src/lib/slots/SlotOwner.ts
+++ b/packages/core/src/lib/slots/SlotOwner.ts
@@ -13,7 +13,7 @@
 import type { SlotGrant } from './SlotGrant.js'
 import type { SlotReport } from './SlotReport.js'
 
-/** Time for which a slot counts as taken after a backend server refused for want of one. */
+/** Time for which a backend server that refused a request gets no other one. */
 const FULL_MILLISECONDS = 200
 
 /** Urgent grants to a team in a row while its ordinary requests wait. */
@@ -64,6 +64,9 @@
 	private readonly pools = new Map<PoolId, PoolTable>()
 	private readonly ejection: OutlierEjection
 	private readonly probes = new Set<string>()
+	/** Backend servers whose last request failed; they are used after the others. */
+	private readonly failing = new Set<BackendServerId>()
+	private readonly fullUntil = new Map<BackendServerId, Milliseconds>()
 	private lastGrant = 0
 
 	constructor(private readonly options: Options) {
@@ -184,13 +187,17 @@
 		servers: readonly Server[],
 		zone: AvailabilityZoneId | undefined
 	): Server | undefined {
+		const now = this.options.timers.now()
 		const open = servers.filter(
 			(server) =>
 				(table.serverRunning.get(server.name) ?? 0) < server.slots &&
+				(this.fullUntil.get(server.name) ?? 0) <= now &&
 				this.ejection.isOpen(server.name)
 		)
-		const local = open.filter((server) => server.availabilityZone === zone)
-		const tier = local.length > 0 ? local : open
+		const good = open.filter((server) => !this.failing.has(server.name))
+		const usable = good.length > 0 ? good : open
+		const local = usable.filter((server) => server.availabilityZone === zone)
+		const tier = local.length > 0 ? local : usable
 		let best: Server | undefined
 		let bestLoad = Infinity
 		for (const server of tier) {
@@ -211,15 +218,14 @@
 		const grant = table.grants.get(id)
 		if (!grant) return
 		const probe = this.probes.delete(id)
+		if (result === 'failure') this.failing.add(grant.server)
+		if (result === 'success') this.failing.delete(grant.server)
 		const isNeutral = result === 'unused' || result === 'full'
 		this.ejection.noteEnd(grant.server, { result: isNeutral ? 'neutral' : result, probe })
-		if (result !== 'full') {
-			this.remove(table, grant)
-			return
+		this.remove(table, grant)
+		if (result === 'full') {
+			this.fullUntil.set(grant.server, this.options.timers.now() + FULL_MILLISECONDS)
 		}
-		this.options.timers.after(FULL_MILLISECONDS, () => {
-			this.remove(table, grant)
-		})
 	}
 
 	/** Takes over the grants that an entry instance has in use, whoever gave them. */
