Measure how long a configuration takes to be in force

Cause: the promise is seconds; no figure stood for it.

This shows the cost of the path, not of a slow platform.

--- /dev/null
+++ b/bench/src/rolloutBench.ts
@@ -0,0 +1,75 @@
+import {
+	createFleetPatch,
+	createSampleFleet,
+	getFleet,
+	SystemTimerService,
+	type Fleet,
+} from '@mastichead/core'
+import { createLogger, HttpLogClient, LogManager } from '@mastichead/daemon'
+import { PlatformServer } from '@mastichead/standins'
+import type { RolloutBenchRow } from './RolloutBenchRow.js'
+
+const APPLIES = 40
+const TODAY = { daemons: 8, size: { pools: 5, teams: 6, backendServers: 35 } }
+const DESIGN = { daemons: 24, size: { zones: 9, pools: 211, teams: 350, backendServers: 6000 } }
+
+async function apply(logs: readonly LogManager[], fleet: Fleet, id: string): Promise<number> {
+	const [proposer] = logs
+	if (!proposer) throw new Error('there is no daemon')
+	const { state } = proposer
+	const patch = createFleetPatch(getFleet(state), fleet)
+	const start = performance.now()
+	const inForce = logs.map(
+		(log) =>
+			new Promise<void>((resolve) => {
+				const subscription = log.onEntry(({ proposal }) => {
+					if (proposal.id !== id) return
+					subscription.cancel()
+					resolve()
+				})
+			})
+	)
+	const base = state.version
+	const outcome = await proposer.propose({ kind: 'apply', id, base, patch, operator: 'bench' })
+	if (outcome.type !== 'decided' || outcome.decision.type !== 'accepted') {
+		throw new Error(`apply ${id} was not accepted`)
+	}
+	await Promise.all(inForce)
+	return performance.now() - start
+}
+
+async function measure({ daemons, size }: typeof TODAY): Promise<RolloutBenchRow> {
+	const timers = new SystemTimerService()
+	const logger = createLogger({ level: 'error' })
+	const platform = new PlatformServer()
+	const url = `http://127.0.0.1:${await platform.start()}`
+	const logs = Array.from({ length: daemons }, (_, index) => {
+		const log = new LogManager(timers, new HttpLogClient(timers, [url], `entry-${index}`), logger)
+		log.start()
+		return log
+	})
+	const fleet = createSampleFleet(size)
+	await apply(logs, fleet, 'first')
+	const times: number[] = []
+	for (let index = 0; index < APPLIES; index++) {
+		const teams = fleet.teams.map((team) => ({ ...team, limit: 200 + index }))
+		times.push(await apply(logs, { ...fleet, teams }, `apply-${index}`))
+	}
+	await Promise.all(logs.map((log) => log.stop()))
+	await platform.stop()
+	times.sort((a, b) => a - b)
+	const [p50, longest] = [times[Math.floor(times.length / 2)], times.at(-1)]
+	const { backendServers } = size
+	return { daemons, backendServers, applies: APPLIES, p50: p50 ?? NaN, longest: longest ?? NaN }
+}
+
+/**
+ * Measures how long an accepted configuration takes to be in force on every daemon, over HTTP on
+ * loopback with the platform stand-in, at the size of today and with 24 daemons at the size to
+ * design for. All daemons share one thread, so that the figures are upper bounds.
+ *
+ * @public
+ */
+export async function rolloutBench(): Promise<readonly RolloutBenchRow[]> {
+	return [await measure(TODAY), await measure(DESIGN)]
+}
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,4 +1,6 @@
 export { Daemon } from './lib/Daemon.js'
+export { HttpLogClient } from './lib/log/HttpLogClient.js'
+export { LogManager } from './lib/log/LogManager.js'
 export { createLogger } from './lib/logs/createLogger.js'
 export { MetricsManager } from './lib/metrics/MetricsManager.js'
 export { type RequestMeasurement } from './lib/metrics/RequestMeasurement.js'
