Wait longer for a platform that is slow, instead of asking it again

Cause: a read or append that missed its deadline doubled the next one, and the first answer set it back, so that a platform just slower than the first deadline was timed out at every other call and got each record twice. Ruled out: a fixed long deadline, which would leave a silent connection unnoticed for as long; reads therefore never wait longer than 10 s.

--- a/packages/daemon/src/lib/log/LogAppender.ts
+++ b/packages/daemon/src/lib/log/LogAppender.ts
@@ -10,6 +10,8 @@
 const MAXIMUM_BACKOFF_MILLISECONDS = 2000
 const FIRST_DEADLINE_MILLISECONDS = 3000
 const MAXIMUM_DEADLINE_MILLISECONDS = 30_000
+/** Factor of the deadline after an answer, so that a slow platform is not timed out each time. */
+const DEADLINE_DECAY = 0.95
 
 interface QueuedRecord {
 	readonly id: ProposalId
@@ -72,6 +74,7 @@
 		if (batch.length === 0) return
 		this.appending = true
 		const records = batch.map(({ record }) => record)
+		const askedAt = this.timers.now()
 		const outcome = await this.client.append(records, this.deadline)
 		this.appending = false
 		switch (outcome.type) {
@@ -79,13 +82,13 @@
 				this.forget(batch)
 				this.batchRecords = MAXIMUM_BATCH_RECORDS
 				this.backoff = 0
-				this.deadline = FIRST_DEADLINE_MILLISECONDS
+				this.deadline = Math.max(FIRST_DEADLINE_MILLISECONDS, this.deadline * DEADLINE_DECAY)
 				break
 			case 'refused':
 				this.refuse(batch, outcome.reason)
 				break
 			case 'unknown':
-				this.slowDown(outcome.reason)
+				this.slowDown(outcome.reason, askedAt)
 				break
 		}
 		this.schedule(Math.max(BATCH_INTERVAL_MILLISECONDS, this.backoff))
@@ -115,12 +118,13 @@
 		for (const { onRefused } of batch) onRefused(reason)
 	}
 
-	private slowDown(reason: string): void {
+	private slowDown(reason: string, askedAt: Milliseconds): void {
 		this.logger.warn('append-failed', { queued: this.queue.size, reason })
 		this.backoff = Math.min(
 			MAXIMUM_BACKOFF_MILLISECONDS,
 			Math.max(FIRST_BACKOFF_MILLISECONDS, this.backoff * 2)
 		)
+		if (this.timers.now() - askedAt < this.deadline) return
 		this.deadline = Math.min(MAXIMUM_DEADLINE_MILLISECONDS, this.deadline * 2)
 	}
 
--- a/packages/daemon/src/lib/log/LogFollower.ts
+++ b/packages/daemon/src/lib/log/LogFollower.ts
@@ -9,7 +9,9 @@
 const PAGE_RECORDS = 1000
 const WAIT_MILLISECONDS = 2000
 const FIRST_SLACK_MILLISECONDS = 1000
-const MAXIMUM_SLACK_MILLISECONDS = 16_000
+const MAXIMUM_SLACK_MILLISECONDS = 8000
+/** Factor of the slack after an answer, so that a slow platform is not timed out each time. */
+const SLACK_DECAY = 0.9
 const FIRST_BACKOFF_MILLISECONDS = 100
 const MAXIMUM_BACKOFF_MILLISECONDS = 1600
 
@@ -67,10 +69,10 @@
 	private take(read: LogRead, askedAt: Milliseconds): void {
 		if (this.stopped) return
 		if (read.type === 'failed') {
-			this.fail(read.reason)
+			this.fail(read.reason, askedAt)
 			return
 		}
-		this.slack = FIRST_SLACK_MILLISECONDS
+		this.slack = Math.max(FIRST_SLACK_MILLISECONDS, this.slack * SLACK_DECAY)
 		this.backoff = 0
 		if (read.type === 'expired') {
 			this.restart(read.first)
@@ -108,9 +110,11 @@
 		this.restorer = first > next ? new LogRestorer(first, this.logger) : undefined
 	}
 
-	private fail(reason: string): void {
+	private fail(reason: string, askedAt: Milliseconds): void {
 		this.logger.warn('log-read-failed', { reason })
-		this.slack = Math.min(MAXIMUM_SLACK_MILLISECONDS, this.slack * 2)
+		if (this.timers.now() - askedAt >= this.slack) {
+			this.slack = Math.min(MAXIMUM_SLACK_MILLISECONDS, this.slack * 2)
+		}
 		this.backoff = Math.min(
 			MAXIMUM_BACKOFF_MILLISECONDS,
 			Math.max(FIRST_BACKOFF_MILLISECONDS, this.backoff * 2)
--- a/packages/daemon/src/lib/log/LogManager.test.ts
+++ b/packages/daemon/src/lib/log/LogManager.test.ts
@@ -187,6 +187,20 @@
 	expect(fleet.platform.records.filter(({ record }) => record.includes('"late"'))).toHaveLength(1)
 })
 
+test('a platform slower than the first deadlines is waited for, and not asked over and over', async () => {
+	const fleet = await createAppliedFleet(1)
+	const daemon = getDaemon(fleet, 0)
+	daemon.client.latency = 3500
+	let last = 0
+	for (let round = 0; round < 10; round++) {
+		const outcome = daemon.log.propose(fleet.createApply(daemon, `slow-${round}`, 4), 30_000)
+		await fleet.advance(20_000)
+		expect(await outcome).toMatchObject({ type: 'decided', decision: { type: 'accepted' } })
+		last = fleet.platform.records.filter(({ record }) => record.includes('"slow-')).length
+	}
+	expect(last).toBeLessThanOrEqual(15)
+})
+
 test('a proposal that cannot be sent ends at its deadline and says whether it may take effect', async () => {
 	const fleet = await createAppliedFleet(2)
 	const [first, second] = [getDaemon(fleet, 0), getDaemon(fleet, 1)]
--- a/packages/daemon/src/lib/log/testing/VirtualLogClient.ts
+++ b/packages/daemon/src/lib/log/testing/VirtualLogClient.ts
@@ -7,7 +7,7 @@
 /**
  * What is wrong between one daemon and the platform.
  *
- * - `none`: answers take `latency`
+ * - `none`: answers take `latency`; an append slower than its deadline takes effect all the same
  * - `down`: calls fail
  * - `silent`: calls are never answered and take no effect
  * - `lost`: appends take effect and their answers never come; reads work
@@ -39,16 +39,24 @@
 		deadline: Milliseconds
 	): Promise<LogRead> {
 		this.readCalls += 1
-		const failed = await this.travel(deadline, this.fault === 'lost' ? 'none' : this.fault)
+		const failed = await this.travel(deadline)
 		if (failed !== undefined) return { type: 'failed', reason: failed }
-		if (from >= this.log.records.length && wait > 0) await this.waitForAppend(wait)
+		const left = deadline - this.latency
+		if (from >= this.log.records.length && wait > 0) await this.waitForAppend(Math.min(wait, left))
+		const isLate = from >= this.log.records.length && wait > left
+		if (isLate) return { type: 'failed', reason: 'no answer' }
 		if (from < this.log.first) return { type: 'expired', first: this.log.first }
 		return { type: 'records', records: this.log.records.slice(from, from + limit) }
 	}
 
 	override async append(records: readonly string[], deadline: Milliseconds): Promise<LogAppend> {
 		this.appendCalls += 1
-		const failed = await this.travel(deadline, this.fault === 'lost' ? 'none' : this.fault)
+		if (this.latency > deadline && this.fault !== 'down' && this.fault !== 'silent') {
+			this.timers.after(this.latency, () => {
+				this.log.append(records, this.timers.now())
+			})
+		}
+		const failed = await this.travel(deadline)
 		if (failed !== undefined) return { type: 'unknown', reason: failed }
 		this.log.append(records, this.timers.now())
 		if (this.fault !== 'lost') return { type: 'appended' }
@@ -61,9 +69,11 @@
 		return Promise.resolve()
 	}
 
-	private async travel(deadline: Milliseconds, fault: Fault): Promise<string | undefined> {
-		await this.sleep(fault === 'silent' ? deadline : this.latency)
-		if (fault === 'silent') return 'no answer'
+	private async travel(deadline: Milliseconds): Promise<string | undefined> {
+		const { fault } = this
+		const isLate = fault === 'silent' || this.latency > deadline
+		await this.sleep(isLate ? deadline : this.latency)
+		if (isLate) return 'no answer'
 		return fault === 'down' ? 'refused' : undefined
 	}
 
