--- a/packages/daemon/src/lib/log/LogManager.test.ts
+++ b/packages/daemon/src/lib/log/LogManager.test.ts
@@ -157,6 +157,7 @@
 			expect([...seen.decisions.values()]).not.toContain('differs')
 			expect([...seen.decisions.values()]).not.toContain('went back')
 			expect(hashes.size).toBe(1)
+			expect(fleet.readErrors()).not.toContain('snapshot-state-differs')
 			checkOutcomes(fleet, seen)
 		}),
 		{ seed: SEED, numRuns: 40 }
@@ -279,6 +280,23 @@
 	expect(others.map(({ instance }) => instance)).not.toContain(proposer.name)
 })
 
+test('a daemon whose state differs from a snapshot says so', async () => {
+	const fleet = await createAppliedFleet(2)
+	const { platform, timers } = fleet
+	const through = platform.records.length
+	const [mark, ...parts] = [
+		{ kind: 'snapshot-mark', id: 'mark', instance: 'entry-9' },
+		{ kind: 'snapshot', id: 'part', through, hash: 'f'.repeat(64), part: 0, parts: 1, body: '' },
+	].map((proposal) => JSON.stringify(proposal))
+	assert(mark)
+	platform.append([mark], timers.now())
+	await fleet.advance(100)
+	expect(fleet.readErrors()).toBe('')
+	platform.append(parts, timers.now())
+	await fleet.advance(100)
+	expect(fleet.readErrors().match(/event=snapshot-state-differs/g)).toHaveLength(2)
+})
+
 test('a fresh daemon with neither the log nor a peer is not ready', async () => {
 	const fleet = await createAppliedFleet(1)
 	fleet.cutFromPeers.add('entry-1')
--- a/packages/daemon/src/lib/log/testing/VirtualFleet.ts
+++ b/packages/daemon/src/lib/log/testing/VirtualFleet.ts
@@ -5,6 +5,7 @@
 	type Proposal,
 	VirtualTimerService,
 } from '@mastichead/core'
+import { PassThrough } from 'node:stream'
 import { createLogger } from '../../logs/createLogger.js'
 import { KeyManager } from '../../keys/KeyManager.js'
 import { LogManager } from '../LogManager.js'
@@ -60,7 +61,8 @@
 	readonly cutFromPeers = new Set<string>()
 	/** Side of a network partition by daemon; those without one are together. */
 	readonly sides = new Map<string, string>()
-	private readonly logger = createLogger({ level: 'error' })
+	private readonly lines = new PassThrough()
+	private readonly logger = createLogger({ level: 'error', stream: this.lines })
 
 	/** @param count - daemons to start */
 	constructor(count: number) {
@@ -97,6 +99,11 @@
 		return daemon
 	}
 
+	/** Error lines logged since the last call. */
+	readErrors(): string {
+		return String(this.lines.read() ?? '')
+	}
+
 	/** Moves the clock, and lets promises settle after each step. */
 	async advance(duration: number): Promise<void> {
 		for (let passed = 0; passed < duration; passed += STEP_MILLISECONDS) {
