--- a/packages/daemon/src/lib/Daemon.ts
+++ b/packages/daemon/src/lib/Daemon.ts
@@ -1,5 +1,4 @@
 import { LocalShare, type InstanceId, type TimerService } from '@mastichead/core'
-import { credentials, ServerCredentials } from '@grpc/grpc-js'
 import { randomBytes } from 'node:crypto'
 import type { Logger } from 'winston'
 import { AllowanceManager } from './allowances/AllowanceManager.js'
@@ -11,6 +10,9 @@
 import { LogManager } from './log/LogManager.js'
 import { SnapshotManager } from './log/SnapshotManager.js'
 import { MembershipManager } from './membership/MembershipManager.js'
+import { createMaintenance } from './maintenance/createMaintenance.js'
+import type { HealthManager } from './maintenance/HealthManager.js'
+import type { MaintenanceManager } from './maintenance/MaintenanceManager.js'
 import { MetricsManager } from './metrics/MetricsManager.js'
 import { OperatorServer } from './operators/OperatorServer.js'
 import { StatusManager } from './operators/StatusManager.js'
@@ -18,8 +20,9 @@
 import { LocalDigestSource } from './peers/LocalDigestSource.js'
 import { LocalPeerHandler } from './peers/LocalPeerHandler.js'
 import { PeerClaimTransport } from './peers/PeerClaimTransport.js'
-import { PeerSlotTransport } from './peers/PeerSlotTransport.js'
+import { PeerCredentials } from './peers/PeerCredentials.js'
 import { PeerManager } from './peers/PeerManager.js'
+import { PeerSlotTransport } from './peers/PeerSlotTransport.js'
 import { InstanceListManager } from './placement/InstanceListManager.js'
 import { RequestIdManager } from './requestIds/RequestIdManager.js'
 import { SlotManager } from './slots/SlotManager.js'
@@ -57,6 +60,8 @@
 	readonly metrics = new MetricsManager()
 	readonly requests: RequestManager
 	readonly callers: CallerServer
+	readonly health: HealthManager
+	readonly maintenance: MaintenanceManager
 	readonly status: StatusManager
 	readonly operators: OperatorServer
 	private isLeaving = false
@@ -152,6 +157,19 @@
 			requestIds: this.requestIds,
 			getState,
 		})
+		const { health, maintenance } = createMaintenance({
+			settings,
+			logger,
+			timers,
+			log: this.log,
+			instance: this.instance,
+			peers: this.peers,
+			slots: this.slots,
+			scheduler: this.requests.scheduler,
+			metrics: this.metrics,
+		})
+		this.health = health
+		this.maintenance = maintenance
 		this.status = new StatusManager({
 			timers,
 			instance: this.instance,
@@ -159,7 +177,7 @@
 			log: this.log,
 			loads: this.requests.scheduler,
 			getUsable: (team) => this.allowances.holder.getUsable(team),
-			getPeers: () => [],
+			getPeers: () => this.peers.getStatuses(),
 			isLeaving: () => this.isLeaving,
 		})
 		this.operators = new OperatorServer({
@@ -192,6 +210,8 @@
 		await this.membership.start()
 		this.allowances.start()
 		this.slots.start()
+		this.health.start()
+		this.maintenance.start()
 		await this.callers.start()
 		logger.info('daemon-started', {
 			incarnation: this.instance,
@@ -203,6 +223,8 @@
 	async stop(): Promise<void> {
 		const { logger, settings, timers } = this.options
 		this.isLeaving = true
+		this.maintenance.stop()
+		this.health.stop()
 		this.callers.leave()
 		const grace = settings.shutdown.graceMilliseconds
 		const expired = new Promise<'expired'>((resolve) => {
@@ -231,7 +253,8 @@
 
 	private createPeers(): PeerManager {
 		const { settings, logger, timers } = this.options
-		const { host, port } = settings.listeners.peers
+		const { host, port, tls } = settings.listeners.peers
+		const credentials = new PeerCredentials(tls)
 		return new PeerManager({
 			timers,
 			logger,
@@ -240,8 +263,8 @@
 			port,
 			address: this.getPeerAddress(),
 			seeds: settings.seeds,
-			serverCredentials: ServerCredentials.createInsecure(),
-			channelCredentials: credentials.createInsecure(),
+			serverCredentials: credentials.server,
+			channelCredentials: credentials.channel,
 			getState: () => this.log.state,
 			source: new LocalDigestSource({
 				allowances: () => this.allowances,
@@ -249,6 +272,7 @@
 				slots: () => this.slots,
 				keys: () => this.keys,
 				isLeaving: () => this.isLeaving,
+				getState: () => this.log.state,
 			}),
 			handler: new LocalPeerHandler({
 				allowances: () => this.allowances,
