--- /dev/null
+++ b/bench/src/path/LoadGenerator.ts
@@ -0,0 +1,98 @@
+import { Pool } from 'undici'
+
+/** Body of each request. */
+const BODY = 'quote '.repeat(40)
+
+/**
+ * What a run of load showed.
+ *
+ * @internal
+ */
+interface Result {
+	/** Answers per second. */
+	readonly throughput: number
+	/** Milliseconds. */
+	readonly p50: number
+	readonly p99: number
+	/** Answers other than 200, and failures. */
+	readonly failed: number
+}
+
+/**
+ * Posts requests to one address and measures the answers.
+ *
+ * @internal
+ */
+export class LoadGenerator {
+	private readonly pool: Pool
+	private latencies: number[] = []
+	private failed = 0
+
+	constructor(
+		url: string,
+		private readonly request: { readonly path: string; readonly key: string },
+		connections: number
+	) {
+		this.pool = new Pool(url, { connections })
+	}
+
+	/** Keeps `width` requests under way for `duration` milliseconds. */
+	async runClosed(width: number, duration: number): Promise<Result> {
+		const startedAt = this.reset()
+		const work = async () => {
+			while (performance.now() < startedAt + duration) await this.send(performance.now())
+		}
+		await Promise.all(Array.from({ length: width }, work))
+		return this.getResult(startedAt)
+	}
+
+	/** Sends `rate` requests per second for `duration` milliseconds, however long answers take. */
+	async runOpen(rate: number, duration: number): Promise<Result> {
+		const startedAt = this.reset()
+		const sent: Promise<void>[] = []
+		while (performance.now() < startedAt + duration) {
+			const due = Math.floor(((performance.now() - startedAt) * rate) / 1000)
+			while (sent.length < due) sent.push(this.send(startedAt + (sent.length * 1000) / rate))
+			await new Promise((resolve) => setTimeout(resolve, 1))
+		}
+		await Promise.all(sent)
+		return this.getResult(startedAt)
+	}
+
+	async close(): Promise<void> {
+		await this.pool.close()
+	}
+
+	private async send(from: number): Promise<void> {
+		try {
+			const { statusCode, body } = await this.pool.request({
+				path: this.request.path,
+				method: 'POST',
+				headers: { authorization: `Bearer ${this.request.key}` },
+				body: BODY,
+			})
+			await body.dump()
+			if (statusCode !== 200) this.failed++
+		} catch {
+			this.failed++
+		}
+		this.latencies.push(performance.now() - from)
+	}
+
+	private reset(): number {
+		this.latencies = []
+		this.failed = 0
+		return performance.now()
+	}
+
+	private getResult(startedAt: number): Result {
+		const sorted = this.latencies.sort((left, right) => left - right)
+		const getQuantile = (quantile: number) => sorted[Math.floor(sorted.length * quantile)] ?? 0
+		return {
+			throughput: (1000 * sorted.length) / (performance.now() - startedAt),
+			p50: getQuantile(0.5),
+			p99: getQuantile(0.99),
+			failed: this.failed,
+		}
+	}
+}
--- /dev/null
+++ b/bench/src/path/forwarder.ts
@@ -0,0 +1,29 @@
+import { createServer, type IncomingMessage, type ServerResponse } from 'node:http'
+import { Pool } from 'undici'
+
+/** Connections to each backend server. */
+const CONNECTIONS = 8
+
+const [port = '0', ...addresses] = process.argv.slice(2)
+const pools = addresses.map(
+	(address) => new Pool(`http://${address}`, { connections: CONNECTIONS })
+)
+let next = 0
+
+async function forward(request: IncomingMessage, response: ServerResponse): Promise<void> {
+	const pool = pools[next++ % pools.length]
+	if (!pool) throw new Error('there are no backend servers')
+	const answer = await pool.request({ path: '/', method: 'POST', body: request })
+	response.writeHead(answer.statusCode, { 'content-type': 'application/json' })
+	answer.body.pipe(response)
+}
+
+const server = createServer((request, response) => {
+	forward(request, response).catch(() => response.destroy())
+})
+server.listen(Number(port), '127.0.0.1', () => {
+	console.log(`event=forwarder_started port=${port}`)
+})
+process.once('SIGTERM', () => {
+	process.exit(0)
+})
--- /dev/null
+++ b/bench/src/pathBench.ts
@@ -0,0 +1,132 @@
+import { createFleetText, Deployment, runCommand } from '@mastichead/standins'
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { fileURLToPath } from 'node:url'
+import { setTimeout as delay } from 'node:timers/promises'
+import { LoadGenerator } from './path/LoadGenerator.js'
+
+const BASE_PORT = 18_700
+const FORWARDER_PORT = BASE_PORT + 90
+const SERVERS = 6
+
+/** Requests under way at full load, half of the slots. */
+const WIDTH = 24
+
+/** Milliseconds of each phase, and of the rounds before that nobody counts. */
+const PHASE = 3000
+const WARM_UP = 1500
+
+/** Rounds; each measures both, one after the other. */
+const ROUNDS = 3
+
+const READY_TIMEOUT = 20_000
+
+const forwarder = fileURLToPath(new URL('./path/forwarder.js', import.meta.url))
+
+/**
+ * A row of the table: requests per second and milliseconds.
+ *
+ * @internal
+ */
+interface Row {
+	readonly round: number
+	readonly path: 'daemon' | 'forwarder'
+	readonly throughput: number
+	readonly p50AtFullLoad: number
+	readonly p99AtFullLoad: number
+	/** Rate of the half load, the same for both. */
+	readonly halfLoad: number
+	readonly p50AtHalfLoad: number
+	readonly p99AtHalfLoad: number
+	readonly failed: number
+}
+
+/**
+ * Measures one daemon beside a bare forwarder of `http` and `undici`, each in a process of its own,
+ * before the same backend servers. Takes about a minute.
+ *
+ * @public
+ */
+export async function pathBench(): Promise<Row[]> {
+	const directory = mkdtempSync(join(tmpdir(), 'mastichead-path-'))
+	const fleetFile = join(directory, 'fleet.yaml')
+	writeFileSync(fleetFile, createFleetText({ firstPort: BASE_PORT + 1, servers: SERVERS }))
+	const deployment = new Deployment({
+		fleetFile,
+		basePort: BASE_PORT,
+		daemons: 1,
+		runMilliseconds: 1,
+	})
+	try {
+		await deployment.start()
+		const addresses = deployment.fleet.backendServers.map((server) => server.address)
+		const args = [forwarder, String(FORWARDER_PORT), ...addresses]
+		await deployment.processes.start('forwarder', args, 'event=forwarder_started')
+		const key = await createKey(deployment, fleetFile)
+		return await measure(deployment.callerUrls[0] ?? '', key)
+	} finally {
+		await deployment.stop()
+		rmSync(directory, { recursive: true })
+	}
+}
+
+async function createKey(deployment: Deployment, fleetFile: string): Promise<string> {
+	const applied = await runCommand(deployment, ['apply', fleetFile])
+	if (applied.code !== 0) throw new Error(applied.output)
+	const issued = await runCommand(deployment, ['keys', 'issue', 'desk'])
+	const key = /mh_[0-9a-f]{16}_[A-Za-z0-9_-]+/.exec(issued.output)?.[0]
+	if (key === undefined) throw new Error(issued.output)
+	return key
+}
+
+async function measure(url: string, key: string): Promise<Row[]> {
+	const path = '/v1/queues/quotes/requests'
+	const generators = {
+		daemon: new LoadGenerator(url, { path, key }, WIDTH * 4),
+		forwarder: new LoadGenerator(
+			`http://127.0.0.1:${FORWARDER_PORT}`,
+			{ path: '/', key },
+			WIDTH * 4
+		),
+	}
+	await waitUntilServed(generators.daemon)
+	const rows: Row[] = []
+	for (let round = 0; round <= ROUNDS; round++) {
+		const duration = round === 0 ? WARM_UP : PHASE
+		const daemon = await generators.daemon.runClosed(WIDTH, duration)
+		const bare = await generators.forwarder.runClosed(WIDTH, duration)
+		if (round === 0) continue
+		const halfLoad = Math.min(daemon.throughput, bare.throughput) / 2
+		for (const name of ['daemon', 'forwarder'] as const) {
+			const full = name === 'daemon' ? daemon : bare
+			const half = await generators[name].runOpen(halfLoad, duration)
+			rows.push({
+				round,
+				path: name,
+				throughput: Math.round(full.throughput),
+				p50AtFullLoad: getTenths(full.p50),
+				p99AtFullLoad: getTenths(full.p99),
+				halfLoad: Math.round(halfLoad),
+				p50AtHalfLoad: getTenths(half.p50),
+				p99AtHalfLoad: getTenths(half.p99),
+				failed: full.failed + half.failed,
+			})
+		}
+	}
+	await Promise.all([generators.daemon.close(), generators.forwarder.close()])
+	return rows
+}
+
+/** Until the daemon has the fleet, the key and an allowance. */
+async function waitUntilServed(generator: LoadGenerator): Promise<void> {
+	const end = performance.now() + READY_TIMEOUT
+	while ((await generator.runClosed(1, 1)).failed > 0) {
+		if (performance.now() > end) throw new Error('the daemon does not serve')
+		await delay(50)
+	}
+}
+
+function getTenths(value: number): number {
+	return Math.round(value * 10) / 10
+}
--- a/packages/standins/src/lib/failures/verdicts.failure.test.ts
+++ b/packages/standins/src/lib/failures/verdicts.failure.test.ts
@@ -8,7 +8,7 @@
 import type { BackendStatistics } from '../backend/BackendStatistics.js'
 import { Deployment } from '../processes/Deployment.js'
 import { runCommand } from '../processes/runCommand.js'
-import { createFleetText } from './createFleetText.js'
+import { createFleetText } from '../processes/createFleetText.js'
 import { QuoteCaller } from './QuoteCaller.js'
 
 const BASE_PORT = 18_200
--- a/packages/standins/src/lib/failures/createFleetText.ts
+++ b/packages/standins/src/lib/processes/createFleetText.ts
@@ -5,7 +5,7 @@
  *
  * @param options - `firstPort`: port of the first backend server; `servers`: how many there are,
  * over two zones in turn
- * @internal
+ * @public
  */
 export function createFleetText(options: { firstPort: number; servers: number }): string {
 	const zones = ['zone-1', 'zone-2']
