--- a/bench/src/allowances/SimulatedMember.ts
+++ b/bench/src/allowances/SimulatedMember.ts
@@ -1,5 +1,4 @@
-import type {
-	Fold} from '@mastichead/core';
+import type { Fold } from '@mastichead/core'
 import {
 	AllowanceHolder,
 	AllowancePlanner,
--- a/packages/daemon/src/lib/Daemon.ts
+++ b/packages/daemon/src/lib/Daemon.ts
@@ -1,10 +1,4 @@
-import {
-	FleetShare,
-	type InstanceId,
-	PowerOfTwoPlacement,
-	type TimerService,
-} from '@mastichead/core'
-import { credentials, ServerCredentials } from '@grpc/grpc-js'
+import { LocalShare, type InstanceId, type TimerService } from '@mastichead/core'
 import { randomBytes } from 'node:crypto'
 import type { Logger } from 'winston'
 import { AllowanceManager } from './allowances/AllowanceManager.js'
@@ -16,14 +10,22 @@
 import { LogManager } from './log/LogManager.js'
 import { SnapshotManager } from './log/SnapshotManager.js'
 import { MembershipManager } from './membership/MembershipManager.js'
+import { createMaintenance } from './maintenance/createMaintenance.js'
+import type { HealthManager } from './maintenance/HealthManager.js'
+import type { MaintenanceManager } from './maintenance/MaintenanceManager.js'
 import { MetricsManager } from './metrics/MetricsManager.js'
+import { OperatorServer } from './operators/OperatorServer.js'
+import { StatusManager } from './operators/StatusManager.js'
 import { LocalClaimHandler } from './peers/LocalClaimHandler.js'
 import { LocalDigestSource } from './peers/LocalDigestSource.js'
 import { LocalPeerHandler } from './peers/LocalPeerHandler.js'
 import { PeerClaimTransport } from './peers/PeerClaimTransport.js'
+import { PeerCredentials } from './peers/PeerCredentials.js'
 import { PeerManager } from './peers/PeerManager.js'
-import { PlacementManager } from './placement/PlacementManager.js'
+import { PeerSlotTransport } from './peers/PeerSlotTransport.js'
+import { InstanceListManager } from './placement/InstanceListManager.js'
 import { RequestIdManager } from './requestIds/RequestIdManager.js'
+import { SlotManager } from './slots/SlotManager.js'
 import type { Settings } from './settings/Settings.js'
 
 const INCARNATION_BYTES = 6
@@ -51,12 +53,17 @@
 	readonly peers: PeerManager
 	readonly allowances: AllowanceManager
 	readonly membership: MembershipManager
-	readonly placement: PlacementManager
+	readonly instances: InstanceListManager
+	readonly slots: SlotManager
 	readonly backends: BackendManager
 	readonly requestIds: RequestIdManager
 	readonly metrics = new MetricsManager()
 	readonly requests: RequestManager
 	readonly callers: CallerServer
+	readonly health: HealthManager
+	readonly maintenance: MaintenanceManager
+	readonly status: StatusManager
+	readonly operators: OperatorServer
 	private isLeaving = false
 
 	constructor(private readonly options: Options) {
@@ -102,18 +109,24 @@
 				this.callers.leave()
 			},
 		})
-		this.placement = new PlacementManager({
+		this.instances = new InstanceListManager({
+			timers,
+			logger,
+			urls: settings.platform.urls,
+			instance: settings.instance,
+		})
+		this.slots = new SlotManager({
 			timers,
-			policy: new PowerOfTwoPlacement(Math.random),
-			availabilityZone,
 			instance: this.instance,
+			transport: new PeerSlotTransport(this.peers),
 			getState,
-			getPeerRunning: (server) => this.peers.getPeerRunning(server),
-			getListings: () => new Map(),
+			getListings: () => this.instances.listings,
+			getScheduler: () => this.requests.scheduler,
+			getRoom: (team) => this.allowances.getRoom(team),
 		})
 		this.backends = new BackendManager({
 			timers,
-			getConnections: (server) => this.placement.getConnections(server),
+			getConnections: (server) => this.slots.getConnections(server),
 		})
 		this.requestIds = new RequestIdManager({
 			timers,
@@ -126,9 +139,9 @@
 			logger,
 			metrics: this.metrics,
 			allowances: this.allowances,
-			placement: this.placement,
+			slots: this.slots,
 			backends: this.backends,
-			policy: new FleetShare(),
+			policy: new LocalShare(),
 			getState,
 			getPeerLoad: (pool) => this.peers.getPeerLoad(pool),
 			onEnd: (requestId, verdict) => {
@@ -144,6 +157,40 @@
 			requestIds: this.requestIds,
 			getState,
 		})
+		const { health, maintenance } = createMaintenance({
+			settings,
+			logger,
+			timers,
+			log: this.log,
+			instance: this.instance,
+			peers: this.peers,
+			slots: this.slots,
+			scheduler: this.requests.scheduler,
+			metrics: this.metrics,
+		})
+		this.health = health
+		this.maintenance = maintenance
+		this.status = new StatusManager({
+			timers,
+			instance: this.instance,
+			availabilityZone,
+			log: this.log,
+			loads: this.requests.scheduler,
+			getUsable: (team) => this.allowances.holder.getUsable(team),
+			getPeers: () => this.peers.getStatuses(),
+			isLeaving: () => this.isLeaving,
+		})
+		this.operators = new OperatorServer({
+			settings,
+			logger,
+			timers,
+			context: {
+				log: this.log,
+				keys: this.keys,
+				status: this.status,
+				metrics: this.metrics,
+			},
+		})
 	}
 
 	/** Opens every port; rejects when one cannot be opened. */
@@ -152,14 +199,19 @@
 		this.log.onChange(() => {
 			this.backends.retain(this.log.state.backendServers)
 		})
+		await this.operators.start()
 		this.snapshots.start()
 		this.log.start()
 		this.keys.start()
 		this.log.setPeerLogs(() => this.peers.getPeerLogs())
 		await this.peers.start()
+		this.instances.start()
 		await this.waitUntilReady()
 		await this.membership.start()
 		this.allowances.start()
+		this.slots.start()
+		this.health.start()
+		this.maintenance.start()
 		await this.callers.start()
 		logger.info('daemon-started', {
 			incarnation: this.instance,
@@ -171,6 +223,8 @@
 	async stop(): Promise<void> {
 		const { logger, settings, timers } = this.options
 		this.isLeaving = true
+		this.maintenance.stop()
+		this.health.stop()
 		this.callers.leave()
 		const grace = settings.shutdown.graceMilliseconds
 		const expired = new Promise<'expired'>((resolve) => {
@@ -185,18 +239,22 @@
 		await this.membership.leave(LEAVE_GRACE_MILLISECONDS)
 		this.allowances.stop()
 		this.peers.stop()
+		this.slots.stop()
 		this.requests.stop()
 		this.keys.stop()
+		this.instances.stop()
 		this.snapshots.stop()
 		await this.log.stop()
 		this.callers.stop()
 		this.backends.close()
+		await this.operators.stop()
 		logger.info('daemon-stopped')
 	}
 
 	private createPeers(): PeerManager {
 		const { settings, logger, timers } = this.options
-		const { host, port } = settings.listeners.peers
+		const { host, port, tls } = settings.listeners.peers
+		const credentials = new PeerCredentials(tls)
 		return new PeerManager({
 			timers,
 			logger,
@@ -205,19 +263,22 @@
 			port,
 			address: this.getPeerAddress(),
 			seeds: settings.seeds,
-			serverCredentials: ServerCredentials.createInsecure(),
-			channelCredentials: credentials.createInsecure(),
+			serverCredentials: credentials.server,
+			channelCredentials: credentials.channel,
 			getState: () => this.log.state,
 			source: new LocalDigestSource({
 				allowances: () => this.allowances,
 				scheduler: () => this.requests.scheduler,
-				placement: () => this.placement,
+				slots: () => this.slots,
 				keys: () => this.keys,
 				isLeaving: () => this.isLeaving,
+				getState: () => this.log.state,
 			}),
 			handler: new LocalPeerHandler({
 				allowances: () => this.allowances,
 				log: this.log,
+				slots: () => this.slots,
+				instance: this.instance,
 				claims: new LocalClaimHandler(() => this.requestIds),
 				exchange: (digest) => this.peers.answerExchange(digest),
 			}),
--- a/packages/daemon/src/lib/keys/KeyFreshness.ts
+++ b/packages/daemon/src/lib/keys/KeyFreshness.ts
@@ -1,6 +1,6 @@
 import type { FleetState, InstanceId, Milliseconds, TimerService } from '@mastichead/core'
-import type { LogManager } from '../log/LogManager.js'
 import type { KeyKnowledge } from './KeyKnowledge.js'
+import type { KeyLog } from './KeyLog.js'
 
 const NEVER = -Infinity
 
@@ -27,7 +27,7 @@
 
 	constructor(
 		private readonly timers: TimerService,
-		private readonly log: LogManager,
+		private readonly log: KeyLog,
 		private readonly instance: InstanceId
 	) {}
 
@@ -50,6 +50,7 @@
 	 */
 	learn(knowledge: KeyKnowledge, askedAt: Milliseconds): void {
 		this.settle()
+		if (knowledge.offset < 0) return
 		if (this.waiting.has(knowledge.instance)) return
 		this.waiting.set(knowledge.instance, { knowledge, askedAt })
 		this.settle()
--- a/packages/daemon/src/lib/keys/KeyManager.ts
+++ b/packages/daemon/src/lib/keys/KeyManager.ts
@@ -15,9 +15,9 @@
 import type { Logger } from 'winston'
 import { CallerAuthenticator } from '../callers/CallerAuthenticator.js'
 import type { Refusal } from '../callers/Refusal.js'
-import type { LogManager } from '../log/LogManager.js'
 import type { KeyIssue } from './KeyIssue.js'
 import type { KeyKnowledge } from './KeyKnowledge.js'
+import type { KeyLog } from './KeyLog.js'
 import type { KeyWithdrawal } from './KeyWithdrawal.js'
 import { createKeyRefusal } from './createKeyRefusal.js'
 import { KeyFreshness } from './KeyFreshness.js'
@@ -48,7 +48,7 @@
 	 */
 	constructor(
 		private readonly timers: TimerService,
-		private readonly log: LogManager,
+		private readonly log: KeyLog,
 		private readonly logger: Logger,
 		private readonly instance: InstanceId,
 		private readonly isolatedServe: Milliseconds = DEFAULT_ISOLATED_SERVE_MILLISECONDS
@@ -119,19 +119,19 @@
 			instance: this.instance,
 			withdrawnKeys: [...this.withdrawn.keys()],
 			age: this.freshness.getLogAge(),
-			offset: this.log.state.offset,
+			offset: this.log.sharedOffset,
 		}
 	}
 
 	/**
 	 * Takes in what a peer told.
 	 *
-	 * @param askedAt - monotonic instant before the peer was asked; when the peer told of its own
-	 *   accord, the instant before the last answer from it was asked for
+	 * @param askedAt - monotonic instant before the peer was asked; -Infinity when it told of its
+	 *   own accord, since such a message may have been under way for long
 	 */
 	learn(knowledge: KeyKnowledge, askedAt: Milliseconds): void {
 		for (const id of knowledge.withdrawnKeys) this.learnWithdrawn(id, 'peer')
-		this.freshness.learn(knowledge, askedAt)
+		if (askedAt > -Infinity) this.freshness.learn(knowledge, askedAt)
 	}
 
 	private findTeam(id: KeyId, secret: string): TeamId | undefined {
--- a/packages/daemon/src/lib/peers/LocalDigestSource.ts
+++ b/packages/daemon/src/lib/peers/LocalDigestSource.ts
@@ -1,17 +1,25 @@
-import type { PoolId, Scheduler, TeamId, TeamLoad as PoolTeamLoad } from '@mastichead/core'
+import type {
+	BackendServerId,
+	FleetState,
+	PoolId,
+	Scheduler,
+	TeamId,
+	TeamLoad as PoolTeamLoad,
+} from '@mastichead/core'
 import type { PoolLoad, ServerLoad, TeamLoad } from '@mastichead/protocol'
 import type { AllowanceManager } from '../allowances/AllowanceManager.js'
 import type { KeyKnowledge } from '../keys/KeyKnowledge.js'
 import type { KeyManager } from '../keys/KeyManager.js'
-import type { PlacementManager } from '../placement/PlacementManager.js'
+import type { SlotManager } from '../slots/SlotManager.js'
 import { DigestSource } from './DigestSource.js'
 
 interface Options {
 	readonly allowances: () => AllowanceManager
 	readonly scheduler: () => Scheduler
-	readonly placement: () => PlacementManager
+	readonly slots: () => SlotManager
 	readonly keys: () => KeyManager
 	readonly isLeaving: () => boolean
+	readonly getState: () => FleetState
 }
 
 /**
@@ -39,15 +47,24 @@
 	}
 
 	override getServers(): ServerLoad[] {
-		const placement = this.options.placement()
-		return [...placement.getBusyServers()].map(([server, running]) => ({
+		return [...this.options.slots().getBusyServers()].map(([server, running]) => ({
 			server,
 			running,
 			connections: running,
-			ejected: placement.isEjected(server),
+			ejected: false,
 		}))
 	}
 
+	override getDrained(): BackendServerId[] {
+		const slots = this.options.slots()
+		const drained: BackendServerId[] = []
+		for (const [server, { activity }] of this.options.getState().placements) {
+			if (activity.type !== 'draining' || slots.getRunning(server) > 0) continue
+			drained.push(server)
+		}
+		return drained
+	}
+
 	override getKeyKnowledge(): KeyKnowledge {
 		return this.options.keys().getKnowledge()
 	}
--- a/packages/daemon/src/lib/peers/PeerManager.ts
+++ b/packages/daemon/src/lib/peers/PeerManager.ts
@@ -1,6 +1,7 @@
 import type { ChannelCredentials, ServerCredentials } from '@grpc/grpc-js'
 import type {
 	BackendServerId,
+	DaemonStatus,
 	FleetState,
 	InstanceId,
 	LoanReply,
@@ -8,6 +9,7 @@
 	LoanReturn,
 	Milliseconds,
 	PoolId,
+	SlotGrant,
 	Subscription,
 	TeamId,
 	TeamLoad,
@@ -17,13 +19,17 @@
 	BorrowReply,
 	ClaimReply,
 	Digest,
+	GrantSlotsReply,
 	ReturnReply,
 	SettleReply,
+	SlotGrants,
+	SlotReport,
 } from '@mastichead/protocol'
 import type { Logger } from 'winston'
 import type { KeyKnowledge } from '../keys/KeyKnowledge.js'
 import type { PeerLog } from '../log/PeerLog.js'
 import { createDigestRows } from './createDigestRows.js'
+import { createPeerStatus } from './createPeerStatus.js'
 import type { DigestRow } from './DigestRow.js'
 import type { DigestSource } from './DigestSource.js'
 import { LoanTransport } from './LoanTransport.js'
@@ -37,6 +43,7 @@
 const EXCHANGE_DEADLINE_MILLISECONDS = 1000
 const LOAN_DEADLINE_MILLISECONDS = 1000
 const CLAIM_DEADLINE_MILLISECONDS = 1000
+const SLOT_DEADLINE_MILLISECONDS = 500
 
 /** Bytes a second that the rows of all digests may take in each direction. */
 const ROW_BYTES_PER_SECOND = 10_000
@@ -143,6 +150,70 @@
 		return running
 	}
 
+	/** What the last digest of each member says of it. */
+	getStatuses(): DaemonStatus[] {
+		const { timers, getState } = this.options
+		const { members } = getState()
+		const now = timers.now()
+		const statuses: DaemonStatus[] = []
+		for (const peer of this.table.values()) {
+			const { instance } = peer
+			const availabilityZone = instance && members.get(instance)?.availabilityZone
+			if (instance === undefined || availabilityZone === undefined) continue
+			const options = { availabilityZone, now, maximumAge: MAXIMUM_LOAD_AGE_MILLISECONDS }
+			statuses.push(createPeerStatus(peer, { instance, ...options }))
+		}
+		return statuses
+	}
+
+	/** Members that answered or called lately and do not leave. */
+	getReachable(): InstanceId[] {
+		return this.getFreshPeers()
+			.filter((peer) => !peer.isLeaving)
+			.flatMap(({ instance }) => (instance === undefined ? [] : [instance]))
+	}
+
+	/** Reports to the owner of a pool's slots. @returns undefined when no answer came */
+	reportSlots(owner: InstanceId, report: SlotReport): Promise<SlotGrants | undefined> {
+		const call = this.table
+			.find(owner)
+			?.client.call<SlotGrants>(
+				(stub, callback) => stub.reportSlots(report, callback),
+				SLOT_DEADLINE_MILLISECONDS
+			)
+		return call ?? Promise.resolve(undefined)
+	}
+
+	/** Brings slots to a peer. @returns whether it answered */
+	async grantSlots(instance: InstanceId, grants: readonly SlotGrant[]): Promise<boolean> {
+		const message = {
+			owner: this.options.instance,
+			pool: grants[0]?.pool ?? '',
+			grants: [...grants],
+		}
+		const reply = await this.table
+			.find(instance)
+			?.client.call<GrantSlotsReply>(
+				(stub, callback) => stub.grantSlots(message, callback),
+				SLOT_DEADLINE_MILLISECONDS
+			)
+		return reply !== undefined
+	}
+
+	/** Incarnations heard lately that have folded the log up to `offset`. */
+	getCurrentInstances(offset: number): InstanceId[] {
+		return this.getFreshPeers().flatMap((peer) => {
+			if (peer.isLeaving || peer.offset < offset) return []
+			return peer.instance ?? []
+		})
+	}
+
+	/** Whether an incarnation said, having folded `offset`, that nothing of it runs at a draining server. */
+	isDrainedAt(instance: InstanceId, server: BackendServerId, offset: number): boolean {
+		const peer = this.table.find(instance)
+		return peer !== undefined && peer.drainedOffset >= offset && peer.drained.has(server)
+	}
+
 	/** Peers that answered or called lately. */
 	get reachablePeers(): number {
 		return this.getFreshPeers().length
@@ -216,7 +287,6 @@
 		peer.isExchanging = false
 		if (!reply || (peer.instance !== undefined && reply.instance !== peer.instance)) return
 		if (!reply.stranger) peer.delta.confirm()
-		peer.answeredAskAt = askedAt
 		peer.update(reply, this.options.timers.now())
 		this.learn(reply, askedAt)
 	}
@@ -226,7 +296,7 @@
 		const peer = this.table.find(digest.instance)
 		peer?.update(digest, this.options.timers.now())
 		if (peer) this.options.onLoads(digest)
-		this.learn(digest, peer?.answeredAskAt ?? -Infinity)
+		this.learn(digest, -Infinity)
 		return { ...this.createDigest([]), stranger: peer === undefined }
 	}
 
@@ -238,8 +308,8 @@
 
 	private createDigest(rows: readonly DigestRow[]): Digest {
 		const { source, getState, instance } = this.options
-		const { withdrawnKeys, age } = source.getKeyKnowledge()
-		const { offset, version } = getState()
+		const { withdrawnKeys, age, offset } = source.getKeyKnowledge()
+		const { version } = getState()
 		return {
 			instance,
 			offset,
@@ -250,6 +320,7 @@
 			teams: rows.flatMap(({ team }) => team ?? []),
 			servers: rows.flatMap(({ server }) => server ?? []),
 			stranger: false,
+			drained: [...source.getDrained()],
 		}
 	}
 
--- a/packages/standins/src/lib/processes/programs.ts
+++ b/packages/standins/src/lib/processes/programs.ts
@@ -1,7 +1,10 @@
 import { fileURLToPath } from 'node:url'
 
+/** Tests run this module from source, but programs as built. */
+const base = import.meta.url.replace('/standins/src/', '/standins/dist/')
+
 function getPath(path: string): string {
-	return fileURLToPath(new URL(path, import.meta.url))
+	return fileURLToPath(new URL(path, base))
 }
 
 /**
