--- a/packages/core/src/lib/allowance/AllowanceHolder.ts
+++ b/packages/core/src/lib/allowance/AllowanceHolder.ts
@@ -101,6 +101,13 @@
 		return running
 	}
 
+	/** Whether it runs anything for a team, has borrowed for it, or bounds what it may run. */
+	isInUse(team: TeamId): boolean {
+		if (this.running.has(team) || this.maximums.has(team)) return true
+		for (const loan of this.borrower.getLoans(team)) if (loan.amount > 0) return true
+		return false
+	}
+
 	/** Units that may be in use now, on loans too. */
 	getCapacity(team: TeamId): number {
 		let capacity = Math.max(this.getUsable(team), this.getOwnRunning(team))
--- a/packages/core/src/lib/allowance/AllowancePlanner.ts
+++ b/packages/core/src/lib/allowance/AllowancePlanner.ts
@@ -24,6 +24,9 @@
 /** Time between two sends of one unanswered return or renewal. */
 const RESEND_INTERVAL: Milliseconds = 1000
 
+/** Ticks over which the teams without work here are planned once. */
+const IDLE_TURNS = 10
+
 /**
  * Plans the allowance of one member on each tick, and answers the members that ask it for loans.
  *
@@ -38,6 +41,7 @@
 	/** Members asked for a new loan, as `team/lender`, that have not answered. */
 	private readonly asked = new Set<string>()
 	private isLeaving = false
+	private turn = 0
 	private queued: ReadonlyMap<TeamId, number> = new Map()
 
 	constructor(
@@ -51,7 +55,7 @@
 	}
 
 	/**
-	 * Plans every team anew.
+	 * Plans every team anew that has work here, and the others in turn.
 	 *
 	 * @param queued - requests that wait at this member for allowance, by team
 	 */
@@ -61,7 +65,11 @@
 		this.holder.expire()
 		const changes: AllowanceChange[] = []
 		const requests: LoanRequest[] = []
+		this.evenShares.update(state)
+		this.turn = (this.turn + 1) % IDLE_TURNS
+		let index = 0
 		for (const team of getTeams(state, this.holder.instance)) {
+			if (index++ % IDLE_TURNS !== this.turn && !this.isActive(team)) continue
 			const situation = this.getSituation(state, team)
 			const plan = this.policy.plan(situation)
 			this.apply(situation, plan)
@@ -107,8 +115,9 @@
 
 	/** What this member tells its peers of a team. */
 	getLoad(state: FleetState, team: TeamId): PeerLoad {
-		const { running, queued } = this.getSituation(state, team)
-		const free = this.policy.getLendable(this.getSituation(state, team))
+		const situation = this.getSituation(state, team)
+		const { running, queued } = situation
+		const free = this.policy.getLendable(situation)
 		return { instance: this.holder.instance, running, queued, free }
 	}
 
@@ -124,7 +133,7 @@
 			running,
 			queued,
 			total: getAllowanceTotal(state, team),
-			evenShare: this.evenShares.get(state, team, limit, holder.instance),
+			evenShare: this.evenShares.get(team, limit, holder.instance),
 			granted: state.members.get(holder.instance)?.allowances.get(team) ?? 0,
 			free: holder.getFree(team),
 			capacity: holder.getCapacity(team),
@@ -135,6 +144,11 @@
 		}
 	}
 
+	private isActive(team: TeamId): boolean {
+		if (this.queued.has(team) || this.holder.isInUse(team)) return true
+		return this.peaks.has(team) || this.reservations.getReserved(team) > 0
+	}
+
 	private apply({ team, capacity, running }: TeamSituation, { keep, maximum }: TeamPlan): void {
 		this.holder.setMaximum(team, maximum)
 		const kept = this.isLeaving ? 0 : Math.ceil(keep)
--- a/packages/core/src/lib/allowance/EvenShares.ts
+++ b/packages/core/src/lib/allowance/EvenShares.ts
@@ -17,9 +17,8 @@
 	private members: readonly InstanceId[] = []
 	private readonly shares = new Map<TeamId, Share>()
 
-	/** Units that the member holds in an even split among the members whose lease holds. */
-	get(state: FleetState, team: TeamId, limit: number, instance: InstanceId): number {
-		this.update(state)
+	/** Units that the member holds in an even split among the members. */
+	get(team: TeamId, limit: number, instance: InstanceId): number {
 		const known = this.shares.get(team)
 		if (known?.limit === limit) return known.amount
 		const amount = getEvenShare(limit, team, instance, this.members)
@@ -27,7 +26,8 @@
 		return amount
 	}
 
-	private update(state: FleetState): void {
+	/** Takes the members whose lease holds. To be called before shares are asked for. */
+	update(state: FleetState): void {
 		const members: InstanceId[] = []
 		for (const member of state.members.values()) {
 			if (!member.lapsed) members.push(member.instance)
--- a/packages/core/src/lib/allowance/Peaks.ts
+++ b/packages/core/src/lib/allowance/Peaks.ts
@@ -20,6 +20,11 @@
 
 	constructor(private readonly timerService: TimerService) {}
 
+	/** Whether the team had demand lately. */
+	has(team: TeamId): boolean {
+		return this.peaks.has(team)
+	}
+
 	/** Notes the demand of a team now, in units, and gives its peak. */
 	update(team: TeamId, demand: number): number {
 		const at = this.timerService.now()
