--- a/packages/core/src/lib/allowance/Lender.ts
+++ b/packages/core/src/lib/allowance/Lender.ts
@@ -9,7 +9,7 @@
 import type { LoanReturn } from './LoanReturn.js'
 
 /** Time for which a settled loan is remembered, so that a late request does not make it anew. */
-const SETTLED_MEMORY: Milliseconds = 60_000
+const SETTLED_MEMORY: Milliseconds = 120_000
 
 interface Loan {
 	readonly borrower: InstanceId
--- /dev/null
+++ b/spec/src/loans/LoanReplay.ts
@@ -0,0 +1,167 @@
+import {
+	AllowanceHolder,
+	Fold,
+	VirtualTimerService,
+	type AllowanceUnit,
+	type BorrowedLoan,
+	type LoanReply,
+	type LoanRequest,
+	type Proposal,
+} from '@mastichead/core'
+import { terms } from '../allowances/terms.js'
+import type { LoanAction } from './LoanAction.js'
+
+const TEAM = 'team'
+
+interface Sent {
+	readonly deliver: () => void
+	readonly copies: number
+}
+
+/**
+ * Replays traces of the loan model, with one loan, on the real holders.
+ *
+ * @internal
+ */
+export class LoanReplay {
+	private readonly timers = new VirtualTimerService()
+	private readonly fold = new Fold()
+	private readonly lender: AllowanceHolder
+	private readonly borrower: AllowanceHolder
+	private readonly requests: LoanRequest[] = []
+	private flight: Sent[] = []
+	private runs: {
+		readonly holder: AllowanceHolder
+		readonly unit: AllowanceUnit
+		readonly endsAt: number
+	}[] = []
+
+	constructor(private readonly copies: number) {
+		this.fold.state.teams.set(TEAM, { name: TEAM, share: 1, limit: 1 })
+		this.fold.state.runBounds = [{ runMilliseconds: terms.run }]
+		this.lender = this.join('lender')
+		this.borrower = this.join('borrower')
+		const ask = this.lender.createProposal([{ team: TEAM, delta: 1 }])
+		if (ask) this.take(ask)
+		this.lender.observe(this.fold.state)
+		this.borrower.observe(this.fold.state)
+	}
+
+	apply(action: LoanAction): void {
+		const { borrower } = this.borrower
+		switch (action.kind) {
+			case 'advance':
+				this.advance(action.by)
+				break
+			case 'deliver':
+				this.deliver(action.index)
+				break
+			case 'ask': {
+				const request = borrower.createRequest('lender', TEAM, 1)
+				this.requests.push(request)
+				this.sendRequest(request)
+				break
+			}
+			case 'abandon':
+				borrower.abandon(this.getRequest(action.loan))
+				this.sendReturns()
+				break
+			case 'renew':
+				this.sendRequest(borrower.createRenewal(this.getLoan()))
+				break
+			case 'give-back':
+				borrower.giveBack(this.getLoan(), 1)
+				this.sendReturns()
+				break
+			case 'start-borrower':
+				this.start(this.borrower)
+				break
+			case 'start-lender':
+				this.start(this.lender)
+				break
+		}
+	}
+
+	/** Free units of the lender, and the end and the runs of each loan that the borrower holds. */
+	getFigures() {
+		const loans = [...this.borrower.borrower.getLoans(TEAM)]
+		return {
+			free: this.lender.getFree(TEAM),
+			held: loans.map(({ endsAt, units }) => ({ endsAt, runs: units.size })),
+		}
+	}
+
+	private join(instance: string): AllowanceHolder {
+		const holder = new AllowanceHolder(instance, this.timers)
+		const id = `${instance}/join`
+		holder.expectRenewal(id)
+		this.take({ kind: 'join', id, instance, availabilityZone: 'a', peerAddress: 'a:1' })
+		return holder
+	}
+
+	private take(proposal: Proposal): void {
+		this.fold.take({ offset: this.fold.state.offset + 1, at: this.timers.now(), proposal })
+	}
+
+	private advance(by: number): void {
+		this.timers.advance(by)
+		for (const { holder, unit, endsAt } of this.runs) {
+			if (endsAt <= this.timers.now()) holder.finish(unit)
+		}
+		this.runs = this.runs.filter(({ endsAt }) => endsAt > this.timers.now())
+		this.lender.expire()
+	}
+
+	private deliver(index: number): void {
+		const [sent] = this.flight.splice(index, 1)
+		if (!sent) return
+		if (sent.copies > 1) this.flight.push({ ...sent, copies: sent.copies - 1 })
+		sent.deliver()
+	}
+
+	private sendRequest(request: LoanRequest): void {
+		const askedAt = this.timers.now()
+		this.send(() => {
+			const reply = this.lender.lend(request)
+			if (reply.amount > 0) this.sendAnswer(request, reply, askedAt)
+		})
+	}
+
+	private sendAnswer(request: LoanRequest, reply: LoanReply, askedAt: number): void {
+		this.send(() => {
+			this.borrower.borrower.accept(request, reply, askedAt)
+		})
+	}
+
+	private sendReturns(): void {
+		const { borrower } = this.borrower
+		for (const loanReturn of borrower.getReturns()) {
+			borrower.settleReturn(loanReturn)
+			this.send(() => {
+				this.lender.takeBack(loanReturn)
+			})
+		}
+	}
+
+	private send(deliver: () => void): void {
+		this.flight.push({ deliver, copies: this.copies })
+	}
+
+	private start(holder: AllowanceHolder): void {
+		const unit = holder.tryStart(TEAM)
+		if (!unit) throw new Error('the model may start, the holder may not')
+		this.runs.push({ holder, unit, endsAt: this.timers.now() + terms.run })
+	}
+
+	private getRequest(loan: number): LoanRequest {
+		const request = this.requests[loan]
+		if (!request) throw new Error('no such loan')
+		return request
+	}
+
+	private getLoan(): BorrowedLoan {
+		const [loan] = this.borrower.borrower.getLoans(TEAM)
+		if (!loan) throw new Error('the model holds a loan, the holder does not')
+		return loan
+	}
+}
