Let dropped entry instances start again, and expire members at every entry

Cause, found by a platform clock set 3 h ahead (as after an outage longer than the floor lease): the fold rejected the heartbeats of members whose time was over, and only an accepted proposal removed them. With every member silent that long nothing was ever accepted again, so no daemon started work for good. Members now expire at every entry, before the decision on it; a dropped daemon shuts down and starts again under a new name in the same process. Also: SIGTERM while the platform cannot be reached at the start took more than 20 s; leaving is now skipped by one that never joined.

--- a/packages/core/src/lib/fold/AllowanceHandler.ts
+++ b/packages/core/src/lib/fold/AllowanceHandler.ts
@@ -1,6 +1,4 @@
-import { expireMembers } from '../allowance/expireMembers.js'
 import { getAllowanceTotal } from '../allowance/getAllowanceTotal.js'
-import { getMemberPhase } from '../allowance/getMemberPhase.js'
 import { getTeamLimit } from '../allowance/getTeamLimit.js'
 import type { TeamId } from '../ids/TeamId.js'
 import type { AllowanceChange } from '../log/AllowanceChange.js'
@@ -19,14 +17,13 @@
 
 	override check(state: FleetState, proposal: AllowanceProposal): string | undefined {
 		const member = state.members.get(proposal.instance)
-		if (!member || getMemberPhase(state, member, state.at) === 'gone') return 'unknown member'
+		if (!member) return 'unknown member'
 		if (proposal.sequence <= member.sequence) return 'sequence is not above the last one'
 		const isValid = proposal.changes.every(({ delta }) => Number.isSafeInteger(delta))
 		return isValid ? undefined : 'delta is not a whole number'
 	}
 
 	override apply(state: FleetState, proposal: AllowanceProposal): void {
-		expireMembers(state, state.at)
 		const member = state.members.get(proposal.instance)
 		if (!member) return
 		const allowances = new Map(member.allowances)
--- a/packages/core/src/lib/fold/Fold.ts
+++ b/packages/core/src/lib/fold/Fold.ts
@@ -3,6 +3,7 @@
 import type { Proposal } from '../log/Proposal.js'
 import type { Decision } from '../state/Decision.js'
 import type { FleetState } from '../state/FleetState.js'
+import { expireMembers } from '../allowance/expireMembers.js'
 import { assert } from '../assert.js'
 import { createFleetState } from '../state/createFleetState.js'
 import { proposalHandlers } from './proposalHandlers.js'
@@ -37,6 +38,7 @@
 		assert(entry.offset === this.state.offset + 1, 'log entries are folded without a gap')
 		this.state.offset = entry.offset
 		this.state.at = Math.max(this.state.at, entry.at)
+		expireMembers(this.state, this.state.at)
 		const known = this.state.decisions.get(entry.proposal.id)
 		if (known) return known
 		const decision = this.decide(entry)
--- a/packages/core/src/lib/fold/HeartbeatHandler.ts
+++ b/packages/core/src/lib/fold/HeartbeatHandler.ts
@@ -1,5 +1,3 @@
-import { expireMembers } from '../allowance/expireMembers.js'
-import { getMemberPhase } from '../allowance/getMemberPhase.js'
 import type { HeartbeatProposal } from '../log/HeartbeatProposal.js'
 import type { FleetState } from '../state/FleetState.js'
 import { ProposalHandler } from './ProposalHandler.js'
@@ -13,13 +11,10 @@
 	override readonly kind = 'heartbeat'
 
 	override check(state: FleetState, proposal: HeartbeatProposal): string | undefined {
-		const member = state.members.get(proposal.instance)
-		if (!member || getMemberPhase(state, member, state.at) === 'gone') return 'unknown member'
-		return undefined
+		return state.members.has(proposal.instance) ? undefined : 'unknown member'
 	}
 
 	override apply(state: FleetState, proposal: HeartbeatProposal): void {
-		expireMembers(state, state.at)
 		const member = state.members.get(proposal.instance)
 		if (!member) return
 		state.members.set(member.instance, { ...member, renewedAt: state.at, lapsed: false })
--- a/packages/core/src/lib/fold/JoinHandler.ts
+++ b/packages/core/src/lib/fold/JoinHandler.ts
@@ -1,4 +1,3 @@
-import { expireMembers } from '../allowance/expireMembers.js'
 import type { JoinProposal } from '../log/JoinProposal.js'
 import type { LogEntry } from '../log/LogEntry.js'
 import type { FleetState } from '../state/FleetState.js'
@@ -19,7 +18,6 @@
 	}
 
 	override apply(state: FleetState, proposal: JoinProposal, entry: LogEntry): void {
-		expireMembers(state, state.at)
 		state.members.set(proposal.instance, {
 			instance: proposal.instance,
 			availabilityZone: proposal.availabilityZone,
--- a/packages/core/src/lib/fold/LeaveHandler.ts
+++ b/packages/core/src/lib/fold/LeaveHandler.ts
@@ -1,4 +1,3 @@
-import { expireMembers } from '../allowance/expireMembers.js'
 import type { LeaveProposal } from '../log/LeaveProposal.js'
 import type { FleetState } from '../state/FleetState.js'
 import { ProposalHandler } from './ProposalHandler.js'
@@ -17,6 +16,5 @@
 
 	override apply(state: FleetState, proposal: LeaveProposal): void {
 		state.members.delete(proposal.instance)
-		expireMembers(state, state.at)
 	}
 }
--- a/packages/daemon/src/lib/Daemon.ts
+++ b/packages/daemon/src/lib/Daemon.ts
@@ -64,9 +64,15 @@
 	readonly maintenance: MaintenanceManager
 	readonly status: StatusManager
 	readonly operators: OperatorServer
+	/** Resolves when the fold has dropped this incarnation; it then starts nothing any more. */
+	readonly dropped: Promise<void>
+	private noteDropped: () => void = () => undefined
 	private isLeaving = false
 
 	constructor(private readonly options: Options) {
+		this.dropped = new Promise((resolve) => {
+			this.noteDropped = resolve
+		})
 		const { settings, logger, timers } = options
 		const { availabilityZone } = settings
 		this.instance = `${settings.instance}.${randomBytes(INCARNATION_BYTES).toString('hex')}`
@@ -106,7 +112,7 @@
 			availabilityZone,
 			peerAddress: this.getPeerAddress(),
 			onDropped: () => {
-				this.callers.leave()
+				this.noteDropped()
 			},
 		})
 		this.instances = new InstanceListManager({
@@ -208,6 +214,7 @@
 		this.instances.start()
 		await this.waitUntilReady()
 		await this.membership.start()
+		if (this.isLeaving) return
 		this.allowances.start()
 		this.slots.start()
 		this.health.start()
@@ -293,7 +300,7 @@
 	}
 
 	private async waitUntilReady(): Promise<void> {
-		while (!this.log.isReady) {
+		while (!this.log.isReady && !this.isLeaving) {
 			await new Promise<void>((resolve) => {
 				this.options.timers.after(READY_POLL_MILLISECONDS, resolve)
 			})
--- a/packages/daemon/src/lib/membership/MembershipManager.ts
+++ b/packages/daemon/src/lib/membership/MembershipManager.ts
@@ -38,10 +38,11 @@
 	private timer: Subscription | undefined
 	private isRenewing = false
 	private hasReportedDrop = false
+	private hasStopped = false
 
 	constructor(private readonly options: Options) {}
 
-	/** Joins; resolves once the fold has accepted it. */
+	/** Joins; resolves once the fold has accepted it, or the daemon leaves. */
 	async start(): Promise<void> {
 		const { log, holder, timers, availabilityZone, peerAddress } = this.options
 		log.onChange(() => {
@@ -49,9 +50,10 @@
 		})
 		const { instance } = holder
 		const id = `${instance}/join`
-		while (!log.state.members.has(instance)) {
+		while (!this.hasStopped && !log.state.members.has(instance)) {
 			await this.renew({ kind: 'join', id, instance, availabilityZone, peerAddress })
 		}
+		if (this.hasStopped) return
 		this.timer = timers.every(HEARTBEAT_MILLISECONDS, () => {
 			this.heartbeat(instance)
 		})
@@ -65,6 +67,8 @@
 	 */
 	async leave(grace: Milliseconds): Promise<boolean> {
 		const { timers, holder, log, logger } = this.options
+		this.hasStopped = true
+		if (!log.state.members.has(holder.instance)) return false
 		const end = timers.now() + grace
 		const isReleased = () => holder.canLeave() && holder.borrower.isSettled()
 		while (!isReleased() && timers.now() < end) {
--- a/packages/daemon/src/lib/runDaemon.ts
+++ b/packages/daemon/src/lib/runDaemon.ts
@@ -1,4 +1,5 @@
-import { SystemTimerService } from '@mastichead/core'
+import { SystemTimerService, type TimerService } from '@mastichead/core'
+import type { Logger } from 'winston'
 import { Daemon } from './Daemon.js'
 import { describeStartError } from './describeStartError.js'
 import type { ExitCode } from './ExitCode.js'
@@ -6,7 +7,8 @@
 import type { Settings } from './settings/Settings.js'
 
 /**
- * Runs a daemon until SIGTERM or SIGINT and shuts it down gracefully.
+ * Runs a daemon until SIGTERM or SIGINT and shuts it down gracefully. A daemon that the fold dropped
+ * after a long silence starts again under a new name.
  *
  * @public
  */
@@ -15,18 +17,48 @@
 		level: settings.log.level,
 		fields: { instance: settings.instance, availabilityZone: settings.availabilityZone },
 	})
-	const daemon = new Daemon({ settings, logger, timers: new SystemTimerService() })
+	const options = { settings, logger, timers: new SystemTimerService() }
 	const signalled = waitForSignal()
-	try {
-		await daemon.start()
-	} catch (error) {
-		logger.error('start-failed', { reason: describeStartError(error, settings) })
-		return 1
+	for (;;) {
+		const end = await runOnce(options, signalled)
+		if (end !== 'dropped') return end
+	}
+}
+
+/** Runs one incarnation to its end. */
+async function runOnce(
+	options: {
+		readonly settings: Settings
+		readonly logger: Logger
+		readonly timers: TimerService
+	},
+	signalled: Promise<NodeJS.Signals>
+): Promise<ExitCode | 'dropped'> {
+	const { logger, settings } = options
+	const daemon = new Daemon(options)
+	const failed = daemon.start().then(
+		() => new Promise<never>(() => undefined),
+		(error: unknown) => ({ type: 'failed', error }) as const
+	)
+	const end = await Promise.race([
+		failed,
+		signalled.then((signal) => ({ type: 'signalled', signal }) as const),
+		daemon.dropped.then(() => ({ type: 'dropped' }) as const),
+	])
+	switch (end.type) {
+		case 'failed':
+			logger.error('start-failed', { reason: describeStartError(end.error, settings) })
+			return 1
+		case 'signalled':
+			logger.info('shutdown-started', { signal: end.signal })
+			await daemon.stop()
+			logger.info('shutdown-finished')
+			return 0
+		case 'dropped':
+			logger.warn('member-rejoining', { instance: daemon.instance })
+			await daemon.stop()
+			return 'dropped'
 	}
-	logger.info('shutdown-started', { signal: await signalled })
-	await daemon.stop()
-	logger.info('shutdown-finished')
-	return 0
 }
 
 function waitForSignal(): Promise<NodeJS.Signals> {
--- a/packages/standins/src/lib/platform/PlatformFaults.ts
+++ b/packages/standins/src/lib/platform/PlatformFaults.ts
@@ -16,4 +16,6 @@
 	readonly cutInstances: readonly string[]
 	/** Age of the instance list that is shown. */
 	readonly listLagMilliseconds: number
+	/** How far the platform's clock is ahead; it never goes back. */
+	readonly clockAheadMilliseconds: number
 }
--- a/packages/standins/src/lib/platform/PlatformLog.ts
+++ b/packages/standins/src/lib/platform/PlatformLog.ts
@@ -21,8 +21,9 @@
 	/** Offset that the next record gets. */
 	next = 0
 
-	append(records: readonly string[]): number[] {
-		const offsets = records.map((record) => this.appendOne(record))
+	/** @param now - platform clock, in milliseconds */
+	append(records: readonly string[], now: number): number[] {
+		const offsets = records.map((record) => this.appendOne(record, now))
 		if (this.rows.length > this.retention) this.rows = this.rows.slice(-this.retention)
 		for (const wake of [...this.waiting]) wake()
 		return offsets
@@ -47,8 +48,8 @@
 		})
 	}
 
-	private appendOne(record: string): number {
-		this.lastAt = Math.max(this.lastAt, Date.now())
+	private appendOne(record: string, now: number): number {
+		this.lastAt = Math.max(this.lastAt, now)
 		this.rows.push({ offset: this.next, at: this.lastAt, record })
 		return this.next++
 	}
--- a/packages/standins/src/lib/platform/PlatformServer.ts
+++ b/packages/standins/src/lib/platform/PlatformServer.ts
@@ -30,6 +30,7 @@
 		loseAppendAnswers: 0,
 		cutInstances: [],
 		listLagMilliseconds: 0,
+		clockAheadMilliseconds: 0,
 	}
 	private appends = 0
 	private records = 0
@@ -94,7 +95,7 @@
 	private async handleAppend(request: IncomingMessage, response: ServerResponse): Promise<void> {
 		const body = JSON.parse(await readBody(request)) as { records: string[] }
 		await delay(this.faults.appendDelayMilliseconds)
-		const offsets = this.log.append(body.records)
+		const offsets = this.log.append(body.records, Date.now() + this.faults.clockAheadMilliseconds)
 		this.appends += 1
 		this.records += body.records.length
 		if (this.faults.loseAppendAnswers > 0) {
--- a/packages/standins/src/lib/processes/Deployment.ts
+++ b/packages/standins/src/lib/processes/Deployment.ts
@@ -79,8 +79,12 @@
 		await this.processes.start(name, [programs.backend, name, ...numbers], 'event=backend_started')
 	}
 
-	/** Starts an entry instance. */
-	async startDaemon(name: string): Promise<void> {
+	/**
+	 * Starts an entry instance.
+	 *
+	 * @param marker - part of the line to wait for; by default the one that says it takes requests
+	 */
+	async startDaemon(name: string, marker = 'event=daemon-started'): Promise<void> {
 		const instance = this.instances.find((row) => row.name === name)
 		if (!instance) throw new Error(`there is no entry instance ${name}`)
 		const file = join(this.directory, `${name}.yaml`)
@@ -88,7 +92,7 @@
 		const platformPort = this.options.basePort
 		writeFileSync(file, createSettingsText({ instance, peers, platformPort, token }))
 		const args = [programs.daemon, '--settings', file]
-		await this.processes.start(name, args, 'event=daemon-started')
+		await this.processes.start(name, args, marker)
 	}
 
 	/** Control address of a backend server. */
