Test configurations and withdrawals with real processes

Cause: racing operators, a stopped and a killed daemon, and a withdrawal during an outage were shown in virtual time only.

The operators' port makes keys itself, so KeyManager.issue is gone. A withdrawal whose proposal id had been used for something else was taken for logged; it is proposed under another id now.

--- a/packages/daemon/src/lib/keys/KeyManager.test.ts
+++ b/packages/daemon/src/lib/keys/KeyManager.test.ts
@@ -1,4 +1,4 @@
-import { createSampleFleet, type Queue } from '@mastichead/core'
+import { createKey, createSampleFleet, hashKeySecret, type Queue } from '@mastichead/core'
 import { assert, expect, test } from 'vitest'
 import { VirtualFleet } from '../log/testing/VirtualFleet.js'
 import type { KeyManager } from './KeyManager.js'
@@ -19,11 +19,11 @@
 	}
 	const first = getDaemon(fleet, 0)
 	void first.log.propose(fleet.createApply(first, 'first', 3))
-	const issuing = first.keys.issue('team-0', 'operator')
+	const key = createKey()
+	const issued = { key: key.id, team: 'team-0', hash: hashKeySecret(key.secret) }
+	void first.log.propose({ kind: 'issue-key', id: 'issue', ...issued, operator: 'operator' })
 	await fleet.advance(600)
-	const issue = await issuing
-	assert(issue.type === 'issued')
-	return { fleet, first, key: issue.key }
+	return { fleet, first, key }
 }
 
 function getDaemon(fleet: VirtualFleet, index: number): VirtualDaemon {
@@ -84,6 +84,17 @@
 	expect(first.keys.getKnowledge().withdrawnKeys).toEqual([])
 })
 
+test('a withdrawal whose id was used for something else is proposed under another', async () => {
+	const { fleet, first, key } = await createKeyedFleet(1)
+	const id = `withdraw-${key.id}`
+	void first.log.propose({ kind: 'heartbeat', id, instance: first.name })
+	await fleet.advance(100)
+	const withdrawing = first.keys.withdraw(key.id, 'operator')
+	await fleet.advance(100)
+	expect(await withdrawing).toMatchObject({ type: 'logged' })
+	expect(first.log.state.keys.get(key.id)?.state).toBe('withdrawn')
+})
+
 test('a daemon that no withdrawal can reach serves keys for its time only', async () => {
 	const { fleet, first, key } = await createKeyedFleet(3)
 	const [patient, strict] = [getDaemon(fleet, 2), fleet.add('none', 0)]
--- a/packages/daemon/src/lib/keys/KeyManager.ts
+++ b/packages/daemon/src/lib/keys/KeyManager.ts
@@ -1,11 +1,10 @@
 import {
-	createKey,
-	hashKeySecret,
 	isKeySecret,
 	parseKey,
 	type InstanceId,
 	type KeyId,
 	type Milliseconds,
+	type ProposalId,
 	type Queue,
 	type Subscription,
 	type TeamId,
@@ -15,7 +14,6 @@
 import type { Logger } from 'winston'
 import { CallerAuthenticator } from '../callers/CallerAuthenticator.js'
 import type { Refusal } from '../callers/Refusal.js'
-import type { KeyIssue } from './KeyIssue.js'
 import type { KeyKnowledge } from './KeyKnowledge.js'
 import type { KeyLog } from './KeyLog.js'
 import type { KeyWithdrawal } from './KeyWithdrawal.js'
@@ -29,7 +27,7 @@
 type Authentication = ReturnType<CallerAuthenticator['authenticate']>
 
 /**
- * Authenticates callers by key, and gives and withdraws keys. A withdrawal holds here at once,
+ * Authenticates callers by key, and withdraws keys. A withdrawal holds here at once,
  * spreads between peers ahead of the log, and is appended until the log shows it.
  *
  * @public
@@ -83,23 +81,6 @@
 		return { type: 'authenticated', team }
 	}
 
-	/** Makes a key for a team. */
-	async issue(team: TeamId, operator: string): Promise<KeyIssue> {
-		const key = createKey()
-		const outcome = await this.log.propose({
-			kind: 'issue-key',
-			id: randomUUID(),
-			key: key.id,
-			team,
-			hash: hashKeySecret(key.secret),
-			operator,
-		})
-		if (outcome.type === 'undecided') return { type: 'undecided', reason: outcome.reason }
-		const { decision } = outcome
-		if (decision.type === 'rejected') return { type: 'rejected', reason: decision.reason }
-		return { type: 'issued', key, offset: decision.offset }
-	}
-
 	/**
 	 * Withdraws a key: here at once, with peers at the next exchange, and in the log.
 	 *
@@ -108,8 +89,9 @@
 	async withdraw(id: KeyId, operator: string, deadline?: Milliseconds): Promise<KeyWithdrawal> {
 		this.learnWithdrawn(id, operator)
 		const outcome = await this.propose(id, operator, deadline)
-		if (outcome.type === 'decided') return { type: 'logged', offset: outcome.decision.offset }
-		return { type: 'spreading', reason: outcome.reason }
+		if (outcome.type === 'undecided') return { type: 'spreading', reason: outcome.reason }
+		if (this.isLogged(id)) return { type: 'logged', offset: outcome.decision.offset }
+		return { type: 'spreading', reason: 'its proposal is made again' }
 	}
 
 	/** What to tell peers. */
@@ -167,10 +149,9 @@
 		}
 	}
 
-	/** Every daemon proposes a withdrawal under the same id, so that the fold takes it once. */
 	private async propose(id: KeyId, operator: string, deadline?: Milliseconds) {
 		this.proposing.add(id)
-		const proposalId = `withdraw-${id}`
+		const proposalId = this.createProposalId(id)
 		const outcome = await this.log.propose(
 			{ kind: 'withdraw-key', id: proposalId, key: id, operator },
 			deadline
@@ -178,6 +159,16 @@
 		this.proposing.delete(id)
 		return outcome
 	}
+
+	/**
+	 * Every daemon proposes a withdrawal under the same id, so that the fold takes it once; under
+	 * another when that id was used and did not withdraw the key.
+	 */
+	private createProposalId(id: KeyId): ProposalId {
+		const shared = `withdraw-${id}`
+		const isUsed = this.log.state.decisions.has(shared) && !this.isLogged(id)
+		return isUsed ? `${shared}-${randomUUID()}` : shared
+	}
 }
 
 function refuse(refusal: Refusal): Authentication {
--- /dev/null
+++ b/packages/standins/src/lib/failures/configuration.failure.test.ts
@@ -0,0 +1,156 @@
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { setTimeout as delay } from 'node:timers/promises'
+import { parseFleet, type Fleet } from '@mastichead/core'
+import { request } from 'undici'
+import { afterAll, assert, beforeAll, expect, test } from 'vitest'
+import type { PlatformFaults } from '../platform/PlatformFaults.js'
+import { Deployment } from '../processes/Deployment.js'
+import { createFleetText } from './createFleetText.js'
+import { QuoteCaller } from './QuoteCaller.js'
+
+const BASE_PORT = 19_400
+const ROUNDS = 10
+const PROMISE_MILLISECONDS = 5000
+
+const directory = mkdtempSync(join(tmpdir(), 'mastichead-configuration-'))
+const fleetFile = join(directory, 'fleet.yaml')
+let deployment: Deployment
+
+beforeAll(async () => {
+	writeFileSync(fleetFile, createFleetText({ firstPort: BASE_PORT + 1, servers: 2 }))
+	deployment = new Deployment({ fleetFile, basePort: BASE_PORT, daemons: 4 })
+	await deployment.start()
+}, 60_000)
+
+afterAll(async () => {
+	await deployment.stop()
+	rmSync(directory, { recursive: true })
+}, 60_000)
+
+async function ask(url: string, method: 'GET' | 'PUT' | 'POST' | 'DELETE', body?: unknown) {
+	const answer = await request(url, {
+		method,
+		headers: { authorization: `Bearer ${deployment.token}`, 'content-type': 'application/json' },
+		...(body === undefined ? {} : { body: JSON.stringify(body) }),
+	})
+	return { status: answer.statusCode, body: (await answer.body.json()) as Record<string, unknown> }
+}
+
+async function getVersion(url: string): Promise<number> {
+	return Number((await ask(`${url}/v1/fleet`, 'GET')).body.version)
+}
+
+function createFleet(limit: number): Fleet {
+	const parsed = parseFleet(readFileSync(fleetFile, 'utf8'))
+	assert(parsed.type === 'valid')
+	const teams = parsed.fleet.teams.map((team) => ({ ...team, limit }))
+	return { ...parsed.fleet, teams }
+}
+
+function apply(url: string, base: number, limit: number) {
+	return ask(`${url}/v1/fleet`, 'PUT', { base, fleet: createFleet(limit) })
+}
+
+/** Polls until `isDone` holds for every url; returns how long it took. */
+async function waitForAll(
+	urls: readonly string[],
+	isDone: (url: string) => Promise<boolean>
+): Promise<number> {
+	const start = performance.now()
+	for (const url of urls) {
+		while (!(await isDone(url))) {
+			assert(performance.now() - start < PROMISE_MILLISECONDS, `${url} is too late`)
+			await delay(10)
+		}
+	}
+	return performance.now() - start
+}
+
+async function setFaults(faults: Partial<PlatformFaults>): Promise<void> {
+	await ask(`${deployment.platformUrl}/faults`, 'PUT', faults)
+}
+
+async function issueKey(url: string): Promise<{ id: string; key: string }> {
+	const { body } = await ask(`${url}/v1/keys`, 'POST', { team: 'desk' })
+	return { id: String(body.id), key: String(body.key) }
+}
+
+/** Whether an entry instance refuses the key itself. */
+async function isRefused(url: string, key: string): Promise<boolean> {
+	const caller = new QuoteCaller(key)
+	const { status } = await caller.post(url, 'quote')
+	await caller.close()
+	return status === 401
+}
+
+test('of two operators who replace one version, one is accepted, and every daemon has it', async () => {
+	const urls = deployment.operatorUrls
+	const [first = '', second = ''] = urls
+	let version = await getVersion(first)
+	let longest = 0
+	for (let round = 0; round < ROUNDS; round++) {
+		const answers = await Promise.all([
+			apply(first, version, 10 + round),
+			apply(second, version, 100 + round),
+		])
+		const accepted = answers.filter(({ status }) => status === 200)
+		expect(accepted).toHaveLength(1)
+		const next = Number(accepted[0]?.body.version)
+		expect(next).toBeGreaterThan(version)
+		longest = Math.max(
+			longest,
+			await waitForAll(urls, async (url) => (await getVersion(url)) === next)
+		)
+		version = next
+	}
+	console.info(`${ROUNDS} applies in force on ${urls.length} daemons, ${longest.toFixed(0)} ms`)
+})
+
+test('a daemon that was stopped or replaced does not go back', async () => {
+	const [first = '', second = ''] = deployment.operatorUrls
+	const [, paused, killed] = deployment.instances
+	assert(paused && killed)
+	const base = await getVersion(first)
+	deployment.processes.signal(paused.name, 'SIGSTOP')
+	await deployment.processes.stop(killed.name, 'SIGKILL')
+	await apply(first, base, 300)
+	const version = await getVersion(first)
+	expect(version).toBeGreaterThan(base)
+	await delay(4000)
+	deployment.processes.signal(paused.name, 'SIGCONT')
+	await waitForAll([second], async (url) => (await getVersion(url)) === version)
+	await deployment.startDaemon(killed.name)
+	expect(await getVersion(`http://127.0.0.1:${killed.operatorPort}`)).toBe(version)
+})
+
+test('a key withdrawn while the platform is down stops everywhere, also when its daemon dies', async () => {
+	const [first = ''] = deployment.operatorUrls
+	const [own, ...others] = deployment.callerUrls
+	const [withdrawing] = deployment.instances
+	assert(own !== undefined && withdrawing)
+	const { id, key } = await issueKey(first)
+	await waitForAll(deployment.callerUrls, async (url) => !(await isRefused(url, key)))
+	await setFaults({ outage: true })
+	const asked = ask(`${first}/v1/keys/${id}`, 'DELETE')
+	const took = await waitForAll([own, ...others], (url) => isRefused(url, key))
+	expect((await asked).body).toMatchObject({ reached: 'peers' })
+	await deployment.processes.stop(withdrawing.name, 'SIGKILL')
+	await setFaults({ outage: false })
+	const [, second = ''] = deployment.operatorUrls
+	const start = performance.now()
+	const isLogged = async () => {
+		const { keys } = (await ask(`${second}/v1/keys`, 'GET')).body as {
+			keys: { id: string; state: string }[]
+		}
+		return keys.some((row) => row.id === id && row.state === 'withdrawn')
+	}
+	while (!(await isLogged())) {
+		assert(performance.now() - start < 4 * PROMISE_MILLISECONDS, 'the log does not show it')
+		await delay(50)
+	}
+	await deployment.startDaemon(withdrawing.name)
+	expect(await isRefused(own, key)).toBe(true)
+	console.info(`a withdrawal without the platform reached 4 daemons in ${took.toFixed(0)} ms`)
+})
