--- a/packages/standins/src/lib/failures/configuration.failure.test.ts
+++ b/packages/standins/src/lib/failures/configuration.failure.test.ts
@@ -7,7 +7,7 @@
 import { afterAll, assert, beforeAll, expect, test } from 'vitest'
 import type { PlatformFaults } from '../platform/PlatformFaults.js'
 import { Deployment } from '../processes/Deployment.js'
-import { createFleetText } from './createFleetText.js'
+import { createFleetText } from '../processes/createFleetText.js'
 import { QuoteCaller } from './QuoteCaller.js'
 
 const BASE_PORT = 19_400
