Look at the members for a key only when the log has not been heard of

Cause: each request with a key sorted the contacts with all members. The check on the log alone decides nearly always.

--- a/packages/daemon/src/lib/keys/KeyFreshness.ts
+++ b/packages/daemon/src/lib/keys/KeyFreshness.ts
@@ -38,10 +38,10 @@
 		return knownAt === NEVER ? undefined : this.timers.now() - knownAt
 	}
 
-	/** Time since a withdrawal would have been learned, in milliseconds; infinite before the first. */
-	getAge(): Milliseconds {
-		const knownAt = this.getMajorityContactAt(this.log.state)
-		return Math.min(this.getLogAge() ?? Infinity, this.timers.now() - knownAt)
+	/** Whether a withdrawal would have been learned within `age` milliseconds. */
+	isWithin(age: Milliseconds): boolean {
+		if ((this.getLogAge() ?? Infinity) <= age) return true
+		return this.timers.now() - this.getMajorityContactAt(this.log.state) <= age
 	}
 
 	/**
--- a/packages/daemon/src/lib/keys/KeyManager.ts
+++ b/packages/daemon/src/lib/keys/KeyManager.ts
@@ -125,7 +125,7 @@
 
 	private isIsolated(): boolean {
 		const allowed = Math.max(this.isolatedServe, KeyFreshness.ORDINARY_MILLISECONDS)
-		return this.freshness.getAge() > allowed
+		return !this.freshness.isWithin(allowed)
 	}
 
 	private learnWithdrawn(id: KeyId, operator: string): void {
