Spend less per request: no log line built for nothing, no random bytes, no iterator

Profile of the daemon at full load: 24% in writes, 4% for debug lines that nobody reads, 3% for random bytes of ids that need none, 3% for hashing keys, 2.5% for iterators of small bodies; the rest is spread thin. The three that can go are gone.

The test of retries after a refusal rested on how often the policy drew the refusing server, and failed once that server was left alone for 100 ms. It now earns its budget first, checks that one refusal is retried, and bounds the attempts while both refuse; the bound is as tight as before.

--- a/packages/core/src/lib/requestIds/RequestIdTable.ts
+++ b/packages/core/src/lib/requestIds/RequestIdTable.ts
@@ -16,6 +16,9 @@
 /** Sequence of ids that have no record. */
 const UNRECORDED_SEQUENCE = 0
 
+/** Digits of the count that stands in for the random part of such an id. */
+const UNRECORDED_DIGITS = 16
+
 /** Claims of one id that may end as not run before it is given up. */
 const MAXIMUM_RELEASES = 16
 
@@ -62,6 +65,7 @@
 	private readonly rows = new Map<RequestId, Row>()
 	private readonly retention: Milliseconds
 	private readonly maximumRecords: number
+	private unrecorded = 0
 	private nextSequence = UNRECORDED_SEQUENCE + 1
 	/** Sequences below it have no row any more. */
 	private firstSequence = UNRECORDED_SEQUENCE + 1
@@ -80,7 +84,8 @@
 	issue(): RequestId {
 		this.dropExpired()
 		const sequence = this.nextSequence++
-		const id = this.create(sequence)
+		const { issuer, createRandom } = this.options
+		const id = createRequestId({ issuer, sequence, random: createRandom() })
 		const issuedAt = this.options.timers.now()
 		this.rows.set(id, { id, sequence, issuedAt, released: new Set(), state: { type: 'open' } })
 		if (this.rows.size > this.maximumRecords) this.dropOldest()
@@ -89,10 +94,11 @@
 
 	/**
 	 * Makes an id for a request that came without one. It has no record, so that a claim of it is
-	 * answered as expired.
+	 * answered as expired, and it need not be hard to guess.
 	 */
 	createUnrecorded(): RequestId {
-		return this.create(UNRECORDED_SEQUENCE)
+		const random = (this.unrecorded++).toString(16).padStart(UNRECORDED_DIGITS, '0')
+		return createRequestId({ issuer: this.options.issuer, sequence: UNRECORDED_SEQUENCE, random })
 	}
 
 	/**
@@ -135,11 +141,6 @@
 		row.state = { type: 'settled', verdict }
 	}
 
-	private create(sequence: number): RequestId {
-		const { issuer, createRandom } = this.options
-		return createRequestId({ issuer, sequence, random: createRandom() })
-	}
-
 	/** A claim may arrive after the claimant gave it up, so the release is noted in every state. */
 	private release(row: Row, claimant: string): void {
 		if (row.released.size < MAXIMUM_RELEASES) row.released.add(claimant)
--- a/packages/daemon/src/lib/callers/CallerServer.test.ts
+++ b/packages/daemon/src/lib/callers/CallerServer.test.ts
@@ -209,21 +209,31 @@
 	await fixture.expectNothingHeld()
 })
 
-test('a refusal by the backend server is tried again elsewhere within the budget', async () => {
+test('a refusal by a backend server is tried again elsewhere within the budget', async () => {
 	const refusal = 'HTTP/1.1 503 X\r\nMastichead-Verdict: not-run\r\nContent-Length: 0\r\n\r\n'
-	const refuse: Answer = (socket) => socket.write(refusal)
-	const fixture = await createFixture([refuse, echo])
-	const results = []
-	for (let i = 0; i < 60; i++) results.push(await fixture.post())
-	const refused = fixture.servers[0]?.seen.length ?? 0
-	const ran = fixture.servers[1]?.seen.length ?? 0
-	expect(results.filter(({ status }) => status === 200)).toHaveLength(ran)
-	for (const { status, verdict, headers } of results) {
-		if (status !== 200)
-			expect([status, verdict, headers['retry-after']]).toEqual([503, 'not-run', '1'])
+	const refusing = new Set<number>()
+	let refused = 0
+	const answers = [0, 1].map((index): Answer => (socket, text) => {
+		if (refusing.has(index)) refused++
+		if (refusing.has(index)) socket.write(refusal)
+		else echo(socket, text)
+	})
+	const fixture = await createFixture(answers)
+	for (let i = 0; i < 20; i++) expect((await fixture.post()).status).toBe(200)
+
+	refusing.add(0)
+	let requests = 0
+	while (refused === 0 && requests++ < 200) expect((await fixture.post()).status).toBe(200)
+	expect(refused).toBe(1)
+
+	refusing.add(1)
+	const earned = Math.floor((20 + requests + 20) / 10)
+	for (let i = 0; i < 20; i++) {
+		const { status, verdict, headers } = await fixture.post()
+		expect([status, verdict, headers['retry-after']]).toEqual([503, 'not-run', '1'])
 	}
-	expect(refused + ran).toBeGreaterThan(60)
-	expect(refused + ran).toBeLessThanOrEqual(66)
+	expect(refused).toBeGreaterThanOrEqual(21)
+	expect(refused).toBeLessThanOrEqual(20 + earned)
 	await fixture.expectNothingHeld()
 })
 
--- a/packages/daemon/src/lib/callers/RequestBody.ts
+++ b/packages/daemon/src/lib/callers/RequestBody.ts
@@ -12,7 +12,7 @@
 export class RequestBody {
 	/** Why the body will never be whole; absent while it may be. */
 	failure: 'too-large' | 'incomplete' | undefined
-	private readonly chunks: AsyncIterator<Buffer>
+	private chunks: AsyncIterator<Buffer> | undefined
 	private held: Buffer[] = []
 	private heldBytes = 0
 	private readBytes = 0
@@ -21,11 +21,9 @@
 	private pending: Promise<Buffer | undefined> | undefined
 
 	private constructor(
-		request: IncomingMessage,
+		private readonly request: IncomingMessage,
 		private readonly maximumBytes: number
-	) {
-		this.chunks = request.iterator({ destroyOnReturn: false })
-	}
+	) {}
 
 	/**
 	 * Reads ahead.
@@ -34,6 +32,11 @@
 	 */
 	static async read(request: IncomingMessage, maximumBytes: number): Promise<RequestBody> {
 		const body = new RequestBody(request, maximumBytes)
+		const length = Number(request.headers['content-length'])
+		if (length <= MAXIMUM_HELD_BYTES) {
+			await body.readSmall(request)
+			return body
+		}
 		while (!body.isEnded && body.heldBytes <= MAXIMUM_HELD_BYTES) {
 			const chunk = await body.next()
 			if (!chunk) break
@@ -55,6 +58,19 @@
 		return this.stream()
 	}
 
+	/** Reads a body of known small length; cheaper than its iterator. */
+	private async readSmall(request: IncomingMessage): Promise<void> {
+		await new Promise<void>((resolve) => {
+			request.on('data', (chunk: Buffer) => this.held.push(chunk))
+			request.once('end', () => {
+				this.isEnded = true
+				resolve()
+			})
+			request.once('close', resolve)
+		})
+		if (!this.isEnded) this.failure = 'incomplete'
+	}
+
 	private async *stream(): AsyncGenerator<Buffer> {
 		const { held } = this
 		this.held = []
@@ -73,6 +89,7 @@
 	private async readNext(): Promise<Buffer | undefined> {
 		if (this.isEnded || this.failure) return undefined
 		try {
+			this.chunks ??= this.request.iterator({ destroyOnReturn: false })
 			const result = await this.chunks.next()
 			if (result.done) {
 				this.isEnded = true
--- a/packages/daemon/src/lib/callers/RequestManager.ts
+++ b/packages/daemon/src/lib/callers/RequestManager.ts
@@ -361,9 +361,12 @@
 	}
 
 	private logAttempt(row: CallerRequest, server: BackendServerId, outcome: AttemptOutcome): void {
-		const fields = { requestId: row.requestId, team: row.team, server, outcome: outcome.type }
-		if (outcome.type === 'answered') this.options.logger.debug('attempt-ended', fields)
-		else this.options.logger.warn('attempt-failed', fields)
+		const { logger } = this.options
+		const level = outcome.type === 'answered' ? 'debug' : 'warn'
+		if (!logger.isLevelEnabled(level)) return
+		const event = outcome.type === 'answered' ? 'attempt-ended' : 'attempt-failed'
+		const { requestId, team } = row
+		logger.log(level, event, { requestId, team, server, outcome: outcome.type })
 	}
 
 	private getShares(): ReadonlyMap<TeamId, number> {
