--- a/packages/daemon/src/lib/Daemon.ts
+++ b/packages/daemon/src/lib/Daemon.ts
@@ -1,10 +1,4 @@
-import {
-	FleetShare,
-	type InstanceId,
-	PowerOfTwoPlacement,
-	type TimerService,
-} from '@mastichead/core'
-import { credentials, ServerCredentials } from '@grpc/grpc-js'
+import { LocalShare, type InstanceId, type TimerService } from '@mastichead/core'
 import { randomBytes } from 'node:crypto'
 import type { Logger } from 'winston'
 import { AllowanceManager } from './allowances/AllowanceManager.js'
@@ -16,6 +10,9 @@
 import { LogManager } from './log/LogManager.js'
 import { SnapshotManager } from './log/SnapshotManager.js'
 import { MembershipManager } from './membership/MembershipManager.js'
+import { createMaintenance } from './maintenance/createMaintenance.js'
+import type { HealthManager } from './maintenance/HealthManager.js'
+import type { MaintenanceManager } from './maintenance/MaintenanceManager.js'
 import { MetricsManager } from './metrics/MetricsManager.js'
 import { OperatorServer } from './operators/OperatorServer.js'
 import { StatusManager } from './operators/StatusManager.js'
@@ -23,10 +20,12 @@
 import { LocalDigestSource } from './peers/LocalDigestSource.js'
 import { LocalPeerHandler } from './peers/LocalPeerHandler.js'
 import { PeerClaimTransport } from './peers/PeerClaimTransport.js'
+import { PeerCredentials } from './peers/PeerCredentials.js'
 import { PeerManager } from './peers/PeerManager.js'
+import { PeerSlotTransport } from './peers/PeerSlotTransport.js'
 import { InstanceListManager } from './placement/InstanceListManager.js'
-import { PlacementManager } from './placement/PlacementManager.js'
 import { RequestIdManager } from './requestIds/RequestIdManager.js'
+import { SlotManager } from './slots/SlotManager.js'
 import type { Settings } from './settings/Settings.js'
 
 const INCARNATION_BYTES = 6
@@ -55,12 +54,14 @@
 	readonly allowances: AllowanceManager
 	readonly membership: MembershipManager
 	readonly instances: InstanceListManager
-	readonly placement: PlacementManager
+	readonly slots: SlotManager
 	readonly backends: BackendManager
 	readonly requestIds: RequestIdManager
 	readonly metrics = new MetricsManager()
 	readonly requests: RequestManager
 	readonly callers: CallerServer
+	readonly health: HealthManager
+	readonly maintenance: MaintenanceManager
 	readonly status: StatusManager
 	readonly operators: OperatorServer
 	private isLeaving = false
@@ -114,18 +115,18 @@
 			urls: settings.platform.urls,
 			instance: settings.instance,
 		})
-		this.placement = new PlacementManager({
+		this.slots = new SlotManager({
 			timers,
-			policy: new PowerOfTwoPlacement(Math.random),
-			availabilityZone,
 			instance: this.instance,
+			transport: new PeerSlotTransport(this.peers),
 			getState,
-			getPeerRunning: (server) => this.peers.getPeerRunning(server),
 			getListings: () => this.instances.listings,
+			getScheduler: () => this.requests.scheduler,
+			getRoom: (team) => this.allowances.getRoom(team),
 		})
 		this.backends = new BackendManager({
 			timers,
-			getConnections: (server) => this.placement.getConnections(server),
+			getConnections: (server) => this.slots.getConnections(server),
 		})
 		this.requestIds = new RequestIdManager({
 			timers,
@@ -138,9 +139,9 @@
 			logger,
 			metrics: this.metrics,
 			allowances: this.allowances,
-			placement: this.placement,
+			slots: this.slots,
 			backends: this.backends,
-			policy: new FleetShare(),
+			policy: new LocalShare(),
 			getState,
 			getPeerLoad: (pool) => this.peers.getPeerLoad(pool),
 			onEnd: (requestId, verdict) => {
@@ -156,6 +157,19 @@
 			requestIds: this.requestIds,
 			getState,
 		})
+		const { health, maintenance } = createMaintenance({
+			settings,
+			logger,
+			timers,
+			log: this.log,
+			instance: this.instance,
+			peers: this.peers,
+			slots: this.slots,
+			scheduler: this.requests.scheduler,
+			metrics: this.metrics,
+		})
+		this.health = health
+		this.maintenance = maintenance
 		this.status = new StatusManager({
 			timers,
 			instance: this.instance,
@@ -163,7 +177,7 @@
 			log: this.log,
 			loads: this.requests.scheduler,
 			getUsable: (team) => this.allowances.holder.getUsable(team),
-			getPeers: () => [],
+			getPeers: () => this.peers.getStatuses(),
 			isLeaving: () => this.isLeaving,
 		})
 		this.operators = new OperatorServer({
@@ -195,6 +209,9 @@
 		await this.waitUntilReady()
 		await this.membership.start()
 		this.allowances.start()
+		this.slots.start()
+		this.health.start()
+		this.maintenance.start()
 		await this.callers.start()
 		logger.info('daemon-started', {
 			incarnation: this.instance,
@@ -206,6 +223,8 @@
 	async stop(): Promise<void> {
 		const { logger, settings, timers } = this.options
 		this.isLeaving = true
+		this.maintenance.stop()
+		this.health.stop()
 		this.callers.leave()
 		const grace = settings.shutdown.graceMilliseconds
 		const expired = new Promise<'expired'>((resolve) => {
@@ -220,6 +239,7 @@
 		await this.membership.leave(LEAVE_GRACE_MILLISECONDS)
 		this.allowances.stop()
 		this.peers.stop()
+		this.slots.stop()
 		this.requests.stop()
 		this.keys.stop()
 		this.instances.stop()
@@ -233,7 +253,8 @@
 
 	private createPeers(): PeerManager {
 		const { settings, logger, timers } = this.options
-		const { host, port } = settings.listeners.peers
+		const { host, port, tls } = settings.listeners.peers
+		const credentials = new PeerCredentials(tls)
 		return new PeerManager({
 			timers,
 			logger,
@@ -242,19 +263,22 @@
 			port,
 			address: this.getPeerAddress(),
 			seeds: settings.seeds,
-			serverCredentials: ServerCredentials.createInsecure(),
-			channelCredentials: credentials.createInsecure(),
+			serverCredentials: credentials.server,
+			channelCredentials: credentials.channel,
 			getState: () => this.log.state,
 			source: new LocalDigestSource({
 				allowances: () => this.allowances,
 				scheduler: () => this.requests.scheduler,
-				placement: () => this.placement,
+				slots: () => this.slots,
 				keys: () => this.keys,
 				isLeaving: () => this.isLeaving,
+				getState: () => this.log.state,
 			}),
 			handler: new LocalPeerHandler({
 				allowances: () => this.allowances,
 				log: this.log,
+				slots: () => this.slots,
+				instance: this.instance,
 				claims: new LocalClaimHandler(() => this.requestIds),
 				exchange: (digest) => this.peers.answerExchange(digest),
 			}),
--- a/packages/daemon/src/lib/peers/Peer.ts
+++ b/packages/daemon/src/lib/peers/Peer.ts
@@ -13,12 +13,18 @@
 	readonly teams = new Map<TeamId, TeamLoad>()
 	readonly servers = new Map<BackendServerId, ServerLoad>()
 	offset = -1
+	/** Draining backend servers at which it runs nothing, by its last digest. */
+	drained: ReadonlySet<BackendServerId> = new Set()
+	/** Offset of its last digest. */
+	drainedOffset = -1
+	/** Version of the fleet document in force there. */
+	version = 0
+	/** Age that its knowledge of the log had when it was last heard; undefined when it had none. */
+	logAge: Milliseconds | undefined
 	isLeaving = false
 	isExchanging = false
 	/** Instant at which it was last heard; -Infinity before the first. */
 	heardAt: Milliseconds = -Infinity
-	/** Instant before the last answered exchange with it was sent. */
-	answeredAskAt: Milliseconds = -Infinity
 
 	/**
 	 * @param instance - incarnation; undefined for a seed that has not answered
@@ -33,8 +39,18 @@
 	update(digest: Digest, now: Milliseconds): void {
 		this.heardAt = now
 		this.offset = Math.max(this.offset, digest.offset)
+		this.version = Math.max(this.version, digest.version)
+		this.logAge = digest.logAgeMilliseconds
 		this.isLeaving = digest.leaving
+		this.updateDrained(digest)
 		for (const load of digest.teams) this.teams.set(load.team, load)
 		for (const load of digest.servers) this.servers.set(load.server, load)
 	}
+
+	/** A digest that comes late must not take the place of a newer one. */
+	private updateDrained({ offset, drained }: Digest): void {
+		if (offset < this.drainedOffset) return
+		this.drainedOffset = offset
+		this.drained = new Set(drained)
+	}
 }
