--- /dev/null
+++ b/bench/src/createSimulatedLog.ts
@@ -0,0 +1,47 @@
+import { Fold, type BackendServer, type Pool, type Proposal } from '@mastichead/core'
+import { SimulatedLog } from './SimulatedLog.js'
+
+const MEMBERS_PER_ZONE = 3
+
+/**
+ * Makes a log whose first entries put a fleet in force and let entry instances of every zone join.
+ *
+ * @internal
+ */
+export function createSimulatedLog(
+	pools: readonly Pool[],
+	backendServers: readonly BackendServer[]
+): SimulatedLog {
+	const log = new SimulatedLog(new Fold())
+	const zones = [...new Set(backendServers.map(({ availabilityZone }) => availabilityZone))]
+	const none = { put: [], remove: [] }
+	const first: Proposal = {
+		kind: 'apply',
+		id: 'first',
+		base: 0,
+		operator: 'bench',
+		patch: {
+			name: 'bench',
+			availabilityZones: zones,
+			pools: { put: pools, remove: [] },
+			queues: none,
+			teams: none,
+			backendServers: { put: backendServers.map(setAddress), remove: [] },
+		},
+	}
+	log.append(first, 0)
+	for (const availabilityZone of zones) {
+		for (let count = 0; count < MEMBERS_PER_ZONE; count += 1) {
+			const instance = `${availabilityZone}-${count}`
+			const peerAddress = '127.0.0.1:1'
+			log.append({ kind: 'join', id: instance, instance, availabilityZone, peerAddress }, 0)
+		}
+	}
+	return log
+}
+
+/** Addresses must differ; nothing listens on them. */
+function setAddress(server: BackendServer, at: number): BackendServer {
+	const [high, low] = [Math.floor(at / 250), (at % 250) + 1]
+	return { ...server, address: `127.1.${high}.${low}:1` }
+}
--- /dev/null
+++ b/bench/src/formatTable.ts
@@ -0,0 +1,22 @@
+import type { BenchRow } from './BenchRow.js'
+
+/**
+ * Formats rows as a text table; numbers are aligned to the right.
+ *
+ * @internal
+ */
+export function formatTable(rows: readonly BenchRow[]): string {
+	const columns = Object.keys(rows[0] ?? {})
+	const widths = columns.map((column) =>
+		Math.max(column.length, ...rows.map((row) => String(row[column]).length))
+	)
+	const lines = rows.map((row) =>
+		columns.map((column, at) => pad(row[column] ?? '', widths[at] ?? 0)).join('  ')
+	)
+	const head = columns.map((column, at) => column.padEnd(widths[at] ?? 0)).join('  ')
+	return [head, ...lines].map((line) => line.trimEnd()).join('\n')
+}
+
+function pad(value: string | number | boolean, width: number): string {
+	return typeof value === 'number' ? String(value).padStart(width) : String(value).padEnd(width)
+}
--- /dev/null
+++ b/bench/src/moveBench.ts
@@ -0,0 +1,185 @@
+import {
+	FixedMovePolicy,
+	ForecastMovePolicy,
+	GreedyMovePolicy,
+	type Milliseconds,
+	type MovePolicy,
+} from '@mastichead/core'
+import { createQueueArrivals } from './moves/createQueueArrivals.js'
+import type { MoveScenario } from './moves/MoveScenario.js'
+import type { QueueDemand } from './moves/QueueDemand.js'
+import { runMoves } from './moves/runMoves.js'
+import type { SimulatedArrival } from './moves/SimulatedArrival.js'
+
+const MINUTE: Milliseconds = 60_000
+const SLOTS = 8
+const PEAK = 5
+const HIGHEST_DRIFT = 1.3
+/** Backend servers of a pool that may fail or be maintained while it peaks. */
+const RESERVE = 1
+
+/** Mean slots such that a peak asks for more than the 7 backend servers of today's pools have. */
+const MEAN_SLOTS = 14
+
+function createGroup(
+	name: string,
+	rows: readonly (readonly [run: number, timeout: number])[]
+): readonly QueueDemand[] {
+	return rows.map(([meanRun, timeout], at) => ({
+		queue: `${name}-${at}`,
+		meanSlots: MEAN_SLOTS,
+		meanRun,
+		timeout,
+		spare: at === rows.length - 1,
+	}))
+}
+
+const padaniaRows = [
+	[1500, 4300],
+	[800, 4300],
+	[2500, 10_000],
+	[2000, 10_000],
+	[3000, 30_000],
+] as const
+
+const bretagneRows = [
+	[1000, 4300],
+	[1500, 8000],
+	[2000, 8000],
+	[1000, 15_000],
+	[2500, 30_000],
+] as const
+
+function createGroups(name: string, rows: typeof padaniaRows | typeof bretagneRows, count: number) {
+	return Array.from({ length: count }, (_, at) => createGroup(`${name}${at}`, rows))
+}
+
+const padania = { weights: { shares: 2, moves: 2, buffer: 1 }, warmUp: 10 * MINUTE }
+const bretagne = { weights: { shares: 1, moves: 1, buffer: 2 }, warmUp: 10 * MINUTE }
+
+const scenarios: readonly MoveScenario[] = [
+	{ ...padania, name: 'padania', groups: createGroups('p', padaniaRows, 1), duration: 70 * MINUTE },
+	{
+		...bretagne,
+		name: 'bretagne',
+		groups: createGroups('b', bretagneRows, 1),
+		duration: 70 * MINUTE,
+	},
+	{
+		...padania,
+		name: 'padania x10',
+		groups: createGroups('p', padaniaRows, 10),
+		duration: 30 * MINUTE,
+	},
+	{
+		...bretagne,
+		name: 'bretagne x10',
+		groups: createGroups('b', bretagneRows, 10),
+		duration: 30 * MINUTE,
+	},
+]
+
+interface Row {
+	readonly scenario: string
+	readonly policy: string
+	/** Backend servers of the fleet. */
+	readonly servers: number
+	readonly latePercent: number
+	readonly movesPerHour: number
+	/** Spare instance-hours per hour. */
+	readonly spareInstances: number
+	/** Spare instance-hours as a part of those of the fixed pools. */
+	readonly spareOfFixed: number
+	readonly brokenBudgets: number
+}
+
+/**
+ * Compares the move policies. The fixed pools are sized for their highest peak; the other policies
+ * get the smallest fleet with which the forecast policy has no more late work than the fixed pools,
+ * and greedy is shown at that size too.
+ *
+ * @public
+ */
+export function moveBench({ seed }: { readonly seed: number }): Row[] {
+	return scenarios.flatMap((scenario) => {
+		const arrivals = drawArrivals(scenario, seed)
+		const run = (policy: MovePolicy, sizes: ReadonlyMap<string, number>) =>
+			runMoves({ scenario, policy, sizes, arrivals, seed })
+		const peakSizes = getPeakSizes(scenario)
+		const fixed = run(new FixedMovePolicy(), peakSizes)
+		const createForecast = () => new ForecastMovePolicy({ weights: scenario.weights })
+		const isEnough = (sizes: ReadonlyMap<string, number>) =>
+			run(createForecast(), sizes).latePercent <= fixed.latePercent
+		const sizes = findSmallest(scenario, countServers(peakSizes), isEnough)
+		const runs = [
+			['fixed at peak', peakSizes, fixed],
+			['fixed, same fleet', sizes, run(new FixedMovePolicy(), sizes)],
+			['greedy, same fleet', sizes, run(new GreedyMovePolicy(), sizes)],
+			['forecast', sizes, run(createForecast(), sizes)],
+		] as const
+		return runs.map(([policy, used, result]) => ({
+			scenario: scenario.name,
+			policy,
+			servers: countServers(used),
+			latePercent: round(result.latePercent),
+			movesPerHour: round(result.movesPerHour),
+			spareInstances: round(result.spareInstances),
+			spareOfFixed: round(result.spareInstances / fixed.spareInstances),
+			brokenBudgets: result.broken,
+		}))
+	})
+}
+
+function drawArrivals(
+	scenario: MoveScenario,
+	seed: number
+): ReadonlyMap<string, readonly SimulatedArrival[]> {
+	const all = new Map<string, readonly SimulatedArrival[]>()
+	scenario.groups.forEach((group, at) => {
+		const drawn = createQueueArrivals(group, scenario.duration, seed + at)
+		for (const [queue, arrivals] of drawn) all.set(queue, arrivals)
+	})
+	return all
+}
+
+function getPeakSizes(scenario: MoveScenario): ReadonlyMap<string, number> {
+	const size = (slots: number): number =>
+		Math.ceil((PEAK * HIGHEST_DRIFT * slots) / SLOTS) + RESERVE
+	return new Map(scenario.groups.flat().map(({ queue, meanSlots }) => [queue, size(meanSlots)]))
+}
+
+/** Bisects over the size of the fleet, spread evenly, the remainder in the spare pools. */
+function findSmallest(
+	scenario: MoveScenario,
+	highest: number,
+	isEnough: (sizes: ReadonlyMap<string, number>) => boolean
+): ReadonlyMap<string, number> {
+	const groups = scenario.groups.length
+	let low = 0
+	let high = Math.ceil(highest / groups)
+	while (high - low > 1) {
+		const middle = Math.floor((low + high) / 2)
+		if (isEnough(spread(scenario, middle))) high = middle
+		else low = middle
+	}
+	return spread(scenario, high)
+}
+
+function spread(scenario: MoveScenario, perGroup: number): ReadonlyMap<string, number> {
+	const sizes = new Map<string, number>()
+	for (const group of scenario.groups) {
+		const each = Math.floor(perGroup / group.length)
+		for (const { queue, spare } of group) {
+			sizes.set(queue, spare ? perGroup - each * (group.length - 1) : each)
+		}
+	}
+	return sizes
+}
+
+function countServers(sizes: ReadonlyMap<string, number>): number {
+	return [...sizes.values()].reduce((sum, size) => sum + size, 0)
+}
+
+function round(value: number): number {
+	return Math.round(value * 100) / 100
+}
--- /dev/null
+++ b/bench/src/moves/SimulatedArrival.ts
@@ -0,0 +1,17 @@
+import type { Milliseconds } from '@mastichead/core'
+
+/**
+ * A request to come.
+ *
+ * @internal
+ */
+export interface SimulatedArrival {
+	readonly at: Milliseconds
+	/** Time that it truly takes. */
+	readonly run: Milliseconds
+	/** Time that its caller declares. */
+	readonly declaredRun: Milliseconds
+	readonly isRunnable: boolean
+	/** When its caller gives up, if it still waits. */
+	readonly cancelAt: Milliseconds
+}
--- /dev/null
+++ b/bench/src/moves/runMoves.ts
@@ -0,0 +1,226 @@
+import {
+	MaintenanceEvidence,
+	type MaintenanceProgress,
+	type Milliseconds,
+	MovePlanner,
+	type MovePolicy,
+	type Pool,
+} from '@mastichead/core'
+import { createRandom } from '../createRandom.js'
+import { createSimulatedLog } from '../createSimulatedLog.js'
+import type { SimulatedLog } from '../SimulatedLog.js'
+import type { MoveScenario } from './MoveScenario.js'
+import type { SimulatedArrival } from './SimulatedArrival.js'
+import { SimulatedPool } from './SimulatedPool.js'
+
+const TICK: Milliseconds = 100
+const PLAN_TICKS = 5
+const BEAT_TICKS = 300
+const SLOTS = 8
+const ZONES = ['a', 'b', 'c']
+const SERVERS_PER_RACK = 4
+/** Time until a backend server passes its health checks after it changed pools. */
+const JOIN_TIME: Milliseconds = 5000
+/** Time between failures of one backend server out of a hundred, and the time that one lasts. */
+const FAILURE_INTERVAL_PER_HUNDRED: Milliseconds = 300_000
+const FAILURE_DURATION: Milliseconds = 60_000
+const MILLISECONDS_PER_HOUR = 3_600_000
+
+interface Run {
+	readonly pool: SimulatedPool
+	readonly arrival: SimulatedArrival
+	readonly endsAt: Milliseconds
+}
+
+interface Options {
+	readonly scenario: MoveScenario
+	readonly policy: MovePolicy
+	/** Backend servers that each pool starts with. */
+	readonly sizes: ReadonlyMap<string, number>
+	readonly arrivals: ReadonlyMap<string, readonly SimulatedArrival[]>
+	readonly seed: number
+}
+
+interface Result {
+	readonly latePercent: number
+	readonly movesPerHour: number
+	/** Backend servers beyond those that the work kept busy, on average. */
+	readonly spareInstances: number
+	readonly requests: number
+	/** Times that an availability budget did not hold after an accepted drain. */
+	readonly broken: number
+}
+
+/**
+ * Runs one policy over drawn arrivals with the real fold, ledger and planner.
+ *
+ * @internal
+ */
+export function runMoves(options: Options): Result {
+	const simulation = new Simulation(options)
+	const { scenario } = options
+	for (let now = TICK; now <= scenario.duration; now += TICK) simulation.advance(now)
+	return simulation.getResult()
+}
+
+class Simulation extends MaintenanceEvidence {
+	private readonly log: SimulatedLog
+	private readonly pools = new Map<string, SimulatedPool>()
+	private readonly runs = new Map<string, Run[]>()
+	private readonly failedUntil = new Map<string, Milliseconds>()
+	private readonly planner: MovePlanner
+	private readonly random: () => number
+	private readonly names: readonly string[]
+	private now = 0
+	private moves = 0
+	private busy = 0
+	private broken = 0
+
+	constructor(private readonly options: Options) {
+		super()
+		const { scenario, policy, sizes, arrivals, seed } = options
+		const queues = scenario.groups.flat()
+		const total = [...sizes.values()].reduce((sum, size) => sum + size, 0)
+		const pools = queues.map(({ queue, spare }): Pool => {
+			const maximumUnavailable = Math.max(2, Math.ceil(total * 0.3))
+			return { name: queue, spare, minimumAvailable: 1, maximumUnavailable }
+		})
+		const servers = queues.flatMap(({ queue }) =>
+			Array.from({ length: sizes.get(queue) ?? 0 }, (_, at) => createServer(queue, at))
+		)
+		this.log = createSimulatedLog(pools, servers)
+		this.names = servers.map(({ name }) => name)
+		for (const queue of queues) {
+			this.pools.set(queue.queue, new SimulatedPool(queue, arrivals.get(queue.queue) ?? []))
+		}
+		this.planner = new MovePlanner(policy, { maximumMoving: Math.max(8, Math.ceil(total / 8)) })
+		this.random = createRandom(seed + 1)
+	}
+
+	advance(now: Milliseconds): void {
+		this.now = now
+		const tick = Math.round(now / TICK)
+		const isMeasured = now > this.options.scenario.warmUp
+		if (tick % BEAT_TICKS === 0) this.log.beat(now)
+		this.fail()
+		this.endRuns()
+		for (const pool of this.pools.values()) pool.advance(now, isMeasured)
+		this.startRuns(isMeasured)
+		if (isMeasured) for (const runs of this.runs.values()) this.busy += runs.length * TICK
+		if (tick % PLAN_TICKS === 0) this.plan(isMeasured)
+	}
+
+	getResult(): Result {
+		const { duration, warmUp } = this.options.scenario
+		const measured = duration - warmUp
+		let late = 0
+		let done = 0
+		for (const pool of this.pools.values()) {
+			late += pool.late
+			done += pool.done
+		}
+		return {
+			latePercent: (100 * late) / (late + done),
+			movesPerHour: (this.moves * MILLISECONDS_PER_HOUR) / measured,
+			spareInstances: this.names.length - this.busy / SLOTS / measured,
+			requests: late + done,
+			broken: this.broken,
+		}
+	}
+
+	override isDrained(server: string): boolean {
+		return this.getRunning(server) === 0
+	}
+
+	override isReady(server: string): boolean {
+		const since = this.log.state.placements.get(server)?.since?.at ?? 0
+		return this.now - since >= JOIN_TIME && !this.failedUntil.has(server)
+	}
+
+	override getRunning(server: string): number {
+		return this.runs.get(server)?.length ?? 0
+	}
+
+	override getProgress(): MaintenanceProgress {
+		return 'unknown'
+	}
+
+	private fail(): void {
+		for (const [server, until] of this.failedUntil) {
+			if (until > this.now) continue
+			this.failedUntil.delete(server)
+			this.log.report(server, false, this.now)
+		}
+		const chance = (TICK * this.names.length) / 100 / FAILURE_INTERVAL_PER_HUNDRED
+		if (this.random() >= chance) return
+		const server = this.names[Math.floor(this.random() * this.names.length)] ?? ''
+		if (this.failedUntil.has(server)) return
+		this.failedUntil.set(server, this.now + FAILURE_DURATION)
+		for (const { pool, arrival } of this.runs.get(server) ?? []) pool.end(arrival.run)
+		this.runs.delete(server)
+		this.log.report(server, true, this.now)
+	}
+
+	private endRuns(): void {
+		for (const [server, runs] of this.runs) {
+			const left = runs.filter(({ pool, arrival, endsAt }) => {
+				if (endsAt > this.now) return true
+				pool.end(arrival.run)
+				return false
+			})
+			this.runs.set(server, left)
+		}
+	}
+
+	private startRuns(isMeasured: boolean): void {
+		for (const [server, { pool: name, activity, health }] of this.log.state.placements) {
+			const pool = this.pools.get(name)
+			if (!pool || activity.type !== 'serving' || health === 'failed') continue
+			const runs = this.runs.get(server) ?? []
+			this.runs.set(server, runs)
+			while (runs.length < SLOTS) {
+				const arrival = pool.take(isMeasured)
+				if (!arrival) break
+				runs.push({ pool, arrival, endsAt: this.now + arrival.run })
+			}
+		}
+	}
+
+	private plan(isMeasured: boolean): void {
+		const demands = new Map([...this.pools].map(([name, pool]) => [name, pool.getDemand()]))
+		for (const step of this.planner.plan(this.log.state, this, demands, this.now)) {
+			const id = this.log.createId()
+			const proposal = { kind: 'move' as const, id, ...step, proposer: 'bench' }
+			const isAccepted = this.log.append(proposal, this.now)
+			if (isAccepted && step.step === 'reassign' && isMeasured) this.moves += 1
+			if (isAccepted && step.step === 'drain' && !this.hasBudget(step.from)) this.broken += 1
+		}
+	}
+
+	private hasBudget(pool: string): boolean {
+		const placements = [...this.log.state.placements.values()]
+		const inPool = placements.filter((placement) => placement.pool === pool)
+		const out = inPool.filter(
+			({ activity, health }) => activity.type !== 'serving' || health === 'failed'
+		)
+		const row = this.log.state.pools.get(pool)
+		if (!row) return false
+		const available = inPool.length - out.length
+		return available >= row.minimumAvailable && out.length <= row.maximumUnavailable
+	}
+}
+
+function createServer(pool: string, at: number) {
+	const availabilityZone = ZONES[at % ZONES.length] ?? ''
+	const rack = `${availabilityZone}-${Math.floor(at / ZONES.length / SERVERS_PER_RACK)}`
+	const name = `${pool}-${at}`
+	return {
+		name,
+		availabilityZone,
+		rack,
+		address: '',
+		pool,
+		slots: SLOTS,
+		connections: 64,
+	}
+}
--- a/packages/core/src/lib/fold/MoveHandler.ts
+++ b/packages/core/src/lib/fold/MoveHandler.ts
@@ -1,3 +1,4 @@
+import { HealthView } from '../health/HealthView.js'
 import type { LogEntry } from '../log/LogEntry.js'
 import type { MoveProposal } from '../log/MoveProposal.js'
 import type { FleetState } from '../state/FleetState.js'
@@ -67,7 +68,7 @@
 	if (placement.activity.type !== 'serving') {
 		return `${backendServer} is already ${placement.activity.type}`
 	}
-	const ledger = new AvailabilityLedger(state)
+	const ledger = new AvailabilityLedger(state, from)
 	if (!ledger.isAvailable(backendServer)) return `${backendServer} is not healthy`
 	return ledger.checkTake(backendServer)
 }
@@ -80,7 +81,7 @@
 	if (!isDrainingForMove(proposal, placement))
 		return `${proposal.backendServer} is not draining for this move`
 	if (!state.pools.has(proposal.to)) return `unknown pool ${proposal.to}`
-	return new AvailabilityLedger(state).checkPool(proposal.from)
+	return new AvailabilityLedger(state, proposal.from).checkPool(proposal.from)
 }
 
 function checkFinish(
@@ -90,7 +91,7 @@
 ): string | undefined {
 	if (!isJoiningForMove(proposal, placement))
 		return `${proposal.backendServer} is not joining by this move`
-	const health = new AvailabilityLedger(state).health.getHealth(proposal.backendServer)
+	const health = new HealthView(state).getHealth(proposal.backendServer)
 	return health === 'healthy' ? undefined : `${proposal.backendServer} is ${health}`
 }
 
--- a/packages/core/src/lib/fold/WaveStepHandler.ts
+++ b/packages/core/src/lib/fold/WaveStepHandler.ts
@@ -108,7 +108,7 @@
 	wave: Wave,
 	step: WaveStepState,
 	{ backendServer }: WaveStepProposal,
-	{ activity }: Placement
+	{ activity, pool }: Placement
 ): string | undefined {
 	if (wave.state !== 'running') return `wave ${wave.id} is ${wave.state}`
 	if (step !== 'waiting') return `its step is ${step}`
@@ -119,7 +119,7 @@
 	if (out.length >= wave.parallelism) return `wave ${wave.id} has ${out.length} out already`
 	return (
 		checkFailureDomain(state, wave, backendServer) ??
-		new AvailabilityLedger(state).checkTake(backendServer)
+		new AvailabilityLedger(state, pool).checkTake(backendServer)
 	)
 }
 
@@ -131,7 +131,7 @@
 ): string | undefined {
 	if (wave.state !== 'running') return `wave ${wave.id} is ${wave.state}`
 	if (step !== 'draining') return `its step is ${step}`
-	return new AvailabilityLedger(state).checkPool(pool)
+	return new AvailabilityLedger(state, pool).checkPool(pool)
 }
 
 function checkFinish(
--- a/packages/core/src/lib/health/HealthView.ts
+++ b/packages/core/src/lib/health/HealthView.ts
@@ -42,11 +42,10 @@
 
 	/** Health of a backend server; `unknown` for one that the fleet does not have. */
 	getHealth(backendServer: BackendServerId): Health {
-		const observers = this.getObservers(backendServer)
-		if (observers.size === 0) return 'unknown'
 		const placement = this.state.placements.get(backendServer)
-		if (!placement) return 'unknown'
+		if (!placement || this.live.size === 0) return 'unknown'
 		if (!placement.reports) return 'healthy'
+		const observers = this.getObservers(backendServer)
 		const votes = placement.reports.filter((instance) => observers.has(instance)).length
 		if (votes * 2 < observers.size || votes === 0) return 'healthy'
 		if (votes * 2 === observers.size || votes < MINIMUM_OBSERVERS) return 'unknown'
--- a/packages/core/src/lib/waves/AvailabilityLedger.ts
+++ b/packages/core/src/lib/waves/AvailabilityLedger.ts
@@ -13,16 +13,25 @@
  */
 export class AvailabilityLedger {
 	private readonly pools = new Map<PoolId, { available: number; unavailable: number }>()
-	private readonly taken = new Set<BackendServerId>()
+	private readonly inService = new Set<BackendServerId>()
 	readonly health: HealthView
 
-	constructor(private readonly state: FleetState) {
+	/** @param only - the one pool to count; by default all */
+	constructor(
+		private readonly state: FleetState,
+		only?: PoolId
+	) {
 		this.health = new HealthView(state)
 		for (const pool of state.pools.keys()) this.pools.set(pool, { available: 0, unavailable: 0 })
-		for (const [backendServer, placement] of state.placements) {
-			const pool = this.pools.get(placement.pool)
+		for (const [backendServer, { pool: name, activity }] of state.placements) {
+			if (only !== undefined && name !== only) continue
+			const isServing = activity.type === 'serving'
+			if (isServing && this.health.getHealth(backendServer) === 'healthy') {
+				this.inService.add(backendServer)
+			}
+			const pool = this.pools.get(name)
 			if (!pool) continue
-			if (this.isAvailable(backendServer)) pool.available += 1
+			if (this.inService.has(backendServer)) pool.available += 1
 			else pool.unavailable += 1
 		}
 	}
@@ -35,10 +44,7 @@
 
 	/** Whether a backend server is in service: serving, healthy, and not taken here. */
 	isAvailable(backendServer: BackendServerId): boolean {
-		if (this.taken.has(backendServer)) return false
-		const placement = this.state.placements.get(backendServer)
-		if (placement?.activity.type !== 'serving') return false
-		return this.health.getHealth(backendServer) === 'healthy'
+		return this.inService.has(backendServer)
 	}
 
 	/** Why the availability budget of a pool does not hold as things are, or undefined. */
@@ -55,8 +61,7 @@
 
 	/** Books a backend server as out of service. */
 	take(backendServer: BackendServerId): void {
-		const wasAvailable = this.isAvailable(backendServer)
-		this.taken.add(backendServer)
+		const wasAvailable = this.inService.delete(backendServer)
 		const placement = this.state.placements.get(backendServer)
 		const pool = placement && this.pools.get(placement.pool)
 		if (!pool || !wasAvailable) return
--- a/packages/core/src/lib/waves/settleWave.ts
+++ b/packages/core/src/lib/waves/settleWave.ts
@@ -12,10 +12,7 @@
 	const outcomes = wave.outcomes.filter((row) => state.at - row.at <= WAVE_FAILURE_WINDOW)
 	const settled = { ...wave, outcomes }
 	if (wave.state === 'aborted' || wave.state === 'done') return settled
-	const left = [...wave.steps.values()].some(
-		(step) => step === 'waiting' || step === 'draining' || step === 'maintenance'
-	)
-	if (!left) return { ...settled, state: 'done', reason: '' }
+	if (!hasStepsLeft(wave)) return { ...settled, state: 'done', reason: '' }
 	const failures = outcomes.filter((row) => row.outcome === 'failed').length
 	if (wave.state === 'paused' || failures <= wave.failureLimit) return settled
 	return {
@@ -24,3 +21,10 @@
 		reason: `${failures} failed within the failure window, limit ${wave.failureLimit}`,
 	}
 }
+
+function hasStepsLeft(wave: Wave): boolean {
+	for (const step of wave.steps.values()) {
+		if (step === 'waiting' || step === 'draining' || step === 'maintenance') return true
+	}
+	return false
+}
--- a/packages/daemon/src/lib/maintenance/MaintenanceManager.ts
+++ b/packages/daemon/src/lib/maintenance/MaintenanceManager.ts
@@ -18,6 +18,8 @@
 import type { MaintenancePeers } from './MaintenancePeers.js'
 
 const TICK_MILLISECONDS = 500
+/** Planning takes at most one part in this many of the processor. */
+const PLANNING_PART = 300
 /** Time that a peer has to fold what this daemon has, to count as a proposer. */
 const LAG_MILLISECONDS = 10_000
 /** Time before a step that was rejected is proposed again. */
@@ -52,6 +54,7 @@
 	private lagOffset = -1
 	private nextLagOffset = -1
 	private lagAt: Milliseconds = -Infinity
+	private nextPlanAt: Milliseconds = -Infinity
 
 	constructor(private readonly options: Options) {}
 
@@ -69,10 +72,13 @@
 	tick(): void {
 		const { log, evidence, waves, moves, timers, instance, getDemands } = this.options
 		if (!log.isReady || !log.state.members.has(instance)) return
+		const startedAt = timers.now()
+		if (startedAt < this.nextPlanAt) return
 		this.noteOffset()
 		const plan = waves.plan(log.state, evidence)
 		this.waveReasons = plan.reasons
-		const moveSteps = moves.plan(log.state, evidence, getDemands(), timers.now())
+		const moveSteps = moves.plan(log.state, evidence, getDemands(), startedAt)
+		this.nextPlanAt = startedAt + (timers.now() - startedAt) * PLANNING_PART
 		if (!this.isProposer()) return
 		evidence.refresh()
 		this.releaseHeld()
