--- a/packages/daemon/src/lib/describeStartError.test.ts
+++ b/packages/daemon/src/lib/describeStartError.test.ts
@@ -1,7 +1,7 @@
 import { createServer } from 'node:net'
 import { Server, ServerCredentials } from '@grpc/grpc-js'
 import { describe, expect, it } from 'vitest'
-import { createTestSettings } from '../fixtures/createTestSettings.js'
+import { createTestSettings } from './testing/createTestSettings.js'
 import { describeStartError } from './describeStartError.js'
 
 function listen(port: number): Promise<{ port: number; close: () => void }> {
