--- a/tests/docs/docs.test.ts
+++ b/tests/docs/docs.test.ts
@@ -1,6 +1,7 @@
 import { readdirSync, readFileSync } from 'node:fs'
 import { dirname, join } from 'node:path'
 import { describe, expect, it } from 'vitest'
+import { parseSettings } from '../../packages/daemon/src/lib/settings/parseSettings.js'
 
 const DAEMON_SOURCES = 'packages/daemon/src'
 
@@ -30,6 +31,24 @@
 		expect(listed.toSorted()).toEqual([...events].toSorted())
 	})
 
+	it('lists every setting', () => {
+		const listener = { port: 1 }
+		const result = parseSettings(
+			JSON.stringify({
+				instance: 'entry-1',
+				availabilityZone: 'zone-a',
+				listeners: { callers: listener, operators: listener, peers: listener },
+				platform: { urls: ['http://127.0.0.1:1'] },
+				operators: [{ name: 'ops', tokenHash: 'ab'.repeat(32) }],
+			})
+		)
+		if (result.type === 'error') throw new Error(result.error.message)
+		const { listeners, operators, ...settings } = result.settings
+		const page = readFileSync('docs/interface.md', 'utf8')
+		const missing = getPaths(settings).filter((path) => !page.includes(`\`${path}\``))
+		expect([listeners.callers.port, operators.length, missing]).toEqual([1, 1, []])
+	})
+
 	it('has no link to a file that is not there', () => {
 		const broken = getPages().flatMap((page) => {
 			const text = readFileSync(page, 'utf8')
@@ -42,6 +61,13 @@
 	})
 })
 
+function getPaths(value: object, prefix = ''): string[] {
+	return Object.entries(value).flatMap(([key, child]: [string, unknown]) => {
+		const isTable = typeof child === 'object' && child !== null && !Array.isArray(child)
+		return isTable ? getPaths(child, `${prefix}${key}.`) : [`${prefix}${key}`]
+	})
+}
+
 function isFile(path: string): boolean {
 	try {
 		readFileSync(path)
