--- a/packages/cli/src/lib/client/sendRequest.ts
+++ b/packages/cli/src/lib/client/sendRequest.ts
@@ -11,6 +11,9 @@
 	'UND_ERR_CONNECT_TIMEOUT',
 ])
 
+/** Errors of certificates that did not do; nothing is sent before they are checked. */
+const CERTIFICATE_ERROR_PATTERN = /^(ERR_TLS_|CERT_|SELF_SIGNED_|DEPTH_ZERO_|UNABLE_TO_)/
+
 /**
  * Sends one request to one daemon. Never rejects.
  *
@@ -46,5 +49,6 @@
 	if (!(error instanceof Error)) return { type: 'lost', reason: String(error) }
 	const { code = '' } = error as NodeJS.ErrnoException
 	const reason = error.message === '' ? code : error.message
-	return { type: NOT_SENT_CODES.has(code) ? 'not-sent' : 'lost', reason }
+	const isUnsent = NOT_SENT_CODES.has(code) || CERTIFICATE_ERROR_PATTERN.test(code)
+	return { type: isUnsent ? 'not-sent' : 'lost', reason }
 }
