--- a/tests/docs/docs.test.ts
+++ b/tests/docs/docs.test.ts
@@ -1,7 +1,7 @@
 import { readdirSync, readFileSync } from 'node:fs'
 import { dirname, join } from 'node:path'
 import { describe, expect, it } from 'vitest'
-import { parseSettings } from '../../packages/daemon/src/lib/settings/parseSettings.js'
+import { parseSettings } from '@mastichead/daemon'
 
 const DAEMON_SOURCES = 'packages/daemon/src'
 
