Read the instance list only when it changed

With an entity tag the platform answers 304 while nothing changed. Channels between peers keep no channelz tables any more.

--- a/packages/daemon/src/lib/peers/peerChannelOptions.ts
+++ b/packages/daemon/src/lib/peers/peerChannelOptions.ts
@@ -22,4 +22,5 @@
 	'grpc.max_send_message_length': MAXIMUM_MESSAGE_BYTES,
 	'grpc.use_local_subchannel_pool': 1,
 	'grpc.enable_retries': 0,
+	'grpc.enable_channelz': 0,
 }
--- a/packages/daemon/src/lib/placement/InstanceListManager.ts
+++ b/packages/daemon/src/lib/placement/InstanceListManager.ts
@@ -15,6 +15,9 @@
 /** Time that one read may take. */
 const TIMEOUT_MILLISECONDS = 900
 
+const STATUS_OK = 200
+const STATUS_NOT_MODIFIED = 304
+
 const answerSchema = z.object({
 	instances: z.array(
 		z.object({
@@ -25,6 +28,11 @@
 	),
 })
 
+interface Row {
+	readonly name: BackendServerId
+	readonly state: 'live' | 'leaving'
+}
+
 interface Options {
 	readonly timers: TimerService
 	readonly logger: Logger
@@ -47,6 +55,8 @@
 	listings: ReadonlyMap<BackendServerId, ServerListing> = new Map()
 	private agent = createAgent()
 	private url = 0
+	/** Entity tag of the list that was read last; empty while there is none. */
+	private entityTag = ''
 	private isReading = false
 	private timer: Subscription | undefined
 
@@ -68,10 +78,12 @@
 		if (this.isReading) return
 		this.isReading = true
 		try {
-			this.take(await this.fetch())
+			const rows = await this.fetch()
+			if (rows) this.take(rows)
 		} catch (error) {
 			this.options.logger.debug('instance-list-unread', { reason: String(error) })
 			this.url++
+			this.entityTag = ''
 			void this.agent.destroy()
 			this.agent = createAgent()
 		} finally {
@@ -79,22 +91,28 @@
 		}
 	}
 
-	private async fetch() {
+	/** Reads the list; undefined when it is as the last read showed it. */
+	private async fetch(): Promise<readonly Row[] | undefined> {
 		const { urls, instance } = this.options
-		const { statusCode, body } = await request(`${urls[this.url % urls.length] ?? ''}/instances`, {
+		const url = `${urls[this.url % urls.length] ?? ''}/instances`
+		const { statusCode, headers, body } = await request(url, {
 			dispatcher: this.agent,
-			headers: { 'mastichead-instance': instance },
+			headers: { 'mastichead-instance': instance, 'if-none-match': this.entityTag },
 			signal: AbortSignal.timeout(TIMEOUT_MILLISECONDS),
 		})
+		if (statusCode === STATUS_NOT_MODIFIED) {
+			await body.dump()
+			return undefined
+		}
 		const json = await body.json()
-		if (statusCode !== 200) throw new Error(`the platform answered ${statusCode}`)
-		return answerSchema.parse(json).instances.filter((row) => row.kind === 'backend')
+		if (statusCode !== STATUS_OK) throw new Error(`the platform answered ${statusCode}`)
+		const rows = answerSchema.parse(json).instances.filter((row) => row.kind === 'backend')
+		this.entityTag = typeof headers.etag === 'string' ? headers.etag : ''
+		return rows
 	}
 
 	/** A list without any backend server says more about the platform than about them. */
-	private take(
-		rows: readonly { readonly name: BackendServerId; readonly state: 'live' | 'leaving' }[]
-	): void {
+	private take(rows: readonly Row[]): void {
 		if (rows.length === 0) return
 		const listings = new Map<BackendServerId, ServerListing>()
 		for (const name of this.listings.keys()) listings.set(name, 'removed')
--- a/packages/standins/src/lib/platform/InstanceList.ts
+++ b/packages/standins/src/lib/platform/InstanceList.ts
@@ -27,8 +27,12 @@
 
 	/** The list as it was at `at`. */
 	getRows(at: number): ListedInstance[] {
-		const shown = this.versions.findLast((version) => version.at <= at)
-		return [...(shown?.rows.values() ?? [])]
+		return [...(this.versions[this.getVersion(at)]?.rows.values() ?? [])]
+	}
+
+	/** Number of the list's version that is shown at `at`. */
+	getVersion(at: number): number {
+		return this.versions.findLastIndex((version) => version.at <= at)
 	}
 
 	private change(now: number, edit: (rows: Map<string, ListedInstance>) => void): void {
--- a/packages/standins/src/lib/platform/PlatformServer.ts
+++ b/packages/standins/src/lib/platform/PlatformServer.ts
@@ -32,6 +32,7 @@
 		listLagMilliseconds: 0,
 		clockAheadMilliseconds: 0,
 	}
+	private readonly startedAt = Date.now()
 	private appends = 0
 	private records = 0
 	/** Bytes of the answers to the log's readers and the list's. */
@@ -142,6 +143,12 @@
 		if (request.method === 'PUT') this.putInstances(await readBody(request))
 		if (request.method === 'DELETE') this.instances.remove(name, Date.now())
 		const shownAt = Date.now() - this.faults.listLagMilliseconds
+		const entityTag = `"${this.startedAt}-${this.instances.getVersion(shownAt)}"`
+		response.setHeader('etag', entityTag)
+		if (request.method === 'GET' && request.headers['if-none-match'] === entityTag) {
+			response.writeHead(304).end()
+			return
+		}
 		this.bytes += sendJson(response, 200, { instances: this.instances.getRows(shownAt) })
 	}
 
