--- a/packages/daemon/src/lib/testing/HistoryDaemon.ts
+++ b/packages/daemon/src/lib/testing/HistoryDaemon.ts
@@ -123,5 +123,5 @@
 
 function createEmptyBody(): IncomingMessage {
 	const iterator = () => ({ next: () => Promise.resolve({ done: true, value: undefined }) })
-	return { iterator } as unknown as IncomingMessage
+	return { headers: {}, iterator } as unknown as IncomingMessage
 }
--- a/packages/standins/src/lib/platform/PlatformServer.ts
+++ b/packages/standins/src/lib/platform/PlatformServer.ts
@@ -30,7 +30,9 @@
 		loseAppendAnswers: 0,
 		cutInstances: [],
 		listLagMilliseconds: 0,
+		clockAheadMilliseconds: 0,
 	}
+	private readonly startedAt = Date.now()
 	private appends = 0
 	private records = 0
 	/** Bytes of the answers to the log's readers and the list's. */
@@ -94,7 +96,7 @@
 	private async handleAppend(request: IncomingMessage, response: ServerResponse): Promise<void> {
 		const body = JSON.parse(await readBody(request)) as { records: string[] }
 		await delay(this.faults.appendDelayMilliseconds)
-		const offsets = this.log.append(body.records)
+		const offsets = this.log.append(body.records, Date.now() + this.faults.clockAheadMilliseconds)
 		this.appends += 1
 		this.records += body.records.length
 		if (this.faults.loseAppendAnswers > 0) {
@@ -141,6 +143,12 @@
 		if (request.method === 'PUT') this.putInstances(await readBody(request))
 		if (request.method === 'DELETE') this.instances.remove(name, Date.now())
 		const shownAt = Date.now() - this.faults.listLagMilliseconds
+		const entityTag = `"${this.startedAt}-${this.instances.getVersion(shownAt)}"`
+		response.setHeader('etag', entityTag)
+		if (request.method === 'GET' && request.headers['if-none-match'] === entityTag) {
+			response.writeHead(304).end()
+			return
+		}
 		this.bytes += sendJson(response, 200, { instances: this.instances.getRows(shownAt) })
 	}
 
