Test slow clocks and loans near the end of a lease

Both now have a test that fails without the mechanism: a second start at 3630 s with a clock 1% slow, and 9 units lent in place of 4 ten seconds before the lease ends.

--- a/packages/core/src/lib/allowance/AllowanceHolder.test.ts
+++ b/packages/core/src/lib/allowance/AllowanceHolder.test.ts
@@ -4,6 +4,7 @@
 import { VirtualTimerService } from '../time/VirtualTimerService.js'
 import { AllowanceHolder } from './AllowanceHolder.js'
 import { allowanceTerms } from './allowanceTerms.js'
+import { createAllowanceHistory } from './createAllowanceHistory.js'
 import { isLimitInForce } from './isLimitInForce.js'
 
 const TEAM = 'quotes'
@@ -161,3 +162,30 @@
 	expect(a.lend(request).amount).toBe(0)
 	expect(a.getUsable(TEAM)).toBe(10)
 })
+
+test('a clock that runs 1% slow stops on its floor in time', () => {
+	const history = createAllowanceHistory({ rates: [0.99], limits: [8], runMilliseconds: 30_000 })
+	history.deliverAll()
+	for (let round = 0; round < 3; round++) {
+		history.read(0, Infinity)
+		history.tick(0, 8)
+		history.deliverAll()
+	}
+	history.read(0, Infinity)
+	history.advance(3_500_000)
+	history.start(0, 0, 1, 0)
+	expect(history.started.count).toBe(1)
+	history.advance(130_000)
+	history.start(0, 0, 1, 0)
+	expect(history.started.count).toBe(1)
+})
+
+test('lends near the end of its lease only what it may use until the end of the loan', () => {
+	const { timerService, join, change, heartbeat } = createFixture(10)
+	const [a, b] = [join('a'), join('b')]
+	change(a, 9)
+	timerService.advance(110_000)
+	heartbeat(b)
+	expect(a.getUsable(TEAM)).toBe(9)
+	expect(a.lend(b.borrower.createRequest('a', TEAM, 9)).amount).toBe(4)
+})
--- a/packages/core/src/lib/allowance/AllowancePlanner.failure.test.ts
+++ b/packages/core/src/lib/allowance/AllowancePlanner.failure.test.ts
@@ -16,7 +16,14 @@
 const team = fc.nat(1)
 const limit = fc.oneof(fc.nat(9), fc.nat(3000))
 const fate = fc.constantFrom('deliver', 'deliver', 'deliver', 'duplicate', 'drop' as const)
-const pause = fc.oneof(fc.nat(2000), fc.nat(30_000), fc.nat(200_000), fc.nat(4_000_000))
+/** Pauses of any length, and such as end just within a loan, a run, a lease or a floor lease. */
+const pause = fc.oneof(
+	fc.nat(2000),
+	fc.nat(30_000),
+	fc.nat(200_000),
+	fc.nat(4_000_000),
+	fc.constantFrom(19_500, 29_500, 118_500, 3_563_000)
+)
 
 function createStep<Values extends unknown[]>(
 	name: string,
