--- a/packages/daemon/src/lib/peers/PeerManager.ts
+++ b/packages/daemon/src/lib/peers/PeerManager.ts
@@ -175,12 +175,10 @@
 
 	/** Reports to the owner of a pool's slots. @returns undefined when no answer came */
 	reportSlots(owner: InstanceId, report: SlotReport): Promise<SlotGrants | undefined> {
-		const call = this.table
-			.find(owner)
-			?.client.call<SlotGrants>(
-				(stub, callback) => stub.reportSlots(report, callback),
-				SLOT_DEADLINE_MILLISECONDS
-			)
+		const call = this.find(owner)?.client.call<SlotGrants>(
+			(stub, callback) => stub.reportSlots(report, callback),
+			SLOT_DEADLINE_MILLISECONDS
+		)
 		return call ?? Promise.resolve(undefined)
 	}
 
@@ -191,12 +189,10 @@
 			pool: grants[0]?.pool ?? '',
 			grants: [...grants],
 		}
-		const reply = await this.table
-			.find(instance)
-			?.client.call<GrantSlotsReply>(
-				(stub, callback) => stub.grantSlots(message, callback),
-				SLOT_DEADLINE_MILLISECONDS
-			)
+		const reply = await this.find(instance)?.client.call<GrantSlotsReply>(
+			(stub, callback) => stub.grantSlots(message, callback),
+			SLOT_DEADLINE_MILLISECONDS
+		)
 		return reply !== undefined
 	}
 
@@ -210,7 +206,7 @@
 
 	/** Whether an incarnation said, having folded `offset`, that nothing of it runs at a draining server. */
 	isDrainedAt(instance: InstanceId, server: BackendServerId, offset: number): boolean {
-		const peer = this.table.find(instance)
+		const peer = this.find(instance)
 		return peer !== undefined && peer.drainedOffset >= offset && peer.drained.has(server)
 	}
 
@@ -225,24 +221,20 @@
 	): Promise<readonly LoanReply[] | undefined> {
 		const borrower = this.options.instance
 		const loans = requests.map(({ loan, team, amount }) => ({ loan, team, amount }))
-		const reply = await this.table
-			.find(lender)
-			?.client.call<BorrowReply>(
-				(stub, callback) => stub.borrow({ borrower, lender, loans }, callback),
-				LOAN_DEADLINE_MILLISECONDS
-			)
+		const reply = await this.find(lender)?.client.call<BorrowReply>(
+			(stub, callback) => stub.borrow({ borrower, lender, loans }, callback),
+			LOAN_DEADLINE_MILLISECONDS
+		)
 		return reply?.loans.length === requests.length ? reply.loans : undefined
 	}
 
 	override async giveBack(lender: InstanceId, returns: readonly LoanReturn[]): Promise<boolean> {
 		const borrower = this.options.instance
 		const loans = returns.map(({ loan, remaining }) => ({ loan, remaining }))
-		const reply = await this.table
-			.find(lender)
-			?.client.call<ReturnReply>(
-				(stub, callback) => stub.return({ borrower, loans }, callback),
-				LOAN_DEADLINE_MILLISECONDS
-			)
+		const reply = await this.find(lender)?.client.call<ReturnReply>(
+			(stub, callback) => stub.return({ borrower, loans }, callback),
+			LOAN_DEADLINE_MILLISECONDS
+		)
 		return reply !== undefined
 	}
 
@@ -252,12 +244,10 @@
 		requestId: string,
 		executor: string
 	): Promise<string | undefined> {
-		const reply = await this.table
-			.find(issuer)
-			?.client.call<ClaimReply>(
-				(stub, callback) => stub.claim({ requestId, executor }, callback),
-				CLAIM_DEADLINE_MILLISECONDS
-			)
+		const reply = await this.find(issuer)?.client.call<ClaimReply>(
+			(stub, callback) => stub.claim({ requestId, executor }, callback),
+			CLAIM_DEADLINE_MILLISECONDS
+		)
 		return reply?.outcome
 	}
 
@@ -266,12 +256,10 @@
 		issuer: InstanceId,
 		settlement: { readonly requestId: string; readonly executor: string; readonly verdict: string }
 	): Promise<boolean> {
-		const reply = await this.table
-			.find(issuer)
-			?.client.call<SettleReply>(
-				(stub, callback) => stub.settle(settlement, callback),
-				CLAIM_DEADLINE_MILLISECONDS
-			)
+		const reply = await this.find(issuer)?.client.call<SettleReply>(
+			(stub, callback) => stub.settle(settlement, callback),
+			CLAIM_DEADLINE_MILLISECONDS
+		)
 		return reply !== undefined
 	}
 
@@ -293,7 +281,7 @@
 
 	/** Takes the digest of a peer that calls, and gives the own one without loads. */
 	answerExchange(digest: Digest): Digest {
-		const peer = this.table.find(digest.instance)
+		const peer = this.find(digest.instance)
 		peer?.update(digest, this.options.timers.now())
 		if (peer) this.options.onLoads(digest)
 		this.learn(digest, -Infinity)
@@ -329,6 +317,15 @@
 		return ROW_BYTES_PER_SECOND / exchanges
 	}
 
+	/** Finds a member, also one that joined since the last exchange. */
+	private find(instance: InstanceId): Peer | undefined {
+		const known = this.table.find(instance)
+		if (known) return known
+		if (!this.options.getState().members.has(instance)) return undefined
+		this.table.update(this.options.getState())
+		return this.table.find(instance)
+	}
+
 	private getFreshPeers(): Peer[] {
 		const oldest = this.options.timers.now() - MAXIMUM_LOAD_AGE_MILLISECONDS
 		return [...this.table.values()].filter((peer) => peer.heardAt >= oldest)
