Report to the owner of a pool when one request after another arrives

A report said that one request waits; the grant answered it at once; the next arrival made the count one again, which was no change, so nothing was reported until a run ended or 500 ms had passed. Grants now count as taken off what was reported.

--- a/packages/daemon/src/lib/slots/SlotManager.ts
+++ b/packages/daemon/src/lib/slots/SlotManager.ts
@@ -30,7 +30,7 @@
 const HOUSEKEEPING_MILLISECONDS = 50
 
 /** Time between reports of a pool in which only the number of waiting requests changed. */
-const DEMAND_MILLISECONDS = 4
+const DEMAND_MILLISECONDS = 1
 
 /** Time after which demands are reported again although nothing changed. */
 const REFRESH_MILLISECONDS = 500
@@ -52,7 +52,7 @@
 
 interface Reporting {
 	isUnderWay: boolean
-	/** Waiting requests of the last report. */
+	/** Waiting requests of the last report that were granted nothing yet. */
 	waiting: number
 	reportedAt: Milliseconds
 	isPlanned: boolean
@@ -165,7 +165,11 @@
 
 	/** Takes grants of an owner. */
 	takeGrants(owner: InstanceId, grants: readonly SlotGrant[]): void {
-		for (const grant of grants) this.holder.take(grant, owner)
+		for (const grant of grants) {
+			this.holder.take(grant, owner)
+			const reporting = this.getReporting(grant.pool)
+			reporting.waiting = Math.max(0, reporting.waiting - 1)
+		}
 		if (grants.length > 0) this.options.getScheduler().tick()
 	}
 
