Keep a wave's steps as a table of the fold; skip ordering while a wave has no room

A profile of a wave over 6,000 backend servers showed a third of the time in copying the table of its steps on each step. The fold now changes it in place, like its other tables.

--- a/packages/core/src/lib/fold/WaveHandler.ts
+++ b/packages/core/src/lib/fold/WaveHandler.ts
@@ -75,21 +75,22 @@
 
 function createWave(id: string, action: Extract<WaveAction, { type: 'create' }>): Wave {
 	const { parallelism, failureLimit } = action
-	const steps = new Map(action.backendServers.map((name) => [name, 'waiting' as const]))
+	const steps = new Map<BackendServerId, WaveStepState>(
+		action.backendServers.map((name) => [name, 'waiting'])
+	)
 	return { id, state: 'running', reason: '', parallelism, failureLimit, steps, outcomes: [] }
 }
 
 /** Puts draining backend servers back in service; those in maintenance go on to their end. */
 function abortWave(state: FleetState, wave: Wave, entry: LogEntry): void {
-	const steps = new Map<BackendServerId, WaveStepState>(wave.steps)
 	for (const [backendServer, step] of wave.steps) {
 		if (step !== 'draining') continue
-		steps.set(backendServer, 'waiting')
+		wave.steps.set(backendServer, 'waiting')
 		const activity = state.placements.get(backendServer)?.activity
 		if (activity?.type !== 'draining' || activity.reason !== 'wave') continue
 		if (activity.wave === wave.id) setActivity(state, backendServer, { type: 'serving' }, entry)
 	}
-	state.waves.set(wave.id, { ...wave, state: 'aborted', reason: '', steps })
+	state.waves.set(wave.id, { ...wave, state: 'aborted', reason: '' })
 }
 
 function forgetEndedWaves(state: FleetState): void {
--- a/packages/core/src/lib/fold/WaveStepHandler.ts
+++ b/packages/core/src/lib/fold/WaveStepHandler.ts
@@ -151,9 +151,9 @@
 	step: WaveStepState,
 	outcome?: WaveOutcome['outcome']
 ): void {
-	const steps = new Map(wave.steps).set(backendServer, step)
+	wave.steps.set(backendServer, step)
 	const outcomes = outcome
 		? [...wave.outcomes, { backendServer, at: state.at, outcome }]
 		: wave.outcomes
-	state.waves.set(wave.id, settleWave(state, { ...wave, steps, outcomes }))
+	state.waves.set(wave.id, settleWave(state, { ...wave, outcomes }))
 }
--- a/packages/core/src/lib/state/Wave.ts
+++ b/packages/core/src/lib/state/Wave.ts
@@ -16,8 +16,8 @@
 	readonly parallelism: number
 	/** Failed outcomes that are let pass; one more pauses the wave. */
 	readonly failureLimit: number
-	/** State of each backend server of the wave. */
-	readonly steps: ReadonlyMap<BackendServerId, WaveStepState>
+	/** State of each backend server of the wave; a table that only the fold changes. */
+	readonly steps: Map<BackendServerId, WaveStepState>
 	/** Steps that ended within the last `WAVE_FAILURE_WINDOW`, oldest first. */
 	readonly outcomes: readonly WaveOutcome[]
 }
--- a/packages/core/src/lib/waves/WavePlanner.ts
+++ b/packages/core/src/lib/waves/WavePlanner.ts
@@ -113,7 +113,11 @@
 	const steps: PlannedWaveStep[] = []
 	const out = countOut(wave)
 	let room = wave.parallelism - out
-	let reason = room > 0 ? undefined : `${out} out, parallelism ${wave.parallelism}`
+	if (room <= 0) {
+		reasons.set(wave.id, `${out} out, parallelism ${wave.parallelism}`)
+		return steps
+	}
+	let reason: string | undefined
 	for (const candidates of orderCandidates(state, ledger, wave)) {
 		if (room <= 0) break
 		for (const backendServer of candidates) {
--- a/packages/core/src/lib/waves/orderCandidates.ts
+++ b/packages/core/src/lib/waves/orderCandidates.ts
@@ -37,6 +37,7 @@
 ): ReadonlyMap<PoolId, PoolCandidates> {
 	const pools = new Map<PoolId, PoolCandidates>()
 	for (const [backendServer, step] of wave.steps) {
+		if (step === 'done' || step === 'failed' || step === 'skipped') continue
 		const zone = state.backendServers.get(backendServer)?.availabilityZone
 		const pool = state.placements.get(backendServer)?.pool
 		if (zone === undefined || pool === undefined) continue
