--- a/packages/daemon/src/lib/Daemon.ts
+++ b/packages/daemon/src/lib/Daemon.ts
@@ -1,10 +1,4 @@
-import {
-	FleetShare,
-	type InstanceId,
-	PowerOfTwoPlacement,
-	type TimerService,
-} from '@mastichead/core'
-import { credentials, ServerCredentials } from '@grpc/grpc-js'
+import { LocalShare, type InstanceId, type TimerService } from '@mastichead/core'
 import { randomBytes } from 'node:crypto'
 import type { Logger } from 'winston'
 import { AllowanceManager } from './allowances/AllowanceManager.js'
@@ -26,10 +20,12 @@
 import { LocalDigestSource } from './peers/LocalDigestSource.js'
 import { LocalPeerHandler } from './peers/LocalPeerHandler.js'
 import { PeerClaimTransport } from './peers/PeerClaimTransport.js'
+import { PeerCredentials } from './peers/PeerCredentials.js'
 import { PeerManager } from './peers/PeerManager.js'
+import { PeerSlotTransport } from './peers/PeerSlotTransport.js'
 import { InstanceListManager } from './placement/InstanceListManager.js'
-import { PlacementManager } from './placement/PlacementManager.js'
 import { RequestIdManager } from './requestIds/RequestIdManager.js'
+import { SlotManager } from './slots/SlotManager.js'
 import type { Settings } from './settings/Settings.js'
 
 const INCARNATION_BYTES = 6
@@ -58,7 +54,7 @@
 	readonly allowances: AllowanceManager
 	readonly membership: MembershipManager
 	readonly instances: InstanceListManager
-	readonly placement: PlacementManager
+	readonly slots: SlotManager
 	readonly backends: BackendManager
 	readonly requestIds: RequestIdManager
 	readonly metrics = new MetricsManager()
@@ -68,9 +64,15 @@
 	readonly maintenance: MaintenanceManager
 	readonly status: StatusManager
 	readonly operators: OperatorServer
+	/** Resolves when the fold has dropped this incarnation; it then starts nothing any more. */
+	readonly dropped: Promise<void>
+	private noteDropped: () => void = () => undefined
 	private isLeaving = false
 
 	constructor(private readonly options: Options) {
+		this.dropped = new Promise((resolve) => {
+			this.noteDropped = resolve
+		})
 		const { settings, logger, timers } = options
 		const { availabilityZone } = settings
 		this.instance = `${settings.instance}.${randomBytes(INCARNATION_BYTES).toString('hex')}`
@@ -110,7 +112,7 @@
 			availabilityZone,
 			peerAddress: this.getPeerAddress(),
 			onDropped: () => {
-				this.callers.leave()
+				this.noteDropped()
 			},
 		})
 		this.instances = new InstanceListManager({
@@ -119,18 +121,18 @@
 			urls: settings.platform.urls,
 			instance: settings.instance,
 		})
-		this.placement = new PlacementManager({
+		this.slots = new SlotManager({
 			timers,
-			policy: new PowerOfTwoPlacement(Math.random),
-			availabilityZone,
 			instance: this.instance,
+			transport: new PeerSlotTransport(this.peers),
 			getState,
-			getPeerRunning: (server) => this.peers.getPeerRunning(server),
 			getListings: () => this.instances.listings,
+			getScheduler: () => this.requests.scheduler,
+			getRoom: (team) => this.allowances.getRoom(team),
 		})
 		this.backends = new BackendManager({
 			timers,
-			getConnections: (server) => this.placement.getConnections(server),
+			getConnections: (server) => this.slots.getConnections(server),
 		})
 		this.requestIds = new RequestIdManager({
 			timers,
@@ -143,9 +145,9 @@
 			logger,
 			metrics: this.metrics,
 			allowances: this.allowances,
-			placement: this.placement,
+			slots: this.slots,
 			backends: this.backends,
-			policy: new FleetShare(),
+			policy: new LocalShare(),
 			getState,
 			getPeerLoad: (pool) => this.peers.getPeerLoad(pool),
 			onEnd: (requestId, verdict) => {
@@ -168,7 +170,7 @@
 			log: this.log,
 			instance: this.instance,
 			peers: this.peers,
-			placement: this.placement,
+			slots: this.slots,
 			scheduler: this.requests.scheduler,
 			metrics: this.metrics,
 		})
@@ -181,7 +183,7 @@
 			log: this.log,
 			loads: this.requests.scheduler,
 			getUsable: (team) => this.allowances.holder.getUsable(team),
-			getPeers: () => [],
+			getPeers: () => this.peers.getStatuses(),
 			isLeaving: () => this.isLeaving,
 		})
 		this.operators = new OperatorServer({
@@ -212,7 +214,9 @@
 		this.instances.start()
 		await this.waitUntilReady()
 		await this.membership.start()
+		if (this.isLeaving) return
 		this.allowances.start()
+		this.slots.start()
 		this.health.start()
 		this.maintenance.start()
 		await this.callers.start()
@@ -242,6 +246,7 @@
 		await this.membership.leave(LEAVE_GRACE_MILLISECONDS)
 		this.allowances.stop()
 		this.peers.stop()
+		this.slots.stop()
 		this.requests.stop()
 		this.keys.stop()
 		this.instances.stop()
@@ -255,7 +260,8 @@
 
 	private createPeers(): PeerManager {
 		const { settings, logger, timers } = this.options
-		const { host, port } = settings.listeners.peers
+		const { host, port, tls } = settings.listeners.peers
+		const credentials = new PeerCredentials(tls)
 		return new PeerManager({
 			timers,
 			logger,
@@ -264,13 +270,13 @@
 			port,
 			address: this.getPeerAddress(),
 			seeds: settings.seeds,
-			serverCredentials: ServerCredentials.createInsecure(),
-			channelCredentials: credentials.createInsecure(),
+			serverCredentials: credentials.server,
+			channelCredentials: credentials.channel,
 			getState: () => this.log.state,
 			source: new LocalDigestSource({
 				allowances: () => this.allowances,
 				scheduler: () => this.requests.scheduler,
-				placement: () => this.placement,
+				slots: () => this.slots,
 				keys: () => this.keys,
 				isLeaving: () => this.isLeaving,
 				getState: () => this.log.state,
@@ -278,6 +284,8 @@
 			handler: new LocalPeerHandler({
 				allowances: () => this.allowances,
 				log: this.log,
+				slots: () => this.slots,
+				instance: this.instance,
 				claims: new LocalClaimHandler(() => this.requestIds),
 				exchange: (digest) => this.peers.answerExchange(digest),
 			}),
@@ -292,7 +300,7 @@
 	}
 
 	private async waitUntilReady(): Promise<void> {
-		while (!this.log.isReady) {
+		while (!this.log.isReady && !this.isLeaving) {
 			await new Promise<void>((resolve) => {
 				this.options.timers.after(READY_POLL_MILLISECONDS, resolve)
 			})
--- a/packages/daemon/src/lib/callers/CallerConnections.ts
+++ b/packages/daemon/src/lib/callers/CallerConnections.ts
@@ -13,7 +13,8 @@
 	/** Answers under way by connection. */
 	private readonly responses = new Map<Duplex, ServerResponse>()
 	private isLeaving = false
-	private onQuiet: (() => void) | undefined
+	/** Requests that came. */
+	requestCount = 0
 
 	constructor(server: Server) {
 		server.prependListener('request', (request, response) => {
@@ -30,26 +31,23 @@
 		for (const response of this.responses.values()) closeAfter(response)
 	}
 
+	/** Answers under way. */
+	get responseCount(): number {
+		return this.responses.size
+	}
+
 	/** Answers a connection that is over the limit of its caller. */
 	refuseExcess(socket: Socket): void {
 		endWith(socket, tooManyConnections)
 	}
 
-	/** Resolves once no answer is under way. */
-	async waitUntilQuiet(): Promise<void> {
-		if (this.responses.size === 0) return
-		await new Promise<void>((resolve) => {
-			this.onQuiet = resolve
-		})
-	}
-
 	private handleRequest(request: IncomingMessage, response: ServerResponse): void {
 		const { socket } = request
+		this.requestCount++
 		this.responses.set(socket, response)
 		if (this.isLeaving) closeAfter(response)
 		response.once('close', () => {
 			if (this.responses.get(socket) === response) this.responses.delete(socket)
-			if (this.responses.size === 0) this.onQuiet?.()
 		})
 	}
 
--- a/packages/daemon/src/lib/http/HttpListener.ts
+++ b/packages/daemon/src/lib/http/HttpListener.ts
@@ -5,7 +5,7 @@
 	type ServerOptions,
 } from 'node:http'
 import { createServer as createTlsServer, type Server as TlsServer } from 'node:https'
-import type { Socket } from 'node:net'
+import { Server as NetServer, type Socket } from 'node:net'
 import type { Subscription, TimerService } from '@mastichead/core'
 import type { Logger } from 'winston'
 import type { ListenerSettings } from '../settings/ListenerSettings.js'
@@ -88,6 +88,11 @@
 		})
 	}
 
+	/** Takes no new connection; those that are open stay, idle ones included. */
+	stopAccepting(): void {
+		if (this.server.listening) NetServer.prototype.close.call(this.server)
+	}
+
 	/**
 	 * Takes no new connection and resolves once every answer under way was given, or after a bound;
 	 * what is left then is cut.
@@ -114,7 +119,7 @@
 	/** Takes no new connection and closes every one at once. */
 	destroy(): void {
 		this.reload?.cancel()
-		if (this.server.listening) this.server.close()
+		this.server.close()
 		this.server.closeAllConnections()
 	}
 
--- a/packages/daemon/src/lib/maintenance/createMaintenance.ts
+++ b/packages/daemon/src/lib/maintenance/createMaintenance.ts
@@ -9,7 +9,7 @@
 import type { LogManager } from '../log/LogManager.js'
 import type { MetricsManager } from '../metrics/MetricsManager.js'
 import type { PeerManager } from '../peers/PeerManager.js'
-import type { PlacementManager } from '../placement/PlacementManager.js'
+import type { SlotManager } from '../slots/SlotManager.js'
 import type { Settings } from '../settings/Settings.js'
 import { createMovePolicy } from './createMovePolicy.js'
 import { DaemonEvidence } from './DaemonEvidence.js'
@@ -26,7 +26,7 @@
 	readonly log: LogManager
 	readonly instance: InstanceId
 	readonly peers: PeerManager
-	readonly placement: PlacementManager
+	readonly slots: SlotManager
 	readonly scheduler: Pick<Scheduler, 'getOwnLoad'>
 	readonly metrics: MetricsManager
 }
@@ -40,7 +40,7 @@
 	readonly health: HealthManager
 	readonly maintenance: MaintenanceManager
 } {
-	const { settings, logger, timers, log, instance, peers, placement, scheduler, metrics } = options
+	const { settings, logger, timers, log, instance, peers, slots, scheduler, metrics } = options
 	const { healthPath, healthTimeoutMilliseconds, timeoutMilliseconds } = settings.maintenance
 	const source = new HttpHealthSource({ path: healthPath, timeout: healthTimeoutMilliseconds })
 	const evidence = new DaemonEvidence({
@@ -52,7 +52,7 @@
 			urls: settings.platform.urls,
 			instance: settings.instance,
 		}),
-		getOwnRunning: (server) => placement.getRunning(server),
+		getOwnRunning: (server) => slots.getRunning(server),
 	})
 	const maintenance = new MaintenanceManager({
 		timers,
