--- a/packages/cli/src/lib/commands/addMaintenanceCommands.ts
+++ b/packages/cli/src/lib/commands/addMaintenanceCommands.ts
@@ -25,6 +25,7 @@
 		.command('drain <backend-server>')
 		.description('take a backend server out of service for new work')
 		.option('--undo', 'put it back into service')
+		.option('--override', 'drain it although the availability budget does not allow it')
 		.action((name: string, _own: object, command: Command) => drain(context, name, command))
 
 	const waves = program.command('waves').description('plan and steer maintenance waves')
@@ -60,10 +61,13 @@
 }
 
 async function drain(context: CliContext, name: string, command: Command): Promise<void> {
-	const options = command.optsWithGlobals<GlobalOptions & { readonly undo?: true }>()
+	const options = command.optsWithGlobals<
+		GlobalOptions & { readonly undo?: true; readonly override?: true }
+	>()
 	const path = `/v1/backend-servers/${encodeURIComponent(name)}/drain`
 	const method = options.undo ? 'DELETE' : 'PUT'
-	const result = await createClient(options, context).change({ method, path })
+	const body = options.override ? { override: true } : {}
+	const result = await createClient(options, context).change({ method, path, body })
 	const text = options.undo ? `${name} is back in service` : `${name} gets no new work`
 	writeResult(context, options, result, text)
 }
--- a/packages/daemon/src/lib/operators/DrainResource.ts
+++ b/packages/daemon/src/lib/operators/DrainResource.ts
@@ -7,7 +7,10 @@
 import { proposalIdSchema } from './proposalIdSchema.js'
 import { readBody } from './readBody.js'
 
-const drainSchema = z.strictObject({ proposalId: proposalIdSchema })
+const drainSchema = z.strictObject({
+	proposalId: proposalIdSchema,
+	override: z.boolean().default(false),
+})
 
 /**
  * The drain of a backend server: PUT takes it out of service for new work, DELETE puts it back.
@@ -33,12 +36,13 @@
 		if (!this.context.log.state.backendServers.has(backendServer)) {
 			return createErrorAnswer('not-found', `unknown backend server ${backendServer}`)
 		}
-		const { proposalId } = read.body
+		const { proposalId, override } = read.body
 		const outcome = await this.context.log.propose({
 			kind: 'drain',
 			id: proposalId,
 			backendServer,
 			draining,
+			override,
 			operator,
 		})
 		return createProposalAnswer(proposalId, outcome, () => ({ backendServer, draining }))
