--- a/packages/daemon/src/lib/callers/RequestManager.ts
+++ b/packages/daemon/src/lib/callers/RequestManager.ts
@@ -320,11 +320,10 @@
 
 	private logAttempt(row: CallerRequest, server: BackendServerId, outcome: AttemptOutcome): void {
 		const { logger } = this.options
-		const level = outcome.type === 'answered' ? 'debug' : 'warn'
-		if (!logger.isLevelEnabled(level)) return
-		const event = outcome.type === 'answered' ? 'attempt-ended' : 'attempt-failed'
 		const { requestId, team } = row
-		logger.log(level, event, { requestId, team, server, outcome: outcome.type })
+		const fields = { requestId, team, server, outcome: outcome.type }
+		if (outcome.type !== 'answered') logger.warn('attempt-failed', fields)
+		else if (logger.isLevelEnabled('debug')) logger.debug('attempt-ended', fields)
 	}
 
 	private getShares(): ReadonlyMap<TeamId, number> {
