--- a/bench/src/benches.ts
+++ b/bench/src/benches.ts
@@ -5,6 +5,7 @@
 import { moveBench } from './moveBench.js'
 import { pathBench } from './pathBench.js'
 import { placementBench } from './placementBench.js'
+import { planningBench } from './planningBench.js'
 import { rolloutBench } from './rolloutBench.js'
 import { shareBench } from './shareBench.js'
 import { waveBench } from './waveBench.js'
@@ -19,6 +20,7 @@
 	{ name: 'rollout', run: async () => (await rolloutBench()).map((row) => ({ ...row })) },
 	{ name: 'fold', run: () => foldBench().map((row) => ({ ...row })) },
 	{ name: 'capacity', run: async () => (await capacityBench()).map((row) => ({ ...row })) },
+	{ name: 'planning', run: () => planningBench().map((row) => ({ ...row })) },
 	{ name: 'allowances', run: () => allowanceBench().map((row) => ({ ...row })) },
 	{ name: 'placement', run: (options) => placementBench(options).map((row) => ({ ...row })) },
 	{ name: 'shares', run: (options) => shareBench(options).map((row) => ({ ...row })) },
--- /dev/null
+++ b/bench/src/planningBench.ts
@@ -0,0 +1,121 @@
+import {
+	ForecastMovePolicy,
+	MaintenanceEvidence,
+	type MaintenanceProgress,
+	type Milliseconds,
+	MovePlanner,
+	type Pool,
+	WavePlanner,
+} from '@mastichead/core'
+import type { CapacityRow } from './capacity/CapacityRow.js'
+import { createCapacityRow } from './capacity/createCapacityRow.js'
+import { createSimulatedLog } from './createSimulatedLog.js'
+import type { SimulatedLog } from './SimulatedLog.js'
+
+const SIZES = [750, 1500, 3000, 6000]
+const TARGET = 6000
+const SERVERS_PER_POOL = 28
+const ZONES = 9
+const REPEATS = 60
+const TICK: Milliseconds = 1000
+
+/** Nothing runs, and the platform is done at once. */
+class IdleEvidence extends MaintenanceEvidence {
+	override isDrained(): boolean {
+		return true
+	}
+
+	override isReady(): boolean {
+		return true
+	}
+
+	override getRunning(): number {
+		return 0
+	}
+
+	override getProgress(): MaintenanceProgress {
+		return 'done'
+	}
+}
+
+/**
+ * Measures the processor time of planning and of folding steps by the size of the fleet, as medians
+ * in milliseconds.
+ *
+ * @public
+ */
+export function planningBench(): CapacityRow[] {
+	const measured = SIZES.map((servers) => ({ servers, ...measure(servers) }))
+	const createRow = (name: string, key: 'wave' | 'move' | 'step') =>
+		createCapacityRow(
+			{ role: 'entry instance', measure: name, size: 'backend servers' },
+			TARGET,
+			measured.map((row) => [row.servers, row[key]] as const)
+		)
+	return [
+		createRow('planning of a wave, ms a tick', 'wave'),
+		createRow('planning of moves, ms a tick', 'move'),
+		createRow('folding of a wave step, ms', 'step'),
+	]
+}
+
+function measure(servers: number): { wave: number; move: number; step: number } {
+	const log = createLog(servers)
+	const evidence = new IdleEvidence()
+	const waves = new WavePlanner()
+	const moves = new MovePlanner(new ForecastMovePolicy())
+	const demands = new Map(
+		[...log.state.pools.keys()].map((pool) => [
+			pool,
+			{ pool, running: 50, queued: 0, meanRun: 1000, tolerance: 4300 },
+		])
+	)
+	const times = { wave: [] as number[], move: [] as number[], step: [] as number[] }
+	for (let repeat = 1; repeat <= REPEATS; repeat += 1) {
+		const now = repeat * TICK
+		const { steps } = time(times.wave, () => waves.plan(log.state, evidence))
+		time(times.move, () => moves.plan(log.state, evidence, demands, now))
+		for (const step of steps) {
+			const id = log.createId()
+			time(times.step, () => log.append({ kind: 'wave-step', id, ...step, proposer: 'bench' }, now))
+		}
+	}
+	return {
+		wave: getMedian(times.wave),
+		move: getMedian(times.move),
+		step: getMedian(times.step),
+	}
+}
+
+function createLog(servers: number): SimulatedLog {
+	const count = Math.round(servers / SERVERS_PER_POOL)
+	const pools = Array.from({ length: count }, (_, at): Pool => {
+		return { name: `pool-${at}`, spare: at === 0, minimumAvailable: 20, maximumUnavailable: 3 }
+	})
+	const rows = Array.from({ length: servers }, (_, at) => {
+		const zone = Math.floor(at / count) % ZONES
+		const place = {
+			availabilityZone: `z${zone}`,
+			rack: `r${at % 1500}`,
+			pool: `pool-${at % count}`,
+		}
+		return { name: `s${at}`, ...place, address: '', slots: 8, connections: 64 }
+	})
+	const log = createSimulatedLog(pools, rows)
+	const backendServers = rows.map(({ name }) => name)
+	const action = { type: 'create', backendServers, parallelism: 4, failureLimit: 0 } as const
+	log.append({ kind: 'wave', id: 'wave', wave: 'wave', action, operator: 'bench' }, 0)
+	return log
+}
+
+function time<Result>(times: number[], run: () => Result): Result {
+	const startedAt = performance.now()
+	const result = run()
+	times.push(performance.now() - startedAt)
+	return result
+}
+
+function getMedian(values: readonly number[]): number {
+	const sorted = [...values].sort((a, b) => a - b)
+	return sorted[Math.floor(sorted.length / 2)] ?? 0
+}
