--- a/spec/src/allowances/LedgerModel.test.ts
+++ b/spec/src/allowances/LedgerModel.test.ts
@@ -52,3 +52,10 @@
 	expect(samples.length).toBeGreaterThan(300)
 	for (const trace of samples) replay(name, trace)
 })
+
+test('the fold lapses a member once in the trace that lapses it twice', () => {
+	const mistaken = search(new LedgerModel(ledgerSearches.leases, 'lapse-twice'))
+	const trace = mistaken.violation?.trace ?? []
+	expect(trace.length).toBeGreaterThan(5)
+	replay('leases', trace)
+})
