Log the end of each request, and make status reports in one pass

A request id could not be followed from admission to its end: request-ended and request-refused (debug) close the gap. An operator's body that ends early was logged as a fault of the daemon; it is malformed now.

A status report at 6,000 backend servers, 350 teams and 24 daemons took 110 to 148 ms of the one loop (247 ms the first time), since each row was summed over all loads. With sums by name it takes 6 to 9 ms (30 ms the first time) and gives the same counts.

By hand at level debug: no key, token or body in a daemon's log.

--- /dev/null
+++ b/packages/core/src/lib/reports/LoadSum.ts
@@ -0,0 +1,28 @@
+/**
+ * Running and waiting requests summed by name.
+ *
+ * @internal
+ */
+export class LoadSum {
+	private readonly rows = new Map<string, { running: number; queued: number }>()
+
+	add(name: string, load: { readonly running: number; readonly queued: number }): void {
+		const row = this.rows.get(name)
+		if (row) {
+			row.running += load.running
+			row.queued += load.queued
+		} else this.rows.set(name, { running: load.running, queued: load.queued })
+	}
+
+	/** The sum of one name; zeros when nothing was added. */
+	get(name: string): { readonly running: number; readonly queued: number } {
+		return this.rows.get(name) ?? { running: 0, queued: 0 }
+	}
+
+	/** Running requests of all names. */
+	get running(): number {
+		let running = 0
+		for (const row of this.rows.values()) running += row.running
+		return running
+	}
+}
--- a/packages/core/src/lib/reports/countDaemons.ts
+++ b/packages/core/src/lib/reports/countDaemons.ts
@@ -1,5 +1,7 @@
 import type { DaemonStatus } from './DaemonStatus.js'
+import { LoadSum } from './LoadSum.js'
 import type { StatusReport } from './StatusReport.js'
+import type { TeamStatus } from './TeamStatus.js'
 
 /**
  * Fills a report with the counts of `daemons`. Daemons that are not reachable are listed but not
@@ -8,50 +10,43 @@
  * @public
  */
 export function countDaemons(report: StatusReport, daemons: readonly DaemonStatus[]): StatusReport {
-	const reachable = daemons.filter((daemon) => daemon.reachable)
-	const loads = reachable.flatMap((daemon) => daemon.teams)
-	const poolLoads = loads.flatMap((load) => load.pools)
-	const running = sum(loads, (load) => load.running)
-	const teams = report.teams.map((team) => {
-		const own = loads.filter((load) => load.team === team.team)
-		return { ...team, running: sum(own, (load) => load.running), queued: sum(own, getQueued) }
-	})
-	const shares = sum(teams.filter(hasRequests), (team) => team.share)
+	const zoneLoads = new LoadSum()
+	const teamLoads = new LoadSum()
+	const poolLoads = new LoadSum()
+	for (const daemon of daemons) {
+		if (!daemon.reachable) continue
+		for (const load of daemon.teams) {
+			zoneLoads.add(daemon.availabilityZone, load)
+			teamLoads.add(load.team, load)
+			for (const part of load.pools) poolLoads.add(part.pool, part)
+		}
+	}
 	return {
 		...report,
 		daemons,
 		zones: report.zones.map((zone) => {
 			const members = daemons.filter((row) => row.availabilityZone === zone.availabilityZone)
-			const counted = members.filter((row) => row.reachable)
-			const own = counted.flatMap((row) => row.teams)
-			return {
-				...zone,
-				daemons: members.length,
-				reachableDaemons: counted.length,
-				running: sum(own, (load) => load.running),
-				queued: sum(own, getQueued),
-			}
-		}),
-		teams: teams.map((team) => ({
-			...team,
-			sharePart: hasRequests(team) ? team.share / shares : 0,
-			reachedPart: running === 0 ? 0 : team.running / running,
-		})),
-		pools: report.pools.map((pool) => {
-			const own = poolLoads.filter((load) => load.pool === pool.pool)
-			return { ...pool, running: sum(own, (load) => load.running), queued: sum(own, getQueued) }
+			const reachableDaemons = members.filter((row) => row.reachable).length
+			const load = zoneLoads.get(zone.availabilityZone)
+			return { ...zone, daemons: members.length, reachableDaemons, ...load }
 		}),
+		teams: getTeams(report.teams, teamLoads),
+		pools: report.pools.map((pool) => ({ ...pool, ...poolLoads.get(pool.pool) })),
 	}
 }
 
-function hasRequests(row: { readonly running: number; readonly queued: number }): boolean {
-	return row.running + row.queued > 0
-}
-
-function getQueued(row: { readonly queued: number }): number {
-	return row.queued
+function getTeams(teams: readonly TeamStatus[], loads: LoadSum): TeamStatus[] {
+	const { running } = loads
+	const counted = teams.map((team) => ({ ...team, ...loads.get(team.team) }))
+	let shares = 0
+	for (const team of counted) if (hasRequests(team)) shares += team.share
+	return counted.map((team) => ({
+		...team,
+		sharePart: hasRequests(team) ? team.share / shares : 0,
+		reachedPart: running === 0 ? 0 : team.running / running,
+	}))
 }
 
-function sum<Row>(rows: readonly Row[], get: (row: Row) => number): number {
-	return rows.reduce((total, row) => total + get(row), 0)
+function hasRequests(row: { readonly running: number; readonly queued: number }): boolean {
+	return row.running + row.queued > 0
 }
--- a/packages/core/src/lib/reports/createStatusReport.ts
+++ b/packages/core/src/lib/reports/createStatusReport.ts
@@ -30,6 +30,7 @@
 }): StatusReport {
 	const { state, instance } = options
 	const ledger = new AvailabilityLedger(state)
+	const slots = getSlots(state, ledger)
 	const daemons = addSilentMembers(state, options.daemons)
 	const report: StatusReport = {
 		instance,
@@ -52,7 +53,9 @@
 				ageMilliseconds: daemon.ageMilliseconds,
 			})),
 		teams: [...state.teams.values()].map((team) => createTeam(state, team)),
-		pools: [...state.pools.values()].map((pool) => createPool(state, pool, ledger)),
+		pools: [...state.pools.values()].map((pool) =>
+			createPool(pool, ledger, slots.get(pool.name) ?? 0)
+		),
 		outOfService: getOutOfService(state, ledger),
 		moves: getMoves(state),
 		waves: [...state.waves.values()].map((wave) => getWaveStatus(state, wave, ledger)),
@@ -98,14 +101,14 @@
 	}
 }
 
-function createPool(state: FleetState, pool: Pool, ledger: AvailabilityLedger): PoolStatus {
+function createPool(pool: Pool, ledger: AvailabilityLedger, slots: number): PoolStatus {
 	const { available, unavailable } = ledger.getAvailability(pool.name)
 	return {
 		pool: pool.name,
 		spare: pool.spare,
 		running: 0,
 		queued: 0,
-		slots: getSlots(state, pool.name, ledger),
+		slots,
 		available,
 		unavailable,
 		minimumAvailable: pool.minimumAvailable,
@@ -113,11 +116,13 @@
 	}
 }
 
-function getSlots(state: FleetState, pool: PoolId, ledger: AvailabilityLedger): number {
-	let slots = 0
-	for (const [name, placement] of state.placements) {
-		if (placement.pool !== pool || !ledger.isAvailable(name)) continue
-		slots += state.backendServers.get(name)?.slots ?? 0
+/** Slots of the backend servers in service, by pool. */
+function getSlots(state: FleetState, ledger: AvailabilityLedger): Map<PoolId, number> {
+	const slots = new Map<PoolId, number>()
+	for (const [name, { pool }] of state.placements) {
+		if (!ledger.isAvailable(name)) continue
+		const own = state.backendServers.get(name)?.slots ?? 0
+		slots.set(pool, (slots.get(pool) ?? 0) + own)
 	}
 	return slots
 }
--- a/packages/daemon/src/lib/callers/CallerServer.ts
+++ b/packages/daemon/src/lib/callers/CallerServer.ts
@@ -198,6 +198,12 @@
 		if (!request.complete) response.setHeader('connection', 'close')
 		request.resume()
 		sendRefusal(response, refusal, requestId)
+		this.options.logger.debug('request-refused', {
+			requestId: requestId === '' ? undefined : requestId,
+			caller: request.socket.remoteAddress,
+			error: refusal.error,
+			verdict: refusal.verdict,
+		})
 	}
 }
 
--- a/packages/daemon/src/lib/callers/RequestManager.ts
+++ b/packages/daemon/src/lib/callers/RequestManager.ts
@@ -314,6 +314,13 @@
 			serviceMilliseconds: startedAt === undefined ? undefined : now - startedAt,
 			totalMilliseconds: now - row.acceptedAt,
 		})
+		this.options.logger.debug('request-ended', {
+			requestId: row.requestId,
+			team: row.team,
+			queue: row.queue.name,
+			verdict,
+			totalMilliseconds: Math.round(now - row.acceptedAt),
+		})
 		this.options.onEnd(row.requestId, verdict)
 		if (this.requests.size === 0) this.onIdle()
 	}
--- a/packages/daemon/src/lib/operators/readJson.ts
+++ b/packages/daemon/src/lib/operators/readJson.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage } from 'node:http'
 
 /**
- * Reads a JSON body up to a limit.
+ * Reads a JSON body up to a limit. A body that ends early is malformed.
  *
  * @param maximumBytes - longest body read
  * @internal
@@ -16,13 +16,13 @@
 > {
 	const chunks: Buffer[] = []
 	let bytes = 0
-	for await (const chunk of request as AsyncIterable<Buffer>) {
-		bytes += chunk.length
-		if (bytes > maximumBytes) return { type: 'too-large' }
-		chunks.push(chunk)
-	}
-	if (bytes === 0) return { type: 'json', body: undefined }
 	try {
+		for await (const chunk of request as AsyncIterable<Buffer>) {
+			bytes += chunk.length
+			if (bytes > maximumBytes) return { type: 'too-large' }
+			chunks.push(chunk)
+		}
+		if (bytes === 0) return { type: 'json', body: undefined }
 		return { type: 'json', body: JSON.parse(Buffer.concat(chunks).toString('utf8')) as unknown }
 	} catch {
 		return { type: 'malformed' }
