--- a/packages/core/src/lib/fold/Fold.test.ts
+++ b/packages/core/src/lib/fold/Fold.test.ts
@@ -16,14 +16,23 @@
 const SEED = 20_260_401
 const DAY_MILLISECONDS = 86_400_000
 
+const WAVE_STEPS = ['drain', 'maintain', 'finish', 'fail', 'abort'] as const
+const MOVE_STEPS = ['drain', 'reassign', 'finish', 'abort'] as const
+
 type Step =
 	| { readonly type: 'apply'; readonly stale: number; readonly size: number; readonly run: number }
 	| { readonly type: 'issue' | 'withdraw'; readonly key: number; readonly team: number }
 	| { readonly type: 'join' | 'leave' | 'heartbeat'; readonly instance: number }
+	| { readonly type: 'allowance'; readonly instance: number; readonly delta: number }
+	| { readonly type: 'health' | 'drain' | 'wave'; readonly server: number; readonly on: boolean }
+	| { readonly type: 'step'; readonly server: number; readonly wave: (typeof WAVE_STEPS)[number] }
+	| { readonly type: 'move'; readonly server: number; readonly move: (typeof MOVE_STEPS)[number] }
 	| { readonly type: 'mark' }
 	| { readonly type: 'garbage'; readonly text: string }
 	| { readonly type: 'duplicate'; readonly back: number }
 
+type ServerStep = Extract<Step, { readonly server: number }>
+
 const step: fc.Arbitrary<Step> = fc.oneof(
 	fc.record({
 		type: fc.constant('apply' as const),
@@ -40,6 +49,26 @@
 		type: fc.constantFrom('join' as const, 'leave' as const, 'heartbeat' as const),
 		instance: fc.nat(2),
 	}),
+	fc.record({
+		type: fc.constant('allowance' as const),
+		instance: fc.nat(2),
+		delta: fc.integer({ min: -5, max: 60 }),
+	}),
+	fc.record({
+		type: fc.constantFrom('health' as const, 'drain' as const, 'wave' as const),
+		server: fc.nat(1),
+		on: fc.boolean(),
+	}),
+	fc.record({
+		type: fc.constant('step' as const),
+		server: fc.nat(1),
+		wave: fc.constantFrom(...WAVE_STEPS),
+	}),
+	fc.record({
+		type: fc.constant('move' as const),
+		server: fc.nat(1),
+		move: fc.constantFrom(...MOVE_STEPS),
+	}),
 	fc.constant({ type: 'mark' as const }),
 	fc.record({ type: fc.constant('garbage' as const), text: fc.string() }),
 	fc.record({ type: fc.constant('duplicate' as const), back: fc.nat(20) })
@@ -92,8 +121,45 @@
 			case 'leave':
 			case 'heartbeat':
 				return { kind: step.type, id, instance: `entry-${step.instance}` }
+			case 'allowance': {
+				const sequence = this.records.length
+				const changes = [{ team: 'team-0', delta: step.delta }]
+				return { kind: 'allowance', id, instance: `entry-${step.instance}`, sequence, changes }
+			}
 			case 'mark':
 				return { kind: 'snapshot-mark', id, instance: 'entry-0' }
+			case 'health':
+			case 'drain':
+			case 'wave':
+			case 'step':
+			case 'move':
+				return this.createServerProposal(step, id)
+		}
+	}
+
+	private createServerProposal(step: ServerStep, id: string): Proposal {
+		const backendServer = `server-${step.server}`
+		const since = this.fold.state.placements.get(backendServer)?.since?.offset ?? 0
+		const wave = 'wave-0'
+		switch (step.type) {
+			case 'health': {
+				const [failed, healthy] = step.on ? [[backendServer], []] : [[], [backendServer]]
+				return { kind: 'health', id, instance: 'entry-0', failed, healthy }
+			}
+			case 'drain':
+				return { kind: 'drain', id, backendServer, draining: step.on, operator: 'o' }
+			case 'wave': {
+				const backendServers = ['server-0', backendServer]
+				const create = { type: 'create', backendServers, parallelism: 2, failureLimit: 1 } as const
+				const action = step.on ? create : ({ type: 'resume' } as const)
+				return { kind: 'wave', id, wave, action, operator: 'o' }
+			}
+			case 'step':
+				return { kind: 'wave-step', id, wave, backendServer, step: step.wave, since, proposer: 'p' }
+			case 'move': {
+				const [from, to] = ['pool-0', 'pool-1']
+				return { kind: 'move', id, backendServer, from, to, step: step.move, since, proposer: 'p' }
+			}
 		}
 	}
 
@@ -109,11 +175,11 @@
 
 const history = fc.record({
 	steps: fc.array(fc.tuple(step, fc.constantFrom(0, 5, 1000, 1000, DAY_MILLISECONDS)), {
-		minLength: 20,
-		maxLength: 60,
+		minLength: 40,
+		maxLength: 100,
 		size: 'max',
 	}),
-	snapshotAt: fc.array(fc.nat(59), { maxLength: 4, size: 'max' }),
+	snapshotAt: fc.array(fc.nat(99), { maxLength: 4, size: 'max' }),
 })
 
 function restart(fold: Fold): Fold {
@@ -143,7 +209,9 @@
 				writeHistory(steps, (entry, fold) => {
 					other.take(entry)
 					expect(hashState(other.state)).toBe(hashState(fold.state))
-					if (snapshotAt.includes(entry.offset)) other = restart(other)
+					if (!snapshotAt.includes(entry.offset)) return
+					other = restart(other)
+					expect(other.state).toEqual(fold.state)
 				})
 			}),
 			{ seed: SEED, numRuns: 300 }
