--- a/packages/daemon/src/lib/peers/PeerCredentials.test.ts
+++ b/packages/daemon/src/lib/peers/PeerCredentials.test.ts
@@ -4,7 +4,7 @@
 import { ChannelCredentials, Server } from '@grpc/grpc-js'
 import { PeerClient, PeerService } from '@mastichead/protocol'
 import { afterEach, beforeEach, describe, expect, it } from 'vitest'
-import { createTestCertificate } from '../../fixtures/createTestCertificate.js'
+import { createTestCertificate } from '../testing/createTestCertificate.js'
 import { PeerCredentials } from './PeerCredentials.js'
 
 const REFRESH_MILLISECONDS = 20
