Let the budget of moves grow with the fleet

Ten times padania missed the target of half the buffer (0.55). Ruled out: the sizes at the start, and the bisection. The default is now 1.2 moves an hour a backend server, at least 60.

--- a/packages/core/src/lib/moves/ForecastMovePolicy.ts
+++ b/packages/core/src/lib/moves/ForecastMovePolicy.ts
@@ -9,14 +9,15 @@
 
 const WINDOW: Milliseconds = 600_000
 const INTERVAL: Milliseconds = 5_000
-const MOVES_PER_HOUR = 60
+const MINIMUM_MOVES_PER_HOUR = 60
+const MOVES_PER_HOUR_AND_SERVER = 1.2
 const MILLISECONDS_PER_HOUR = 3_600_000
 /** Part of the tolerated wait that forecasts use up at equal weights. */
 const TOLERANCE_USE = 0.7
 /** Time for which a pool must have had more than it needs before it gives, at equal weights. */
 const SURPLUS_HOLD: Milliseconds = 60_000
-/** Moves that may begin at once after a quiet time. */
-const MAXIMUM_BURST = 10
+/** Moves that may begin at once after a quiet time, as a part of those of an hour. */
+const BURST_PART = 1 / 6
 /** History that a forecast of a pool needs before the pool gives. */
 const MINIMUM_SPAN: Milliseconds = 120_000
 
@@ -38,20 +39,22 @@
 	override readonly name = 'forecast'
 	private readonly window: Milliseconds
 	private readonly interval: Milliseconds
-	private readonly movesPerHour: number
+	private readonly movesPerHour: number | undefined
+	private readonly moveFactor: number
 	private readonly toleranceUse: number
 	private readonly surplusHold: Milliseconds
 	private readonly histories = new Map<PoolId, ArrivalHistory>()
 	private readonly surplusSince = new Map<PoolId, Milliseconds>()
 	private evaluatedAt = -Infinity
-	private tokens = MAXIMUM_BURST
+	private tokens = Infinity
 
 	constructor(options: ForecastMovePolicyOptions = {}) {
 		super()
 		const weights = options.weights ?? { shares: 1, moves: 1, buffer: 1 }
 		this.window = options.window ?? WINDOW
 		this.interval = options.interval ?? INTERVAL
-		this.movesPerHour = ((options.movesPerHour ?? MOVES_PER_HOUR) * weights.shares) / weights.moves
+		this.movesPerHour = options.movesPerHour
+		this.moveFactor = weights.shares / weights.moves
 		this.surplusHold = (SURPLUS_HOLD * weights.moves) / weights.buffer
 		this.toleranceUse = Math.min(0.9, TOLERANCE_USE * Math.sqrt(weights.buffer / weights.shares))
 	}
@@ -61,13 +64,19 @@
 		const elapsed = view.now - this.evaluatedAt
 		if (elapsed < this.interval) return []
 		this.evaluatedAt = view.now
-		const earned =
-			(Math.min(elapsed, MILLISECONDS_PER_HOUR) * this.movesPerHour) / MILLISECONDS_PER_HOUR
-		this.tokens = Math.min(MAXIMUM_BURST, this.tokens + earned)
+		this.earnTokens(view, elapsed)
 		const needs = view.pools.map((supply) => this.createNeed(supply, view.now))
 		return this.match(needs, view.now)
 	}
 
+	private earnTokens({ pools }: MoveView, elapsed: Milliseconds): void {
+		const servers = pools.reduce((sum, pool) => sum + pool.available + pool.arriving, 0)
+		const scaled = Math.max(MINIMUM_MOVES_PER_HOUR, servers * MOVES_PER_HOUR_AND_SERVER)
+		const perHour = (this.movesPerHour ?? scaled) * this.moveFactor
+		const earned = (Math.min(elapsed, MILLISECONDS_PER_HOUR) * perHour) / MILLISECONDS_PER_HOUR
+		this.tokens = Math.min(perHour * BURST_PART, this.tokens + earned)
+	}
+
 	private getHistory(pool: PoolId): ArrivalHistory {
 		const known = this.histories.get(pool)
 		if (known) return known
--- a/packages/core/src/lib/moves/ForecastMovePolicyOptions.ts
+++ b/packages/core/src/lib/moves/ForecastMovePolicyOptions.ts
@@ -13,6 +13,6 @@
 	readonly window?: Milliseconds | undefined
 	/** Time between forecasts; by default 5 seconds. */
 	readonly interval?: Milliseconds | undefined
-	/** Moves that may begin within an hour at equal weights; by default 60. */
+	/** Moves that may begin within an hour at equal weights; by default 1.2 a backend server, at least 60. */
 	readonly movesPerHour?: number | undefined
 }
--- a/packages/daemon/src/lib/settings/settingsSchema.ts
+++ b/packages/daemon/src/lib/settings/settingsSchema.ts
@@ -47,7 +47,7 @@
 			buffer: weight.default(1),
 		})
 		.prefault({}),
-	perHour: z.number().min(0).default(60),
+	perHour: z.number().min(0).optional(),
 })
 
 const limits = z.strictObject({
