--- a/packages/daemon/src/lib/callers/CallerServer.ts
+++ b/packages/daemon/src/lib/callers/CallerServer.ts
@@ -198,7 +198,9 @@
 		if (!request.complete) response.setHeader('connection', 'close')
 		request.resume()
 		sendRefusal(response, refusal, requestId)
-		this.options.logger.debug('request-refused', {
+		const { logger } = this.options
+		if (!logger.isLevelEnabled('debug')) return
+		logger.debug('request-refused', {
 			requestId: requestId === '' ? undefined : requestId,
 			caller: request.socket.remoteAddress,
 			error: refusal.error,
--- a/packages/daemon/src/lib/callers/RequestManager.ts
+++ b/packages/daemon/src/lib/callers/RequestManager.ts
@@ -30,6 +30,7 @@
 import type { CallerRequest } from './CallerRequest.js'
 import type { RequestBody } from './RequestBody.js'
 import { bodyTooLarge } from './bodyTooLarge.js'
+import { RequestLog } from './RequestLog.js'
 import { sendRefusal } from './sendRefusal.js'
 
 /** Time between ticks of the scheduler, which also runs on demand. */
@@ -78,6 +79,7 @@
 	readonly scheduler: Scheduler<Unit>
 	private readonly requests = new Map<number, CallerRequest>()
 	private readonly budget: RetryBudget
+	private readonly log: RequestLog
 	private readonly ticks
 	private lastId = 0
 	private onIdle: () => void = () => undefined
@@ -314,23 +316,11 @@
 			serviceMilliseconds: startedAt === undefined ? undefined : now - startedAt,
 			totalMilliseconds: now - row.acceptedAt,
 		})
-		this.options.logger.debug('request-ended', {
-			requestId: row.requestId,
-			team: row.team,
-			queue: row.queue.name,
-			verdict,
-			totalMilliseconds: Math.round(now - row.acceptedAt),
-		})
+		this.log.noteEnd(row, verdict, now - row.acceptedAt)
 		this.options.onEnd(row.requestId, verdict)
 		if (this.requests.size === 0) this.onIdle()
 	}
 
-	private logAttempt(row: CallerRequest, server: BackendServerId, outcome: AttemptOutcome): void {
-		const fields = { requestId: row.requestId, team: row.team, server, outcome: outcome.type }
-		if (outcome.type === 'answered') this.options.logger.debug('attempt-ended', fields)
-		else this.options.logger.warn('attempt-failed', fields)
-	}
-
 	private getShares(): ReadonlyMap<TeamId, number> {
 		const shares = new Map<TeamId, number>()
 		for (const team of this.options.getState().teams.values()) shares.set(team.name, team.share)
