--- a/packages/daemon/src/lib/callers/RequestManager.ts
+++ b/packages/daemon/src/lib/callers/RequestManager.ts
@@ -85,6 +85,7 @@
 	private onIdle: () => void = () => undefined
 
 	constructor(private readonly options: Options<Unit>) {
+		this.log = new RequestLog(options.logger)
 		const { timers, allowances, slots, policy, getPeerLoad } = options
 		this.budget = options.budget ?? new RetryBudget()
 		this.scheduler = new Scheduler<Unit>({
@@ -191,7 +192,7 @@
 		row.attempts.start(start.server)
 		const outcome = await this.send(row, start.server)
 		row.running = undefined
-		this.logAttempt(row, start.server, outcome)
+		this.log.noteAttempt(row, start.server, outcome)
 		const decision = row.attempts.end(outcome, { replayable: row.body.isReplayable })
 		if (decision.type === 'final') this.end(row, decision.answer)
 		else if (row.response.destroyed) {
