--- a/packages/daemon/src/lib/callers/RequestManager.ts
+++ b/packages/daemon/src/lib/callers/RequestManager.ts
@@ -30,6 +30,7 @@
 import type { CallerRequest } from './CallerRequest.js'
 import type { RequestBody } from './RequestBody.js'
 import { bodyTooLarge } from './bodyTooLarge.js'
+import { RequestLog } from './RequestLog.js'
 import { sendRefusal } from './sendRefusal.js'
 
 /** Time between ticks of the scheduler, which also runs on demand. */
@@ -78,11 +79,13 @@
 	readonly scheduler: Scheduler<Unit>
 	private readonly requests = new Map<number, CallerRequest>()
 	private readonly budget: RetryBudget
+	private readonly log: RequestLog
 	private readonly ticks
 	private lastId = 0
 	private onIdle: () => void = () => undefined
 
 	constructor(private readonly options: Options<Unit>) {
+		this.log = new RequestLog(options.logger)
 		const { timers, allowances, slots, policy, getPeerLoad } = options
 		this.budget = options.budget ?? new RetryBudget()
 		this.scheduler = new Scheduler<Unit>({
@@ -189,7 +192,7 @@
 		row.attempts.start(start.server)
 		const outcome = await this.send(row, start.server)
 		row.running = undefined
-		this.logAttempt(row, start.server, outcome)
+		this.log.noteAttempt(row, start.server, outcome)
 		const decision = row.attempts.end(outcome, { replayable: row.body.isReplayable })
 		if (decision.type === 'final') this.end(row, decision.answer)
 		else if (row.response.destroyed) {
@@ -314,25 +317,11 @@
 			serviceMilliseconds: startedAt === undefined ? undefined : now - startedAt,
 			totalMilliseconds: now - row.acceptedAt,
 		})
-		this.options.logger.debug('request-ended', {
-			requestId: row.requestId,
-			team: row.team,
-			queue: row.queue.name,
-			verdict,
-			totalMilliseconds: Math.round(now - row.acceptedAt),
-		})
+		this.log.noteEnd(row, verdict, now - row.acceptedAt)
 		this.options.onEnd(row.requestId, verdict)
 		if (this.requests.size === 0) this.onIdle()
 	}
 
-	private logAttempt(row: CallerRequest, server: BackendServerId, outcome: AttemptOutcome): void {
-		const { logger } = this.options
-		const { requestId, team } = row
-		const fields = { requestId, team, server, outcome: outcome.type }
-		if (outcome.type !== 'answered') logger.warn('attempt-failed', fields)
-		else if (logger.isLevelEnabled('debug')) logger.debug('attempt-ended', fields)
-	}
-
 	private getShares(): ReadonlyMap<TeamId, number> {
 		const shares = new Map<TeamId, number>()
 		for (const team of this.options.getState().teams.values()) shares.set(team.name, team.share)
