Tell peers only news between two seconds, and keep health checks' connections

Digests without changes now go out every 2 s; changed loads, withdrawn keys and drained servers as before within 500 ms. Checks keep their connection.

--- a/bench/src/capacity/measureIdleDaemons.ts
+++ b/bench/src/capacity/measureIdleDaemons.ts
@@ -10,8 +10,8 @@
 import { readProcess } from './readProcess.js'
 import { startHealthResponder } from './startHealthResponder.js'
 
-const SETTLE_MILLISECONDS = 6000
-const MEASURE_MILLISECONDS = 5000
+const SETTLE_MILLISECONDS = 12_000
+const MEASURE_MILLISECONDS = 6000
 
 interface Options {
 	readonly fleet: Fleet
--- a/packages/daemon/src/lib/maintenance/DaemonEvidence.test.ts
+++ b/packages/daemon/src/lib/maintenance/DaemonEvidence.test.ts
@@ -19,6 +19,10 @@
 	override check(): Promise<boolean> {
 		return Promise.resolve(false)
 	}
+
+	override close(): void {
+		return
+	}
 }
 
 class SilentPlatform extends MaintenancePlatform {
--- a/packages/daemon/src/lib/maintenance/HealthManager.ts
+++ b/packages/daemon/src/lib/maintenance/HealthManager.ts
@@ -57,6 +57,7 @@
 
 	stop(): void {
 		this.timer?.cancel()
+		this.options.source.close()
 	}
 
 	private tick(): void {
--- a/packages/daemon/src/lib/maintenance/HealthSource.ts
+++ b/packages/daemon/src/lib/maintenance/HealthSource.ts
@@ -8,4 +8,7 @@
 export abstract class HealthSource {
 	/** Resolves to whether the backend server answered in time that it is well. Never rejects. */
 	abstract check(server: BackendServer): Promise<boolean>
+
+	/** Closes what is kept between checks. */
+	abstract close(): void
 }
--- a/packages/daemon/src/lib/maintenance/HttpHealthSource.ts
+++ b/packages/daemon/src/lib/maintenance/HttpHealthSource.ts
@@ -6,37 +6,47 @@
 const DEFAULT_TIMEOUT_MILLISECONDS = 2000
 const STATUS_OK = 200
 
+/** Time for which a connection is kept for the next check. */
+const KEEP_ALIVE_MILLISECONDS = 4000
+
 /**
- * Health checks over HTTP. Each opens a connection of its own, so that it also finds out whether
- * new ones work, and holds none of those that a backend server has between checks.
+ * Health checks over HTTP, over one connection to each backend server that is kept between checks.
+ * A check that fails or misses its deadline destroys it, so that the next one opens a fresh one.
  *
  * @public
  */
 export class HttpHealthSource extends HealthSource {
 	private readonly path: string
 	private readonly timeout: Milliseconds
+	private readonly agent: Agent
 
 	/** @param options - `path`: `/healthz` by default; `timeout`: 2 s by default */
 	constructor(options: { readonly path?: string; readonly timeout?: Milliseconds } = {}) {
 		super()
 		this.path = options.path ?? DEFAULT_PATH
 		this.timeout = options.timeout ?? DEFAULT_TIMEOUT_MILLISECONDS
+		this.agent = new Agent({
+			connections: 1,
+			connect: { timeout: this.timeout },
+			keepAliveTimeout: KEEP_ALIVE_MILLISECONDS,
+		})
 	}
 
 	override async check({ address }: BackendServer): Promise<boolean> {
-		const dispatcher = new Agent({ connections: 1, connect: { timeout: this.timeout } })
 		try {
 			const signal = AbortSignal.timeout(this.timeout)
 			const { statusCode, body } = await request(`http://${address}${this.path}`, {
-				dispatcher,
+				dispatcher: this.agent,
 				signal,
 			})
 			await body.dump()
 			return statusCode === STATUS_OK
 		} catch {
 			return false
-		} finally {
-			void dispatcher.destroy()
 		}
 	}
+
+	override close(): void {
+		void this.agent.destroy()
+	}
 }
--- a/packages/daemon/src/lib/peers/DigestDelta.ts
+++ b/packages/daemon/src/lib/peers/DigestDelta.ts
@@ -25,6 +25,11 @@
 		return this.sent
 	}
 
+	/** Whether the peer misses any of the rows. */
+	hasChanges(rows: readonly DigestRow[]): boolean {
+		return rows.some(({ key, encoded }) => this.known.get(key) !== encoded)
+	}
+
 	/** Notes that the peer has the last digest. */
 	confirm(): void {
 		for (const { key, encoded } of this.sent) this.known.set(key, encoded)
--- a/packages/daemon/src/lib/peers/Peer.ts
+++ b/packages/daemon/src/lib/peers/Peer.ts
@@ -23,6 +23,10 @@
 	logAge: Milliseconds | undefined
 	isLeaving = false
 	isExchanging = false
+	/** Instant at which the last digest that it took was sent; -Infinity before the first. */
+	exchangedAt: Milliseconds = -Infinity
+	/** News that the last digest told it. */
+	news = ''
 	/** Instant at which it was last heard; -Infinity before the first. */
 	heardAt: Milliseconds = -Infinity
 
--- a/packages/daemon/src/lib/peers/PeerManager.ts
+++ b/packages/daemon/src/lib/peers/PeerManager.ts
@@ -40,6 +40,8 @@
 import { RemoteLog } from './RemoteLog.js'
 
 const EXCHANGE_INTERVAL_MILLISECONDS = 500
+/** Time between two digests to a peer that misses nothing. */
+const QUIET_INTERVAL_MILLISECONDS = 2000
 const EXCHANGE_DEADLINE_MILLISECONDS = 1000
 const LOAN_DEADLINE_MILLISECONDS = 1000
 const CLAIM_DEADLINE_MILLISECONDS = 1000
@@ -102,7 +104,7 @@
 	async start(): Promise<number> {
 		const port = await this.server.listen()
 		this.timer = this.options.timers.every(EXCHANGE_INTERVAL_MILLISECONDS, () => {
-			this.exchangeNow()
+			this.exchangeDue()
 		})
 		this.exchangeNow()
 		return port
@@ -114,16 +116,41 @@
 		this.table.close()
 	}
 
-	/** Exchanges digests at once, as after the withdrawal of a key. */
+	/** Exchanges digests at once, as at the start of a shutdown. */
 	exchangeNow(): void {
 		this.table.update(this.options.getState())
-		const { source } = this.options
-		const rows = createDigestRows(source.getTeams(), source.getServers())
+		const rows = this.createRows()
 		for (const peer of this.table.values()) {
 			if (!peer.isExchanging) void this.exchange(peer, rows)
 		}
 	}
 
+	/** Exchanges digests with peers that miss something, and with all now and then. */
+	private exchangeDue(): void {
+		this.table.update(this.options.getState())
+		const rows = this.createRows()
+		const news = this.getNews()
+		const quietSince = this.options.timers.now() - QUIET_INTERVAL_MILLISECONDS
+		for (const peer of this.table.values()) {
+			const isDue = peer.exchangedAt <= quietSince || peer.news !== news
+			if (!peer.isExchanging && (isDue || peer.delta.hasChanges(rows))) {
+				void this.exchange(peer, rows)
+			}
+		}
+	}
+
+	private createRows(): readonly DigestRow[] {
+		const { source } = this.options
+		return createDigestRows(source.getTeams(), source.getServers())
+	}
+
+	/** What a digest says beside its rows, as far as peers should hear of it soon. */
+	private getNews(): string {
+		const { source } = this.options
+		const { withdrawnKeys } = source.getKeyKnowledge()
+		return [...withdrawnKeys, ...source.getDrained(), source.isLeaving()].join(' ')
+	}
+
 	/** Logs of the peers that answered lately. */
 	getPeerLogs(): PeerLog[] {
 		return this.getFreshPeers().map((peer) => new RemoteLog(peer))
@@ -265,6 +292,7 @@
 
 	private async exchange(peer: Peer, rows: readonly DigestRow[]): Promise<void> {
 		const askedAt = this.options.timers.now()
+		const news = this.getNews()
 		const chosen = peer.delta.build(rows, this.getRowBudget())
 		const digest = this.createDigest(chosen)
 		peer.isExchanging = true
@@ -274,7 +302,11 @@
 		)
 		peer.isExchanging = false
 		if (!reply || (peer.instance !== undefined && reply.instance !== peer.instance)) return
-		if (!reply.stranger) peer.delta.confirm()
+		if (!reply.stranger) {
+			peer.delta.confirm()
+			peer.exchangedAt = askedAt
+			peer.news = news
+		}
 		peer.update(reply, this.options.timers.now())
 		this.learn(reply, askedAt)
 	}
