Check a team's limit over all backend servers with real processes

Cause: no test looked at how many requests of a team truly run at once while daemons freeze, die and come back and while the platform is down.

The backend server stand-in now keeps its newest 5,000 runs with start and end on the machine's monotonic clock, and the test computes the largest overlap over all servers afterwards. Adding up `runningByTeam` was ruled out, since the servers are read one after the other. A short answer ends the run before it is sent, or a stand-in that is scheduled late would show runs that have ended as running still.

--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,4 +1,5 @@
 export { type BackendFault } from './lib/backend/BackendFault.js'
+export { type BackendRun } from './lib/backend/BackendRun.js'
 export { BackendStandin } from './lib/backend/BackendStandin.js'
 export { type BackendStatistics } from './lib/backend/BackendStatistics.js'
 export { type ListedInstance } from './lib/platform/ListedInstance.js'
--- a/packages/standins/src/lib/backend/BackendStandin.ts
+++ b/packages/standins/src/lib/backend/BackendStandin.ts
@@ -5,9 +5,15 @@
 import { readBody } from '../http/readBody.js'
 import { sendJson } from '../http/sendJson.js'
 import type { BackendFault } from './BackendFault.js'
+import type { BackendRun } from './BackendRun.js'
 import type { BackendStatistics } from './BackendStatistics.js'
 
 const CHUNK_BYTES = 64 * 1024
+const KEPT_RUNS = 5000
+const NANOSECONDS_PER_MILLISECOND = 1e6
+
+/** A run under way, and once it has ended. */
+type Run = { -readonly [Name in keyof BackendRun]: BackendRun[Name] }
 
 /**
  * Stand-in for a backend server: 8 slots and 64 connections unless told otherwise. A request runs
@@ -27,6 +33,7 @@
 	private connections = 0
 	private readonly runningByTeam = new Map<string, number>()
 	private readonly runsByRequest = new Map<string, number>()
+	private readonly newestRuns: Run[] = []
 
 	/** @param options - `slots` 8 and `connections` 64 by default; `runMilliseconds` 20 by default */
 	constructor(
@@ -79,6 +86,7 @@
 			runningByTeam: Object.fromEntries(this.runningByTeam),
 			runsByRequest: Object.fromEntries(this.runsByRequest),
 			lastStartedAt: this.lastStartedAt,
+			newestRuns: this.newestRuns,
 		}
 	}
 
@@ -124,15 +132,29 @@
 		this.lastStartedAt = Date.now()
 		add(this.runningByTeam, team, 1)
 		add(this.runsByRequest, requestId, 1)
+		const run = this.addRun(team)
 		try {
-			await this.answer(request, response)
+			await this.answer(request, response, run)
 		} finally {
+			run.endedAt ??= getInstant()
 			this.running -= 1
 			add(this.runningByTeam, team, -1)
 		}
 	}
 
-	private async answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
+	private addRun(team: string): Run {
+		const run: Run = { team, startedAt: getInstant() }
+		this.newestRuns.push(run)
+		if (this.newestRuns.length > KEPT_RUNS) this.newestRuns.shift()
+		return run
+	}
+
+	/** A short answer ends the run before it is sent: whoever has it may start the next at once. */
+	private async answer(
+		request: IncomingMessage,
+		response: ServerResponse,
+		run: Run
+	): Promise<void> {
 		const url = new URL(request.url ?? '/', 'http://backend')
 		if (this.fault === 'frozen') {
 			request.resume()
@@ -148,8 +170,12 @@
 		await delay(Number(url.searchParams.get('run') ?? this.options.runMilliseconds ?? 20))
 		if (await this.answerBroken(response)) return
 		const size = Number(url.searchParams.get('size') ?? 0)
-		if (size > 0) await sendBytes(response, size)
-		else sendJson(response, 200, { server: this.options.name, body })
+		if (size > 0) {
+			await sendBytes(response, size)
+			return
+		}
+		run.endedAt = getInstant()
+		sendJson(response, 200, { server: this.options.name, body })
 	}
 
 	private async answerBroken(response: ServerResponse): Promise<boolean> {
@@ -175,6 +201,10 @@
 	}
 }
 
+function getInstant(): number {
+	return Number(process.hrtime.bigint()) / NANOSECONDS_PER_MILLISECOND
+}
+
 function add(table: Map<string, number>, name: string, change: number): void {
 	const count = (table.get(name) ?? 0) + change
 	if (count === 0) table.delete(name)
--- a/packages/standins/src/lib/backend/BackendStatistics.ts
+++ b/packages/standins/src/lib/backend/BackendStatistics.ts
@@ -1,3 +1,5 @@
+import type { BackendRun } from './BackendRun.js'
+
 /**
  * What a backend server stand-in saw.
  *
@@ -14,4 +16,6 @@
 	readonly runsByRequest: Readonly<Record<string, number>>
 	/** Wall clock of the newest run's start, in milliseconds; 0 before the first. */
 	readonly lastStartedAt: number
+	/** Newest 5,000 runs, in the order of their starts. */
+	readonly newestRuns: readonly BackendRun[]
 }
--- /dev/null
+++ b/packages/standins/src/lib/failures/limits.failure.test.ts
@@ -0,0 +1,203 @@
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { setTimeout as delay } from 'node:timers/promises'
+import { request } from 'undici'
+import { afterAll, assert, beforeAll, expect, test } from 'vitest'
+import type { BackendRun } from '../backend/BackendRun.js'
+import type { BackendStatistics } from '../backend/BackendStatistics.js'
+import { createFleetText } from '../processes/createFleetText.js'
+import { Deployment } from '../processes/Deployment.js'
+import { runCommand } from '../processes/runCommand.js'
+import { QuoteCaller } from './QuoteCaller.js'
+
+const BASE_PORT = 15_100
+const SERVERS = 6
+const LIMIT = 10
+const RUN_MILLISECONDS = 100
+const WIDTH_PER_DAEMON = 10
+const BOUND_MILLISECONDS = 30_000
+const POLL_MILLISECONDS = 20
+const OUTAGE_MILLISECONDS = 3000
+const SHORT_FREEZE_MILLISECONDS = 5000
+
+/** Longer than the 20 s for which allowance is lent. */
+const LONG_FREEZE_MILLISECONDS = 23_000
+
+const directory = mkdtempSync(join(tmpdir(), 'mastichead-limits-'))
+let deployment: Deployment
+let caller: QuoteCaller
+
+beforeAll(async () => {
+	const fleetFile = join(directory, 'fleet.yaml')
+	const text = createFleetText({ firstPort: BASE_PORT + 1, servers: SERVERS, limit: LIMIT })
+	writeFileSync(fleetFile, text)
+	const runMilliseconds = RUN_MILLISECONDS
+	deployment = new Deployment({ fleetFile, basePort: BASE_PORT, daemons: 4, runMilliseconds })
+	await deployment.start()
+	const applied = await runCommand(deployment, ['apply', fleetFile])
+	expect(applied.code, applied.output).toBe(0)
+	const issued = await runCommand(deployment, ['keys', 'issue', 'desk'])
+	caller = new QuoteCaller(/mh_[0-9a-f]{16}_[A-Za-z0-9_-]+/.exec(issued.output)?.[0] ?? '')
+	for (const url of deployment.callerUrls) {
+		await waitFor(async () => (await caller.post(url, 'ready')).status === 200)
+	}
+}, 60_000)
+
+afterAll(async () => {
+	await caller.close()
+	expect(await deployment.stop()).toEqual([])
+	rmSync(directory, { recursive: true })
+}, 60_000)
+
+async function waitFor(isDone: () => boolean | Promise<boolean>): Promise<void> {
+	const end = Date.now() + BOUND_MILLISECONDS
+	while (!(await isDone())) {
+		expect(Date.now(), JSON.stringify(caller.submissions.at(-1))).toBeLessThan(end)
+		await delay(POLL_MILLISECONDS)
+	}
+}
+
+function countServed(url = ''): number {
+	return caller.submissions.filter((row) => row.status === 200 && row.url.startsWith(url)).length
+}
+
+async function waitForServed(count: number, url = ''): Promise<void> {
+	const wanted = countServed(url) + count
+	await waitFor(() => countServed(url) >= wanted)
+}
+
+async function setOutage(outage: boolean): Promise<void> {
+	const url = `${deployment.platformUrl}/faults`
+	await (await request(url, { method: 'PUT', body: JSON.stringify({ outage }) })).body.dump()
+}
+
+/** Keeps more requests under way at each daemon than the whole fleet may run, while `act` runs. */
+async function underLoad(
+	act: () => Promise<void>,
+	isLoaded: (url: string) => boolean = () => true
+): Promise<void> {
+	let isDone = false
+	const work = async (url: string) => {
+		while (!isDone) {
+			const { status } = isLoaded(url) ? await caller.post(url, 'quote') : { status: 0 }
+			if (status !== 200) await delay(POLL_MILLISECONDS)
+		}
+	}
+	const urls = deployment.callerUrls.flatMap((url) => Array<string>(WIDTH_PER_DAEMON).fill(url))
+	const working = Promise.all(urls.map(work))
+	try {
+		await act()
+	} finally {
+		isDone = true
+		await working
+	}
+}
+
+async function getRuns(): Promise<BackendRun[]> {
+	const runs: BackendRun[] = []
+	for (const { name } of deployment.fleet.backendServers) {
+		const { body } = await request(deployment.getControlUrl(name))
+		runs.push(...((await body.json()) as BackendStatistics).newestRuns)
+	}
+	return runs.filter(({ team }) => team === 'desk')
+}
+
+/** Most runs at one instant over all backend servers; an end counts before a start with it. */
+function getMaximumOverlap(runs: readonly BackendRun[]): number {
+	const steps = runs.flatMap(({ startedAt, endedAt = Infinity }) => [
+		{ at: startedAt, by: 1 },
+		{ at: endedAt, by: -1 },
+	])
+	steps.sort((a, b) => a.at - b.at || a.by - b.by)
+	let running = 0
+	let most = 0
+	for (const { by } of steps) {
+		running += by
+		most = Math.max(most, running)
+	}
+	return most
+}
+
+/** Runs `act` under load and tells how many ran at once at most. */
+async function measure(
+	name: string,
+	act: () => Promise<void>,
+	isLoaded?: (url: string) => boolean
+): Promise<number> {
+	const before = (await getRuns()).length
+	await underLoad(act, isLoaded)
+	const runs = await getRuns()
+	const most = getMaximumOverlap(runs)
+	console.info(`${name}: ${runs.length - before} runs, at most ${most} of ${LIMIT} at once so far`)
+	expect(runs.length).toBeGreaterThan(before)
+	expect(most).toBeLessThanOrEqual(LIMIT)
+	return most
+}
+
+test('the overlap of runs is counted over all backend servers', () => {
+	const runs = [
+		{ team: 'desk', startedAt: 0, endedAt: 2 },
+		{ team: 'desk', startedAt: 1, endedAt: 3 },
+		{ team: 'desk', startedAt: 2 },
+	]
+	expect(getMaximumOverlap(runs)).toBe(2)
+	expect(getMaximumOverlap([...runs, { team: 'desk', startedAt: 2.5, endedAt: 4 }])).toBe(3)
+})
+
+test('steady load: the limit holds, and most of it can be used', async () => {
+	const most = await measure('steady load', () => waitForServed(300))
+	expect(most).toBeGreaterThanOrEqual(7)
+})
+
+test('load that goes from one daemon to the next: the limit holds', async () => {
+	let loaded: string | undefined
+	const act = async () => {
+		for (const url of [...deployment.callerUrls, ...deployment.callerUrls]) {
+			loaded = url
+			await waitForServed(40, url)
+		}
+	}
+	await measure('moving load', act, (url) => url === loaded)
+})
+
+test('the platform is down for a while: the limit holds', async () => {
+	await measure('platform down', async () => {
+		await waitForServed(50)
+		await setOutage(true)
+		await delay(OUTAGE_MILLISECONDS)
+		await setOutage(false)
+		await waitForServed(200)
+	})
+})
+
+test.each([SHORT_FREEZE_MILLISECONDS, LONG_FREEZE_MILLISECONDS])(
+	'a daemon stands still for %i ms and goes on: the limit holds',
+	async (freeze) => {
+		const [frozen] = deployment.instances
+		const url = deployment.callerUrls[0] ?? ''
+		assert(frozen)
+		await measure(`daemon frozen for ${freeze} ms`, async () => {
+			await waitForServed(50)
+			deployment.processes.signal(frozen.name, 'SIGSTOP')
+			await delay(freeze)
+			deployment.processes.signal(frozen.name, 'SIGCONT')
+			await waitForServed(200)
+			await waitForServed(10, url)
+		})
+	}
+)
+
+test('a daemon is killed and started again: the limit holds', async () => {
+	const [, killed] = deployment.instances
+	const url = deployment.callerUrls[1] ?? ''
+	assert(killed)
+	await measure('daemon killed', async () => {
+		await waitForServed(50)
+		await deployment.processes.stop(killed.name, 'SIGKILL')
+		await waitForServed(100)
+		await deployment.startDaemon(killed.name)
+		await waitForServed(100)
+		await waitForServed(10, url)
+	})
+})
--- a/packages/standins/src/lib/processes/createFleetText.ts
+++ b/packages/standins/src/lib/processes/createFleetText.ts
@@ -4,10 +4,14 @@
  * Writes a fleet file with one pool and one queue, `quotes`, and the teams `desk` and `other`.
  *
  * @param options - `firstPort`: port of the first backend server; `servers`: how many there are,
- * over two zones in turn
+ * over two zones in turn; `limit`: limit of `desk` (default 400)
  * @public
  */
-export function createFleetText(options: { firstPort: number; servers: number }): string {
+export function createFleetText(options: {
+	readonly firstPort: number
+	readonly servers: number
+	readonly limit?: number
+}): string {
 	const zones = ['zone-1', 'zone-2']
 	return stringify({
 		name: 'failures',
@@ -25,7 +29,7 @@
 			},
 		],
 		teams: [
-			{ name: 'desk', share: 1, limit: 400 },
+			{ name: 'desk', share: 1, limit: options.limit ?? 400 },
 			{ name: 'other', share: 1, limit: 8 },
 		],
 		backendServers: Array.from({ length: options.servers }, (_, index) => ({
