--- /dev/null
+++ b/packages/core/src/lib/slots/SlotHolder.test.ts
@@ -0,0 +1,105 @@
+import { expect, test } from 'vitest'
+import { VirtualTimerService } from '../time/VirtualTimerService.js'
+import type { SlotGrant } from './SlotGrant.js'
+import { SlotHolder } from './SlotHolder.js'
+
+const POOL = 'quotes'
+const OWNER = 'owner'
+
+function createFixture() {
+	const timers = new VirtualTimerService()
+	const holder = new SlotHolder('entry-1', timers)
+	holder.setOwner(POOL, OWNER)
+	const take = (id: string, change: Partial<SlotGrant> = {}, from = OWNER): SlotGrant => {
+		const grant: SlotGrant = {
+			id,
+			instance: 'entry-1',
+			pool: POOL,
+			server: 'server-1',
+			team: 'desk',
+			urgency: 'ordinary',
+			...change,
+		}
+		holder.take(grant, from)
+		return grant
+	}
+	const end = (result: 'success' | 'failure', server = 'server-1') =>
+		holder.end({ pool: POOL, team: 'desk', server }, result)
+	return { timers, holder, take, end }
+}
+
+test('a slot is used once, by its own team, at a backend server that is not excluded', () => {
+	const { holder, take } = createFixture()
+	take('owner/1')
+	expect(holder.reserve(POOL, 'other')).toBeUndefined()
+	expect(holder.reserve('elsewhere', 'desk')).toBeUndefined()
+	expect(holder.reserve(POOL, 'desk', new Set(['server-1']))).toBeUndefined()
+	expect(holder.reserve(POOL, 'desk')).toBe('server-1')
+	expect(holder.reserve(POOL, 'desk')).toBeUndefined()
+})
+
+test('a grant that comes twice, or not from the owner, gives no slot', () => {
+	const { holder, take } = createFixture()
+	take('owner/1')
+	take('owner/1')
+	take('stranger/1', {}, 'stranger')
+	expect(holder.getUnused(POOL, 'desk')).toBe(1)
+	holder.reserve(POOL, 'desk')
+	take('owner/1')
+	expect(holder.getUnused(POOL, 'desk')).toBe(0)
+})
+
+test('unused grants go back after 50 ms, those in use do not', () => {
+	const { timers, holder, take } = createFixture()
+	take('owner/1')
+	holder.reserve(POOL, 'desk')
+	take('owner/2', { server: 'server-2' })
+	timers.advance(49)
+	holder.expire()
+	expect(holder.getUnused(POOL, 'desk')).toBe(1)
+	expect(holder.hasEnds(POOL)).toBe(false)
+	timers.advance(1)
+	holder.expire()
+	expect(holder.reserve(POOL, 'desk')).toBeUndefined()
+	expect(holder.createReport(POOL, []).ends).toEqual([{ grant: 'owner/2', result: 'unused' }])
+	timers.advance(1000)
+	holder.expire()
+	expect(holder.hasEnds(POOL)).toBe(false)
+})
+
+test('each end reaches the owner exactly once', () => {
+	const { holder, take, end } = createFixture()
+	take('owner/1')
+	take('owner/2')
+	holder.reserve(POOL, 'desk')
+	holder.reserve(POOL, 'desk')
+	expect(end('success')).toBe(true)
+	expect(end('failure')).toBe(true)
+	expect(end('failure')).toBe(false)
+	const ends = [
+		{ grant: 'owner/1', result: 'success' },
+		{ grant: 'owner/2', result: 'failure' },
+	]
+	expect(holder.createReport(POOL, []).ends).toEqual(ends)
+	expect(holder.createReport(POOL, []).ends).toEqual([])
+})
+
+test('a new owner hears of what is in use, once, and of no end of a grant it does not know', () => {
+	const { holder, take, end } = createFixture()
+	expect(holder.createReport(POOL, []).inUse).toEqual([])
+	expect(holder.createReport(POOL, []).inUse).toBeUndefined()
+	take('owner/1', { server: 'server-1' })
+	const used = take('owner/2', { server: 'server-2' })
+	take('owner/3', { server: 'server-3' })
+	holder.reserve(POOL, 'desk')
+	holder.reserve(POOL, 'desk')
+	end('success')
+	holder.setOwner(POOL, 'next')
+	expect(holder.getUnused(POOL, 'desk')).toBe(0)
+	const report = holder.createReport(POOL, [])
+	expect(report).toMatchObject({ ends: [], inUse: [used] })
+	end('success', 'server-2')
+	const next = holder.createReport(POOL, [])
+	expect(next.ends).toEqual([{ grant: 'owner/2', result: 'success' }])
+	expect(next.inUse).toBeUndefined()
+})
--- a/packages/core/src/lib/slots/SlotOwner.ts
+++ b/packages/core/src/lib/slots/SlotOwner.ts
@@ -247,6 +247,8 @@
 		if (!table.grants.delete(grant.id)) return
 		change(table.running, grant.team, -1)
 		change(table.serverRunning, grant.server, -1)
+		if (!this.probes.delete(grant.id)) return
+		this.ejection.noteEnd(grant.server, { result: 'neutral', probe: true })
 	}
 
 	private getTable(pool: PoolId): PoolTable {
