--- a/bench/src/placement/PlacementWay.ts
+++ b/bench/src/placement/PlacementWay.ts
@@ -1,4 +1,4 @@
-import type { PlacementPolicy } from '@mastichead/core'
+import type { PlacementPolicy } from './policies/PlacementPolicy.js'
 
 /**
  * How entry instances find slots: by a policy and digests, or from the owner of the pool's slots.
--- a/bench/src/placement/PolicySlots.ts
+++ b/bench/src/placement/PolicySlots.ts
@@ -2,10 +2,10 @@
 	OutlierEjection,
 	type BackendServerId,
 	type Milliseconds,
-	type PlacementCandidate,
-	type PlacementPolicy,
 	type TimerService,
 } from '@mastichead/core'
+import type { PlacementCandidate } from './policies/PlacementCandidate.js'
+import type { PlacementPolicy } from './policies/PlacementPolicy.js'
 import type { SimulatedDigest } from './SimulatedDigest.js'
 import type { SimulatedServer } from './SimulatedServer.js'
 import { SimulatedSlots } from './SimulatedSlots.js'
--- a/packages/core/src/lib/placement/LeastOutstandingPlacement.ts
+++ b/bench/src/placement/policies/LeastOutstandingPlacement.ts
@@ -5,7 +5,7 @@
  * Picks the backend server with the fewest requests of this entry instance, ties at random.
  * It knows nothing of other entry instances.
  *
- * @public
+ * @internal
  */
 export class LeastOutstandingPlacement extends PlacementPolicy {
 	override readonly name = 'least-outstanding'
--- a/packages/core/src/lib/placement/PlacementCandidate.ts
+++ b/bench/src/placement/policies/PlacementCandidate.ts
@@ -1,10 +1,10 @@
-import type { AvailabilityZoneId } from '../ids/AvailabilityZoneId.js'
-import type { BackendServerId } from '../ids/BackendServerId.js'
+import type { AvailabilityZoneId } from '@mastichead/core'
+import type { BackendServerId } from '@mastichead/core'
 
 /**
  * A backend server that may get new work, as one entry instance sees it.
  *
- * @public
+ * @internal
  */
 export interface PlacementCandidate {
 	readonly name: BackendServerId
--- a/packages/core/src/lib/placement/PlacementPolicy.ts
+++ b/bench/src/placement/policies/PlacementPolicy.ts
@@ -1,4 +1,4 @@
-import type { BackendServerId } from '../ids/BackendServerId.js'
+import type { BackendServerId } from '@mastichead/core'
 import { getFreeSlots } from './getFreeSlots.js'
 import type { PlacementCandidate } from './PlacementCandidate.js'
 import type { PlacementRequest } from './PlacementRequest.js'
@@ -7,7 +7,7 @@
  * Picks the backend server for a request: one of the own availability zone if any has a slot free
  * there, else one of another zone.
  *
- * @public
+ * @internal
  */
 export abstract class PlacementPolicy {
 	/** Name in settings and tables. */
--- a/packages/core/src/lib/placement/PlacementRequest.ts
+++ b/bench/src/placement/policies/PlacementRequest.ts
@@ -1,12 +1,12 @@
-import type { AvailabilityZoneId } from '../ids/AvailabilityZoneId.js'
-import type { BackendServerId } from '../ids/BackendServerId.js'
-import type { InstanceId } from '../ids/InstanceId.js'
+import type { AvailabilityZoneId } from '@mastichead/core'
+import type { BackendServerId } from '@mastichead/core'
+import type { InstanceId } from '@mastichead/core'
 import type { PlacementCandidate } from './PlacementCandidate.js'
 
 /**
  * Asks for a backend server for one request.
  *
- * @public
+ * @internal
  */
 export interface PlacementRequest {
 	/** Zone of this entry instance. */
--- a/packages/core/src/lib/placement/PowerOfTwoPlacement.ts
+++ b/bench/src/placement/policies/PowerOfTwoPlacement.ts
@@ -7,7 +7,7 @@
  * digests of the other entry instances. Drawing keeps entry instances with the same stale digests
  * from all picking the same server.
  *
- * @public
+ * @internal
  */
 export class PowerOfTwoPlacement extends PlacementPolicy {
 	override readonly name = 'power-of-two'
--- a/packages/core/src/lib/placement/RandomPlacement.ts
+++ b/bench/src/placement/policies/RandomPlacement.ts
@@ -5,7 +5,7 @@
  * Picks uniformly among the backend servers on which this entry instance itself has a slot left.
  * The baseline: it knows nothing of other entry instances.
  *
- * @public
+ * @internal
  */
 export class RandomPlacement extends PlacementPolicy {
 	override readonly name = 'random'
--- a/packages/core/src/lib/placement/RendezvousPlacement.ts
+++ b/bench/src/placement/policies/RendezvousPlacement.ts
@@ -1,6 +1,6 @@
-import type { InstanceId } from '../ids/InstanceId.js'
+import type { InstanceId } from '@mastichead/core'
 import { getFreeSlots } from './getFreeSlots.js'
-import { getRendezvousScore } from './getRendezvousScore.js'
+import { getRendezvousScore } from '@mastichead/core'
 import type { PlacementCandidate } from './PlacementCandidate.js'
 import { PlacementPolicy } from './PlacementPolicy.js'
 import type { PlacementRequest } from './PlacementRequest.js'
@@ -9,7 +9,7 @@
  * Each backend server has an owner among the entry instances of the zone, by rendezvous hash. An
  * entry instance prefers the servers that it owns and spills to the one with the most free slots.
  *
- * @public
+ * @internal
  */
 export class RendezvousPlacement extends PlacementPolicy {
 	override readonly name = 'rendezvous'
--- a/packages/core/src/lib/placement/getFreeSlots.ts
+++ b/bench/src/placement/policies/getFreeSlots.ts
@@ -3,7 +3,7 @@
 /**
  * Slots of a backend server that seem free. May be negative.
  *
- * @public
+ * @internal
  */
 export function getFreeSlots(candidate: PlacementCandidate): number {
 	return candidate.slots - candidate.running - candidate.peerRunning
--- a/bench/src/placementBench.ts
+++ b/bench/src/placementBench.ts
@@ -1,9 +1,7 @@
-import {
-	LeastOutstandingPlacement,
-	PowerOfTwoPlacement,
-	RandomPlacement,
-	RendezvousPlacement,
-} from '@mastichead/core'
+import { LeastOutstandingPlacement } from './placement/policies/LeastOutstandingPlacement.js'
+import { PowerOfTwoPlacement } from './placement/policies/PowerOfTwoPlacement.js'
+import { RandomPlacement } from './placement/policies/RandomPlacement.js'
+import { RendezvousPlacement } from './placement/policies/RendezvousPlacement.js'
 import { createDemand } from './placement/createDemand.js'
 import { getCentralWaits } from './placement/getCentralWaits.js'
 import type { PlacementScenario } from './placement/PlacementScenario.js'
--- a/packages/core/src/lib/scheduling/FleetShare.ts
+++ b/bench/src/shares/FleetShare.ts
@@ -1,8 +1,8 @@
-import type { TeamId } from '../ids/TeamId.js'
-import { computeMaxMin } from './computeMaxMin.js'
-import type { PoolLoad } from './PoolLoad.js'
-import { SharePolicy } from './SharePolicy.js'
-import type { TeamLoad } from './TeamLoad.js'
+import type { TeamId } from '@mastichead/core'
+import { computeMaxMin } from '@mastichead/core'
+import type { PoolLoad } from '@mastichead/core'
+import { SharePolicy } from '@mastichead/core'
+import type { TeamLoad } from '@mastichead/core'
 
 interface Candidate {
 	readonly team: TeamId
@@ -20,7 +20,7 @@
  * daemon finds the slot that comes free. What a team may still start is split between the daemons
  * by what waits at each.
  *
- * @public
+ * @internal
  */
 export class FleetShare extends SharePolicy {
 	override readonly name = 'fleet'
--- a/bench/src/shares/runShares.ts
+++ b/bench/src/shares/runShares.ts
@@ -1,5 +1,4 @@
 import {
-	FleetShare,
 	LocalShare,
 	type SlotGrant,
 	SlotHolder,
@@ -7,6 +6,7 @@
 	type TeamLoad,
 	VirtualTimerService,
 } from '@mastichead/core'
+import { FleetShare } from './FleetShare.js'
 import { createRandom } from '../createRandom.js'
 import { DigestServers } from './DigestServers.js'
 import { OwnedServers } from './OwnedServers.js'
