Measure the sizes of the capacity bench by one loop

The two loops over backend servers and over entry instances differed in the fleet and the number of daemons only.

--- a/bench/src/capacityBench.ts
+++ b/bench/src/capacityBench.ts
@@ -1,4 +1,4 @@
-import { parseFleet } from '@mastichead/core'
+import { type Fleet, parseFleet } from '@mastichead/core'
 import { readFileSync } from 'node:fs'
 import { fileURLToPath } from 'node:url'
 import type { CapacityRow } from './capacity/CapacityRow.js'
@@ -45,56 +45,47 @@
 }
 
 async function measureByServers(): Promise<CapacityRow[]> {
-	const processor: Point[] = []
-	const memory: Point[] = []
-	const platform: Point[] = []
-	for (const servers of SERVER_SIZES) {
-		const use = await measureIdleDaemons({
-			fleet: createLargeFleet(servers, SERVER_PORT),
-			daemons: 2,
-			basePort: BASE_PORT,
-			serverPort: SERVER_PORT,
-		})
-		processor.push([servers, use.processorPercent])
-		memory.push([servers, use.residentBytes / MEBIBYTE])
-		platform.push([servers, use.platformBytes / KIBIBYTE])
-	}
-	return createRows('backend servers (2 entry instances)', TARGET_SERVERS, {
-		processor,
-		memory,
-		platform,
-	})
+	const size = 'backend servers (2 entry instances)'
+	return measureSizes(size, SERVER_SIZES, TARGET_SERVERS, (servers) => ({
+		fleet: createLargeFleet(servers, SERVER_PORT),
+		daemons: 2,
+	}))
 }
 
 async function measureByDaemons(): Promise<CapacityRow[]> {
 	const path = fileURLToPath(new URL('../../examples/padania.yaml', import.meta.url))
 	const parsed = parseFleet(readFileSync(path, 'utf8'))
 	if (parsed.type === 'invalid') throw new Error(`${path} is not valid`)
+	const backendServers = parsed.fleet.backendServers.map((server, index) => ({
+		...server,
+		address: `127.1.0.${index + 1}:${SERVER_PORT}`,
+	}))
+	const fleet = { ...parsed.fleet, backendServers }
+	const size = 'entry instances (35 backend servers)'
+	return measureSizes(size, DAEMON_SIZES, TARGET_DAEMONS, (daemons) => ({ fleet, daemons }))
+}
+
+/** Measures entry instances without requests at each size. */
+async function measureSizes(
+	size: string,
+	sizes: readonly number[],
+	target: number,
+	getOptions: (size: number) => { readonly fleet: Fleet; readonly daemons: number }
+): Promise<CapacityRow[]> {
 	const processor: Point[] = []
 	const memory: Point[] = []
 	const platform: Point[] = []
-	for (const daemons of DAEMON_SIZES) {
+	for (const count of sizes) {
 		const use = await measureIdleDaemons({
-			fleet: {
-				...parsed.fleet,
-				backendServers: parsed.fleet.backendServers.map((server, index) => ({
-					...server,
-					address: `127.1.0.${index + 1}:${SERVER_PORT}`,
-				})),
-			},
-			daemons,
+			...getOptions(count),
 			basePort: BASE_PORT,
 			serverPort: SERVER_PORT,
 		})
-		processor.push([daemons, use.processorPercent])
-		memory.push([daemons, use.residentBytes / MEBIBYTE])
-		platform.push([daemons, use.platformBytes / KIBIBYTE])
+		processor.push([count, use.processorPercent])
+		memory.push([count, use.residentBytes / MEBIBYTE])
+		platform.push([count, use.platformBytes / KIBIBYTE])
 	}
-	return createRows('entry instances (35 backend servers)', TARGET_DAEMONS, {
-		processor,
-		memory,
-		platform,
-	})
+	return createRows(size, target, { processor, memory, platform })
 }
 
 function createRows(
