--- a/packages/daemon/src/lib/Daemon.ts
+++ b/packages/daemon/src/lib/Daemon.ts
@@ -98,7 +98,7 @@
 			timers,
 			log: this.log,
 			instance: this.instance,
-			loans: this.peers,
+			loans: this.peers.calls,
 			getQueued: () => this.requests.scheduler.getQueuedByTeam(),
 			onGain: () => {
 				this.requests.scheduler.tick()
--- /dev/null
+++ b/packages/daemon/src/lib/peers/PeerCalls.ts
@@ -0,0 +1,105 @@
+import type { InstanceId, LoanReply, LoanRequest, LoanReturn, SlotGrant } from '@mastichead/core'
+import type {
+	BorrowReply,
+	ClaimReply,
+	GrantSlotsReply,
+	ReturnReply,
+	SettleReply,
+	SlotGrants,
+	SlotReport,
+} from '@mastichead/protocol'
+import { LoanTransport } from './LoanTransport.js'
+import type { Peer } from './Peer.js'
+
+const LOAN_DEADLINE_MILLISECONDS = 1000
+const CLAIM_DEADLINE_MILLISECONDS = 1000
+const SLOT_DEADLINE_MILLISECONDS = 500
+
+/**
+ * Calls to single peers: loans, claims and slots. Each ends by a deadline.
+ *
+ * @public
+ */
+export class PeerCalls extends LoanTransport {
+	/**
+	 * @param instance - the entry instance that calls
+	 * @param find - finds a peer; undefined when it is no member
+	 */
+	constructor(
+		private readonly instance: InstanceId,
+		private readonly find: (instance: InstanceId) => Peer | undefined
+	) {
+		super()
+	}
+
+	override async borrow(
+		lender: InstanceId,
+		requests: readonly LoanRequest[]
+	): Promise<readonly LoanReply[] | undefined> {
+		const borrower = this.instance
+		const loans = requests.map(({ loan, team, amount }) => ({ loan, team, amount }))
+		const reply = await this.find(lender)?.client.call<BorrowReply>(
+			(stub, callback) => stub.borrow({ borrower, lender, loans }, callback),
+			LOAN_DEADLINE_MILLISECONDS
+		)
+		return reply?.loans.length === requests.length ? reply.loans : undefined
+	}
+
+	override async giveBack(lender: InstanceId, returns: readonly LoanReturn[]): Promise<boolean> {
+		const borrower = this.instance
+		const loans = returns.map(({ loan, remaining }) => ({ loan, remaining }))
+		const reply = await this.find(lender)?.client.call<ReturnReply>(
+			(stub, callback) => stub.return({ borrower, loans }, callback),
+			LOAN_DEADLINE_MILLISECONDS
+		)
+		return reply !== undefined
+	}
+
+	/** Claims a request id at its issuer. @returns undefined when no answer came */
+	async claim(
+		issuer: InstanceId,
+		requestId: string,
+		executor: string
+	): Promise<string | undefined> {
+		const reply = await this.find(issuer)?.client.call<ClaimReply>(
+			(stub, callback) => stub.claim({ requestId, executor }, callback),
+			CLAIM_DEADLINE_MILLISECONDS
+		)
+		return reply?.outcome
+	}
+
+	/** Tells the issuer how a claimed request ended. @returns whether it answered */
+	async settle(
+		issuer: InstanceId,
+		settlement: { readonly requestId: string; readonly executor: string; readonly verdict: string }
+	): Promise<boolean> {
+		const reply = await this.find(issuer)?.client.call<SettleReply>(
+			(stub, callback) => stub.settle(settlement, callback),
+			CLAIM_DEADLINE_MILLISECONDS
+		)
+		return reply !== undefined
+	}
+
+	/** Reports to the owner of a pool's slots. @returns undefined when no answer came */
+	reportSlots(owner: InstanceId, report: SlotReport): Promise<SlotGrants | undefined> {
+		const call = this.find(owner)?.client.call<SlotGrants>(
+			(stub, callback) => stub.reportSlots(report, callback),
+			SLOT_DEADLINE_MILLISECONDS
+		)
+		return call ?? Promise.resolve(undefined)
+	}
+
+	/** Brings slots to a peer. @returns whether it answered */
+	async grantSlots(instance: InstanceId, grants: readonly SlotGrant[]): Promise<boolean> {
+		const message = {
+			owner: this.instance,
+			pool: grants[0]?.pool ?? '',
+			grants: [...grants],
+		}
+		const reply = await this.find(instance)?.client.call<GrantSlotsReply>(
+			(stub, callback) => stub.grantSlots(message, callback),
+			SLOT_DEADLINE_MILLISECONDS
+		)
+		return reply !== undefined
+	}
+}
--- a/packages/daemon/src/lib/peers/PeerClaimTransport.ts
+++ b/packages/daemon/src/lib/peers/PeerClaimTransport.ts
@@ -17,7 +17,7 @@
 		issuer: InstanceId,
 		{ requestId, claimant }: { readonly requestId: RequestId; readonly claimant: string }
 	): Promise<RequestIdClaim | { readonly type: 'unreachable' }> {
-		const outcome = await this.peers.claim(issuer, requestId, claimant)
+		const outcome = await this.peers.calls.claim(issuer, requestId, claimant)
 		return outcome === undefined ? { type: 'unreachable' } : parseClaim(outcome)
 	}
 
@@ -30,6 +30,6 @@
 		}
 	): Promise<boolean> {
 		const { requestId, claimant, verdict } = settlement
-		return this.peers.settle(issuer, { requestId, executor: claimant, verdict })
+		return this.peers.calls.settle(issuer, { requestId, executor: claimant, verdict })
 	}
 }
--- a/packages/daemon/src/lib/peers/PeerManager.ts
+++ b/packages/daemon/src/lib/peers/PeerManager.ts
@@ -4,27 +4,14 @@
 	DaemonStatus,
 	FleetState,
 	InstanceId,
-	LoanReply,
-	LoanRequest,
-	LoanReturn,
 	Milliseconds,
 	PoolId,
-	SlotGrant,
 	Subscription,
 	TeamId,
 	TeamLoad,
 	TimerService,
 } from '@mastichead/core'
-import type {
-	BorrowReply,
-	ClaimReply,
-	Digest,
-	GrantSlotsReply,
-	ReturnReply,
-	SettleReply,
-	SlotGrants,
-	SlotReport,
-} from '@mastichead/protocol'
+import type { Digest } from '@mastichead/protocol'
 import type { Logger } from 'winston'
 import type { KeyKnowledge } from '../keys/KeyKnowledge.js'
 import type { PeerLog } from '../log/PeerLog.js'
@@ -32,7 +19,7 @@
 import { createPeerStatus } from './createPeerStatus.js'
 import type { DigestRow } from './DigestRow.js'
 import type { DigestSource } from './DigestSource.js'
-import { LoanTransport } from './LoanTransport.js'
+import { PeerCalls } from './PeerCalls.js'
 import type { Peer } from './Peer.js'
 import type { PeerHandler } from './PeerHandler.js'
 import { PeerServer } from './PeerServer.js'
@@ -43,9 +30,6 @@
 /** Time between two digests to a peer that misses nothing. */
 const QUIET_INTERVAL_MILLISECONDS = 2000
 const EXCHANGE_DEADLINE_MILLISECONDS = 1000
-const LOAN_DEADLINE_MILLISECONDS = 1000
-const CLAIM_DEADLINE_MILLISECONDS = 1000
-const SLOT_DEADLINE_MILLISECONDS = 500
 
 /** Bytes a second that the rows of all digests may take in each direction. */
 const ROW_BYTES_PER_SECOND = 10_000
@@ -85,13 +69,15 @@
  *
  * @public
  */
-export class PeerManager extends LoanTransport {
+export class PeerManager {
+	/** Calls to single peers. */
+	readonly calls: PeerCalls
 	private readonly table: PeerTable
 	private readonly server: PeerServer
 	private timer: Subscription | undefined
 
 	constructor(private readonly options: Options) {
-		super()
+		this.calls = new PeerCalls(options.instance, (instance) => this.find(instance))
 		const { channelCredentials, serverCredentials } = options
 		this.table = new PeerTable({ ...options, credentials: channelCredentials })
 		this.server = new PeerServer({
@@ -200,29 +186,6 @@
 			.flatMap(({ instance }) => (instance === undefined ? [] : [instance]))
 	}
 
-	/** Reports to the owner of a pool's slots. @returns undefined when no answer came */
-	reportSlots(owner: InstanceId, report: SlotReport): Promise<SlotGrants | undefined> {
-		const call = this.find(owner)?.client.call<SlotGrants>(
-			(stub, callback) => stub.reportSlots(report, callback),
-			SLOT_DEADLINE_MILLISECONDS
-		)
-		return call ?? Promise.resolve(undefined)
-	}
-
-	/** Brings slots to a peer. @returns whether it answered */
-	async grantSlots(instance: InstanceId, grants: readonly SlotGrant[]): Promise<boolean> {
-		const message = {
-			owner: this.options.instance,
-			pool: grants[0]?.pool ?? '',
-			grants: [...grants],
-		}
-		const reply = await this.find(instance)?.client.call<GrantSlotsReply>(
-			(stub, callback) => stub.grantSlots(message, callback),
-			SLOT_DEADLINE_MILLISECONDS
-		)
-		return reply !== undefined
-	}
-
 	/** Incarnations heard lately that have folded the log up to `offset`. */
 	getCurrentInstances(offset: number): InstanceId[] {
 		return this.getFreshPeers().flatMap((peer) => {
@@ -242,54 +205,6 @@
 		return this.getFreshPeers().length
 	}
 
-	override async borrow(
-		lender: InstanceId,
-		requests: readonly LoanRequest[]
-	): Promise<readonly LoanReply[] | undefined> {
-		const borrower = this.options.instance
-		const loans = requests.map(({ loan, team, amount }) => ({ loan, team, amount }))
-		const reply = await this.find(lender)?.client.call<BorrowReply>(
-			(stub, callback) => stub.borrow({ borrower, lender, loans }, callback),
-			LOAN_DEADLINE_MILLISECONDS
-		)
-		return reply?.loans.length === requests.length ? reply.loans : undefined
-	}
-
-	override async giveBack(lender: InstanceId, returns: readonly LoanReturn[]): Promise<boolean> {
-		const borrower = this.options.instance
-		const loans = returns.map(({ loan, remaining }) => ({ loan, remaining }))
-		const reply = await this.find(lender)?.client.call<ReturnReply>(
-			(stub, callback) => stub.return({ borrower, loans }, callback),
-			LOAN_DEADLINE_MILLISECONDS
-		)
-		return reply !== undefined
-	}
-
-	/** Claims a request id at its issuer. @returns undefined when no answer came */
-	async claim(
-		issuer: InstanceId,
-		requestId: string,
-		executor: string
-	): Promise<string | undefined> {
-		const reply = await this.find(issuer)?.client.call<ClaimReply>(
-			(stub, callback) => stub.claim({ requestId, executor }, callback),
-			CLAIM_DEADLINE_MILLISECONDS
-		)
-		return reply?.outcome
-	}
-
-	/** Tells the issuer how a claimed request ended. @returns whether it answered */
-	async settle(
-		issuer: InstanceId,
-		settlement: { readonly requestId: string; readonly executor: string; readonly verdict: string }
-	): Promise<boolean> {
-		const reply = await this.find(issuer)?.client.call<SettleReply>(
-			(stub, callback) => stub.settle(settlement, callback),
-			CLAIM_DEADLINE_MILLISECONDS
-		)
-		return reply !== undefined
-	}
-
 	private async exchange(peer: Peer, rows: readonly DigestRow[]): Promise<void> {
 		const askedAt = this.options.timers.now()
 		const news = this.getNews()
--- a/packages/daemon/src/lib/peers/PeerSlotTransport.ts
+++ b/packages/daemon/src/lib/peers/PeerSlotTransport.ts
@@ -20,7 +20,7 @@
 		owner: InstanceId,
 		report: SlotReport
 	): Promise<readonly SlotGrant[] | undefined> {
-		const reply = await this.peers.reportSlots(owner, {
+		const reply = await this.peers.calls.reportSlots(owner, {
 			instance: report.instance,
 			pool: report.pool,
 			demands: report.demands.map(({ team, urgency, count, oldestAge }) => ({
@@ -43,6 +43,6 @@
 	}
 
 	override grant(instance: InstanceId, grants: readonly SlotGrant[]): Promise<boolean> {
-		return this.peers.grantSlots(instance, grants)
+		return this.peers.calls.grantSlots(instance, grants)
 	}
 }
