--- a/eslint.config.js
+++ b/eslint.config.js
@@ -3,7 +3,13 @@
 import tseslint from 'typescript-eslint'
 import { oneExport } from './eslint-rules/oneExport.js'
 
-const sources = ['packages/*/src/**/*.ts', 'bench/src/**/*.ts', 'spec/src/**/*.ts', 'tests/**/*.ts']
+const sources = [
+	'packages/*/src/**/*.ts',
+	'platform/src/**/*.ts',
+	'bench/src/**/*.ts',
+	'spec/src/**/*.ts',
+	'tests/**/*.ts',
+]
 
 export default defineConfig(
 	{ ignores: ['**/dist/**', '**/node_modules/**', '**/generated/**'] },
--- /dev/null
+++ b/packages/core/src/lib/jobs/BackendId.ts
@@ -0,0 +1,6 @@
+/**
+ * Identifies one registration of a backend server.
+ *
+ * @public
+ */
+export type BackendId = string
--- /dev/null
+++ b/packages/core/src/lib/jobs/BackendRow.ts
@@ -0,0 +1,42 @@
+import type { BackendId } from './BackendId.js'
+import type { Resources } from './Resources.js'
+import type { TaskId } from './TaskId.js'
+import type { TaskRow } from './TaskRow.js'
+
+/**
+ * Row of a backend server in the owner's tables.
+ *
+ * @public
+ */
+export interface BackendRow {
+	readonly id: BackendId
+	service: string
+	address: string
+	zone: string
+	labels: readonly string[]
+	capacity: Resources
+	/** Start of the server's process, in milliseconds since 1970; 0 until known. */
+	incarnation: number
+	/** In the registry and ready, as far as known. */
+	registered: boolean
+	draining: boolean
+	/** Its list of runs was read under the owner's present token. */
+	reconciled: boolean
+	/** Calls to it succeed at present. */
+	reachable: boolean
+	/** No new tasks: it is being emptied for maintenance. */
+	closing: boolean
+	/** Set aside for its failures until this instant. */
+	avoidedUntil: number
+	/** Its clock less the owner's monotonic clock, in milliseconds. */
+	clockOffset: number
+	/** Instant by which every lease it can hold has run out. */
+	leasedUntil: number
+	/** Number of the latest end that was processed. */
+	seenEnds: number
+	/** Number of the latest end whose outcome is durable. */
+	acknowledgedEnds: number
+	/** What its placed tasks use. */
+	used: Resources
+	readonly tasks: Map<TaskId, TaskRow>
+}
--- /dev/null
+++ b/packages/core/src/lib/jobs/BackendTable.ts
@@ -0,0 +1,88 @@
+import type { BackendId } from './BackendId.js'
+import type { BackendRow } from './BackendRow.js'
+import type { Resources } from './Resources.js'
+import type { TaskRow } from './TaskRow.js'
+import { addResources } from './addResources.js'
+import { getCountedNeeds } from './getCountedNeeds.js'
+import { noResources } from './noResources.js'
+
+/**
+ * Backend servers, what is placed on each, and what each team has placed on all of them.
+ *
+ * @public
+ */
+export class BackendTable {
+	private readonly rows = new Map<BackendId, BackendRow>()
+	private readonly teams = new Map<string, Resources>()
+
+	get(id: BackendId): BackendRow | undefined {
+		return this.rows.get(id)
+	}
+
+	get all(): IterableIterator<BackendRow> {
+		return this.rows.values()
+	}
+
+	/** The row of a backend server, made if there is none. */
+	use(id: BackendId): BackendRow {
+		const known = this.rows.get(id)
+		if (known) return known
+		const row = createRow(id)
+		this.rows.set(id, row)
+		return row
+	}
+
+	remove(id: BackendId): void {
+		this.rows.delete(id)
+	}
+
+	/** Counts a task as placed on the backend server that its row names. */
+	occupy(task: TaskRow): void {
+		if (task.backend === undefined) return
+		const row = this.use(task.backend)
+		if (row.tasks.has(task.id)) return
+		row.tasks.set(task.id, task)
+		row.used = addResources(row.used, getCountedNeeds(task.step))
+		const { team } = task.job.job
+		this.teams.set(team, addResources(this.getTeamUse(team), task.step.needs))
+	}
+
+	/** Takes a task off its backend server. */
+	release(task: TaskRow): void {
+		const row = task.backend === undefined ? undefined : this.rows.get(task.backend)
+		task.backend = undefined
+		if (!row?.tasks.delete(task.id)) return
+		row.used = addResources(row.used, getCountedNeeds(task.step), -1)
+		const { team } = task.job.job
+		this.teams.set(team, addResources(this.getTeamUse(team), task.step.needs, -1))
+	}
+
+	/** What the team's placed tasks use over all backend servers. */
+	getTeamUse(team: string): Resources {
+		return this.teams.get(team) ?? noResources
+	}
+}
+
+function createRow(id: BackendId): BackendRow {
+	return {
+		id,
+		service: '',
+		address: '',
+		zone: '',
+		labels: [],
+		capacity: noResources,
+		incarnation: 0,
+		registered: false,
+		draining: false,
+		reconciled: false,
+		reachable: true,
+		closing: false,
+		avoidedUntil: 0,
+		clockOffset: 0,
+		leasedUntil: 0,
+		seenEnds: 0,
+		acknowledgedEnds: 0,
+		used: noResources,
+		tasks: new Map(),
+	}
+}
--- /dev/null
+++ b/packages/core/src/lib/jobs/JobState.ts
@@ -0,0 +1,6 @@
+/**
+ * State of a job as callers see it.
+ *
+ * @public
+ */
+export type JobState = 'queued' | 'running' | 'completed' | 'failed' | 'cancelled'
--- /dev/null
+++ b/packages/core/src/lib/jobs/JobTable.ts
@@ -0,0 +1,60 @@
+import type { Job } from './Job.js'
+import type { JobId } from './JobId.js'
+import type { JobRow } from './JobRow.js'
+import type { JobSnapshot } from './JobSnapshot.js'
+import type { TaskId } from './TaskId.js'
+import type { TaskRow } from './TaskRow.js'
+import { createJobRow } from './createJobRow.js'
+
+/**
+ * The owner's jobs and their tasks.
+ *
+ * @public
+ */
+export class JobTable {
+	private readonly rows = new Map<JobId, JobRow>()
+	private readonly tasks = new Map<TaskId, TaskRow>()
+	private readonly unfinished = new Set<JobRow>()
+
+	/** Adds a job; the row that is there already wins. */
+	admit(job: Job, snapshot?: JobSnapshot): JobRow {
+		const known = this.rows.get(job.id)
+		if (known) return known
+		const row = createJobRow(job, snapshot)
+		this.rows.set(job.id, row)
+		for (const task of row.tasks) this.tasks.set(task.id, task)
+		if (row.finishedAt === undefined) this.unfinished.add(row)
+		return row
+	}
+
+	get(id: JobId): JobRow | undefined {
+		return this.rows.get(id)
+	}
+
+	getTask(id: TaskId): TaskRow | undefined {
+		return this.tasks.get(id)
+	}
+
+	/** Takes the job out of those that are planned. */
+	finish(row: JobRow): void {
+		this.unfinished.delete(row)
+	}
+
+	/** Forgets the job. */
+	remove(id: JobId): void {
+		const row = this.rows.get(id)
+		if (!row) return
+		this.rows.delete(id)
+		this.unfinished.delete(row)
+		for (const task of row.tasks) this.tasks.delete(task.id)
+	}
+
+	/** Jobs that have no final state. */
+	get active(): ReadonlySet<JobRow> {
+		return this.unfinished
+	}
+
+	get all(): IterableIterator<JobRow> {
+		return this.rows.values()
+	}
+}
--- /dev/null
+++ b/packages/core/src/lib/jobs/PlacementPlanner.ts
@@ -0,0 +1,151 @@
+import type { BackendChoice } from './BackendChoice.js'
+import type { BackendRow } from './BackendRow.js'
+import type { BackendTable } from './BackendTable.js'
+import type { FleetConfiguration } from './FleetConfiguration.js'
+import type { JobTable } from './JobTable.js'
+import type { OrderPolicy } from './OrderPolicy.js'
+import type { TaskPlacement } from './TaskPlacement.js'
+import type { StepRun } from './StepRun.js'
+import type { TaskRow } from './TaskRow.js'
+import { exceedsTeamLimit } from './exceedsTeamLimit.js'
+import { fitsWithin } from './fitsWithin.js'
+import { getCountedNeeds } from './getCountedNeeds.js'
+import { getStepRuns } from './getStepRuns.js'
+
+interface RankedRun {
+	readonly run: StepRun
+	readonly rank: readonly number[]
+	readonly service: string
+}
+
+/**
+ * Places waiting tasks on backend servers. Changes the tables: a placed task has its backend
+ * server and a new attempt number.
+ *
+ * @public
+ */
+export class PlacementPlanner {
+	constructor(
+		private readonly jobs: JobTable,
+		private readonly backends: BackendTable,
+		private readonly order: OrderPolicy,
+		private readonly choice: BackendChoice
+	) {}
+
+	/**
+	 * @param now - instant of the owner's monotonic clock, in milliseconds
+	 * @param wallTime - milliseconds since 1970
+	 */
+	plan(configuration: FleetConfiguration, now: number, wallTime: number): TaskPlacement[] {
+		const placements: TaskPlacement[] = []
+		const candidates = this.getCandidates(now)
+		for (const { run, service } of this.getRankedRuns(configuration, now, wallTime)) {
+			const open = candidates.get(service)
+			if (!open) continue
+			placements.push(...this.placeRun(run, open, configuration))
+		}
+		return placements
+	}
+
+	private getCandidates(now: number): Map<string, BackendRow[]> {
+		const candidates = new Map<string, BackendRow[]>()
+		for (const backend of this.backends.all) {
+			if (!backend.registered || backend.draining || backend.closing) continue
+			if (!backend.reconciled || !backend.reachable || backend.avoidedUntil > now) continue
+			const list = candidates.get(backend.service)
+			if (list) list.push(backend)
+			else candidates.set(backend.service, [backend])
+		}
+		return candidates
+	}
+
+	private getRankedRuns(
+		configuration: FleetConfiguration,
+		now: number,
+		wallTime: number
+	): RankedRun[] {
+		const ranked: RankedRun[] = []
+		for (const row of this.jobs.active) {
+			const queue = configuration.queues.get(row.job.queue)
+			if (!queue) continue
+			for (const run of getStepRuns(row, now, wallTime)) {
+				const rank = this.order.getRank(run, queue, wallTime)
+				ranked.push({ run, rank, service: queue.service })
+			}
+		}
+		return ranked.sort((a, b) => compareRanks(a.rank, b.rank))
+	}
+
+	private placeRun(
+		run: StepRun,
+		open: readonly BackendRow[],
+		configuration: FleetConfiguration
+	): TaskPlacement[] {
+		const placements: TaskPlacement[] = []
+		const attempt = 1 + Math.max(...run.members.map((member) => member.attempt))
+		for (const task of run.waiting) {
+			const backend = this.choose(run, open, configuration)
+			if (!backend) break
+			this.occupy(task, backend, run.step.gang ? attempt : task.attempt + 1)
+			placements.push({ task, backend })
+		}
+		if (!run.step.gang || placements.length === run.waiting.length) return placements
+		for (const { task } of placements) this.withdraw(task)
+		return []
+	}
+
+	private choose(
+		run: StepRun,
+		open: readonly BackendRow[],
+		configuration: FleetConfiguration
+	): BackendRow | undefined {
+		const { team } = run.row.job
+		const { step } = run
+		const rules = configuration.teams.get(team)
+		if (exceedsTeamLimit(rules, this.backends.getTeamUse(team), step.needs)) return undefined
+		let best: BackendRow | undefined
+		let bestScore = -Infinity
+		for (const backend of open) {
+			if (!canTake(run, backend)) continue
+			const score = this.choice.getScore(run, backend)
+			if (score <= bestScore) continue
+			best = backend
+			bestScore = score
+		}
+		return best
+	}
+
+	private occupy(task: TaskRow, backend: BackendRow, attempt: number): void {
+		task.phase = 'placed'
+		task.attempt = attempt
+		task.backend = backend.id
+		task.order = 'recorded'
+		task.stopping = false
+		task.percent = 0
+		task.atWorkSince = undefined
+		this.backends.occupy(task)
+	}
+
+	private withdraw(task: TaskRow): void {
+		this.backends.release(task)
+		task.phase = 'pending'
+		task.attempt -= 1
+	}
+}
+
+function canTake(run: StepRun, backend: BackendRow): boolean {
+	const { step } = run
+	if (step.requiredLabel !== '' && !backend.labels.includes(step.requiredLabel)) return false
+	if (!fitsWithin(getCountedNeeds(step), backend.used, backend.capacity)) return false
+	if (step.maximumPerBackend === 0) return true
+	const here = run.members.filter((member) => member.backend === backend.id)
+	return here.length < step.maximumPerBackend
+}
+
+function compareRanks(a: readonly number[], b: readonly number[]): number {
+	for (const [place, value] of a.entries()) {
+		const difference = value - (b[place] ?? 0)
+		if (difference !== 0) return difference
+	}
+	return 0
+}
--- /dev/null
+++ b/packages/core/src/lib/jobs/addResources.ts
@@ -0,0 +1,14 @@
+import type { Resources } from './Resources.js'
+
+/**
+ * `base` plus `factor` times `other`.
+ *
+ * @public
+ */
+export function addResources(base: Resources, other: Resources, factor = 1): Resources {
+	return {
+		cpu: base.cpu + factor * other.cpu,
+		memory: base.memory + factor * other.memory,
+		gpu: base.gpu + factor * other.gpu,
+	}
+}
--- /dev/null
+++ b/packages/core/src/lib/jobs/isFinalState.ts
@@ -0,0 +1,10 @@
+import type { JobState } from './JobState.js'
+
+/**
+ * Whether a job in this state never changes again.
+ *
+ * @public
+ */
+export function isFinalState(state: JobState): boolean {
+	return state === 'completed' || state === 'failed' || state === 'cancelled'
+}
--- /dev/null
+++ b/packages/jobs/src/lib/JobDaemon.ts
@@ -0,0 +1,150 @@
+import type { TimerService } from '@mastichead/core'
+import { IntakeWriter } from './callers/IntakeWriter.js'
+import { JobIntake } from './callers/JobIntake.js'
+import { ConfigurationManager } from './configuration/ConfigurationManager.js'
+import { JobReplica } from './log/JobReplica.js'
+import { StreamFollower } from './log/StreamFollower.js'
+import type { EventLog } from './logs/EventLog.js'
+import type { JobMetrics } from './metrics/JobMetrics.js'
+import { OwnerTerm } from './owner/OwnerTerm.js'
+import { Ownership } from './owner/Ownership.js'
+import type { BackendServer } from './ports/BackendServer.js'
+import type { MetadataLog } from './ports/MetadataLog.js'
+import type { OperatorFormat } from './ports/OperatorFormat.js'
+
+/** Time that a read of the intake waits, and the pauses after it, in milliseconds. */
+const INTAKE_WAIT = 1_000
+const OWNER_INTAKE_PAUSE = 10
+const INTAKE_PAUSE = 900
+/** Time that a read of the progress waits, and the pause after it, in milliseconds. */
+const PROGRESS_WAIT = 1_000
+const PROGRESS_PAUSE = 120
+/** Without an answer from the log for this long, an instance is not ready, in milliseconds. */
+const MAXIMUM_LOG_SILENCE = 2_500
+
+/**
+ * The job path of one instance: takes jobs in for callers, and owns their progress when the group
+ * says so.
+ *
+ * @public
+ */
+export class JobDaemon {
+	readonly configuration: ConfigurationManager
+	readonly intake: JobIntake
+	private readonly replica: JobReplica
+	private readonly intakeFollower: StreamFollower
+	private readonly progressFollower: StreamFollower
+	private readonly ownership: Ownership
+	private term: OwnerTerm | undefined
+	private stopping = false
+
+	constructor(
+		private readonly parts: {
+			/** Name of this instance in the group. */
+			readonly member: string
+			readonly log: MetadataLog
+			readonly server: BackendServer
+			readonly format: OperatorFormat
+			readonly timers: TimerService
+			readonly events: EventLog
+			readonly metrics: JobMetrics
+			readonly getWallTime: () => number
+		}
+	) {
+		const { log, timers, events, metrics, format, member } = parts
+		this.replica = new JobReplica(events)
+		this.configuration = new ConfigurationManager({ log, timers, events, format })
+		this.intakeFollower = new StreamFollower(
+			'intake',
+			log,
+			timers,
+			events,
+			(entry) => {
+				this.replica.applyIntake(entry)
+			},
+			{
+				wait: INTAKE_WAIT,
+				getPause: () => (this.ownership.isOwner ? OWNER_INTAKE_PAUSE : INTAKE_PAUSE),
+			}
+		)
+		this.progressFollower = new StreamFollower(
+			'progress',
+			log,
+			timers,
+			events,
+			(entry) => {
+				this.replica.applyProgress(entry)
+			},
+			{ wait: PROGRESS_WAIT, getPause: () => PROGRESS_PAUSE }
+		)
+		const writer = new IntakeWriter(log, timers, this.intakeFollower)
+		const followers = [this.intakeFollower, this.progressFollower]
+		this.intake = new JobIntake(this.replica, writer, followers, events)
+		this.ownership = new Ownership({
+			member,
+			log,
+			timers,
+			events,
+			acquire: (token) => {
+				this.beginTerm(token)
+			},
+			lose: () => {
+				this.endTerm()
+			},
+		})
+		metrics.addGauge('owner', () => (this.ownership.isOwner ? 1 : 0))
+		metrics.addGauge('configuration_version', () => this.configuration.current?.version ?? 0)
+	}
+
+	start(): void {
+		this.configuration.follower.start()
+		this.intakeFollower.start()
+		this.progressFollower.start()
+		this.ownership.start()
+	}
+
+	/** Whether callers should be sent here. */
+	isReady(): boolean {
+		if (this.stopping || !this.configuration.current) return false
+		const { lastContact } = this.configuration.follower
+		const silence = this.parts.timers.now() - (lastContact ?? -Infinity)
+		return this.intakeFollower.loaded && silence < MAXIMUM_LOG_SILENCE
+	}
+
+	/** Hands ownership over; callers are still answered. */
+	async stop(): Promise<void> {
+		this.stopping = true
+		await this.ownership.leave()
+	}
+
+	private beginTerm(token: number): void {
+		const { log, server, format, timers, events, metrics, getWallTime } = this.parts
+		this.endTerm()
+		const term = new OwnerTerm({
+			token,
+			log,
+			server,
+			format,
+			timers,
+			events,
+			metrics,
+			replica: this.replica,
+			intake: this.intakeFollower,
+			progress: this.progressFollower,
+			getWallTime,
+			getConfiguration: () => this.configuration.require(),
+			noteEnd: (reason) => {
+				events.warn('owner-abandoned', { token, reason })
+				this.term = undefined
+				this.ownership.forgetTerm()
+			},
+		})
+		this.term = term
+		void term.begin()
+	}
+
+	private endTerm(): void {
+		this.term?.end()
+		this.term = undefined
+	}
+}
--- /dev/null
+++ b/packages/jobs/src/lib/callers/JobIntake.ts
@@ -0,0 +1,99 @@
+import type { Job, JobId } from '@mastichead/core'
+import { isFinalState } from '@mastichead/core'
+import { JobRecords } from '../log/JobRecords.js'
+import type { JobReplica } from '../log/JobReplica.js'
+import type { StreamFollower } from '../log/StreamFollower.js'
+import type { EventLog } from '../logs/EventLog.js'
+import type { IntakeWriter } from './IntakeWriter.js'
+import type { JobAnswer } from './JobAnswer.js'
+import type { WriteVerdict } from './WriteVerdict.js'
+
+/** Seconds until a caller should try again when the log is out of reach. */
+const RETRY_AFTER_LOG = 1
+
+/**
+ * Serves callers: submissions, cancels and questions, at any instance.
+ *
+ * @public
+ */
+export class JobIntake {
+	private readonly pending = new Map<JobId, Promise<WriteVerdict>>()
+
+	constructor(
+		private readonly replica: JobReplica,
+		private readonly writer: IntakeWriter,
+		private readonly followers: readonly StreamFollower[],
+		private readonly events: EventLog
+	) {}
+
+	/**
+	 * Takes a job in; answers once it is durable.
+	 *
+	 * @param deadline - instant by which the caller needs an answer
+	 */
+	async submit(job: Job, deadline: number): Promise<JobAnswer> {
+		if (this.replica.get(job.id)?.job) {
+			this.events.info('job-repeated', { job: job.id, queue: job.queue })
+			return { kind: 'accepted' }
+		}
+		const verdict = await this.store(job, deadline)
+		const { id, queue, team } = job
+		if (verdict.kind === 'stored') {
+			this.events.info('job-accepted', { job: id, queue, team, steps: job.steps.length })
+			return { kind: 'accepted' }
+		}
+		this.events.warn('job-not-accepted', { job: id, queue, team, ...verdict })
+		if (verdict.kind === 'unclear') return verdict
+		return { kind: 'refused', reason: verdict.reason, retryAfter: RETRY_AFTER_LOG }
+	}
+
+	/**
+	 * Cancels a job; answers once the cancel is durable.
+	 *
+	 * @param deadline - instant by which the caller needs an answer
+	 */
+	async cancel(id: JobId, deadline: number): Promise<JobAnswer> {
+		const known = await this.find(id)
+		if (known !== 'known') return this.describeMissing(id, known)
+		const state = this.replica.getState(id)
+		if (state && isFinalState(state)) return { kind: 'cancelled' }
+		const verdict = await this.writer.write(JobRecords.createCancel(id), deadline)
+		this.events.info('job-cancel-asked', { job: id, state, verdict: verdict.kind })
+		if (verdict.kind === 'stored') return { kind: 'cancelled' }
+		if (verdict.kind === 'unclear') return verdict
+		return { kind: 'unavailable', reason: verdict.reason, retryAfter: RETRY_AFTER_LOG }
+	}
+
+	async getState(id: JobId): Promise<JobAnswer> {
+		const known = await this.find(id)
+		const state = this.replica.getState(id)
+		if (known !== 'known' || !state) return this.describeMissing(id, known)
+		return { kind: 'state', state }
+	}
+
+	countWaiting(queue: string): JobAnswer {
+		return { kind: 'waiting', count: this.replica.countWaiting(queue) }
+	}
+
+	private async store(job: Job, deadline: number): Promise<WriteVerdict> {
+		const under = this.pending.get(job.id)
+		if (under) return under
+		const write = this.writer.write(JobRecords.createJob(job), deadline)
+		this.pending.set(job.id, write)
+		return write.finally(() => this.pending.delete(job.id))
+	}
+
+	/** Looks a job up; what this instance has not read yet is read before it says no. */
+	private async find(id: JobId): Promise<'known' | 'unknown' | 'unreadable'> {
+		if (this.replica.get(id)?.job) return 'known'
+		const answers = await Promise.all(this.followers.map((follower) => follower.refresh()))
+		if (this.replica.get(id)?.job) return 'known'
+		return answers.every(Boolean) ? 'unknown' : 'unreadable'
+	}
+
+	private describeMissing(id: JobId, found: 'known' | 'unknown' | 'unreadable'): JobAnswer {
+		this.events.info('job-not-found', { job: id, found })
+		if (found === 'unknown') return { kind: 'unknown-job' }
+		return { kind: 'unavailable', reason: 'log out of reach', retryAfter: RETRY_AFTER_LOG }
+	}
+}
--- /dev/null
+++ b/packages/jobs/src/lib/configuration/ConfigurationManager.ts
@@ -0,0 +1,100 @@
+import type { FleetConfiguration, TimerService } from '@mastichead/core'
+import { emptyConfiguration } from './emptyConfiguration.js'
+import { StreamFollower } from '../log/StreamFollower.js'
+import type { EventLog } from '../logs/EventLog.js'
+import type { LogEntry } from '../ports/LogEntry.js'
+import type { MetadataLog } from '../ports/MetadataLog.js'
+import type { OperatorFormat } from '../ports/OperatorFormat.js'
+import type { Wave } from '../ports/Wave.js'
+
+/** Time that a read waits for a change, and the pause after it, in milliseconds. */
+const READ_WAIT = 800
+const READ_PAUSE = 5
+
+/**
+ * Follows what the operator writes: the configuration, of which the newest version is in force,
+ * and the waves.
+ *
+ * @public
+ */
+export class ConfigurationManager {
+	readonly follower: StreamFollower
+	/** Undefined until the first version was read. */
+	current: FleetConfiguration | undefined
+	/** Waves by their record's key. */
+	readonly waves = new Map<string, Wave>()
+	private readonly listeners = new Set<(configuration: FleetConfiguration) => void>()
+
+	constructor(
+		private readonly parts: {
+			readonly log: MetadataLog
+			readonly timers: TimerService
+			readonly events: EventLog
+			readonly format: OperatorFormat
+		}
+	) {
+		const { log, timers, events } = parts
+		this.follower = new StreamFollower(
+			'operator',
+			log,
+			timers,
+			events,
+			(entry) => {
+				this.apply(entry)
+			},
+			{ wait: READ_WAIT, getPause: () => READ_PAUSE }
+		)
+	}
+
+	/** The version in force; an empty one before the first was read. */
+	require(): FleetConfiguration {
+		return this.current ?? emptyConfiguration
+	}
+
+	/** Calls `listener` after each new version is in force. */
+	subscribe(listener: (configuration: FleetConfiguration) => void): void {
+		this.listeners.add(listener)
+	}
+
+	private apply(entry: LogEntry): void {
+		const { format } = this.parts
+		if (entry.key === format.configurationKey) this.applyConfiguration(entry)
+		else if (format.isWaveKey(entry.key)) this.applyWave(entry)
+	}
+
+	private applyConfiguration(entry: LogEntry): void {
+		if (entry.value === undefined) return
+		const { format, events } = this.parts
+		const decoded = format.decodeConfiguration(entry.value)
+		if ('kind' in decoded) {
+			events.error('configuration-unreadable', { offset: entry.offset, problem: decoded.problem })
+			return
+		}
+		const before = this.current?.version
+		if (before !== undefined && decoded.version <= before) return
+		this.current = decoded
+		const { version, queues, teams } = decoded
+		events.info('configuration-applied', {
+			version,
+			before,
+			queues: queues.size,
+			teams: teams.size,
+		})
+		for (const listener of this.listeners) listener(decoded)
+	}
+
+	private applyWave(entry: LogEntry): void {
+		if (entry.value === undefined) {
+			this.waves.delete(entry.key)
+			return
+		}
+		const { format, events } = this.parts
+		const decoded = format.decodeWave(entry.value)
+		if ('kind' in decoded) {
+			events.error('wave-unreadable', { offset: entry.offset, problem: decoded.problem })
+			return
+		}
+		this.waves.set(entry.key, decoded)
+		events.info('wave-received', { wave: decoded.number, machines: decoded.machines.length })
+	}
+}
--- /dev/null
+++ b/packages/jobs/src/lib/log/JobRecords.ts
@@ -0,0 +1,48 @@
+import type { Job, JobId, JobSnapshot } from '@mastichead/core'
+import type { LogRecord } from '../ports/LogRecord.js'
+
+const JOB_PREFIX = 'job/'
+const CANCEL_PREFIX = 'cancel/'
+
+/**
+ * Form of the product's own records in the log.
+ *
+ * @public
+ */
+export const JobRecords = {
+	createJob(job: Job): LogRecord {
+		return { key: JOB_PREFIX + job.id, value: JSON.stringify(job) }
+	},
+
+	createCancel(id: JobId): LogRecord {
+		return { key: CANCEL_PREFIX + id, value: '{}' }
+	},
+
+	createProgress(id: JobId, snapshot: JobSnapshot): LogRecord {
+		return { key: id, value: JSON.stringify(snapshot) }
+	},
+
+	/** Records that drop everything that callers wrote of a job. */
+	createIntakeDrops(id: JobId): LogRecord[] {
+		return [
+			{ key: JOB_PREFIX + id, value: undefined },
+			{ key: CANCEL_PREFIX + id, value: undefined },
+		]
+	},
+
+	/** Id of the job that a record of the intake tells of, and what it tells. */
+	parseIntakeKey(key: string): { readonly kind: 'job' | 'cancel'; readonly id: JobId } | undefined {
+		if (key.startsWith(JOB_PREFIX)) return { kind: 'job', id: key.slice(JOB_PREFIX.length) }
+		if (key.startsWith(CANCEL_PREFIX))
+			return { kind: 'cancel', id: key.slice(CANCEL_PREFIX.length) }
+		return undefined
+	},
+
+	parseJob(value: string): Job {
+		return JSON.parse(value) as Job
+	},
+
+	parseProgress(value: string): JobSnapshot {
+		return JSON.parse(value) as JobSnapshot
+	},
+} as const
--- /dev/null
+++ b/packages/jobs/src/lib/log/JobReplica.ts
@@ -0,0 +1,99 @@
+import type { Job, JobId, JobSnapshot, JobState } from '@mastichead/core'
+import { isFinalState } from '@mastichead/core'
+import type { EventLog } from '../logs/EventLog.js'
+import type { LogEntry } from '../ports/LogEntry.js'
+import { JobRecords } from './JobRecords.js'
+import type { ReplicaRow } from './ReplicaRow.js'
+
+/**
+ * All jobs as the log tells of them; every instance has one. It holds only what is durable.
+ *
+ * @public
+ */
+export class JobReplica {
+	private readonly rows = new Map<JobId, ReplicaRow>()
+	private readonly jobListeners = new Set<(row: ReplicaRow) => void>()
+
+	constructor(private readonly events: EventLog) {}
+
+	/** Calls `listener` for each job that is submitted or cancelled. */
+	subscribe(listener: (row: ReplicaRow) => void): { cancel(): void } {
+		this.jobListeners.add(listener)
+		return { cancel: () => this.jobListeners.delete(listener) }
+	}
+
+	get(id: JobId): ReplicaRow | undefined {
+		return this.rows.get(id)
+	}
+
+	get all(): IterableIterator<ReplicaRow> {
+		return this.rows.values()
+	}
+
+	/** State of a job that was submitted; undefined if there is none. */
+	getState(id: JobId): JobState | undefined {
+		const row = this.rows.get(id)
+		if (!row?.job) return undefined
+		const state = row.snapshot?.state ?? 'queued'
+		return row.cancelled && !isFinalState(state) ? 'cancelled' : state
+	}
+
+	/** Jobs of a queue without a schedule of which no task has started. */
+	countWaiting(queue: string): number {
+		let count = 0
+		for (const row of this.rows.values()) {
+			if (row.job?.queue !== queue || row.job.times > 0) continue
+			if (!row.cancelled && row.snapshot?.begun !== true) count += 1
+		}
+		return count
+	}
+
+	/** Takes in a record of what callers asked for. */
+	applyIntake(entry: LogEntry): void {
+		const key = JobRecords.parseIntakeKey(entry.key)
+		if (!key) {
+			this.events.warn('log-record-unknown', { key: entry.key, offset: entry.offset })
+			return
+		}
+		const row = this.use(key.id)
+		if (entry.value === undefined) {
+			if (key.kind === 'job') this.rows.delete(key.id)
+			return
+		}
+		if (key.kind === 'cancel') row.cancelled = true
+		else row.job ??= this.parse(entry, (value) => JobRecords.parseJob(value))
+		for (const listener of this.jobListeners) listener(row)
+	}
+
+	/** Takes in a record of what the owner has decided. */
+	applyProgress(entry: LogEntry): void {
+		if (entry.value === undefined) {
+			const row = this.rows.get(entry.key)
+			if (row) row.snapshot = undefined
+			return
+		}
+		const row = this.use(entry.key)
+		row.snapshot = this.parse(entry, (value) => JobRecords.parseProgress(value)) ?? row.snapshot
+	}
+
+	private use(id: JobId): ReplicaRow {
+		const known = this.rows.get(id)
+		if (known) return known
+		const row: ReplicaRow = { id, job: undefined, cancelled: false, snapshot: undefined }
+		this.rows.set(id, row)
+		return row
+	}
+
+	private parse<T extends Job | JobSnapshot>(
+		entry: LogEntry,
+		parse: (value: string) => T
+	): T | undefined {
+		try {
+			return parse(entry.value ?? '')
+		} catch (error) {
+			const { key, offset } = entry
+			this.events.error('log-record-unreadable', { key, offset, error: String(error) })
+			return undefined
+		}
+	}
+}
--- /dev/null
+++ b/packages/jobs/src/lib/log/StreamFollower.ts
@@ -0,0 +1,165 @@
+import type { TimerService } from '@mastichead/core'
+import type { EventLog } from '../logs/EventLog.js'
+import type { LogEntry } from '../ports/LogEntry.js'
+import type { LogStream } from '../ports/LogStream.js'
+import type { MetadataLog } from '../ports/MetadataLog.js'
+
+/** Pause after a read that failed, in milliseconds. */
+const RETRY_PAUSE = 150
+
+/**
+ * Reads a stream from the newest record of each key on and hands every change to a listener, in
+ * the order of the stream. A key that has gone while the follower was behind is reported as
+ * dropped.
+ *
+ * @public
+ */
+export class StreamFollower {
+	/** Whether everything written before the start has been read. */
+	loaded = false
+	/** Instant of the last answer from the log; undefined before the first. */
+	lastContact: number | undefined
+	/** Offset of the next record to read. */
+	next = 0
+	private readonly offsets = new Map<string, number>()
+	private paused = false
+	private stopped = false
+	private available = true
+	private reading: Promise<boolean> | undefined
+	private wake: (() => void) | undefined
+
+	/**
+	 * @param options.wait - milliseconds that a read waits for a record
+	 * @param options.getPause - milliseconds between an answer and the next read
+	 */
+	constructor(
+		private readonly stream: LogStream,
+		private readonly log: MetadataLog,
+		private readonly timers: TimerService,
+		private readonly events: EventLog,
+		private readonly listener: (entry: LogEntry) => void,
+		private readonly options: { readonly wait: number; readonly getPause: () => number }
+	) {}
+
+	/** Reads on until stopped. */
+	start(): void {
+		void this.run()
+	}
+
+	stop(): void {
+		this.stopped = true
+	}
+
+	/** Stops reading while this instance is the only writer. */
+	pause(): void {
+		this.paused = true
+	}
+
+	resume(): void {
+		this.paused = false
+		this.poke()
+	}
+
+	/** Reads on at once if it pauses. */
+	poke(): void {
+		this.wake?.()
+	}
+
+	/** Takes note of records that this instance has appended itself, without reading them. */
+	applyOwn(entries: readonly LogEntry[], next: number): void {
+		for (const entry of entries) this.apply(entry)
+		this.next = Math.max(this.next, next)
+	}
+
+	/** Whether a record of the key is there, as far as has been read. */
+	has(key: string): boolean {
+		return this.offsets.has(key)
+	}
+
+	/**
+	 * Reads without waiting until nothing is left.
+	 *
+	 * @returns whether the log answered
+	 */
+	async refresh(): Promise<boolean> {
+		while (this.reading) await this.reading
+		for (;;) {
+			const before = this.next
+			this.reading = this.readOnce(0)
+			const answered = await this.reading.finally(() => {
+				this.reading = undefined
+			})
+			if (!answered) return false
+			if (this.next === before && this.loaded) return true
+		}
+	}
+
+	private async run(): Promise<void> {
+		while (!this.stopped) {
+			const answered = this.paused || (await this.readOnce(this.options.wait))
+			await this.sleep(answered ? this.options.getPause() : RETRY_PAUSE)
+		}
+	}
+
+	private async readOnce(wait: number): Promise<boolean> {
+		if (!this.loaded) return this.load()
+		const from = this.next
+		const result = await this.log.read(this.stream, from, wait)
+		if (result.kind === 'expired') {
+			this.events.warn('log-history-expired', { stream: this.stream, from })
+			this.loaded = false
+			return this.load()
+		}
+		if (result.kind === 'unavailable') return this.noteFailure(result.reason)
+		this.noteContact()
+		for (const entry of result.entries) this.apply(entry)
+		this.next = Math.max(this.next, result.next)
+		return true
+	}
+
+	private async load(): Promise<boolean> {
+		const result = await this.log.readNewest(this.stream)
+		if (result.kind === 'unavailable') return this.noteFailure(result.reason)
+		this.noteContact()
+		const present = new Set(result.entries.map((entry) => entry.key))
+		for (const [key, offset] of [...this.offsets]) {
+			if (present.has(key) || offset >= result.next) continue
+			this.apply({ key, value: undefined, offset: result.next })
+		}
+		for (const entry of result.entries) this.apply(entry)
+		this.next = Math.max(this.next, result.next)
+		this.loaded = true
+		return true
+	}
+
+	private apply(entry: LogEntry): void {
+		const applied = this.offsets.get(entry.key) ?? -1
+		if (entry.offset <= applied) return
+		if (entry.value === undefined) this.offsets.delete(entry.key)
+		else this.offsets.set(entry.key, entry.offset)
+		this.listener(entry)
+	}
+
+	private noteContact(): void {
+		this.lastContact = this.timers.now()
+		if (this.available) return
+		this.available = true
+		this.events.info('log-regained', { stream: this.stream, next: this.next })
+	}
+
+	private noteFailure(reason: string): boolean {
+		if (this.available) this.events.warn('log-lost', { stream: this.stream, reason })
+		this.available = false
+		return false
+	}
+
+	private sleep(duration: number): Promise<void> {
+		return new Promise((resolve) => {
+			const timer = this.timers.after(duration, resolve)
+			this.wake = () => {
+				timer.cancel()
+				resolve()
+			}
+		})
+	}
+}
--- /dev/null
+++ b/packages/jobs/src/lib/logs/StreamEventLog.ts
@@ -0,0 +1,75 @@
+import type { TimerService } from '@mastichead/core'
+import { EventLog } from './EventLog.js'
+
+/** Lines are handed to the stream together, this often, in milliseconds. */
+const FLUSH_INTERVAL = 100
+/** Characters that may wait; lines beyond them are dropped and counted. */
+const MAXIMUM_WAITING = 1_000_000
+/** Lines of one event in one interval; more are summed up in one line. */
+const MAXIMUM_REPEATS = 200
+
+/**
+ * Writes JSON lines to a stream. What waits is bounded: a reader that stops costs lines, which are
+ * counted and reported, and never holds up the process.
+ *
+ * @public
+ */
+export class StreamEventLog extends EventLog {
+	private waiting: string[] = []
+	private waitingCharacters = 0
+	private dropped = 0
+	private readonly repeats = new Map<string, number>()
+
+	constructor(
+		timers: TimerService,
+		private readonly stream: NodeJS.WritableStream & { readonly writableLength: number },
+		private readonly common: Readonly<Record<string, unknown>>,
+		private readonly getWallTime: () => number
+	) {
+		super()
+		timers.every(FLUSH_INTERVAL, () => {
+			this.flush()
+		})
+	}
+
+	override write(
+		level: 'info' | 'warn' | 'error',
+		event: string,
+		fields: Readonly<Record<string, unknown>>
+	): void {
+		const repeats = (this.repeats.get(event) ?? 0) + 1
+		this.repeats.set(event, repeats)
+		if (repeats > MAXIMUM_REPEATS) return
+		this.push(level, event, fields)
+	}
+
+	/** Hands everything that waits to the stream. */
+	flush(): void {
+		for (const [event, repeats] of this.repeats) {
+			const omitted = repeats - MAXIMUM_REPEATS
+			if (omitted > 0) this.push('warn', 'lines-omitted', { of: event, count: omitted })
+		}
+		this.repeats.clear()
+		if (this.stream.writableLength > 0) return
+		if (this.dropped > 0) {
+			const count = this.dropped
+			this.dropped = 0
+			this.push('warn', 'lines-dropped', { count })
+		}
+		if (this.waiting.length === 0) return
+		this.stream.write(this.waiting.join(''))
+		this.waiting = []
+		this.waitingCharacters = 0
+	}
+
+	private push(level: string, event: string, fields: Readonly<Record<string, unknown>>): void {
+		if (this.waitingCharacters > MAXIMUM_WAITING) {
+			this.dropped += 1
+			return
+		}
+		const time = this.getWallTime()
+		const line = `${JSON.stringify({ time, level, event, ...this.common, ...fields })}\n`
+		this.waiting.push(line)
+		this.waitingCharacters += line.length
+	}
+}
--- /dev/null
+++ b/packages/jobs/src/lib/owner/BackendMonitor.ts
@@ -0,0 +1,256 @@
+import type { BackendRow, TaskRow } from '@mastichead/core'
+import type { RenewalResult } from '../ports/RenewalResult.js'
+import type { RunListing } from '../ports/RunListing.js'
+import { LeaseTerms } from './LeaseTerms.js'
+import type { OrderDispatcher } from './OrderDispatcher.js'
+import type { OwnerContext } from './OwnerContext.js'
+import type { TaskLedger } from './TaskLedger.js'
+import type { ProgressWriter } from './ProgressWriter.js'
+
+/** Time that a listing waits for an end, in milliseconds. */
+const LISTING_WAIT = 1_500
+/** Pause between two listings: ends that come together cost one. */
+const LISTING_PAUSE = 70
+/** Pause before the ends of a server that runs nothing more are acknowledged, in milliseconds. */
+const IDLE_ACKNOWLEDGEMENT_PAUSE = 500
+/** Pause after a listing that failed, in milliseconds. */
+const FAILURE_PAUSE = 300
+/** Time for ends to become durable before the leases are renewed all the same, in milliseconds. */
+const MAXIMUM_DURABILITY_WAIT = 1_500
+/** Pause between two stops of a run that nobody wants, in milliseconds. */
+const UNWANTED_STOP_PAUSE = 400
+
+/**
+ * Keeps the leases on one backend server, learns what runs and has ended there, and says what
+ * follows. While nothing runs there, it asks nothing.
+ *
+ * @public
+ */
+export class BackendMonitor {
+	private stopped = false
+	private wake: (() => void) | undefined
+	private readonly unwanted = new Map<string, number>()
+	private looking = false
+
+	constructor(
+		private readonly context: OwnerContext,
+		private readonly row: BackendRow,
+		private readonly parts: {
+			readonly ledger: TaskLedger
+			readonly dispatcher: OrderDispatcher
+			readonly writer: ProgressWriter
+			readonly replan: () => void
+		}
+	) {}
+
+	start(): void {
+		void this.run()
+	}
+
+	stop(): void {
+		this.stopped = true
+		this.poke()
+	}
+
+	/** Something was placed there, or its registration has changed. */
+	poke(): void {
+		this.wake?.()
+	}
+
+	/** Reads one listing at once, beside the one that waits for an end. */
+	look(): void {
+		if (this.looking || this.stopped) return
+		this.looking = true
+		void this.renew(0).finally(() => {
+			this.looking = false
+		})
+	}
+
+	private async run(): Promise<void> {
+		while (!this.stopped) {
+			if (!this.isNeeded()) {
+				await this.sleep(undefined)
+				continue
+			}
+			const wait = this.row.reconciled && this.row.tasks.size > 0 ? LISTING_WAIT : 0
+			const listed = await this.renew(wait)
+			await this.sleep(listed ? LISTING_PAUSE : FAILURE_PAUSE)
+			if (listed && this.row.tasks.size === 0) await this.sleep(IDLE_ACKNOWLEDGEMENT_PAUSE)
+			await this.waitForDurability()
+		}
+	}
+
+	private isNeeded(): boolean {
+		const { row } = this
+		if (row.address === '') return row.tasks.size > 0
+		const unacknowledged = row.seenEnds > row.acknowledgedEnds
+		return (row.registered && !row.reconciled) || row.tasks.size > 0 || unacknowledged
+	}
+
+	private async renew(wait: number): Promise<boolean> {
+		const { row, context } = this
+		const sentAt = context.timers.now()
+		if (row.address === '') {
+			this.noteFailure('no address', sentAt)
+			return false
+		}
+		const result = await context.server.renew(row, {
+			token: context.token,
+			acknowledgedEnds: row.acknowledgedEnds,
+			leaseEnd: row.reconciled ? sentAt + row.clockOffset + LeaseTerms.length : undefined,
+			wait,
+		})
+		context.metrics.count('listings', result.kind)
+		if (this.stopped) return false
+		if (result.kind === 'listed') {
+			this.noteListing(result.listing, sentAt)
+			return true
+		}
+		this.noteRefusal(result, sentAt)
+		return false
+	}
+
+	private noteListing(listing: RunListing, sentAt: number): void {
+		const { row, context } = this
+		row.leasedUntil = Math.max(row.leasedUntil, LeaseTerms.getCertainEnd(sentAt))
+		if (!row.reachable) {
+			row.reachable = true
+			context.events.info('backend-regained', { backend: row.id })
+		}
+		if (row.incarnation !== listing.incarnation) this.noteIncarnation(listing.incarnation)
+		row.clockOffset = listing.clock - context.timers.now()
+		const listed = this.noteRunning(listing)
+		this.noteEnds(listing, listed)
+		this.noteMissing(listed, sentAt)
+		if (row.reconciled) return
+		row.reconciled = true
+		context.events.info('backend-reconciled', { backend: row.id, running: row.tasks.size })
+		this.parts.replan()
+	}
+
+	private noteIncarnation(incarnation: number): void {
+		const { row, context } = this
+		const before = row.incarnation
+		row.incarnation = incarnation
+		row.seenEnds = 0
+		row.acknowledgedEnds = 0
+		if (before === 0) return
+		context.events.warn('backend-restarted', { backend: row.id, before, incarnation })
+		this.parts.ledger.loseAll(row, 'backend server restarted')
+	}
+
+	private noteRunning(listing: RunListing): Set<string> {
+		const { row, context } = this
+		const listed = new Set<string>()
+		for (const run of listing.running) {
+			const task = row.tasks.get(run.task)
+			if (task?.attempt !== run.attempt) {
+				this.stopUnwanted(run.task, run.attempt)
+				continue
+			}
+			listed.add(run.task)
+			if (run.checkpoint !== '') task.checkpoint = run.checkpoint
+			this.noteProgress(task, run.percent)
+			if (task.order !== 'barred') {
+				task.order = 'confirmed'
+				task.orderedAt = Math.min(task.orderedAt, context.timers.now())
+			}
+		}
+		return listed
+	}
+
+	private noteProgress(task: TaskRow, percent: number): void {
+		task.percent = percent
+		if (!task.step.lasting) return
+		if (percent < 100) task.atWorkSince = undefined
+		else task.atWorkSince ??= this.context.timers.now()
+	}
+
+	private noteEnds(listing: RunListing, listed: Set<string>): void {
+		const { row, parts } = this
+		const news = listing.ended
+			.filter((end) => end.number > row.seenEnds)
+			.sort((a, b) => a.number - b.number)
+		for (const end of news) {
+			row.seenEnds = end.number
+			const task = row.tasks.get(end.task)
+			if (task?.attempt !== end.attempt) continue
+			listed.delete(end.task)
+			parts.ledger.endRun(task, end.ending, end.checkpoint, 'listed')
+		}
+		const { seenEnds, incarnation } = row
+		if (seenEnds <= row.acknowledgedEnds) return
+		parts.writer.whenDurable(() => {
+			if (row.incarnation !== incarnation) return
+			row.acknowledgedEnds = Math.max(row.acknowledgedEnds, seenEnds)
+		})
+	}
+
+	/** Judges placed tasks that the server does not list. */
+	private noteMissing(listed: ReadonlySet<string>, sentAt: number): void {
+		const { row, parts } = this
+		for (const task of [...row.tasks.values()]) {
+			if (listed.has(task.id) || task.orderedAt >= sentAt) continue
+			switch (task.order) {
+				case 'recorded':
+				case 'sent':
+					break
+				case 'confirmed':
+				case 'barred':
+					parts.ledger.endRun(task, 'lost', '', `not listed, order ${task.order}`)
+					break
+				case 'unclear':
+					void parts.dispatcher.stop(task)
+					break
+			}
+		}
+	}
+
+	private stopUnwanted(task: string, attempt: number): void {
+		const now = this.context.timers.now()
+		const key = `${task}/${attempt}`
+		if ((this.unwanted.get(key) ?? -Infinity) > now - UNWANTED_STOP_PAUSE) return
+		if (this.unwanted.size > 1_000) this.unwanted.clear()
+		this.unwanted.set(key, now)
+		this.context.events.warn('run-unwanted', { task, attempt, backend: this.row.id })
+		void this.parts.dispatcher.sendStop(this.row, task, attempt)
+	}
+
+	private noteRefusal(result: Exclude<RenewalResult, { kind: 'listed' }>, now: number): void {
+		if (result.kind === 'fenced') {
+			this.context.abandon(`renewal refused by ${this.row.id}: fence`)
+			return
+		}
+		const certain = result.kind === 'refused' && !this.row.registered
+		this.noteFailure(`${result.kind}: ${result.detail}`, now, certain || result.kind === 'moved')
+	}
+
+	private noteFailure(reason: string, now: number, certain = false): void {
+		const { row, context, parts } = this
+		if (row.reachable) context.events.warn('backend-lost', { backend: row.id, reason })
+		row.reachable = false
+		if (!certain && now < row.leasedUntil) return
+		if (row.tasks.size === 0) return
+		for (const task of row.tasks.values()) {
+			if (task.order === 'unclear') task.order = 'barred'
+		}
+		parts.ledger.loseAll(row, certain ? 'backend server gone' : 'every lease has run out')
+	}
+
+	private async waitForDurability(): Promise<void> {
+		const { row, context } = this
+		if (row.seenEnds <= row.acknowledgedEnds) return
+		await new Promise<void>((resolve) => {
+			context.timers.after(MAXIMUM_DURABILITY_WAIT, resolve)
+			this.parts.writer.whenDurable(resolve)
+		})
+	}
+
+	/** Sleeps for a time, or until poked. */
+	private sleep(duration: number | undefined): Promise<void> {
+		return new Promise((resolve) => {
+			if (duration === undefined) this.wake = resolve
+			else this.context.timers.after(duration, resolve)
+		})
+	}
+}
--- /dev/null
+++ b/packages/jobs/src/lib/owner/OwnerContext.ts
@@ -0,0 +1,26 @@
+import type { BackendTable, FleetConfiguration, JobTable, TimerService } from '@mastichead/core'
+import type { EventLog } from '../logs/EventLog.js'
+import type { BackendServer } from '../ports/BackendServer.js'
+import type { JobMetrics } from '../metrics/JobMetrics.js'
+
+/**
+ * What the parts of one term of ownership share.
+ *
+ * @public
+ */
+export interface OwnerContext {
+	readonly jobs: JobTable
+	readonly backends: BackendTable
+	readonly server: BackendServer
+	readonly timers: TimerService
+	readonly events: EventLog
+	readonly metrics: JobMetrics
+	/** Fencing token of this term, for the log and for backend servers. */
+	readonly token: number
+	/** Milliseconds since 1970. */
+	readonly getWallTime: () => number
+	/** Newest configuration. */
+	readonly getConfiguration: () => FleetConfiguration
+	/** Ends the term: another owner has taken over, or may have. */
+	readonly abandon: (reason: string) => void
+}
--- /dev/null
+++ b/packages/jobs/src/lib/owner/OwnerTerm.ts
@@ -0,0 +1,277 @@
+import type {
+	BackendId,
+	BackendRow,
+	FleetConfiguration,
+	TaskPlacement,
+	TimerService,
+} from '@mastichead/core'
+import {
+	BackendHealth,
+	BackendTable,
+	JobTable,
+	PlacementPlanner,
+	SlackOrder,
+	SpreadChoice,
+} from '@mastichead/core'
+import type { JobReplica } from '../log/JobReplica.js'
+import type { ReplicaRow } from '../log/ReplicaRow.js'
+import type { StreamFollower } from '../log/StreamFollower.js'
+import type { EventLog } from '../logs/EventLog.js'
+import type { JobMetrics } from '../metrics/JobMetrics.js'
+import type { BackendServer } from '../ports/BackendServer.js'
+import type { MetadataLog } from '../ports/MetadataLog.js'
+import type { OperatorFormat } from '../ports/OperatorFormat.js'
+import { BackendMonitor } from './BackendMonitor.js'
+import { BackendRegistry } from './BackendRegistry.js'
+import { LeaseTerms } from './LeaseTerms.js'
+import { OrderDispatcher } from './OrderDispatcher.js'
+import type { OwnerContext } from './OwnerContext.js'
+import { ProgressWriter } from './ProgressWriter.js'
+import { TaskLedger } from './TaskLedger.js'
+
+/** Changes that come within this time are planned for together, in milliseconds. */
+const PLAN_DELAY = 4
+/** Longest time between two plans, for what becomes due, in milliseconds. */
+const PLAN_INTERVAL = 200
+/** Nothing is placed while the log has not answered an append for this long, in milliseconds. */
+const MAXIMUM_WRITER_DELAY = 1_000
+/** Pause before a read that failed is repeated while a term begins, in milliseconds. */
+const CATCH_UP_PAUSE = 100
+
+/**
+ * One term of ownership: from the fence in the log to the end of the membership. It knows what
+ * runs where, places what waits, and records every decision before it acts on it.
+ *
+ * @public
+ */
+export class OwnerTerm {
+	private readonly context: OwnerContext
+	private readonly writer: ProgressWriter
+	private readonly dispatcher: OrderDispatcher
+	private readonly ledger: TaskLedger
+	private readonly planner: PlacementPlanner
+	private readonly registry: BackendRegistry
+	private readonly health: BackendHealth
+	private readonly monitors = new Map<BackendId, BackendMonitor>()
+	private readonly subscriptions: { cancel(): void }[] = []
+	private planning = false
+	private begun = false
+	private ended = false
+
+	constructor(
+		private readonly parts: {
+			readonly token: number
+			readonly log: MetadataLog
+			readonly server: BackendServer
+			readonly format: OperatorFormat
+			readonly timers: TimerService
+			readonly events: EventLog
+			readonly metrics: JobMetrics
+			readonly replica: JobReplica
+			readonly intake: StreamFollower
+			readonly progress: StreamFollower
+			readonly getWallTime: () => number
+			readonly getConfiguration: () => FleetConfiguration
+			/** Called once when the term cannot go on. */
+			readonly noteEnd: (reason: string) => void
+		}
+	) {
+		const { token, server, timers, events, metrics, getWallTime, getConfiguration } = parts
+		const jobs = new JobTable()
+		const backends = new BackendTable()
+		const abandon = (reason: string): void => {
+			this.abandon(reason)
+		}
+		this.context = {
+			jobs,
+			backends,
+			server,
+			timers,
+			events,
+			metrics,
+			token,
+			getWallTime,
+			getConfiguration,
+			abandon,
+		}
+		const replan = (): void => {
+			this.planSoon()
+		}
+		this.health = new BackendHealth(() => backends.all)
+		this.writer = new ProgressWriter(this.context, parts.log, parts.progress)
+		this.dispatcher = new OrderDispatcher(
+			this.context,
+			() => this.ledger,
+			(backend) => this.monitors.get(backend.id)?.look(),
+			(backend, reason) => {
+				this.noteTrouble(backend, reason)
+			}
+		)
+		this.ledger = new TaskLedger(
+			this.context,
+			this.writer,
+			(task) => void this.dispatcher.stop(task),
+			replan
+		)
+		this.planner = new PlacementPlanner(jobs, backends, new SlackOrder(), new SpreadChoice())
+		this.registry = new BackendRegistry(this.context, parts.log, parts.format, (row) => {
+			this.noteBackend(row)
+		})
+	}
+
+	/** Raises the fence, reads what earlier owners have decided, and begins. */
+	async begin(): Promise<void> {
+		const { log, token, intake, progress, replica, timers, events } = this.parts
+		const startedAt = timers.now()
+		const end = await this.raiseFence(log, token)
+		if (end === undefined) return
+		await this.catchUp([intake, progress, this.registry.follower], end)
+		if (this.ended) return
+		progress.pause()
+		for (const row of replica.all) this.restore(row)
+		this.subscriptions.push(
+			replica.subscribe((row) => {
+				this.noteJob(row)
+			}),
+			timers.every(PLAN_INTERVAL, () => {
+				this.planSoon()
+			})
+		)
+		this.begun = true
+		this.registry.follower.start()
+		intake.poke()
+		for (const row of this.context.backends.all) this.watch(row)
+		const waited = timers.now() - startedAt
+		events.info('owner-begun', { token, waited, jobs: this.context.jobs.active.size })
+		this.planSoon()
+	}
+
+	/** Ends the term; nothing is sent any more. */
+	end(): void {
+		if (this.ended) return
+		this.ended = true
+		this.dispatcher.end()
+		this.writer.stop()
+		this.registry.follower.stop()
+		for (const monitor of this.monitors.values()) monitor.stop()
+		for (const subscription of this.subscriptions) subscription.cancel()
+		this.parts.progress.resume()
+	}
+
+	private abandon(reason: string): void {
+		if (this.ended) return
+		this.end()
+		this.parts.noteEnd(reason)
+	}
+
+	private async raiseFence(log: MetadataLog, token: number): Promise<number | undefined> {
+		while (!this.ended) {
+			const result = await log.append('progress', [], 700, { term: token, sequence: 0 })
+			if (result.kind === 'appended') return result.end
+			if (result.kind === 'fenced') {
+				this.abandon(`fence refused: ${result.reason}`)
+				return undefined
+			}
+			this.parts.events.warn('owner-fence-repeated', { reason: result.reason })
+			await this.sleep(CATCH_UP_PAUSE)
+		}
+		return undefined
+	}
+
+	private async catchUp(followers: readonly StreamFollower[], end: number): Promise<void> {
+		for (const follower of followers) {
+			while (!this.ended && !(await follower.refresh())) await this.sleep(CATCH_UP_PAUSE)
+		}
+		while (!this.ended && this.parts.progress.next < end) {
+			if (!(await this.parts.progress.refresh())) await this.sleep(CATCH_UP_PAUSE)
+		}
+	}
+
+	private restore(replicaRow: ReplicaRow): void {
+		const { jobs, backends, timers } = this.context
+		const { job, snapshot, cancelled } = replicaRow
+		if (!job) return
+		const row = jobs.admit(job, snapshot)
+		for (const task of row.tasks) {
+			if (task.phase !== 'placed' || task.backend === undefined) continue
+			// Orders of earlier owners can no longer begin once the server has seen our token.
+			task.order = 'barred'
+			task.orderedAt = timers.now() - 1
+			const backend = backends.use(task.backend)
+			backend.leasedUntil = LeaseTerms.getEarlierOwnersEnd(timers.now())
+			backends.occupy(task)
+		}
+		if (cancelled) this.ledger.cancel(row)
+		else if (row.finishedAt !== undefined) this.ledger.settle(row)
+	}
+
+	private noteJob(replicaRow: ReplicaRow): void {
+		if (!replicaRow.job) return
+		const row = this.context.jobs.admit(replicaRow.job, replicaRow.snapshot)
+		if (replicaRow.cancelled) this.ledger.cancel(row)
+		this.planSoon()
+	}
+
+	private noteBackend(row: BackendRow): void {
+		if (!this.begun) return
+		this.watch(row)
+		this.monitors.get(row.id)?.poke()
+		this.planSoon()
+	}
+
+	private watch(row: BackendRow): void {
+		if (this.monitors.has(row.id)) return
+		const { ledger, dispatcher, writer } = this
+		const monitor = new BackendMonitor(this.context, row, {
+			ledger,
+			dispatcher,
+			writer,
+			replan: () => {
+				this.planSoon()
+			},
+		})
+		this.monitors.set(row.id, monitor)
+		monitor.start()
+	}
+
+	private noteTrouble(backend: BackendRow, reason: string): void {
+		const { timers, events } = this.context
+		if (!this.health.noteTrouble(backend, timers.now())) return
+		events.warn('backend-avoided', {
+			backend: backend.id,
+			reason,
+			duration: backend.avoidedUntil - timers.now(),
+		})
+	}
+
+	private planSoon(): void {
+		if (this.planning || this.ended || !this.begun) return
+		this.planning = true
+		this.context.timers.after(PLAN_DELAY, () => {
+			this.planning = false
+			this.plan()
+		})
+	}
+
+	private plan(): void {
+		if (this.ended || this.writer.delay > MAXIMUM_WRITER_DELAY) return
+		const { timers, getWallTime, getConfiguration } = this.context
+		const startedAt = timers.now()
+		const placements = this.planner.plan(getConfiguration(), startedAt, getWallTime())
+		this.context.metrics.observe('plan', timers.now() - startedAt)
+		for (const placement of placements) this.record(placement)
+	}
+
+	private record(placement: TaskPlacement): void {
+		const { task, backend } = placement
+		this.ledger.settle(task.job)
+		this.monitors.get(backend.id)?.poke()
+		this.writer.whenDurable(() => void this.dispatcher.start(placement))
+	}
+
+	private sleep(duration: number): Promise<void> {
+		return new Promise((resolve) => {
+			this.context.timers.after(duration, resolve)
+		})
+	}
+}
--- /dev/null
+++ b/packages/jobs/src/lib/owner/ProgressWriter.ts
@@ -0,0 +1,111 @@
+import type { JobRow } from '@mastichead/core'
+import { createJobSnapshot } from '@mastichead/core'
+import { JobRecords } from '../log/JobRecords.js'
+import type { StreamFollower } from '../log/StreamFollower.js'
+import type { LogRecord } from '../ports/LogRecord.js'
+import type { MetadataLog } from '../ports/MetadataLog.js'
+import type { OwnerContext } from './OwnerContext.js'
+
+/** Time for one append before it is repeated, in milliseconds. */
+const APPEND_TIMEOUT = 700
+/** First and longest pause before an append is repeated, in milliseconds. */
+const MINIMUM_RETRY_PAUSE = 50
+const MAXIMUM_RETRY_PAUSE = 400
+/** Jobs in one append. */
+const MAXIMUM_JOBS = 300
+
+/**
+ * Makes the owner's decisions durable, one append after the other under the owner's fence.
+ * Effects wait until everything decided before them is in the log.
+ *
+ * @public
+ */
+export class ProgressWriter {
+	private readonly dirty = new Set<JobRow>()
+	private effects: (() => void)[] = []
+	private sequence = 0
+	private writing = false
+	private stopped = false
+	/** Instant since which an append has been under way; undefined while none is. */
+	private writingSince: number | undefined
+
+	constructor(
+		private readonly context: OwnerContext,
+		private readonly log: MetadataLog,
+		private readonly follower: StreamFollower
+	) {}
+
+	stop(): void {
+		this.stopped = true
+	}
+
+	/** Milliseconds for which the append under way has had no answer. */
+	get delay(): number {
+		return this.writingSince === undefined ? 0 : this.context.timers.now() - this.writingSince
+	}
+
+	/** Marks a job as changed. */
+	touch(row: JobRow): void {
+		this.dirty.add(row)
+		this.flushSoon()
+	}
+
+	/** Runs `effect` once all that has been marked so far is durable. */
+	whenDurable(effect: () => void): void {
+		this.effects.push(effect)
+		this.flushSoon()
+	}
+
+	private flushSoon(): void {
+		if (this.writing || this.stopped) return
+		this.writing = true
+		queueMicrotask(() => void this.flush())
+	}
+
+	private async flush(): Promise<void> {
+		while (!this.stopped && (this.dirty.size > 0 || this.effects.length > 0)) {
+			const rows = [...this.dirty].slice(0, MAXIMUM_JOBS)
+			for (const row of rows) this.dirty.delete(row)
+			const effects = this.dirty.size === 0 ? this.effects : []
+			if (effects.length > 0) this.effects = []
+			const records = rows.map((row) =>
+				JobRecords.createProgress(row.job.id, createJobSnapshot(row))
+			)
+			if (records.length > 0 && !(await this.appendUntilDone(records))) return
+			for (const effect of effects) effect()
+		}
+		this.writing = false
+	}
+
+	/** Appends until there is an answer; the log recognizes a repeat by its sequence number. */
+	private async appendUntilDone(records: readonly LogRecord[]): Promise<boolean> {
+		const { token, timers, events } = this.context
+		this.writingSince = timers.now()
+		let pause = MINIMUM_RETRY_PAUSE
+		while (!this.stopped) {
+			const fence = { term: token, sequence: this.sequence }
+			const result = await this.log.append('progress', records, APPEND_TIMEOUT, fence)
+			if (result.kind === 'appended') {
+				this.noteAppended(records, result.offset, result.end)
+				return !this.stopped
+			}
+			if (result.kind === 'fenced') {
+				this.context.abandon(`append refused: ${result.reason}`)
+				return false
+			}
+			events.warn('progress-append-repeated', { reason: result.reason, waited: this.delay })
+			await new Promise<void>((resolve) => timers.after(pause, resolve))
+			pause = Math.min(pause * 2, MAXIMUM_RETRY_PAUSE)
+		}
+		return false
+	}
+
+	private noteAppended(records: readonly LogRecord[], offset: number, end: number): void {
+		const { metrics, timers } = this.context
+		metrics.observe('progress_append', timers.now() - (this.writingSince ?? timers.now()))
+		this.sequence += 1
+		this.writingSince = undefined
+		const entries = records.map((record, place) => ({ ...record, offset: offset + place }))
+		this.follower.applyOwn(entries, end)
+	}
+}
--- /dev/null
+++ b/packages/jobs/src/lib/ports/BackendServer.ts
@@ -0,0 +1,20 @@
+import type { BackendAddress } from './BackendAddress.js'
+import type { OrderResult } from './OrderResult.js'
+import type { Renewal } from './Renewal.js'
+import type { RenewalResult } from './RenewalResult.js'
+import type { StartOrder } from './StartOrder.js'
+import type { StopOrder } from './StopOrder.js'
+
+/**
+ * Calls to backend servers.
+ *
+ * @public
+ */
+export abstract class BackendServer {
+	abstract start(backend: BackendAddress, order: StartOrder): Promise<OrderResult>
+	abstract stop(backend: BackendAddress, order: StopOrder): Promise<OrderResult>
+	abstract renew(backend: BackendAddress, renewal: Renewal): Promise<RenewalResult>
+
+	/** Closes idle connections to servers that are no longer used. */
+	abstract retire(backend: BackendAddress): void
+}
--- /dev/null
+++ b/packages/jobs/src/lib/ports/LogEntry.ts
@@ -0,0 +1,11 @@
+import type { LogRecord } from './LogRecord.js'
+
+/**
+ * A record as read from a stream.
+ *
+ * @public
+ */
+export interface LogEntry extends LogRecord {
+	/** Place in the stream, counted from 0. */
+	readonly offset: number
+}
--- /dev/null
+++ b/packages/jobs/src/lib/ports/MetadataLog.ts
@@ -0,0 +1,47 @@
+import type { AppendResult } from './AppendResult.js'
+import type { JoinResult } from './JoinResult.js'
+import type { LogFence } from './LogFence.js'
+import type { LogRecord } from './LogRecord.js'
+import type { LogStream } from './LogStream.js'
+import type { NewestResult } from './NewestResult.js'
+import type { ReadResult } from './ReadResult.js'
+
+/**
+ * The platform's metadata log.
+ *
+ * @public
+ */
+export abstract class MetadataLog {
+	/**
+	 * Appends all records or none. With a fence and no records, it only raises the term.
+	 *
+	 * @param timeout - milliseconds after which the outcome is `unknown`
+	 */
+	abstract append(
+		stream: LogStream,
+		records: readonly LogRecord[],
+		timeout: number,
+		fence?: LogFence
+	): Promise<AppendResult>
+
+	/**
+	 * Reads on from an offset.
+	 *
+	 * @param wait - milliseconds to wait for a record if there is none yet
+	 */
+	abstract read(stream: LogStream, from: number, wait: number): Promise<ReadResult>
+
+	/** Reads the newest record of each key. */
+	abstract readNewest(stream: LogStream): Promise<NewestResult>
+
+	/**
+	 * Joins the group of instances or stays in it.
+	 *
+	 * @param timeToLive - milliseconds of silence after which the member is out
+	 * @param generation - the last generation that was received; 0 before the first
+	 */
+	abstract join(member: string, timeToLive: number, generation: number): Promise<JoinResult>
+
+	/** Leaves the group. */
+	abstract leave(member: string): Promise<void>
+}
--- /dev/null
+++ b/packages/jobs/src/lib/ports/Wave.ts
@@ -0,0 +1,13 @@
+/**
+ * Request of the operator to maintain machines.
+ *
+ * @public
+ */
+export interface Wave {
+	readonly number: number
+	readonly machines: readonly string[]
+	/** Seconds from the request within which all are to be done. */
+	readonly deadline: number
+	/** Most machines that may be down for it at once. */
+	readonly atOnce: number
+}
