Carry out waves; fix effects run before durable, leases counted late, inherited orders

Waves are new: machines are emptied, taken down where availability allows, recorded before the order.

--- a/packages/core/src/lib/jobs/PlacementPlanner.ts
+++ b/packages/core/src/lib/jobs/PlacementPlanner.ts
@@ -87,7 +87,7 @@
 			const backend = this.choose(run, open, configuration)
 			if (!backend) break
 			this.occupy(task, backend, run.step.gang ? attempt : task.attempt + 1)
-			placements.push({ task, backend })
+			placements.push({ task, backend, attempt: task.attempt })
 		}
 		if (!run.step.gang || placements.length === run.waiting.length) return placements
 		for (const { task } of placements) this.withdraw(task)
--- a/packages/core/src/lib/jobs/createJobRow.ts
+++ b/packages/core/src/lib/jobs/createJobRow.ts
@@ -71,6 +71,6 @@
 		task.failures = kept.failures
 		task.backend = kept.backend
 		task.checkpoint = kept.checkpoint
-		task.order = 'unclear'
+		task.order = 'inherited'
 	}
 }
--- a/packages/jobs/src/lib/JobDaemon.ts
+++ b/packages/jobs/src/lib/JobDaemon.ts
@@ -9,6 +9,7 @@
 import { OwnerTerm } from './owner/OwnerTerm.js'
 import { Ownership } from './owner/Ownership.js'
 import type { BackendServer } from './ports/BackendServer.js'
+import type { MachineOperator } from './ports/MachineOperator.js'
 import type { MetadataLog } from './ports/MetadataLog.js'
 import type { OperatorFormat } from './ports/OperatorFormat.js'
 
@@ -45,6 +46,7 @@
 			readonly log: MetadataLog
 			readonly server: BackendServer
 			readonly format: OperatorFormat
+			readonly operator: MachineOperator
 			readonly timers: TimerService
 			readonly events: EventLog
 			readonly metrics: JobMetrics
@@ -118,13 +120,15 @@
 	}
 
 	private beginTerm(token: number): void {
-		const { log, server, format, timers, events, metrics, getWallTime } = this.parts
+		const { log, server, format, operator, timers, events, metrics, getWallTime } = this.parts
 		this.endTerm()
 		const term = new OwnerTerm({
 			token,
 			log,
 			server,
 			format,
+			operator,
+			getWaves: () => this.configuration.waves,
 			timers,
 			events,
 			metrics,
--- a/packages/jobs/src/lib/callers/JobIntake.ts
+++ b/packages/jobs/src/lib/callers/JobIntake.ts
@@ -1,4 +1,4 @@
-import type { Job, JobId } from '@mastichead/core'
+import type { Job, JobId, JobStep } from '@mastichead/core'
 import { isFinalState } from '@mastichead/core'
 import { JobRecords } from '../log/JobRecords.js'
 import type { JobReplica } from '../log/JobReplica.js'
@@ -39,7 +39,7 @@
 		const verdict = await this.store(job, deadline)
 		const { id, queue, team } = job
 		if (verdict.kind === 'stored') {
-			this.events.info('job-accepted', { job: id, queue, team, steps: job.steps.length })
+			this.events.info('job-accepted', { job: id, queue, team, steps: job.steps.map(describeStep) })
 			return { kind: 'accepted' }
 		}
 		this.events.warn('job-not-accepted', { job: id, queue, team, ...verdict })
@@ -97,3 +97,8 @@
 		return { kind: 'unavailable', reason: 'log out of reach', retryAfter: RETRY_AFTER_LOG }
 	}
 }
+
+function describeStep(step: JobStep): string {
+	const { count, needs, estimate, lasting, image } = step
+	return `${count}x${needs.cpu}c${needs.memory}m ${lasting ? 'lasting' : estimate} ${image}`
+}
--- a/packages/jobs/src/lib/configuration/ConfigurationManager.ts
+++ b/packages/jobs/src/lib/configuration/ConfigurationManager.ts
@@ -95,6 +95,7 @@
 			return
 		}
 		this.waves.set(entry.key, decoded)
-		events.info('wave-received', { wave: decoded.number, machines: decoded.machines.length })
+		const { number, machines, deadline, atOnce } = decoded
+		events.info('wave-received', { wave: number, machines: machines.length, deadline, atOnce })
 	}
 }
--- a/packages/jobs/src/lib/log/JobRecords.ts
+++ b/packages/jobs/src/lib/log/JobRecords.ts
@@ -1,8 +1,10 @@
 import type { Job, JobId, JobSnapshot } from '@mastichead/core'
+import type { WaveProgress } from '../machines/WaveProgress.js'
 import type { LogRecord } from '../ports/LogRecord.js'
 
 const JOB_PREFIX = 'job/'
 const CANCEL_PREFIX = 'cancel/'
+const WAVE_PREFIX = 'wave/'
 
 /**
  * Form of the product's own records in the log.
@@ -22,6 +24,19 @@
 		return { key: id, value: JSON.stringify(snapshot) }
 	},
 
+	createWaveProgress(key: string, progress: WaveProgress): LogRecord {
+		return { key, value: JSON.stringify(progress) }
+	},
+
+	/** Whether a record of the progress tells of a wave. */
+	isWaveKey(key: string): boolean {
+		return key.startsWith(WAVE_PREFIX)
+	},
+
+	parseWaveProgress(value: string): WaveProgress {
+		return JSON.parse(value) as WaveProgress
+	},
+
 	/** Records that drop everything that callers wrote of a job. */
 	createIntakeDrops(id: JobId): LogRecord[] {
 		return [
--- a/packages/jobs/src/lib/log/JobReplica.ts
+++ b/packages/jobs/src/lib/log/JobReplica.ts
@@ -1,6 +1,7 @@
 import type { Job, JobId, JobSnapshot, JobState } from '@mastichead/core'
 import { isFinalState } from '@mastichead/core'
 import type { EventLog } from '../logs/EventLog.js'
+import type { WaveProgress } from '../machines/WaveProgress.js'
 import type { LogEntry } from '../ports/LogEntry.js'
 import { JobRecords } from './JobRecords.js'
 import type { ReplicaRow } from './ReplicaRow.js'
@@ -12,6 +13,8 @@
  */
 export class JobReplica {
 	private readonly rows = new Map<JobId, ReplicaRow>()
+	/** Progress of waves by the key of the wave. */
+	readonly waves = new Map<string, WaveProgress>()
 	private readonly jobListeners = new Set<(row: ReplicaRow) => void>()
 
 	constructor(private readonly events: EventLog) {}
@@ -67,6 +70,10 @@
 
 	/** Takes in a record of what the owner has decided. */
 	applyProgress(entry: LogEntry): void {
+		if (JobRecords.isWaveKey(entry.key)) {
+			this.applyWave(entry)
+			return
+		}
 		if (entry.value === undefined) {
 			const row = this.rows.get(entry.key)
 			if (row) row.snapshot = undefined
@@ -76,6 +83,11 @@
 		row.snapshot = this.parse(entry, (value) => JobRecords.parseProgress(value)) ?? row.snapshot
 	}
 
+	private applyWave(entry: LogEntry): void {
+		const progress = this.parse(entry, (value) => JobRecords.parseWaveProgress(value))
+		if (progress) this.waves.set(entry.key, progress)
+	}
+
 	private use(id: JobId): ReplicaRow {
 		const known = this.rows.get(id)
 		if (known) return known
@@ -84,7 +96,7 @@
 		return row
 	}
 
-	private parse<T extends Job | JobSnapshot>(
+	private parse<T extends Job | JobSnapshot | WaveProgress>(
 		entry: LogEntry,
 		parse: (value: string) => T
 	): T | undefined {
--- a/packages/jobs/src/lib/owner/BackendMonitor.ts
+++ b/packages/jobs/src/lib/owner/BackendMonitor.ts
@@ -94,10 +94,13 @@
 			this.noteFailure('no address', sentAt)
 			return false
 		}
+		// A server that may be gone gets no new lease: what ran there must be able to run out.
+		const renews = row.reconciled && row.reachable
+		if (renews) row.leasedUntil = Math.max(row.leasedUntil, LeaseTerms.getCertainEnd(sentAt))
 		const result = await context.server.renew(row, {
 			token: context.token,
 			acknowledgedEnds: row.acknowledgedEnds,
-			leaseEnd: row.reconciled ? sentAt + row.clockOffset + LeaseTerms.length : undefined,
+			leaseEnd: renews ? sentAt + row.clockOffset + LeaseTerms.length : undefined,
 			wait,
 		})
 		context.metrics.count('listings', result.kind)
@@ -112,7 +115,6 @@
 
 	private noteListing(listing: RunListing, sentAt: number): void {
 		const { row, context } = this
-		row.leasedUntil = Math.max(row.leasedUntil, LeaseTerms.getCertainEnd(sentAt))
 		if (!row.reachable) {
 			row.reachable = true
 			context.events.info('backend-regained', { backend: row.id })
@@ -140,7 +142,7 @@
 	}
 
 	private noteRunning(listing: RunListing): Set<string> {
-		const { row, context } = this
+		const { row } = this
 		const listed = new Set<string>()
 		for (const run of listing.running) {
 			const task = row.tasks.get(run.task)
@@ -151,10 +153,7 @@
 			listed.add(run.task)
 			if (run.checkpoint !== '') task.checkpoint = run.checkpoint
 			this.noteProgress(task, run.percent)
-			if (task.order !== 'barred') {
-				task.order = 'confirmed'
-				task.orderedAt = Math.min(task.orderedAt, context.timers.now())
-			}
+			if (task.order !== 'barred') task.order = 'confirmed'
 		}
 		return listed
 	}
@@ -197,6 +196,7 @@
 					break
 				case 'confirmed':
 				case 'barred':
+				case 'inherited':
 					parts.ledger.endRun(task, 'lost', '', `not listed, order ${task.order}`)
 					break
 				case 'unclear':
--- a/packages/jobs/src/lib/owner/OrderDispatcher.ts
+++ b/packages/jobs/src/lib/owner/OrderDispatcher.ts
@@ -34,10 +34,9 @@
 	}
 
 	/** Sends the order for a placement that is durable. */
-	async start({ task, backend }: TaskPlacement): Promise<void> {
-		const { attempt } = task
-		if (this.stopped || !isPlacedAt(task, backend, attempt)) return
-		if (task.stopping || task.order !== 'recorded') {
+	async start({ task, backend, attempt }: TaskPlacement): Promise<void> {
+		if (this.stopped || !isPlacedAt(task, backend, attempt) || task.order !== 'recorded') return
+		if (task.stopping) {
 			this.getLedger().endRun(task, 'stopped', '', 'stopped before its order was sent')
 			return
 		}
--- a/packages/jobs/src/lib/owner/OwnerTerm.ts
+++ b/packages/jobs/src/lib/owner/OwnerTerm.ts
@@ -19,8 +19,11 @@
 import type { EventLog } from '../logs/EventLog.js'
 import type { JobMetrics } from '../metrics/JobMetrics.js'
 import type { BackendServer } from '../ports/BackendServer.js'
+import type { MachineOperator } from '../ports/MachineOperator.js'
 import type { MetadataLog } from '../ports/MetadataLog.js'
 import type { OperatorFormat } from '../ports/OperatorFormat.js'
+import type { Wave } from '../ports/Wave.js'
+import { WaveManager } from '../machines/WaveManager.js'
 import { BackendMonitor } from './BackendMonitor.js'
 import { BackendRegistry } from './BackendRegistry.js'
 import { LeaseTerms } from './LeaseTerms.js'
@@ -52,6 +55,7 @@
 	private readonly planner: PlacementPlanner
 	private readonly registry: BackendRegistry
 	private readonly health: BackendHealth
+	private readonly waves: WaveManager
 	private readonly monitors = new Map<BackendId, BackendMonitor>()
 	private readonly subscriptions: { cancel(): void }[] = []
 	private planning = false
@@ -64,6 +68,8 @@
 			readonly log: MetadataLog
 			readonly server: BackendServer
 			readonly format: OperatorFormat
+			readonly operator: MachineOperator
+			readonly getWaves: () => ReadonlyMap<string, Wave>
 			readonly timers: TimerService
 			readonly events: EventLog
 			readonly metrics: JobMetrics
@@ -117,6 +123,14 @@
 		this.registry = new BackendRegistry(this.context, parts.log, parts.format, (row) => {
 			this.noteBackend(row)
 		})
+		this.waves = new WaveManager(this.context, {
+			operator: parts.operator,
+			ledger: this.ledger,
+			getWaves: parts.getWaves,
+			report: (key, state) => this.reportWave(key, state),
+			getProgress: (key) => parts.replica.waves.get(key),
+			writer: this.writer,
+		})
 	}
 
 	/** Raises the fence, reads what earlier owners have decided, and begins. */
@@ -143,6 +157,7 @@
 		for (const row of this.context.backends.all) this.watch(row)
 		const waited = timers.now() - startedAt
 		events.info('owner-begun', { token, waited, jobs: this.context.jobs.active.size })
+		this.waves.start()
 		this.planSoon()
 	}
 
@@ -153,6 +168,7 @@
 		this.dispatcher.end()
 		this.writer.stop()
 		this.registry.follower.stop()
+		this.waves.stop()
 		for (const monitor of this.monitors.values()) monitor.stop()
 		for (const subscription of this.subscriptions) subscription.cancel()
 		this.parts.progress.resume()
@@ -194,9 +210,6 @@
 		const row = jobs.admit(job, snapshot)
 		for (const task of row.tasks) {
 			if (task.phase !== 'placed' || task.backend === undefined) continue
-			// Orders of earlier owners can no longer begin once the server has seen our token.
-			task.order = 'barred'
-			task.orderedAt = timers.now() - 1
 			const backend = backends.use(task.backend)
 			backend.leasedUntil = LeaseTerms.getEarlierOwnersEnd(timers.now())
 			backends.occupy(task)
@@ -269,6 +282,13 @@
 		this.writer.whenDurable(() => void this.dispatcher.start(placement))
 	}
 
+	private async reportWave(key: string, state: 'running' | 'completed'): Promise<boolean> {
+		const { log, format, events } = this.parts
+		const result = await log.append('reports', [format.encodeWaveReport(key, state)], 700)
+		events.info('wave-reported', { wave: key, state, ...result })
+		return result.kind === 'appended'
+	}
+
 	private sleep(duration: number): Promise<void> {
 		return new Promise((resolve) => {
 			this.context.timers.after(duration, resolve)
--- a/packages/jobs/src/lib/owner/ProgressWriter.ts
+++ b/packages/jobs/src/lib/owner/ProgressWriter.ts
@@ -11,8 +11,8 @@
 /** First and longest pause before an append is repeated, in milliseconds. */
 const MINIMUM_RETRY_PAUSE = 50
 const MAXIMUM_RETRY_PAUSE = 400
-/** Jobs in one append. */
-const MAXIMUM_JOBS = 300
+/** Records in one append. */
+const MAXIMUM_RECORDS = 300
 
 /**
  * Makes the owner's decisions durable, one append after the other under the owner's fence.
@@ -21,7 +21,8 @@
  * @public
  */
 export class ProgressWriter {
-	private readonly dirty = new Set<JobRow>()
+	/** Makes the newest record of each key that has changed. */
+	private readonly dirty = new Map<string, () => LogRecord>()
 	private effects: (() => void)[] = []
 	private sequence = 0
 	private writing = false
@@ -46,7 +47,13 @@
 
 	/** Marks a job as changed. */
 	touch(row: JobRow): void {
-		this.dirty.add(row)
+		const { id } = row.job
+		this.touchRecord(id, () => JobRecords.createProgress(id, createJobSnapshot(row)))
+	}
+
+	/** Marks a record as changed; `create` is called when it is written. */
+	touchRecord(key: string, create: () => LogRecord): void {
+		this.dirty.set(key, create)
 		this.flushSoon()
 	}
 
@@ -64,19 +71,23 @@
 
 	private async flush(): Promise<void> {
 		while (!this.stopped && (this.dirty.size > 0 || this.effects.length > 0)) {
-			const rows = [...this.dirty].slice(0, MAXIMUM_JOBS)
-			for (const row of rows) this.dirty.delete(row)
-			const effects = this.dirty.size === 0 ? this.effects : []
-			if (effects.length > 0) this.effects = []
-			const records = rows.map((row) =>
-				JobRecords.createProgress(row.job.id, createJobSnapshot(row))
-			)
+			const batch = [...this.dirty].slice(0, MAXIMUM_RECORDS)
+			for (const [key] of batch) this.dirty.delete(key)
+			const effects = this.dirty.size === 0 ? this.takeEffects() : []
+			const records = batch.map(([, create]) => create())
 			if (records.length > 0 && !(await this.appendUntilDone(records))) return
 			for (const effect of effects) effect()
 		}
 		this.writing = false
 	}
 
+	/** What is decided while an append is under way waits for the next one. */
+	private takeEffects(): (() => void)[] {
+		const effects = this.effects
+		this.effects = []
+		return effects
+	}
+
 	/** Appends until there is an answer; the log recognizes a repeat by its sequence number. */
 	private async appendUntilDone(records: readonly LogRecord[]): Promise<boolean> {
 		const { token, timers, events } = this.context
--- a/packages/jobs/src/lib/ports/OperatorFormat.ts
+++ b/packages/jobs/src/lib/ports/OperatorFormat.ts
@@ -1,5 +1,6 @@
 import type { FleetConfiguration } from '@mastichead/core'
 import type { BackendRegistration } from './BackendRegistration.js'
+import type { LogRecord } from './LogRecord.js'
 import type { FormatError } from './FormatError.js'
 import type { Wave } from './Wave.js'
 
@@ -15,5 +16,7 @@
 	abstract isWaveKey(key: string): boolean
 	abstract decodeConfiguration(value: string): FleetConfiguration | FormatError
 	abstract decodeWave(value: string): Wave | FormatError
+	/** Record by which the operator learns how far a wave is. */
+	abstract encodeWaveReport(key: string, state: 'running' | 'completed'): LogRecord
 	abstract decodeRegistration(id: string, value: string): BackendRegistration | FormatError
 }
