--- a/packages/core/src/lib/jobs/BackendRow.ts
+++ b/packages/core/src/lib/jobs/BackendRow.ts
@@ -10,6 +10,8 @@
  */
 export interface BackendRow {
 	readonly id: BackendId
+	/** Machine that it runs on; empty if unknown. */
+	machine: string
 	service: string
 	address: string
 	zone: string
@@ -36,6 +38,8 @@
 	seenEnds: number
 	/** Number of the latest end whose outcome is durable. */
 	acknowledgedEnds: number
+	/** Instant since which nothing has been placed on it. */
+	idleSince: number
 	/** What its placed tasks use. */
 	used: Resources
 	readonly tasks: Map<TaskId, TaskRow>
--- a/packages/core/src/lib/jobs/BackendTable.ts
+++ b/packages/core/src/lib/jobs/BackendTable.ts
@@ -66,6 +66,7 @@
 function createRow(id: BackendId): BackendRow {
 	return {
 		id,
+		machine: '',
 		service: '',
 		address: '',
 		zone: '',
@@ -82,6 +83,7 @@
 		leasedUntil: 0,
 		seenEnds: 0,
 		acknowledgedEnds: 0,
+		idleSince: 0,
 		used: noResources,
 		tasks: new Map(),
 	}
--- /dev/null
+++ b/packages/core/src/lib/jobs/DemandPoolPolicy.ts
@@ -0,0 +1,107 @@
+import { PoolPolicy } from './PoolPolicy.js'
+import type { MachineMove } from './MachineMove.js'
+import type { PoolSituation } from './PoolSituation.js'
+
+/** Capacity for each core of demand: tasks do not fill machines evenly. */
+const HEADROOM = 1.1
+/** Fewest machines of a pool, so that one may be lost. */
+const MINIMUM_MACHINES = 2
+/** A machine is given to another pool once it was idle for this long, in milliseconds. */
+const GIVING_IDLE_TIME = 300
+/** A machine that no pool needs is turned off once it was idle for this long, in milliseconds. */
+const SPARING_IDLE_TIME = 1_000
+
+interface Balance {
+	readonly pool: PoolSituation
+	/** Machines that it has, less those that it should have. */
+	surplus: number
+	/** Idle machines that it may give, longest idle first. */
+	readonly idle: { readonly id: string; readonly idleSince: number }[]
+}
+
+/**
+ * Follows demand that turns from pool to pool: pools that are short take idle machines from pools
+ * that are not, then from the spare pool; what stays idle is turned off.
+ *
+ * @public
+ */
+export class DemandPoolPolicy extends PoolPolicy {
+	override plan(pools: readonly PoolSituation[], now: number): readonly MachineMove[] {
+		const balances = pools.map((pool) => this.getBalance(pool))
+		const moves = this.coverShortages(balances, now)
+		moves.push(...turnOff(balances, now))
+		return moves
+	}
+
+	override getWanted(pool: PoolSituation): number {
+		if (pool.spare || pool.machineCores === 0) return 0
+		const batch = Math.max(pool.demand, pool.use + pool.waiting)
+		const cores = batch * HEADROOM + pool.lasting
+		return Math.max(MINIMUM_MACHINES, pool.spread, Math.ceil(cores / pool.machineCores))
+	}
+
+	private getBalance(pool: PoolSituation): Balance {
+		const idle: Balance['idle'] = []
+		for (const { id, idleSince } of pool.machines) {
+			if (idleSince !== undefined) idle.push({ id, idleSince })
+		}
+		idle.sort((a, b) => a.idleSince - b.idleSince)
+		const surplus = pool.machines.length + pool.arriving - this.getWanted(pool)
+		return { pool, surplus, idle }
+	}
+
+	private coverShortages(balances: readonly Balance[], now: number): MachineMove[] {
+		const moves: MachineMove[] = []
+		const short = balances.filter((balance) => balance.surplus < 0)
+		short.sort((a, b) => a.surplus - b.surplus)
+		for (const receiver of short) {
+			while (receiver.surplus < 0) {
+				const move = takeMachine(balances, receiver, now)
+				if (!move) break
+				moves.push(move)
+			}
+		}
+		return moves
+	}
+}
+
+function takeMachine(
+	balances: readonly Balance[],
+	receiver: Balance,
+	now: number
+): MachineMove | undefined {
+	const givers = balances.filter(
+		(balance) => balance.surplus > 0 && isIdle(balance, now, GIVING_IDLE_TIME)
+	)
+	givers.sort((a, b) => Number(a.pool.spare) - Number(b.pool.spare) || b.surplus - a.surplus)
+	const giver = givers[0]
+	return giver && give(giver, receiver)
+}
+
+function turnOff(balances: readonly Balance[], now: number): MachineMove[] {
+	const spare = balances.find((balance) => balance.pool.spare)
+	if (!spare) return []
+	const moves: MachineMove[] = []
+	for (const giver of balances) {
+		if (giver.pool.spare) continue
+		while (giver.surplus > 0 && isIdle(giver, now, SPARING_IDLE_TIME)) {
+			const move = give(giver, spare)
+			if (!move) break
+			moves.push(move)
+		}
+	}
+	return moves
+}
+
+function isIdle(balance: Balance, now: number, duration: number): boolean {
+	const longest = balance.idle[0]
+	return longest !== undefined && now - longest.idleSince >= duration
+}
+
+function give(giver: Balance, receiver: Balance): MachineMove | undefined {
+	const machine = giver.idle.shift()
+	if (!machine) return undefined
+	giver.surplus -= 1
+	receiver.surplus += 1
+	return { machine: machine.id, from: giver.pool.service, to: receiver.pool.service }
+}
--- a/packages/core/src/lib/jobs/PlacementPlanner.ts
+++ b/packages/core/src/lib/jobs/PlacementPlanner.ts
@@ -10,6 +10,7 @@
 import { exceedsTeamLimit } from './exceedsTeamLimit.js'
 import { fitsWithin } from './fitsWithin.js'
 import { getCountedNeeds } from './getCountedNeeds.js'
+import { getWaitingCores } from './getWaitingCores.js'
 import { getStepRuns } from './getStepRuns.js'
 
 interface RankedRun {
@@ -25,6 +26,9 @@
  * @public
  */
 export class PlacementPlanner {
+	/** Cores of tasks that the latest plan found no room for, by service. */
+	readonly backlog = new Map<string, number>()
+
 	constructor(
 		private readonly jobs: JobTable,
 		private readonly backends: BackendTable,
@@ -39,14 +43,23 @@
 	plan(configuration: FleetConfiguration, now: number, wallTime: number): TaskPlacement[] {
 		const placements: TaskPlacement[] = []
 		const candidates = this.getCandidates(now)
+		this.backlog.clear()
 		for (const { run, service } of this.getRankedRuns(configuration, now, wallTime)) {
-			const open = candidates.get(service)
-			if (!open) continue
-			placements.push(...this.placeRun(run, open, configuration))
+			const placed = this.placeRun(run, candidates.get(service) ?? [], configuration)
+			placements.push(...placed)
+			if (placed.length < run.waiting.length) this.noteBacklog(run, service, configuration)
 		}
 		return placements
 	}
 
+	/** What waits for its team's limit would not be helped by more machines. */
+	private noteBacklog(run: StepRun, service: string, configuration: FleetConfiguration): void {
+		const { team } = run.row.job
+		const used = this.backends.getTeamUse(team)
+		if (exceedsTeamLimit(configuration.teams.get(team), used, run.step.needs)) return
+		this.backlog.set(service, (this.backlog.get(service) ?? 0) + getWaitingCores(run))
+	}
+
 	private getCandidates(now: number): Map<string, BackendRow[]> {
 		const candidates = new Map<string, BackendRow[]>()
 		for (const backend of this.backends.all) {
--- /dev/null
+++ b/packages/core/src/lib/jobs/PoolPolicy.ts
@@ -0,0 +1,17 @@
+import type { MachineMove } from './MachineMove.js'
+import type { PoolSituation } from './PoolSituation.js'
+
+/**
+ * Decides which machines change their pool.
+ *
+ * @public
+ */
+export abstract class PoolPolicy {
+	/**
+	 * @param now - instant of the owner's monotonic clock, in milliseconds
+	 */
+	abstract plan(pools: readonly PoolSituation[], now: number): readonly MachineMove[]
+
+	/** Machines that the pool should have now. */
+	abstract getWanted(pool: PoolSituation): number
+}
--- /dev/null
+++ b/packages/core/src/lib/jobs/PoolSituation.ts
@@ -0,0 +1,27 @@
+import type { PoolMachine } from './PoolMachine.js'
+
+/**
+ * A service's pool at one instant.
+ *
+ * @public
+ */
+export interface PoolSituation {
+	readonly service: string
+	/** Machines in it are off and cost nothing. */
+	readonly spare: boolean
+	/** Cores of one machine. */
+	readonly machineCores: number
+	readonly machines: readonly PoolMachine[]
+	/** Machines that are on their way into it. */
+	readonly arriving: number
+	/** Cores that arriving work keeps busy. */
+	readonly demand: number
+	/** Cores in use by tasks that end by themselves. */
+	readonly use: number
+	/** Cores of tasks that could run now and have no place. */
+	readonly waiting: number
+	/** Cores in use by lasting tasks. */
+	readonly lasting: number
+	/** Fewest machines on which the lasting tasks can be spread as they ask. */
+	readonly spread: number
+}
--- /dev/null
+++ b/packages/core/src/lib/jobs/defaultEstimate.ts
@@ -0,0 +1,6 @@
+/**
+ * Expected duration of a task whose caller gave no estimate, in milliseconds.
+ *
+ * @public
+ */
+export const defaultEstimate = 1_000
--- /dev/null
+++ b/packages/core/src/lib/jobs/getJobWork.ts
@@ -0,0 +1,16 @@
+import type { Job } from './Job.js'
+import { defaultEstimate } from './defaultEstimate.js'
+
+/**
+ * Work of one occurrence of a job that ends by itself, in core-milliseconds.
+ *
+ * @public
+ */
+export function getJobWork(job: Job): number {
+	let work = 0
+	for (const step of job.steps) {
+		if (step.lasting || step.fills) continue
+		work += step.count * (step.needs.cpu / 1_000) * (step.estimate || defaultEstimate)
+	}
+	return work
+}
--- /dev/null
+++ b/packages/core/src/lib/jobs/mayStop.ts
@@ -0,0 +1,13 @@
+import type { TaskRow } from './TaskRow.js'
+import { countAway } from './countAway.js'
+
+/**
+ * Whether an order may end a lasting task that is at work: its step would have no more tasks away
+ * than it allows.
+ *
+ * @public
+ */
+export function mayStop(task: TaskRow): boolean {
+	const { mayMiss } = task.step
+	return mayMiss === undefined || countAway(task) < mayMiss
+}
--- a/packages/jobs/src/lib/callers/JobIntake.ts
+++ b/packages/jobs/src/lib/callers/JobIntake.ts
@@ -98,7 +98,20 @@
 	}
 }
 
+/** What decides where and when a step runs, in short. */
 function describeStep(step: JobStep): string {
-	const { count, needs, estimate, lasting, image } = step
-	return `${count}x${needs.cpu}c${needs.memory}m ${lasting ? 'lasting' : estimate} ${image}`
+	const { count, needs, estimate, maximumPerBackend, mayMiss, targetLatency } = step
+	const words = [`${count}x${needs.cpu}m/${needs.memory}MB`]
+	if (step.lasting) words.push('lasting')
+	else words.push(`~${estimate}ms`)
+	if (maximumPerBackend > 0) words.push(`spread=${maximumPerBackend}`)
+	if (mayMiss !== undefined) words.push(`mayMiss=${mayMiss}`)
+	if (targetLatency > 0) words.push(`target=${targetLatency}ms`)
+	if (step.dependsOn.length > 0) words.push(`after=${step.dependsOn.join('+')}`)
+	for (const flag of ['gang', 'sameRack', 'speculative', 'fills', 'checkpoints'] as const) {
+		if (step[flag]) words.push(flag)
+	}
+	if (step.dataRack !== '') words.push(`data=${step.dataRack}`)
+	if (step.requiredLabel !== '') words.push(`needs=${step.requiredLabel}`)
+	return words.join(' ')
 }
--- /dev/null
+++ b/packages/jobs/src/lib/machines/MachineInventory.ts
@@ -0,0 +1,71 @@
+import type { BackendRow } from '@mastichead/core'
+import type { OwnerContext } from '../owner/OwnerContext.js'
+import type { Machine } from '../ports/Machine.js'
+import type { MachineOperator } from '../ports/MachineOperator.js'
+
+/** Age at which the list of machines is read again, in milliseconds. */
+const LIST_AGE = 1_500
+
+/**
+ * What is known of machines: the platform's list, and the registrations of what runs on them.
+ *
+ * @public
+ */
+export class MachineInventory {
+	private machines = new Map<string, Machine>()
+	/** Instant at which the list was asked for; -Infinity before the first. */
+	listedAt = -Infinity
+
+	constructor(
+		private readonly context: OwnerContext,
+		private readonly operator: MachineOperator
+	) {}
+
+	/** Reads the list if it has aged. Resolves to whether there is one. */
+	async refresh(maximumAge = LIST_AGE): Promise<boolean> {
+		const { timers, events } = this.context
+		const askedAt = timers.now()
+		if (askedAt - this.listedAt < maximumAge) return true
+		const machines = await this.operator.list()
+		if (!machines) {
+			events.warn('machines-unreadable', { age: askedAt - this.listedAt })
+			return this.machines.size > 0
+		}
+		const known = this.machines.size
+		this.machines = new Map(machines.map((machine) => [machine.id, machine]))
+		this.listedAt = askedAt
+		if (machines.length !== known) events.info('machines-listed', countByPool(machines))
+		return true
+	}
+
+	get(id: string): Machine | undefined {
+		return this.machines.get(id)
+	}
+
+	get all(): Iterable<Machine> {
+		return this.machines.values()
+	}
+
+	/** Backend server that is registered on a machine. */
+	getBackend(machine: string): BackendRow | undefined {
+		for (const row of this.context.backends.all) {
+			if (row.machine === machine && row.registered) return row
+		}
+		return undefined
+	}
+
+	/** Takes note of an order that the list does not show yet. */
+	noteState(id: string, change: Partial<Pick<Machine, 'state' | 'service'>>): void {
+		const machine = this.machines.get(id)
+		if (machine) this.machines.set(id, { ...machine, ...change })
+	}
+}
+
+function countByPool(machines: readonly Machine[]): Record<string, number> {
+	const counts: Record<string, number> = {}
+	for (const { service, state } of machines) {
+		const key = `${service} ${state}`
+		counts[key] = (counts[key] ?? 0) + 1
+	}
+	return counts
+}
--- /dev/null
+++ b/packages/jobs/src/lib/machines/MachineManager.ts
@@ -0,0 +1,100 @@
+import type { DemandMeter, TaskRow } from '@mastichead/core'
+import { DemandPoolPolicy } from '@mastichead/core'
+import type { OwnerContext } from '../owner/OwnerContext.js'
+import type { ProgressWriter } from '../owner/ProgressWriter.js'
+import type { TaskLedger } from '../owner/TaskLedger.js'
+import type { MachineOperator } from '../ports/MachineOperator.js'
+import type { Wave } from '../ports/Wave.js'
+import { Evacuator } from './Evacuator.js'
+import { MachineInventory } from './MachineInventory.js'
+import { PoolManager } from './PoolManager.js'
+import { WaveManager } from './WaveManager.js'
+import type { WaveProgress } from './WaveProgress.js'
+
+/** Pause between two rounds, in milliseconds. */
+const ROUND_PAUSE = 150
+/** An owner that has just begun orders nothing while an earlier one may have, in milliseconds. */
+const TAKEOVER_PAUSE = 3_100
+
+/**
+ * Everything the owner does with machines: waves, moves between pools, and emptying.
+ *
+ * @public
+ */
+export class MachineManager {
+	private readonly inventory: MachineInventory
+	private readonly waves: WaveManager
+	private readonly pools: PoolManager
+	private readonly evacuator: Evacuator
+	private stopped = false
+
+	constructor(
+		private readonly context: OwnerContext,
+		parts: {
+			readonly operator: MachineOperator
+			readonly ledger: TaskLedger
+			readonly writer: ProgressWriter
+			readonly demand: DemandMeter
+			readonly stopTask: (task: TaskRow) => void
+			readonly getBacklog: () => ReadonlyMap<string, number>
+			readonly getWaves: () => ReadonlyMap<string, Wave>
+			readonly report: (key: string, state: 'running' | 'completed') => Promise<boolean>
+			readonly getProgress: (key: string) => WaveProgress | undefined
+		}
+	) {
+		const { operator, ledger, writer, getWaves, report, getProgress, demand, getBacklog } = parts
+		this.inventory = new MachineInventory(context, operator)
+		this.evacuator = new Evacuator(context, parts.stopTask)
+		this.waves = new WaveManager(context, {
+			operator,
+			ledger,
+			writer,
+			inventory: this.inventory,
+			hasSlack: (service) => this.pools.hasSlack(service),
+			getWaves,
+			report,
+			getProgress,
+		})
+		this.pools = new PoolManager(context, {
+			operator,
+			inventory: this.inventory,
+			policy: new DemandPoolPolicy(),
+			demand,
+			getBacklog,
+			isReserved: (machine) => this.waves.isReserved(machine),
+		})
+	}
+
+	start(): void {
+		void this.run()
+	}
+
+	stop(): void {
+		this.stopped = true
+		this.waves.stop()
+	}
+
+	private async run(): Promise<void> {
+		await this.sleep(TAKEOVER_PAUSE)
+		while (!this.isStopped()) {
+			const listed = await this.inventory.refresh()
+			if (this.isStopped()) return
+			this.evacuator.run()
+			if (listed) {
+				this.pools.run()
+				await this.waves.run()
+			}
+			await this.sleep(ROUND_PAUSE)
+		}
+	}
+
+	private isStopped(): boolean {
+		return this.stopped
+	}
+
+	private sleep(duration: number): Promise<void> {
+		return new Promise((resolve) => {
+			this.context.timers.after(duration, resolve)
+		})
+	}
+}
--- /dev/null
+++ b/packages/jobs/src/lib/machines/PoolManager.ts
@@ -0,0 +1,165 @@
+import type { BackendRow, DemandMeter, MachineMove, PoolPolicy, PoolSituation } from '@mastichead/core'
+import type { OwnerContext } from '../owner/OwnerContext.js'
+import type { MachineOperator } from '../ports/MachineOperator.js'
+import type { MachineInventory } from './MachineInventory.js'
+
+/** A machine that has not registered this long after its move is no longer expected. */
+const ARRIVAL_TIME = 4_000
+/** Pause before a machine is ordered again whose move was refused, in milliseconds. */
+const REFUSAL_PAUSE = 2_000
+/** Tries of one order that gets no answer. */
+const MAXIMUM_TRIES = 3
+const MILLICORES = 1_000
+
+/**
+ * Moves machines between pools as the policy decides. Only machines on which nothing runs are
+ * moved.
+ *
+ * @public
+ */
+export class PoolManager {
+	/** Machines on their way, with the pool and the instant of the order. */
+	private readonly arriving = new Map<string, { readonly service: string; readonly at: number }>()
+	private readonly pausedUntil = new Map<string, number>()
+	private situations: readonly PoolSituation[] = []
+
+	constructor(
+		private readonly context: OwnerContext,
+		private readonly parts: {
+			readonly operator: MachineOperator
+			readonly inventory: MachineInventory
+			readonly policy: PoolPolicy
+			readonly demand: DemandMeter
+			/** Cores of tasks without room by service. */
+			readonly getBacklog: () => ReadonlyMap<string, number>
+			/** Machines that a wave is emptying or has taken down. */
+			readonly isReserved: (machine: string) => boolean
+		}
+	) {}
+
+	/** Plans once and sends the orders. */
+	run(): void {
+		const now = this.context.timers.now()
+		this.noteArrivals(now)
+		this.situations = this.getSituations(now)
+		for (const move of this.parts.policy.plan(this.situations, now)) void this.carryOut(move)
+	}
+
+	/** Whether a pool can do without one more of its machines now. */
+	hasSlack(service: string): boolean {
+		const pool = this.situations.find((candidate) => candidate.service === service)
+		if (!pool) return false
+		return pool.machines.length > this.parts.policy.getWanted(pool)
+	}
+
+	private noteArrivals(now: number): void {
+		for (const [machine, { service, at }] of this.arriving) {
+			const backend = this.parts.inventory.getBackend(machine)
+			const arrived = backend?.service === service && backend.reconciled
+			if (arrived || now - at > ARRIVAL_TIME) this.arriving.delete(machine)
+		}
+	}
+
+	private getSituations(now: number): PoolSituation[] {
+		const configuration = this.context.getConfiguration()
+		const situations: PoolSituation[] = []
+		for (const service of configuration.services) {
+			const spare = configuration.spareServices.has(service)
+			situations.push(spare ? this.getSpare(service, now) : this.getPool(service, now))
+		}
+		return situations
+	}
+
+	private getPool(service: string, now: number): PoolSituation {
+		const machines: { id: string; idleSince: number | undefined }[] = []
+		let machineCores = 0
+		let lasting = 0
+		let used = 0
+		for (const row of this.context.backends.all) {
+			if (row.tasks.size > 0) row.idleSince = now
+			if (row.service === service) used += row.used.cpu / MILLICORES
+			if (row.service !== service || !row.registered || row.draining || row.closing) continue
+			machineCores = Math.max(machineCores, row.capacity.cpu / MILLICORES)
+			lasting += getLastingCores(row)
+			machines.push({ id: row.machine, idleSince: this.getIdleSince(row, now) })
+		}
+		const arriving = [...this.arriving.values()].filter((entry) => entry.service === service)
+		return {
+			service,
+			spare: false,
+			machineCores,
+			machines,
+			arriving: arriving.length,
+			demand: this.parts.demand.getCores(service, now),
+			use: Math.max(0, used - lasting),
+			waiting: this.parts.getBacklog().get(service) ?? 0,
+			lasting,
+			spread: this.getSpread(service),
+		}
+	}
+
+	/** The spare pool: its machines are off, so only the platform's list tells of them. */
+	private getSpare(service: string, now: number): PoolSituation {
+		const machines: { id: string; idleSince: number | undefined }[] = []
+		for (const machine of this.parts.inventory.all) {
+			if (machine.service !== service || machine.state !== 'up') continue
+			const paused = (this.pausedUntil.get(machine.id) ?? 0) > now
+			const reserved = this.parts.isReserved(machine.id) || this.arriving.has(machine.id)
+			machines.push({ id: machine.id, idleSince: paused || reserved ? undefined : 0 })
+		}
+		const empty = { arriving: 0, demand: 0, use: 0, waiting: 0, lasting: 0, spread: 0 }
+		return { service, spare: true, machineCores: 0, machines, ...empty }
+	}
+
+	/** Machines that the widest lasting step needs, since it bounds its tasks on each. */
+	private getSpread(service: string): number {
+		const { jobs, getConfiguration } = this.context
+		let spread = 0
+		for (const row of jobs.active) {
+			if (getConfiguration().queues.get(row.job.queue)?.service !== service) continue
+			for (const { lasting, count, maximumPerBackend } of row.job.steps) {
+				if (!lasting || maximumPerBackend === 0) continue
+				spread = Math.max(spread, Math.ceil(count / maximumPerBackend))
+			}
+		}
+		return spread
+	}
+
+	private getIdleSince(row: BackendRow, now: number): number | undefined {
+		const paused = (this.pausedUntil.get(row.machine) ?? 0) > now
+		const usable = row.reconciled && row.reachable && row.machine !== ''
+		if (row.tasks.size > 0 || paused || !usable) return undefined
+		return this.parts.isReserved(row.machine) ? undefined : row.idleSince
+	}
+
+	private async carryOut(move: MachineMove): Promise<void> {
+		const { timers, events, token } = this.context
+		const backend = this.parts.inventory.getBackend(move.machine)
+		if (backend) backend.closing = true
+		this.arriving.set(move.machine, { service: move.to, at: timers.now() })
+		let result = await this.parts.operator.move(move.machine, move.to, token)
+		for (let tries = 1; result.kind === 'unknown' && tries < MAXIMUM_TRIES; tries += 1) {
+			result = await this.parts.operator.move(move.machine, move.to, token)
+		}
+		events.info('machine-move', { ...move, backend: backend?.id, ...result })
+		if (result.kind === 'done') {
+			if (backend) backend.registered = false
+			this.parts.inventory.noteState(move.machine, { service: move.to, state: 'moving' })
+			return
+		}
+		this.arriving.delete(move.machine)
+		this.pausedUntil.set(move.machine, timers.now() + REFUSAL_PAUSE)
+		if (backend) backend.closing = false
+		if (result.kind === 'refused' && result.reason === 'fence') {
+			this.context.abandon(`move of ${move.machine} refused: fence`)
+		}
+	}
+}
+
+function getLastingCores(row: BackendRow): number {
+	let cores = 0
+	for (const task of row.tasks.values()) {
+		if (task.step.lasting && !task.step.fills) cores += task.step.needs.cpu / MILLICORES
+	}
+	return cores
+}
--- a/packages/jobs/src/lib/machines/WaveManager.ts
+++ b/packages/jobs/src/lib/machines/WaveManager.ts
@@ -5,17 +5,15 @@
 import type { ProgressWriter } from '../owner/ProgressWriter.js'
 import type { TaskLedger } from '../owner/TaskLedger.js'
 import type { Machine } from '../ports/Machine.js'
+import type { MachineInventory } from './MachineInventory.js'
 import type { MachineOperator } from '../ports/MachineOperator.js'
 import type { Wave } from '../ports/Wave.js'
 import type { WaveProgress } from './WaveProgress.js'
 import type { WaveRow } from './WaveRow.js'
 
-/** Pause between two rounds, in milliseconds. */
-const ROUND_PAUSE = 250
-/** Time after which the list of machines is read again while a wave is under way. */
-const LIST_INTERVAL = 900
-/** An owner that has just begun orders nothing while an earlier one may have, in milliseconds. */
-const TAKEOVER_PAUSE = 3_100
+/** Share of a wave's time after which machines are taken also from pools that need them. */
+const PATIENT_SHARE = 0.5
+const MILLISECONDS_PER_SECOND = 1_000
 /** Time for tasks that end by themselves before a machine is taken down all the same. */
 const MAXIMUM_EMPTYING_TIME = 4_000
 /** Machines that are emptied ahead, for each that may be down. */
@@ -33,8 +31,6 @@
  */
 export class WaveManager {
 	private readonly rows = new Map<string, WaveRow>()
-	private machines: readonly Machine[] = []
-	private listedAt = -Infinity
 	private stopped = false
 
 	constructor(
@@ -42,6 +38,9 @@
 		private readonly parts: {
 			readonly operator: MachineOperator
 			readonly ledger: TaskLedger
+			readonly inventory: MachineInventory
+			/** Whether a service's pool can do without one more machine. */
+			readonly hasSlack: (service: string) => boolean
 			readonly getWaves: () => ReadonlyMap<string, Wave>
 			readonly writer: ProgressWriter
 			/** Tells the operator how far a wave is; resolves to whether that is durable. */
@@ -51,20 +50,21 @@
 		}
 	) {}
 
-	start(): void {
-		void this.run()
-	}
-
 	stop(): void {
 		this.stopped = true
 	}
 
-	private async run(): Promise<void> {
-		await this.sleep(TAKEOVER_PAUSE)
-		while (!this.stopped) {
-			for (const [key, wave] of this.parts.getWaves()) await this.advance(this.use(key, wave))
-			await this.sleep(ROUND_PAUSE)
+	/** Carries every wave on by what can be done now. */
+	async run(): Promise<void> {
+		for (const [key, wave] of this.parts.getWaves()) await this.advance(this.use(key, wave))
+	}
+
+	/** Whether a wave is emptying the machine or has taken it down. */
+	isReserved(machine: string): boolean {
+		for (const row of this.rows.values()) {
+			if (row.closing.has(machine) || row.down.has(machine)) return true
 		}
+		return false
 	}
 
 	private use(key: string, wave: Wave): WaveRow {
@@ -81,6 +81,7 @@
 			done,
 			down: new Map(),
 			closing: new Map(),
+			receivedAt: this.context.timers.now(),
 			reported: kept?.reported ?? 'nothing',
 		}
 		this.rows.set(key, row)
@@ -93,7 +94,6 @@
 			row.reported = 'running'
 			this.record(row)
 		}
-		if (!(await this.readMachines())) return
 		this.noteReturned(row)
 		this.noteGone(row)
 		const open = row.wave.machines.filter((machine) => !row.done.has(machine))
@@ -112,27 +112,15 @@
 		this.context.events.info('wave-completed', { wave: row.wave.number, machines: row.done.size })
 	}
 
-	private async readMachines(): Promise<boolean> {
-		const { timers, events } = this.context
-		if (timers.now() - this.listedAt < LIST_INTERVAL) return true
-		const machines = await this.parts.operator.list()
-		if (!machines) {
-			events.warn('machines-unreadable', { age: timers.now() - this.listedAt })
-			return false
-		}
-		this.machines = machines
-		this.listedAt = timers.now()
-		return true
-	}
-
 	private noteReturned(row: WaveRow): void {
+		const { inventory } = this.parts
 		for (const [machine, orderedAt] of row.down) {
-			if (this.listedAt < orderedAt + MINIMUM_DOWN_TIME) continue
+			if (inventory.listedAt < orderedAt + MINIMUM_DOWN_TIME) continue
 			if (this.find(machine)?.state === 'up') row.down.delete(machine)
 		}
-		for (const machine of this.machines) {
-			if (machine.state !== 'maintenance' || !row.wave.machines.includes(machine.id)) continue
-			if (!row.down.has(machine.id)) row.down.set(machine.id, this.listedAt)
+		for (const machine of row.wave.machines) {
+			if (this.find(machine)?.state !== 'maintenance' || row.down.has(machine)) continue
+			row.down.set(machine, inventory.listedAt)
 		}
 	}
 
@@ -152,27 +140,38 @@
 		const limit = row.wave.atOnce * (1 + EMPTIED_AHEAD)
 		const backends = new Map<BackendRow, string>()
 		for (const machine of open) {
-			if (row.closing.has(machine)) continue
-			const listed = this.find(machine)
-			if (listed?.state !== 'up') continue
-			const backend = this.context.backends.get(listed.backend)
+			if (row.closing.has(machine) || this.find(machine)?.state !== 'up') continue
+			const backend = this.parts.inventory.getBackend(machine)
 			if (backend) backends.set(backend, machine)
-			// Nothing of ours runs on a machine whose server never registered.
-			else if (row.closing.size < limit) row.closing.set(machine, this.context.timers.now())
+			// Nothing of ours runs on a machine without a registered server.
+			else if (row.closing.size < limit) this.close(row, machine, undefined)
 		}
 		for (const backend of getMaintenanceOrder([...backends.keys()])) {
 			if (row.closing.size >= limit) return
-			backend.closing = true
-			row.closing.set(backends.get(backend) ?? '', this.context.timers.now())
-			const { id, tasks } = backend
-			this.context.events.info('backend-closing', { backend: id, tasks: tasks.size })
+			if (!backend.closing && this.isTimeFor(row, backend)) {
+				this.close(row, backends.get(backend) ?? '', backend)
+			}
 		}
 	}
 
+	private close(row: WaveRow, machine: string, backend: BackendRow | undefined): void {
+		const { timers, events } = this.context
+		row.closing.set(machine, timers.now())
+		if (!backend) return
+		backend.closing = true
+		events.info('backend-closing', { backend: backend.id, machine, tasks: backend.tasks.size })
+	}
+
+	/** A pool that needs all it has is left alone while the wave has time. */
+	private isTimeFor(row: WaveRow, backend: BackendRow): boolean {
+		const elapsed = this.context.timers.now() - row.receivedAt
+		const patient = row.wave.deadline * MILLISECONDS_PER_SECOND * PATIENT_SHARE
+		return elapsed > patient || this.parts.hasSlack(backend.service)
+	}
+
 	private async tryMaintain(row: WaveRow, machine: string): Promise<void> {
-		const { events, timers, token, backends } = this.context
-		const listed = this.find(machine)
-		const backend = listed && backends.get(listed.backend)
+		const { events, timers, token } = this.context
+		const backend = this.parts.inventory.getBackend(machine)
 		if (row.down.size >= row.wave.atOnce || this.stopped) return
 		if (backend && !this.isEmptied(backend, row.closing.get(machine) ?? 0)) return
 		if (backend && !mayInterrupt(backend)) return
@@ -225,7 +224,7 @@
 		if (reason !== 'wave') return
 		row.done.add(machine)
 		row.closing.delete(machine)
-		const backend = this.context.backends.get(this.find(machine)?.backend ?? '')
+		const backend = this.parts.inventory.getBackend(machine)
 		if (backend) backend.closing = false
 	}
 
@@ -254,12 +253,6 @@
 	}
 
 	private find(machine: string): Machine | undefined {
-		return this.machines.find((candidate) => candidate.id === machine)
-	}
-
-	private sleep(duration: number): Promise<void> {
-		return new Promise((resolve) => {
-			this.context.timers.after(duration, resolve)
-		})
+		return this.parts.inventory.get(machine)
 	}
 }
--- a/packages/jobs/src/lib/owner/BackendRegistry.ts
+++ b/packages/jobs/src/lib/owner/BackendRegistry.ts
@@ -7,7 +7,7 @@
 
 /** Time that a read waits for a registration to change, and the pause after it, in milliseconds. */
 const READ_WAIT = 500
-const READ_PAUSE = 400
+const READ_PAUSE = 250
 /**
  * For this long after the log was out of reach, an entry that has gone may only have lapsed and
  * is kept, in milliseconds.
@@ -62,14 +62,18 @@
 		const row = this.context.backends.use(registration.id)
 		const changed =
 			known?.registered !== true ||
+			row.service !== registration.service ||
 			row.draining !== registration.draining ||
 			row.incarnation !== registration.incarnation
+		if (row.incarnation !== registration.incarnation) row.closing = false
+		row.machine = registration.machine
 		row.service = registration.service
 		row.address = registration.address
 		row.zone = registration.zone
 		row.labels = registration.labels
 		row.capacity = registration.capacity
 		row.draining = registration.draining
+		if (!row.registered || known === undefined) row.idleSince = this.context.timers.now()
 		row.registered = true
 		if (!changed) return
 		const { id, service, draining } = row
--- a/packages/jobs/src/lib/owner/OwnerTerm.ts
+++ b/packages/jobs/src/lib/owner/OwnerTerm.ts
@@ -11,7 +11,9 @@
 	JobTable,
 	PlacementPlanner,
 	SlackOrder,
-	SpreadChoice,
+	PackChoice,
+	getJobWork,
+	DemandMeter,
 } from '@mastichead/core'
 import type { JobReplica } from '../log/JobReplica.js'
 import type { ReplicaRow } from '../log/ReplicaRow.js'
@@ -23,7 +25,7 @@
 import type { MetadataLog } from '../ports/MetadataLog.js'
 import type { OperatorFormat } from '../ports/OperatorFormat.js'
 import type { Wave } from '../ports/Wave.js'
-import { WaveManager } from '../machines/WaveManager.js'
+import { MachineManager } from '../machines/MachineManager.js'
 import { BackendMonitor } from './BackendMonitor.js'
 import { BackendRegistry } from './BackendRegistry.js'
 import { LeaseTerms } from './LeaseTerms.js'
@@ -55,7 +57,8 @@
 	private readonly planner: PlacementPlanner
 	private readonly registry: BackendRegistry
 	private readonly health: BackendHealth
-	private readonly waves: WaveManager
+	private readonly machines: MachineManager
+	private readonly demand = new DemandMeter()
 	private readonly monitors = new Map<BackendId, BackendMonitor>()
 	private readonly subscriptions: { cancel(): void }[] = []
 	private planning = false
@@ -119,17 +122,20 @@
 			(task) => void this.dispatcher.stop(task),
 			replan
 		)
-		this.planner = new PlacementPlanner(jobs, backends, new SlackOrder(), new SpreadChoice())
+		this.planner = new PlacementPlanner(jobs, backends, new SlackOrder(), new PackChoice())
 		this.registry = new BackendRegistry(this.context, parts.log, parts.format, (row) => {
 			this.noteBackend(row)
 		})
-		this.waves = new WaveManager(this.context, {
+		this.machines = new MachineManager(this.context, {
 			operator: parts.operator,
 			ledger: this.ledger,
+			writer: this.writer,
+			demand: this.demand,
+			stopTask: (task) => void this.dispatcher.stop(task),
+			getBacklog: () => this.planner.backlog,
 			getWaves: parts.getWaves,
 			report: (key, state) => this.reportWave(key, state),
 			getProgress: (key) => parts.replica.waves.get(key),
-			writer: this.writer,
 		})
 	}
 
@@ -157,7 +163,7 @@
 		for (const row of this.context.backends.all) this.watch(row)
 		const waited = timers.now() - startedAt
 		events.info('owner-begun', { token, waited, jobs: this.context.jobs.active.size })
-		this.waves.start()
+		this.machines.start()
 		this.planSoon()
 	}
 
@@ -168,7 +174,7 @@
 		this.dispatcher.end()
 		this.writer.stop()
 		this.registry.follower.stop()
-		this.waves.stop()
+		this.machines.stop()
 		for (const monitor of this.monitors.values()) monitor.stop()
 		for (const subscription of this.subscriptions) subscription.cancel()
 		this.parts.progress.resume()
@@ -220,7 +226,13 @@
 
 	private noteJob(replicaRow: ReplicaRow): void {
 		if (!replicaRow.job) return
-		const row = this.context.jobs.admit(replicaRow.job, replicaRow.snapshot)
+		const { jobs, timers, getConfiguration } = this.context
+		const { job, snapshot } = replicaRow
+		if (!jobs.get(job.id)) {
+			const service = getConfiguration().queues.get(job.queue)?.service
+			if (service !== undefined) this.demand.note(service, getJobWork(job), timers.now())
+		}
+		const row = jobs.admit(job, snapshot)
 		if (replicaRow.cancelled) this.ledger.cancel(row)
 		this.planSoon()
 	}
--- a/packages/jobs/src/lib/ports/BackendRegistration.ts
+++ b/packages/jobs/src/lib/ports/BackendRegistration.ts
@@ -7,6 +7,8 @@
  */
 export interface BackendRegistration {
 	readonly id: BackendId
+	/** Machine that it runs on; empty if it does not say. */
+	readonly machine: string
 	readonly service: string
 	/** `IP:PORT` */
 	readonly address: string
