--- a/packages/jobs/src/lib/JobDaemon.ts
+++ b/packages/jobs/src/lib/JobDaemon.ts
@@ -4,6 +4,8 @@
 import { ConfigurationManager } from './configuration/ConfigurationManager.js'
 import { JobReplica } from './log/JobReplica.js'
 import { StreamFollower } from './log/StreamFollower.js'
+import { intakeStreams } from './ports/intakeStreams.js'
+import type { IntakeStream } from './ports/IntakeStream.js'
 import type { EventLog } from './logs/EventLog.js'
 import type { JobMetrics } from './metrics/JobMetrics.js'
 import { OwnerTerm } from './owner/OwnerTerm.js'
@@ -14,9 +16,9 @@
 import type { OperatorFormat } from './ports/OperatorFormat.js'
 
 /** Time that a read of the intake waits, and the pauses after it, in milliseconds. */
-const INTAKE_WAIT = 1_000
+const INTAKE_WAIT = 2_000
 const OWNER_INTAKE_PAUSE = 10
-const INTAKE_PAUSE = 900
+const INTAKE_PAUSE = 1_500
 /** Time that a read of the progress waits, and the pause after it, in milliseconds. */
 const PROGRESS_WAIT = 1_000
 const PROGRESS_PAUSE = 120
@@ -33,7 +35,7 @@
 	readonly configuration: ConfigurationManager
 	readonly intake: JobIntake
 	private readonly replica: JobReplica
-	private readonly intakeFollower: StreamFollower
+	private readonly intakeFollowers: ReadonlyMap<IntakeStream, StreamFollower>
 	private readonly progressFollower: StreamFollower
 	private readonly ownership: Ownership
 	private term: OwnerTerm | undefined
@@ -56,18 +58,8 @@
 		const { log, timers, events, metrics, format, member } = parts
 		this.replica = new JobReplica(events)
 		this.configuration = new ConfigurationManager({ log, timers, events, format })
-		this.intakeFollower = new StreamFollower(
-			'intake',
-			log,
-			timers,
-			events,
-			(entry) => {
-				this.replica.applyIntake(entry)
-			},
-			{
-				wait: INTAKE_WAIT,
-				getPause: () => (this.ownership.isOwner ? OWNER_INTAKE_PAUSE : INTAKE_PAUSE),
-			}
+		this.intakeFollowers = new Map(
+			intakeStreams.map((stream) => [stream, this.createIntakeFollower(stream)])
 		)
 		this.progressFollower = new StreamFollower(
 			'progress',
@@ -79,8 +71,8 @@
 			},
 			{ wait: PROGRESS_WAIT, getPause: () => PROGRESS_PAUSE }
 		)
-		const writer = new IntakeWriter(log, timers, this.intakeFollower)
-		const followers = [this.intakeFollower, this.progressFollower]
+		const writer = new IntakeWriter(log, timers, events, this.intakeFollowers)
+		const followers = [...this.intakeFollowers.values(), this.progressFollower]
 		this.intake = new JobIntake(this.replica, writer, followers, events)
 		this.ownership = new Ownership({
 			member,
@@ -100,7 +92,7 @@
 
 	start(): void {
 		this.configuration.follower.start()
-		this.intakeFollower.start()
+		for (const follower of this.intakeFollowers.values()) follower.start()
 		this.progressFollower.start()
 		this.ownership.start()
 	}
@@ -110,7 +102,7 @@
 		if (this.stopping || !this.configuration.current) return false
 		const { lastContact } = this.configuration.follower
 		const silence = this.parts.timers.now() - (lastContact ?? -Infinity)
-		return this.intakeFollower.loaded && silence < MAXIMUM_LOG_SILENCE
+		return this.progressFollower.loaded && silence < MAXIMUM_LOG_SILENCE
 	}
 
 	/** Hands ownership over; callers are still answered. */
@@ -119,6 +111,23 @@
 		await this.ownership.leave()
 	}
 
+	private createIntakeFollower(stream: IntakeStream): StreamFollower {
+		const { log, timers, events } = this.parts
+		return new StreamFollower(
+			stream,
+			log,
+			timers,
+			events,
+			(entry) => {
+				this.replica.applyIntake(entry)
+			},
+			{
+				wait: INTAKE_WAIT,
+				getPause: () => (this.ownership.isOwner ? OWNER_INTAKE_PAUSE : INTAKE_PAUSE),
+			}
+		)
+	}
+
 	private beginTerm(token: number): void {
 		const { log, server, format, operator, timers, events, metrics, getWallTime } = this.parts
 		this.endTerm()
@@ -133,7 +142,7 @@
 			events,
 			metrics,
 			replica: this.replica,
-			intake: this.intakeFollower,
+			intake: [...this.intakeFollowers.values()],
 			progress: this.progressFollower,
 			getWallTime,
 			getConfiguration: () => this.configuration.require(),
--- a/packages/jobs/src/lib/callers/IntakeWriter.ts
+++ b/packages/jobs/src/lib/callers/IntakeWriter.ts
@@ -1,18 +1,22 @@
 import type { TimerService } from '@mastichead/core'
 import type { StreamFollower } from '../log/StreamFollower.js'
+import type { EventLog } from '../logs/EventLog.js'
 import type { AppendResult } from '../ports/AppendResult.js'
+import type { IntakeStream } from '../ports/IntakeStream.js'
 import type { LogRecord } from '../ports/LogRecord.js'
 import type { MetadataLog } from '../ports/MetadataLog.js'
 import type { WriteVerdict } from './WriteVerdict.js'
 
-/** Time for one append, in milliseconds. */
-const APPEND_TIMEOUT = 700
-/** Appends under way at once. */
-const MAXIMUM_APPENDS = 2
-/** Records in one append. */
+/** An append that has no answer after this long is tried on the next stream too, in milliseconds. */
+const HEDGE_DELAY = 150
+/** Time for one append, and for a record on all streams, in milliseconds. */
+const APPEND_TIMEOUT = 900
+const WRITE_TIMEOUT = 1_200
+/** A stream that has failed is tried last for this long, in milliseconds. */
+const DISTRUST_TIME = 5_000
+/** Appends under way at once, and records in one. */
+const MAXIMUM_APPENDS = 4
 const MAXIMUM_RECORDS = 100
-/** Pause before an append that got no answer is repeated, in milliseconds. */
-const RETRY_PAUSE = 50
 
 interface Waiting {
 	readonly record: LogRecord
@@ -21,19 +25,21 @@
 }
 
 /**
- * Appends what callers ask for to the intake. Records that come while appends are under way go
- * together into the next. Each record is idempotent: it can be appended more than once.
+ * Appends what callers ask for to one of the intake's streams, to another one when the first does
+ * not answer. Each record is idempotent: it can be appended more than once, to any stream.
  *
  * @public
  */
 export class IntakeWriter {
 	private waiting: Waiting[] = []
 	private appends = 0
+	private readonly distrustedUntil = new Map<IntakeStream, number>()
 
 	constructor(
 		private readonly log: MetadataLog,
 		private readonly timers: TimerService,
-		private readonly follower: StreamFollower
+		private readonly events: EventLog,
+		private readonly followers: ReadonlyMap<IntakeStream, StreamFollower>
 	) {}
 
 	/**
@@ -51,43 +57,84 @@
 			const batch = this.waiting.slice(0, MAXIMUM_RECORDS)
 			this.waiting = this.waiting.slice(MAXIMUM_RECORDS)
 			this.appends += 1
-			void this.appendBatch(batch).finally(() => {
+			void this.writeBatch(batch).finally(() => {
 				this.appends -= 1
 				this.flush()
 			})
 		}
 	}
 
-	private async appendBatch(batch: readonly Waiting[]): Promise<void> {
+	private async writeBatch(batch: readonly Waiting[]): Promise<void> {
 		const records = batch.map((entry) => entry.record)
-		const deadline = Math.min(...batch.map((entry) => entry.deadline))
-		let result = await this.append(records, deadline)
-		let unclear = false
-		while (result.kind === 'unknown' && this.timers.now() + RETRY_PAUSE < deadline) {
-			unclear = true
-			await new Promise<void>((resolve) => this.timers.after(RETRY_PAUSE, resolve))
-			result = await this.append(records, deadline)
-		}
-		const verdict = getVerdict(result, unclear)
+		const limit = this.timers.now() + WRITE_TIMEOUT
+		const deadline = Math.min(limit, ...batch.map((entry) => entry.deadline))
+		const verdict = await this.writeRecords(records, deadline)
 		for (const { resolve } of batch) resolve(verdict)
 	}
 
-	private async append(records: readonly LogRecord[], deadline: number): Promise<AppendResult> {
-		const timeout = Math.max(1, Math.min(APPEND_TIMEOUT, deadline - this.timers.now()))
-		const result = await this.log.append('intake', records, timeout)
-		if (result.kind === 'appended') this.applyOwn(records, result.offset)
-		return result
+	/** Tries the streams one after the other, each a little after the one before. */
+	private writeRecords(records: readonly LogRecord[], deadline: number): Promise<WriteVerdict> {
+		return new Promise((resolve) => {
+			const streams = this.getStreams()
+			let started = 0
+			let ended = 0
+			let unknown: string | undefined
+			let rejected = ''
+			const tryNext = (): void => {
+				const stream = streams[started]
+				if (stream === undefined) return
+				started += 1
+				const mine = started
+				const hedge = this.timers.after(HEDGE_DELAY, () => {
+					if (started === mine) tryNext()
+				})
+				void this.append(stream, records, deadline).then((result) => {
+					hedge.cancel()
+					ended += 1
+					if (result.kind === 'appended') resolve({ kind: 'stored' })
+					else if (result.kind === 'unknown') unknown = result.reason
+					else rejected = result.reason
+					if (started === mine) tryNext()
+					if (ended < streams.length) return
+					if (unknown !== undefined) resolve({ kind: 'unclear', reason: unknown })
+					else resolve({ kind: 'not-stored', reason: rejected })
+				})
+			}
+			tryNext()
+		})
 	}
 
-	private applyOwn(records: readonly LogRecord[], offset: number): void {
+	private async append(
+		stream: IntakeStream,
+		records: readonly LogRecord[],
+		deadline: number
+	): Promise<AppendResult> {
+		const left = deadline - this.timers.now()
+		if (left <= 0) return { kind: 'rejected', reason: 'no time left' }
+		const result = await this.log.append(stream, records, Math.min(APPEND_TIMEOUT, left))
+		if (result.kind !== 'appended') {
+			this.noteFailure(stream, result.reason)
+			return result
+		}
+		const { offset } = result
 		const entries = records.map((record, place) => ({ ...record, offset: offset + place }))
 		// Others may have appended before: what lies between is still to be read.
-		this.follower.applyOwn(entries, 0)
+		this.followers.get(stream)?.applyOwn(entries, 0)
+		return result
 	}
-}
 
-function getVerdict(result: AppendResult, unclear: boolean): WriteVerdict {
-	if (result.kind === 'appended') return { kind: 'stored' }
-	if (result.kind === 'unknown' || unclear) return { kind: 'unclear', reason: result.reason }
-	return { kind: 'not-stored', reason: result.reason }
+	private noteFailure(stream: IntakeStream, reason: string): void {
+		const now = this.timers.now()
+		const known = (this.distrustedUntil.get(stream) ?? 0) > now
+		this.distrustedUntil.set(stream, now + DISTRUST_TIME)
+		if (!known) this.events.warn('intake-distrusted', { stream, reason, duration: DISTRUST_TIME })
+	}
+
+	private getStreams(): IntakeStream[] {
+		const now = this.timers.now()
+		const isDistrusted = (stream: IntakeStream): boolean =>
+			(this.distrustedUntil.get(stream) ?? 0) > now
+		const streams = [...this.followers.keys()]
+		return streams.sort((a, b) => Number(isDistrusted(a)) - Number(isDistrusted(b)))
+	}
 }
--- a/packages/jobs/src/lib/log/StreamFollower.ts
+++ b/packages/jobs/src/lib/log/StreamFollower.ts
@@ -19,12 +19,13 @@
 	loaded = false
 	/** Instant of the last answer from the log; undefined before the first. */
 	lastContact: number | undefined
+	/** Whether the latest read was answered. */
+	available = true
 	/** Offset of the next record to read. */
 	next = 0
 	private readonly offsets = new Map<string, number>()
 	private paused = false
 	private stopped = false
-	private available = true
 	private reading: Promise<boolean> | undefined
 	private wake: (() => void) | undefined
 
--- a/packages/jobs/src/lib/machines/PoolManager.ts
+++ b/packages/jobs/src/lib/machines/PoolManager.ts
@@ -1,4 +1,10 @@
-import type { BackendRow, DemandMeter, MachineMove, PoolPolicy, PoolSituation } from '@mastichead/core'
+import type {
+	BackendRow,
+	DemandMeter,
+	MachineMove,
+	PoolPolicy,
+	PoolSituation,
+} from '@mastichead/core'
 import type { OwnerContext } from '../owner/OwnerContext.js'
 import type { MachineOperator } from '../ports/MachineOperator.js'
 import type { MachineInventory } from './MachineInventory.js'
--- a/packages/jobs/src/lib/owner/BackendMonitor.ts
+++ b/packages/jobs/src/lib/owner/BackendMonitor.ts
@@ -40,6 +40,8 @@
 			readonly dispatcher: OrderDispatcher
 			readonly writer: ProgressWriter
 			readonly replan: () => void
+			/** Whether every job that was accepted is known. */
+			readonly isComplete: () => boolean
 		}
 	) {}
 
@@ -207,6 +209,8 @@
 	}
 
 	private stopUnwanted(task: string, attempt: number): void {
+		const known = this.context.jobs.getTask(task) !== undefined
+		if (!known && !this.parts.isComplete()) return
 		const now = this.context.timers.now()
 		const key = `${task}/${attempt}`
 		if ((this.unwanted.get(key) ?? -Infinity) > now - UNWANTED_STOP_PAUSE) return
--- a/packages/jobs/src/lib/owner/OwnerTerm.ts
+++ b/packages/jobs/src/lib/owner/OwnerTerm.ts
@@ -40,6 +40,8 @@
 const PLAN_INTERVAL = 200
 /** Nothing is placed while the log has not answered an append for this long, in milliseconds. */
 const MAXIMUM_WRITER_DELAY = 1_000
+/** Time for a stream of the intake to be read while a term begins, in milliseconds. */
+const MAXIMUM_INTAKE_WAIT = 600
 /** Pause before a read that failed is repeated while a term begins, in milliseconds. */
 const CATCH_UP_PAUSE = 100
 
@@ -77,7 +79,7 @@
 			readonly events: EventLog
 			readonly metrics: JobMetrics
 			readonly replica: JobReplica
-			readonly intake: StreamFollower
+			readonly intake: readonly StreamFollower[]
 			readonly progress: StreamFollower
 			readonly getWallTime: () => number
 			readonly getConfiguration: () => FleetConfiguration
@@ -145,7 +147,8 @@
 		const startedAt = timers.now()
 		const end = await this.raiseFence(log, token)
 		if (end === undefined) return
-		await this.catchUp([intake, progress, this.registry.follower], end)
+		await this.catchUp([progress, this.registry.follower], end)
+		await this.catchUpIntake(intake)
 		if (this.ended) return
 		progress.pause()
 		for (const row of replica.all) this.restore(row)
@@ -159,7 +162,7 @@
 		)
 		this.begun = true
 		this.registry.follower.start()
-		intake.poke()
+		for (const follower of intake) follower.poke()
 		for (const row of this.context.backends.all) this.watch(row)
 		const waited = timers.now() - startedAt
 		events.info('owner-begun', { token, waited, jobs: this.context.jobs.active.size })
@@ -209,6 +212,15 @@
 		}
 	}
 
+	/** Reads the intake; a stream that is out of reach is read once it is back. */
+	private async catchUpIntake(intake: readonly StreamFollower[]): Promise<void> {
+		const patience = new Promise<void>((resolve) => {
+			this.context.timers.after(MAXIMUM_INTAKE_WAIT, resolve)
+		})
+		await Promise.race([patience, Promise.all(intake.map((follower) => follower.refresh()))])
+	}
+
+	/** Takes a job in as earlier owners have left it. */
 	private restore(replicaRow: ReplicaRow): void {
 		const { jobs, backends, timers } = this.context
 		const { job, snapshot, cancelled } = replicaRow
@@ -225,15 +237,17 @@
 	}
 
 	private noteJob(replicaRow: ReplicaRow): void {
-		if (!replicaRow.job) return
+		const { job, cancelled } = replicaRow
+		if (!job) return
 		const { jobs, timers, getConfiguration } = this.context
-		const { job, snapshot } = replicaRow
-		if (!jobs.get(job.id)) {
+		const known = jobs.get(job.id)
+		if (!known) {
 			const service = getConfiguration().queues.get(job.queue)?.service
 			if (service !== undefined) this.demand.note(service, getJobWork(job), timers.now())
+			this.restore(replicaRow)
+		} else if (cancelled) {
+			this.ledger.cancel(known)
 		}
-		const row = jobs.admit(job, snapshot)
-		if (replicaRow.cancelled) this.ledger.cancel(row)
 		this.planSoon()
 	}
 
@@ -254,6 +268,7 @@
 			replan: () => {
 				this.planSoon()
 			},
+			isComplete: () => this.parts.intake.every((follower) => follower.available),
 		})
 		this.monitors.set(row.id, monitor)
 		monitor.start()
