Keep ownership through joins; begin a term without the registry

(3) the pause for machine orders after a change covered machines that no earlier owner can have touched.

--- a/packages/jobs/src/lib/JobDaemon.ts
+++ b/packages/jobs/src/lib/JobDaemon.ts
@@ -79,6 +79,7 @@
 			log,
 			timers,
 			events,
+			isFit: () => this.configuration.current !== undefined && this.progressFollower.loaded,
 			acquire: (token) => {
 				this.beginTerm(token)
 			},
--- a/packages/jobs/src/lib/log/JobRecords.ts
+++ b/packages/jobs/src/lib/log/JobRecords.ts
@@ -1,10 +1,12 @@
-import type { Job, JobId, JobSnapshot } from '@mastichead/core'
+import type { BackendId, Job, JobId, JobSnapshot } from '@mastichead/core'
 import type { WaveProgress } from '../machines/WaveProgress.js'
+import type { BackendRegistration } from '../ports/BackendRegistration.js'
 import type { LogRecord } from '../ports/LogRecord.js'
 
 const JOB_PREFIX = 'job/'
 const CANCEL_PREFIX = 'cancel/'
 const WAVE_PREFIX = 'wave/'
+const BACKEND_PREFIX = 'backend/'
 
 /**
  * Form of the product's own records in the log.
@@ -37,6 +39,24 @@
 		return JSON.parse(value) as WaveProgress
 	},
 
+	/** Record of a backend server, for an owner that cannot read the registry. */
+	createBackend(registration: BackendRegistration): LogRecord {
+		return { key: BACKEND_PREFIX + registration.id, value: JSON.stringify(registration) }
+	},
+
+	createBackendDrop(id: BackendId): LogRecord {
+		return { key: BACKEND_PREFIX + id, value: undefined }
+	},
+
+	/** Backend server that a record of the progress tells of; undefined for other records. */
+	parseBackendKey(key: string): BackendId | undefined {
+		return key.startsWith(BACKEND_PREFIX) ? key.slice(BACKEND_PREFIX.length) : undefined
+	},
+
+	parseBackend(value: string): BackendRegistration {
+		return JSON.parse(value) as BackendRegistration
+	},
+
 	/** Records that drop everything that callers wrote of a job. */
 	createIntakeDrops(id: JobId): LogRecord[] {
 		return [
--- a/packages/jobs/src/lib/log/JobReplica.ts
+++ b/packages/jobs/src/lib/log/JobReplica.ts
@@ -1,7 +1,8 @@
-import type { Job, JobId, JobSnapshot, JobState } from '@mastichead/core'
+import type { BackendId, Job, JobId, JobSnapshot, JobState } from '@mastichead/core'
 import { isFinalState } from '@mastichead/core'
 import type { EventLog } from '../logs/EventLog.js'
 import type { WaveProgress } from '../machines/WaveProgress.js'
+import type { BackendRegistration } from '../ports/BackendRegistration.js'
 import type { LogEntry } from '../ports/LogEntry.js'
 import { JobRecords } from './JobRecords.js'
 import type { ReplicaRow } from './ReplicaRow.js'
@@ -15,6 +16,8 @@
 	private readonly rows = new Map<JobId, ReplicaRow>()
 	/** Progress of waves by the key of the wave. */
 	readonly waves = new Map<string, WaveProgress>()
+	/** Backend servers as the latest owner has known them. */
+	readonly backends = new Map<BackendId, BackendRegistration>()
 	private readonly jobListeners = new Set<(row: ReplicaRow) => void>()
 
 	constructor(private readonly events: EventLog) {}
@@ -74,6 +77,11 @@
 			this.applyWave(entry)
 			return
 		}
+		const backend = JobRecords.parseBackendKey(entry.key)
+		if (backend !== undefined) {
+			this.applyBackend(backend, entry)
+			return
+		}
 		if (entry.value === undefined) {
 			const row = this.rows.get(entry.key)
 			if (row) row.snapshot = undefined
@@ -83,6 +91,15 @@
 		row.snapshot = this.parse(entry, (value) => JobRecords.parseProgress(value)) ?? row.snapshot
 	}
 
+	private applyBackend(id: BackendId, entry: LogEntry): void {
+		if (entry.value === undefined) {
+			this.backends.delete(id)
+			return
+		}
+		const backend = this.parse(entry, (value) => JobRecords.parseBackend(value))
+		if (backend) this.backends.set(id, backend)
+	}
+
 	private applyWave(entry: LogEntry): void {
 		const progress = this.parse(entry, (value) => JobRecords.parseWaveProgress(value))
 		if (progress) this.waves.set(entry.key, progress)
@@ -96,7 +113,7 @@
 		return row
 	}
 
-	private parse<T extends Job | JobSnapshot | WaveProgress>(
+	private parse<T extends Job | JobSnapshot | WaveProgress | BackendRegistration>(
 		entry: LogEntry,
 		parse: (value: string) => T
 	): T | undefined {
--- a/packages/jobs/src/lib/log/StreamFollower.ts
+++ b/packages/jobs/src/lib/log/StreamFollower.ts
@@ -19,6 +19,8 @@
 	loaded = false
 	/** Instant of the last answer from the log; undefined before the first. */
 	lastContact: number | undefined
+	/** Instant at which the log was last regained after it was out of reach. */
+	regainedAt: number | undefined
 	/** Whether the latest read was answered. */
 	available = true
 	/** Offset of the next record to read. */
@@ -39,7 +41,12 @@
 		private readonly timers: TimerService,
 		private readonly events: EventLog,
 		private readonly listener: (entry: LogEntry) => void,
-		private readonly options: { readonly wait: number; readonly getPause: () => number }
+		private readonly options: {
+			readonly wait: number
+			readonly getPause: () => number
+			/** Called after the newest record of every key has been read. */
+			readonly noteLoaded?: () => void
+		}
 	) {}
 
 	/** Reads on until stopped. */
@@ -130,6 +137,7 @@
 		for (const entry of result.entries) this.apply(entry)
 		this.next = Math.max(this.next, result.next)
 		this.loaded = true
+		this.options.noteLoaded?.()
 		return true
 	}
 
@@ -145,6 +153,7 @@
 		this.lastContact = this.timers.now()
 		if (this.available) return
 		this.available = true
+		this.regainedAt = this.timers.now()
 		this.events.info('log-regained', { stream: this.stream, next: this.next })
 	}
 
--- a/packages/jobs/src/lib/machines/MachineInventory.ts
+++ b/packages/jobs/src/lib/machines/MachineInventory.ts
@@ -3,6 +3,13 @@
 import type { Machine } from '../ports/Machine.js'
 import type { MachineOperator } from '../ports/MachineOperator.js'
 
+/**
+ * An owner that has just begun gives no order for a machine for which an earlier one may just have
+ * given one, in milliseconds.
+ */
+const TAKEOVER_PAUSE = 3_100
+/** Difference allowed between the clocks of an instance and of a backend server. */
+const CLOCK_TOLERANCE = 1_000
 /** Age at which the list of machines is read again, in milliseconds. */
 const LIST_AGE = 1_500
 
@@ -16,10 +23,14 @@
 	/** Instant at which the list was asked for; -Infinity before the first. */
 	listedAt = -Infinity
 
+	private readonly begunAt: number
+
 	constructor(
 		private readonly context: OwnerContext,
 		private readonly operator: MachineOperator
-	) {}
+	) {
+		this.begunAt = context.timers.now()
+	}
 
 	/** Reads the list if it has aged. Resolves to whether there is one. */
 	async refresh(maximumAge = LIST_AGE): Promise<boolean> {
@@ -54,6 +65,18 @@
 		return undefined
 	}
 
+	/**
+	 * Whether no earlier owner can just have given an order for the machine: its server would have
+	 * started since.
+	 */
+	isSettled(machine: string): boolean {
+		const { timers, getWallTime } = this.context
+		if (timers.now() - this.begunAt > TAKEOVER_PAUSE) return true
+		const backend = this.getBackend(machine)
+		if (!backend || backend.incarnation === 0) return false
+		return getWallTime() - backend.incarnation > TAKEOVER_PAUSE + CLOCK_TOLERANCE
+	}
+
 	/** Takes note of an order that the list does not show yet. */
 	noteState(id: string, change: Partial<Pick<Machine, 'state' | 'service'>>): void {
 		const machine = this.machines.get(id)
--- a/packages/jobs/src/lib/machines/MachineManager.ts
+++ b/packages/jobs/src/lib/machines/MachineManager.ts
@@ -13,8 +13,6 @@
 
 /** Pause between two rounds, in milliseconds. */
 const ROUND_PAUSE = 150
-/** An owner that has just begun orders nothing while an earlier one may have, in milliseconds. */
-const TAKEOVER_PAUSE = 3_100
 
 /**
  * Everything the owner does with machines: waves, moves between pools, and emptying.
@@ -75,7 +73,6 @@
 	}
 
 	private async run(): Promise<void> {
-		await this.sleep(TAKEOVER_PAUSE)
 		while (!this.isStopped()) {
 			const listed = await this.inventory.refresh()
 			if (this.isStopped()) return
--- a/packages/jobs/src/lib/machines/PoolManager.ts
+++ b/packages/jobs/src/lib/machines/PoolManager.ts
@@ -110,7 +110,9 @@
 		for (const machine of this.parts.inventory.all) {
 			if (machine.service !== service || machine.state !== 'up') continue
 			const paused = (this.pausedUntil.get(machine.id) ?? 0) > now
-			const reserved = this.parts.isReserved(machine.id) || this.arriving.has(machine.id)
+			const settled = this.parts.inventory.isSettled(machine.id)
+			const reserved =
+				!settled || this.parts.isReserved(machine.id) || this.arriving.has(machine.id)
 			machines.push({ id: machine.id, idleSince: paused || reserved ? undefined : 0 })
 		}
 		const empty = { arriving: 0, demand: 0, use: 0, waiting: 0, lasting: 0, spread: 0 }
@@ -133,8 +135,9 @@
 
 	private getIdleSince(row: BackendRow, now: number): number | undefined {
 		const paused = (this.pausedUntil.get(row.machine) ?? 0) > now
-		const usable = row.reconciled && row.reachable && row.machine !== ''
-		if (row.tasks.size > 0 || paused || !usable) return undefined
+		const { inventory } = this.parts
+		const usable = row.reconciled && row.reachable && inventory.isSettled(row.machine)
+		if (row.tasks.size > 0 || paused || !usable || row.machine === '') return undefined
 		return this.parts.isReserved(row.machine) ? undefined : row.idleSince
 	}
 
--- a/packages/jobs/src/lib/machines/WaveManager.ts
+++ b/packages/jobs/src/lib/machines/WaveManager.ts
@@ -172,7 +172,8 @@
 	private async tryMaintain(row: WaveRow, machine: string): Promise<void> {
 		const { events, timers, token } = this.context
 		const backend = this.parts.inventory.getBackend(machine)
-		if (row.down.size >= row.wave.atOnce || this.stopped) return
+		if (row.down.size >= row.wave.atOnce || this.isStopped()) return
+		if (!this.parts.inventory.isSettled(machine)) return
 		if (backend && !this.isEmptied(backend, row.closing.get(machine) ?? 0)) return
 		if (backend && !mayInterrupt(backend)) return
 		row.down.set(machine, timers.now())
@@ -192,7 +193,7 @@
 			waited,
 			...result,
 		})
-		if (this.stopped) return
+		if (this.isStopped()) return
 		if (result.kind === 'done') this.noteBegun(row, machine, backend)
 		else if (result.kind === 'refused') this.noteRefused(row, machine, result.reason)
 	}
@@ -252,6 +253,10 @@
 		})
 	}
 
+	private isStopped(): boolean {
+		return this.stopped
+	}
+
 	private find(machine: string): Machine | undefined {
 		return this.parts.inventory.get(machine)
 	}
--- a/packages/jobs/src/lib/owner/BackendRegistry.ts
+++ b/packages/jobs/src/lib/owner/BackendRegistry.ts
@@ -1,7 +1,8 @@
-import type { BackendRow } from '@mastichead/core'
+import type { BackendId, BackendRow } from '@mastichead/core'
 import { StreamFollower } from '../log/StreamFollower.js'
 import type { LogEntry } from '../ports/LogEntry.js'
 import type { MetadataLog } from '../ports/MetadataLog.js'
+import type { BackendRegistration } from '../ports/BackendRegistration.js'
 import type { OperatorFormat } from '../ports/OperatorFormat.js'
 import type { OwnerContext } from './OwnerContext.js'
 
@@ -21,7 +22,7 @@
  */
 export class BackendRegistry {
 	readonly follower: StreamFollower
-	private graceUntil = 0
+	private readonly registrations = new Map<BackendId, BackendRegistration>()
 
 	constructor(
 		private readonly context: OwnerContext,
@@ -38,13 +39,24 @@
 			(entry) => {
 				this.apply(entry)
 			},
-			{ wait: READ_WAIT, getPause: () => READ_PAUSE }
+			{
+				wait: READ_WAIT,
+				getPause: () => READ_PAUSE,
+				noteLoaded: () => {
+					this.dropUnlisted()
+				},
+			}
 		)
 	}
 
-	/** Keeps entries that go while the log is, or just was, out of reach. */
-	noteLogTrouble(): void {
-		this.graceUntil = this.context.timers.now() + LAPSE_GRACE
+	/** Takes over what the earlier owner knew; the registry has the last word once it is read. */
+	adopt(registrations: Iterable<BackendRegistration>): void {
+		for (const registration of registrations) this.noteRegistration(registration)
+	}
+
+	/** Registration of a backend server as it was last read. */
+	get(id: BackendId): BackendRegistration | undefined {
+		return this.registrations.get(id)
 	}
 
 	private apply(entry: LogEntry): void {
@@ -58,46 +70,54 @@
 			events.warn('registration-unreadable', { backend: entry.key, problem: registration.problem })
 			return
 		}
-		const known = this.context.backends.get(entry.key)
-		const row = this.context.backends.use(registration.id)
+		this.noteRegistration(registration)
+	}
+
+	private noteRegistration(registration: BackendRegistration): void {
+		const { backends, timers, events } = this.context
+		const { id, service, draining, incarnation } = registration
+		const known = this.registrations.get(id)
+		const row = backends.use(id)
 		const changed =
-			known?.registered !== true ||
-			row.service !== registration.service ||
-			row.draining !== registration.draining ||
-			row.incarnation !== registration.incarnation
-		if (row.incarnation !== registration.incarnation) row.closing = false
+			!row.registered ||
+			known?.service !== service ||
+			known.draining !== draining ||
+			known.incarnation !== incarnation
+		this.registrations.set(id, registration)
+		if (!changed) return
+		if (known && known.incarnation !== incarnation) row.closing = false
+		if (!row.registered) row.idleSince = timers.now()
 		row.machine = registration.machine
-		row.service = registration.service
+		row.service = service
 		row.address = registration.address
 		row.zone = registration.zone
 		row.labels = registration.labels
 		row.capacity = registration.capacity
-		row.draining = registration.draining
-		if (!row.registered || known === undefined) row.idleSince = this.context.timers.now()
+		row.draining = draining
 		row.registered = true
-		if (!changed) return
-		const { id, service, draining } = row
-		this.context.events.info('backend-registered', { backend: id, service, draining })
+		events.info('backend-registered', { backend: id, service, draining })
 		this.noteChange(row)
 	}
 
+	/** Drops what an earlier owner knew and the registry no longer holds. */
+	private dropUnlisted(): void {
+		for (const id of [...this.registrations.keys()]) if (!this.follower.has(id)) this.drop(id)
+	}
+
 	private drop(id: string): void {
 		const row = this.context.backends.get(id)
 		if (!row?.registered) return
 		const { timers, events } = this.context
-		const delay = this.graceUntil - timers.now()
+		const delay = (this.follower.regainedAt ?? -Infinity) + LAPSE_GRACE - timers.now()
 		if (delay > 0) {
 			timers.after(delay, () => {
-				if (!this.isListed(id)) this.drop(id)
+				if (!this.follower.has(id)) this.drop(id)
 			})
 			return
 		}
 		row.registered = false
+		this.registrations.delete(id)
 		events.info('backend-deregistered', { backend: id, service: row.service })
 		this.noteChange(row)
 	}
-
-	private isListed(id: string): boolean {
-		return this.follower.has(id)
-	}
 }
--- a/packages/jobs/src/lib/owner/OwnerTerm.ts
+++ b/packages/jobs/src/lib/owner/OwnerTerm.ts
@@ -15,6 +15,7 @@
 	getJobWork,
 	DemandMeter,
 } from '@mastichead/core'
+import { JobRecords } from '../log/JobRecords.js'
 import type { JobReplica } from '../log/JobReplica.js'
 import type { ReplicaRow } from '../log/ReplicaRow.js'
 import type { StreamFollower } from '../log/StreamFollower.js'
@@ -40,8 +41,8 @@
 const PLAN_INTERVAL = 200
 /** Nothing is placed while the log has not answered an append for this long, in milliseconds. */
 const MAXIMUM_WRITER_DELAY = 1_000
-/** Time for a stream of the intake to be read while a term begins, in milliseconds. */
-const MAXIMUM_INTAKE_WAIT = 600
+/** Time for the intake and the registry to be read while a term begins, in milliseconds. */
+const MAXIMUM_READ_WAIT = 500
 /** Pause before a read that failed is repeated while a term begins, in milliseconds. */
 const CATCH_UP_PAUSE = 100
 
@@ -147,8 +148,9 @@
 		const startedAt = timers.now()
 		const end = await this.raiseFence(log, token)
 		if (end === undefined) return
-		await this.catchUp([progress, this.registry.follower], end)
-		await this.catchUpIntake(intake)
+		await this.catchUp(progress, end)
+		this.registry.adopt(replica.backends.values())
+		await this.readIfPossible([...intake, this.registry.follower])
 		if (this.ended) return
 		progress.pause()
 		for (const row of replica.all) this.restore(row)
@@ -163,7 +165,10 @@
 		this.begun = true
 		this.registry.follower.start()
 		for (const follower of intake) follower.poke()
-		for (const row of this.context.backends.all) this.watch(row)
+		for (const row of this.context.backends.all) {
+			this.watch(row)
+			if (!replica.backends.has(row.id)) this.recordBackend(row.id)
+		}
 		const waited = timers.now() - startedAt
 		events.info('owner-begun', { token, waited, jobs: this.context.jobs.active.size })
 		this.machines.start()
@@ -203,21 +208,17 @@
 		return undefined
 	}
 
-	private async catchUp(followers: readonly StreamFollower[], end: number): Promise<void> {
-		for (const follower of followers) {
-			while (!this.ended && !(await follower.refresh())) await this.sleep(CATCH_UP_PAUSE)
-		}
-		while (!this.ended && this.parts.progress.next < end) {
-			if (!(await this.parts.progress.refresh())) await this.sleep(CATCH_UP_PAUSE)
+	/** Reads everything that was written before the fence. */
+	private async catchUp(progress: StreamFollower, end: number): Promise<void> {
+		while (!this.ended && (progress.next < end || !progress.loaded)) {
+			if (!(await progress.refresh())) await this.sleep(CATCH_UP_PAUSE)
 		}
 	}
 
-	/** Reads the intake; a stream that is out of reach is read once it is back. */
-	private async catchUpIntake(intake: readonly StreamFollower[]): Promise<void> {
-		const patience = new Promise<void>((resolve) => {
-			this.context.timers.after(MAXIMUM_INTAKE_WAIT, resolve)
-		})
-		await Promise.race([patience, Promise.all(intake.map((follower) => follower.refresh()))])
+	/** Reads streams to their ends; one that is out of reach is read once it is back. */
+	private async readIfPossible(followers: readonly StreamFollower[]): Promise<void> {
+		const patience = this.sleep(MAXIMUM_READ_WAIT)
+		await Promise.race([patience, Promise.all(followers.map((follower) => follower.refresh()))])
 	}
 
 	/** Takes a job in as earlier owners have left it. */
@@ -253,11 +254,20 @@
 
 	private noteBackend(row: BackendRow): void {
 		if (!this.begun) return
+		this.recordBackend(row.id)
 		this.watch(row)
 		this.monitors.get(row.id)?.poke()
 		this.planSoon()
 	}
 
+	private recordBackend(id: BackendId): void {
+		this.writer.touchRecord(`backend/${id}`, () => {
+			const registration = this.registry.get(id)
+			if (!registration) return JobRecords.createBackendDrop(id)
+			return JobRecords.createBackend(registration)
+		})
+	}
+
 	private watch(row: BackendRow): void {
 		if (this.monitors.has(row.id)) return
 		const { ledger, dispatcher, writer } = this
--- a/packages/jobs/src/lib/owner/Ownership.ts
+++ b/packages/jobs/src/lib/owner/Ownership.ts
@@ -33,6 +33,8 @@
 			readonly log: MetadataLog
 			readonly timers: TimerService
 			readonly events: EventLog
+			/** Whether this instance knows enough to be the owner. */
+			readonly isFit: () => boolean
 			readonly acquire: (token: number) => void
 			readonly lose: (reason: string) => void
 		}
@@ -61,7 +63,7 @@
 	private async run(): Promise<void> {
 		const { timers } = this.parts
 		while (!this.stopped) {
-			await this.join()
+			if (this.generation > 0 || this.parts.isFit()) await this.join()
 			await new Promise<void>((resolve) => timers.after(JOIN_PAUSE, resolve))
 		}
 	}
