--- a/packages/core/src/lib/jobs/DemandPoolPolicy.ts
+++ b/packages/core/src/lib/jobs/DemandPoolPolicy.ts
@@ -13,6 +13,8 @@
 
 interface Balance {
 	readonly pool: PoolSituation
+	/** Machines that it should have. */
+	readonly wanted: number
 	/** Machines that it has, less those that it should have. */
 	surplus: number
 	/** Idle machines that it may give, longest idle first. */
@@ -28,7 +30,7 @@
 export class DemandPoolPolicy extends PoolPolicy {
 	override plan(pools: readonly PoolSituation[], now: number): readonly MachineMove[] {
 		const balances = pools.map((pool) => this.getBalance(pool))
-		const moves = this.coverShortages(balances, now)
+		const moves = coverShortages(balances, now)
 		moves.push(...turnOff(balances, now))
 		return moves
 	}
@@ -46,25 +48,27 @@
 			if (idleSince !== undefined) idle.push({ id, idleSince })
 		}
 		idle.sort((a, b) => a.idleSince - b.idleSince)
-		const surplus = pool.machines.length + pool.arriving - this.getWanted(pool)
-		return { pool, surplus, idle }
+		const wanted = this.getWanted(pool)
+		return { pool, wanted, surplus: pool.machines.length + pool.arriving - wanted, idle }
 	}
+}
 
-	private coverShortages(balances: readonly Balance[], now: number): MachineMove[] {
-		const moves: MachineMove[] = []
+/** Gives machines one by one to the pool that has the smallest part of what it should have. */
+function coverShortages(balances: readonly Balance[], now: number): MachineMove[] {
+	const moves: MachineMove[] = []
+	for (;;) {
 		const short = balances.filter((balance) => balance.surplus < 0)
-		short.sort((a, b) => a.surplus - b.surplus)
-		for (const receiver of short) {
-			while (receiver.surplus < 0) {
-				const move = takeMachine(balances, receiver, now)
-				if (!move) break
-				moves.push(move)
-			}
-		}
-		return moves
+		const receiver = short.sort((a, b) => getCoverage(a) - getCoverage(b))[0]
+		const move = receiver && takeMachine(balances, receiver, now)
+		if (!move) return moves
+		moves.push(move)
 	}
 }
 
+function getCoverage({ wanted, surplus }: Balance): number {
+	return (wanted + surplus) / wanted
+}
+
 function takeMachine(
 	balances: readonly Balance[],
 	receiver: Balance,
--- /dev/null
+++ b/packages/core/src/lib/jobs/JobOutlook.ts
@@ -0,0 +1,16 @@
+import type { JobRow } from './JobRow.js'
+
+/**
+ * What is left of a job, and until when it has to be done.
+ *
+ * @public
+ */
+export interface JobOutlook {
+	readonly row: JobRow
+	/** When the job has to be done to be in time, in milliseconds since 1970. */
+	readonly due: number
+	/** Longest chain of work that is left, in milliseconds. */
+	readonly chain: number
+	/** Work that is left, in core-milliseconds. */
+	readonly work: number
+}
--- a/packages/core/src/lib/jobs/OrderPolicy.ts
+++ b/packages/core/src/lib/jobs/OrderPolicy.ts
@@ -1,5 +1,4 @@
-import type { QueueRules } from './QueueRules.js'
-import type { StepRun } from './StepRun.js'
+import type { OrderCandidate } from './OrderCandidate.js'
 
 /**
  * Decides which step is placed first when not all can be.
@@ -8,9 +7,14 @@
  */
 export abstract class OrderPolicy {
 	/**
-	 * Rank of a step; lower ranks are placed first. Ranks are compared element by element.
+	 * The candidates in the order in which they are placed.
 	 *
+	 * @param cores - cores of the backend servers of each service
 	 * @param wallTime - milliseconds since 1970
 	 */
-	abstract getRank(run: StepRun, queue: QueueRules, wallTime: number): readonly number[]
+	abstract sort(
+		candidates: readonly OrderCandidate[],
+		cores: ReadonlyMap<string, number>,
+		wallTime: number
+	): OrderCandidate[]
 }
--- a/packages/core/src/lib/jobs/PlacementPlanner.ts
+++ b/packages/core/src/lib/jobs/PlacementPlanner.ts
@@ -3,6 +3,7 @@
 import type { BackendTable } from './BackendTable.js'
 import type { FleetConfiguration } from './FleetConfiguration.js'
 import type { JobTable } from './JobTable.js'
+import type { OrderCandidate } from './OrderCandidate.js'
 import type { OrderPolicy } from './OrderPolicy.js'
 import type { TaskPlacement } from './TaskPlacement.js'
 import type { StepRun } from './StepRun.js'
@@ -13,11 +14,7 @@
 import { getWaitingCores } from './getWaitingCores.js'
 import { getStepRuns } from './getStepRuns.js'
 
-interface RankedRun {
-	readonly run: StepRun
-	readonly rank: readonly number[]
-	readonly service: string
-}
+const MILLICORES = 1_000
 
 /**
  * Places waiting tasks on backend servers. Changes the tables: a placed task has its backend
@@ -42,10 +39,11 @@
 	 */
 	plan(configuration: FleetConfiguration, now: number, wallTime: number): TaskPlacement[] {
 		const placements: TaskPlacement[] = []
-		const candidates = this.getCandidates(now)
+		const open = this.getCandidates(now)
 		this.backlog.clear()
-		for (const { run, service } of this.getRankedRuns(configuration, now, wallTime)) {
-			const placed = this.placeRun(run, candidates.get(service) ?? [], configuration)
+		for (const { run, queue } of this.getOrdered(configuration, getCores(open), now, wallTime)) {
+			const { service } = queue
+			const placed = this.placeRun(run, open.get(service) ?? [], configuration)
 			placements.push(...placed)
 			if (placed.length < run.waiting.length) this.noteBacklog(run, service, configuration)
 		}
@@ -72,21 +70,19 @@
 		return candidates
 	}
 
-	private getRankedRuns(
+	private getOrdered(
 		configuration: FleetConfiguration,
+		cores: ReadonlyMap<string, number>,
 		now: number,
 		wallTime: number
-	): RankedRun[] {
-		const ranked: RankedRun[] = []
+	): OrderCandidate[] {
+		const candidates: OrderCandidate[] = []
 		for (const row of this.jobs.active) {
 			const queue = configuration.queues.get(row.job.queue)
 			if (!queue) continue
-			for (const run of getStepRuns(row, now, wallTime)) {
-				const rank = this.order.getRank(run, queue, wallTime)
-				ranked.push({ run, rank, service: queue.service })
-			}
+			for (const run of getStepRuns(row, now, wallTime)) candidates.push({ run, queue })
 		}
-		return ranked.sort((a, b) => compareRanks(a.rank, b.rank))
+		return this.order.sort(candidates, cores, wallTime)
 	}
 
 	private placeRun(
@@ -155,10 +151,13 @@
 	return here.length < step.maximumPerBackend
 }
 
-function compareRanks(a: readonly number[], b: readonly number[]): number {
-	for (const [place, value] of a.entries()) {
-		const difference = value - (b[place] ?? 0)
-		if (difference !== 0) return difference
+function getCores(open: ReadonlyMap<string, readonly BackendRow[]>): Map<string, number> {
+	const cores = new Map<string, number>()
+	for (const [service, rows] of open) {
+		cores.set(
+			service,
+			rows.reduce((sum, row) => sum + row.capacity.cpu / MILLICORES, 0)
+		)
 	}
-	return 0
+	return cores
 }
--- a/packages/jobs/src/lib/machines/WaveManager.ts
+++ b/packages/jobs/src/lib/machines/WaveManager.ts
@@ -81,7 +81,7 @@
 			done,
 			down: new Map(),
 			closing: new Map(),
-			receivedAt: this.context.timers.now(),
+			receivedAt: kept?.receivedAt ?? this.context.getWallTime(),
 			reported: kept?.reported ?? 'nothing',
 		}
 		this.rows.set(key, row)
@@ -164,7 +164,7 @@
 
 	/** A pool that needs all it has is left alone while the wave has time. */
 	private isTimeFor(row: WaveRow, backend: BackendRow): boolean {
-		const elapsed = this.context.timers.now() - row.receivedAt
+		const elapsed = this.context.getWallTime() - row.receivedAt
 		const patient = row.wave.deadline * MILLISECONDS_PER_SECOND * PATIENT_SHARE
 		return elapsed > patient || this.parts.hasSlack(backend.service)
 	}
@@ -230,12 +230,13 @@
 	}
 
 	private record(row: WaveRow): void {
-		const { key, ordered, done } = row
+		const { key, ordered, done, receivedAt } = row
 		this.parts.writer.touchRecord(key, () => {
 			const { reported } = row
 			return JobRecords.createWaveProgress(key, {
 				ordered: [...ordered],
 				done: [...done],
+				receivedAt,
 				reported,
 			})
 		})
--- a/packages/jobs/src/lib/machines/WaveRow.ts
+++ b/packages/jobs/src/lib/machines/WaveRow.ts
@@ -18,7 +18,7 @@
 	readonly down: Map<string, number>
 	/** Machines that are being emptied, with the instant since when. */
 	readonly closing: Map<string, number>
-	/** Instant since which this owner has known of the wave. */
+	/** When an owner first knew of the wave, in milliseconds since 1970. */
 	readonly receivedAt: number
 	reported: 'nothing' | 'running' | 'completed'
 }
--- a/packages/jobs/src/lib/owner/OwnerTerm.ts
+++ b/packages/jobs/src/lib/owner/OwnerTerm.ts
@@ -10,7 +10,7 @@
 	BackendTable,
 	JobTable,
 	PlacementPlanner,
-	SlackOrder,
+	InTimeOrder,
 	PackChoice,
 	getJobWork,
 	DemandMeter,
@@ -125,7 +125,7 @@
 			(task) => void this.dispatcher.stop(task),
 			replan
 		)
-		this.planner = new PlacementPlanner(jobs, backends, new SlackOrder(), new PackChoice())
+		this.planner = new PlacementPlanner(jobs, backends, new InTimeOrder(), new PackChoice())
 		this.registry = new BackendRegistry(this.context, parts.log, parts.format, (row) => {
 			this.noteBackend(row)
 		})
