--- a/packages/jobs/src/lib/machines/MachineInventory.ts
+++ b/packages/jobs/src/lib/machines/MachineInventory.ts
@@ -10,6 +10,7 @@
 const TAKEOVER_PAUSE = 3_100
 /** Difference allowed between the clocks of an instance and of a backend server. */
 const CLOCK_TOLERANCE = 1_000
+const MILLICORES = 1_000
 /** Age at which the list of machines is read again, in milliseconds. */
 const LIST_AGE = 1_500
 
@@ -57,6 +58,13 @@
 		return this.machines.values()
 	}
 
+	/** Cores of a typical machine, whichever pool it is in; 0 if none is known. */
+	getTypicalCores(): number {
+		const cores = [...this.machines.values()].map(({ capacity }) => capacity.cpu / MILLICORES)
+		cores.sort((a, b) => a - b)
+		return cores[Math.floor(cores.length / 2)] ?? 0
+	}
+
 	/** Backend server that is registered on a machine. */
 	getBackend(machine: string): BackendRow | undefined {
 		for (const row of this.context.backends.all) {
--- a/packages/jobs/src/lib/machines/PoolManager.ts
+++ b/packages/jobs/src/lib/machines/PoolManager.ts
@@ -16,6 +16,8 @@
 /** Tries of one order that gets no answer. */
 const MAXIMUM_TRIES = 3
 const MILLICORES = 1_000
+/** Time between two log lines on what the pools have and want, in milliseconds. */
+const REPORT_INTERVAL = 1_000
 
 /**
  * Moves machines between pools as the policy decides. Only machines on which nothing runs are
@@ -28,6 +30,7 @@
 	private readonly arriving = new Map<string, { readonly service: string; readonly at: number }>()
 	private readonly pausedUntil = new Map<string, number>()
 	private situations: readonly PoolSituation[] = []
+	private reportedAt = -Infinity
 
 	constructor(
 		private readonly context: OwnerContext,
@@ -48,9 +51,23 @@
 		const now = this.context.timers.now()
 		this.noteArrivals(now)
 		this.situations = this.getSituations(now)
+		this.report(now)
 		for (const move of this.parts.policy.plan(this.situations, now)) void this.carryOut(move)
 	}
 
+	private report(now: number): void {
+		if (now - this.reportedAt < REPORT_INTERVAL) return
+		this.reportedAt = now
+		const pools: Record<string, string> = {}
+		for (const pool of this.situations) {
+			const { service, machines, arriving, demand, use, waiting, lasting } = pool
+			const wanted = this.parts.policy.getWanted(pool)
+			const cores = [demand, use, waiting, lasting].map((value) => value.toFixed(0)).join('/')
+			pools[service] = `${machines.length}+${arriving} of ${wanted}, cores ${cores}`
+		}
+		this.context.events.info('pools-seen', pools)
+	}
+
 	/** Whether a pool can do without one more of its machines now. */
 	hasSlack(service: string): boolean {
 		const pool = this.situations.find((candidate) => candidate.service === service)
@@ -78,14 +95,13 @@
 
 	private getPool(service: string, now: number): PoolSituation {
 		const machines: { id: string; idleSince: number | undefined }[] = []
-		let machineCores = 0
+		const machineCores = this.parts.inventory.getTypicalCores()
 		let lasting = 0
 		let used = 0
 		for (const row of this.context.backends.all) {
 			if (row.tasks.size > 0) row.idleSince = now
 			if (row.service === service) used += row.used.cpu / MILLICORES
 			if (row.service !== service || !row.registered || row.draining || row.closing) continue
-			machineCores = Math.max(machineCores, row.capacity.cpu / MILLICORES)
 			lasting += getLastingCores(row)
 			machines.push({ id: row.machine, idleSince: this.getIdleSince(row, now) })
 		}
--- a/packages/jobs/src/lib/owner/BackendMonitor.ts
+++ b/packages/jobs/src/lib/owner/BackendMonitor.ts
@@ -234,6 +234,7 @@
 		const { row, context, parts } = this
 		if (row.reachable) context.events.warn('backend-lost', { backend: row.id, reason })
 		row.reachable = false
+		for (const task of row.tasks.values()) task.atWorkSince = undefined
 		if (!certain && now < row.leasedUntil) return
 		if (row.tasks.size === 0) return
 		for (const task of row.tasks.values()) {
