--- a/packages/jobs/src/lib/owner/BackendMonitor.ts
+++ b/packages/jobs/src/lib/owner/BackendMonitor.ts
@@ -13,8 +13,9 @@
 const LISTING_PAUSE = 70
 /** Pause before the ends of a server that runs nothing more are acknowledged, in milliseconds. */
 const IDLE_ACKNOWLEDGEMENT_PAUSE = 500
-/** Pause after a listing that failed, in milliseconds. */
+/** Pause after a listing that failed, while something may run there and else, in milliseconds. */
 const FAILURE_PAUSE = 300
+const IDLE_FAILURE_PAUSE = 800
 /** Time for ends to become durable before the leases are renewed all the same, in milliseconds. */
 const MAXIMUM_DURABILITY_WAIT = 1_500
 /** Pause between two stops of a run that nobody wants, in milliseconds. */
@@ -76,17 +77,22 @@
 			}
 			const wait = this.row.reconciled && this.row.tasks.size > 0 ? LISTING_WAIT : 0
 			const listed = await this.renew(wait)
-			await this.sleep(listed ? LISTING_PAUSE : FAILURE_PAUSE)
+			await this.sleep(listed ? LISTING_PAUSE : this.getFailurePause())
 			if (listed && this.row.tasks.size === 0) await this.sleep(IDLE_ACKNOWLEDGEMENT_PAUSE)
 			await this.waitForDurability()
 		}
 	}
 
+	private getFailurePause(): number {
+		return this.row.tasks.size > 0 ? FAILURE_PAUSE : IDLE_FAILURE_PAUSE
+	}
+
 	private isNeeded(): boolean {
 		const { row } = this
 		if (row.address === '') return row.tasks.size > 0
 		const unacknowledged = row.seenEnds > row.acknowledgedEnds
-		return (row.registered && !row.reconciled) || row.tasks.size > 0 || unacknowledged
+		const unusable = !row.reconciled || !row.reachable
+		return (row.registered && unusable) || row.tasks.size > 0 || unacknowledged
 	}
 
 	private async renew(wait: number): Promise<boolean> {
--- /dev/null
+++ b/packages/jobs/src/lib/owner/ProgressWriter.test.ts
@@ -0,0 +1,66 @@
+import { BackendTable, JobTable, VirtualTimerService } from '@mastichead/core'
+import { expect, it } from 'vitest'
+import { StreamFollower } from '../log/StreamFollower.js'
+import { SilentEventLog } from '../logs/SilentEventLog.js'
+import { JobMetrics } from '../metrics/JobMetrics.js'
+import { createTestFleet } from '../testing/createTestFleet.js'
+import { MemoryBackends } from '../testing/MemoryBackends.js'
+import { MemoryLog } from '../testing/MemoryLog.js'
+import { MemoryStore } from '../testing/MemoryStore.js'
+import { ProgressWriter } from './ProgressWriter.js'
+
+it('runs an effect that comes during an append once, after the next append', async () => {
+	const { writer, store, jobs, advance } = createWriter()
+	const [first, second] = [1, 2].map((number) =>
+		jobs.admit(createTestFleet.createJob(number, [{ count: 1 }]))
+	)
+	if (!first || !second) throw new Error('two jobs were made')
+	const seen: number[] = []
+	writer.touch(first)
+	await advance(1)
+	writer.touch(second)
+	writer.whenDurable(() => seen.push(store.getEnd('progress')))
+	await advance(5)
+	expect(seen).toEqual([])
+	await advance(20)
+	expect(seen).toEqual([2])
+	writer.touch(first)
+	await advance(20)
+	expect(seen).toEqual([2])
+})
+
+function createWriter(): {
+	writer: ProgressWriter
+	store: MemoryStore
+	jobs: JobTable
+	advance: (duration: number) => Promise<void>
+} {
+	const timers = new VirtualTimerService()
+	const store = new MemoryStore()
+	const log = new MemoryLog(store, timers)
+	const events = new SilentEventLog()
+	const jobs = new JobTable()
+	const options = { wait: 0, getPause: () => 0 }
+	const follower = new StreamFollower('progress', log, timers, events, () => undefined, options)
+	const context = {
+		jobs,
+		backends: new BackendTable(),
+		server: new MemoryBackends(new Map(), timers),
+		timers,
+		events,
+		metrics: new JobMetrics(),
+		token: 1,
+		getWallTime: () => 0,
+		getConfiguration: () => {
+			throw new Error('not needed')
+		},
+		abandon: () => undefined,
+	}
+	const advance = async (duration: number): Promise<void> => {
+		for (let step = 0; step < duration; step += 1) {
+			timers.advance(1)
+			await new Promise((resolve) => setImmediate(resolve))
+		}
+	}
+	return { writer: new ProgressWriter(context, log, follower), store, jobs, advance }
+}
--- /dev/null
+++ b/packages/jobs/src/lib/owner/faults.test.ts
@@ -0,0 +1,138 @@
+import fc from 'fast-check'
+import { expect, it } from 'vitest'
+import { createTestFleet } from '../testing/createTestFleet.js'
+
+/** Time of faults, and time after them in which everything has to be as it should, in ms. */
+const FAULT_TIME = 9_000
+const CALM_TIME = 22_000
+const INSTANCES = 3
+const BACKENDS = 4
+
+const fault = fc.record({
+	kind: fc.constantFrom(
+		'rebalance',
+		'cut-log',
+		'cut-backend',
+		'cut-backend-from-instance',
+		'restart-backend',
+		'late-starts',
+		'progress-down',
+		'intake-down',
+		'compact',
+		'stop-instance'
+	),
+	at: fc.integer({ min: 500, max: FAULT_TIME }),
+	duration: fc.integer({ min: 50, max: 5_000 }),
+	instance: fc.integer({ min: 0, max: INSTANCES - 1 }),
+	backend: fc.integer({ min: 1, max: BACKENDS }),
+})
+
+it('runs no task twice, loses none, and ends with everything done under random faults', async () => {
+	const scenario = fc.record({
+		faults: fc.array(fault, { minLength: 1, maxLength: 6 }),
+		jobs: fc.array(fc.integer({ min: 300, max: FAULT_TIME }), { minLength: 2, maxLength: 12 }),
+	})
+	const property = fc.asyncProperty(scenario, async ({ faults, jobs }) => {
+		expect(await play(faults, jobs)).toEqual([])
+	})
+	await fc.assert(property, { seed: 20261204, numRuns: 40 })
+}, 120_000)
+
+type Fault = Parameters<typeof inflict>[1]
+
+/** Plays a scenario and says what was wrong. */
+async function play(faults: readonly Fault[], submissions: readonly number[]): Promise<string[]> {
+	const fleet = createTestFleet({ instances: INSTANCES, backends: BACKENDS })
+	for (const backend of fleet.backends.values()) {
+		backend.duration = (task) => (task.startsWith('0000000000000001') ? undefined : 400)
+	}
+	await fleet.run(400)
+	const accepted: string[] = []
+	const submit = (number: number, lasting: boolean): void => {
+		const steps = lasting
+			? [{ count: 4, lasting, maximumPerBackend: 2 }]
+			: [{ count: 3 }, { count: 2, dependsOn: [0] }]
+		const job = createTestFleet.createJob(number, steps)
+		const intake = fleet.instances[number % INSTANCES]?.daemon.intake
+		void intake?.submit(job, fleet.timers.now() + 2_500).then((answer) => {
+			if (answer.kind === 'accepted') accepted.push(job.id)
+		})
+	}
+	submit(1, true)
+	for (const [place, at] of submissions.entries()) {
+		fleet.timers.after(at, () => {
+			submit(place + 2, false)
+		})
+	}
+	for (const one of faults)
+		fleet.timers.after(one.at, () => {
+			inflict(fleet, one)
+		})
+	await fleet.run(FAULT_TIME + CALM_TIME)
+	const problems = [...fleet.journal.violations]
+	const lasting = fleet.journal.running.filter((task) => task.startsWith('0000000000000001'))
+	if (lasting.length !== 4) problems.push(`${lasting.length} of 4 lasting tasks run`)
+	const intake = fleet.instances[2]?.daemon.intake
+	for (const id of accepted) {
+		if (id === '0000000000000001') continue
+		const state = intake?.getState(id)
+		await fleet.run(10)
+		const answer = await state
+		if (answer?.kind !== 'state' || answer.state !== 'completed') {
+			problems.push(`${id}: ${JSON.stringify(answer)}`)
+		}
+	}
+	return problems
+}
+
+function inflict(
+	fleet: ReturnType<typeof createTestFleet>,
+	one: { kind: string; duration: number; instance: number; backend: number }
+): void {
+	const { timers, store } = fleet
+	const instance = fleet.instances[one.instance]
+	const backend = fleet.backends.get(`b${one.backend}`)
+	if (!instance || !backend) return
+	const later = (undo: () => void): void => {
+		timers.after(one.duration, undo)
+	}
+	switch (one.kind) {
+		case 'rebalance':
+			store.rebalance()
+			break
+		case 'cut-log':
+			instance.log.cut = true
+			later(() => (instance.log.cut = false))
+			break
+		case 'cut-backend':
+			backend.cut = true
+			later(() => (backend.cut = false))
+			break
+		case 'cut-backend-from-instance':
+			instance.server.cut.add(backend.id)
+			later(() => instance.server.cut.delete(backend.id))
+			break
+		case 'restart-backend':
+			backend.restart()
+			break
+		case 'late-starts':
+			instance.server.lateStart = 1_200
+			later(() => (instance.server.lateStart = undefined))
+			break
+		case 'progress-down':
+			store.down.add('progress')
+			later(() => store.down.delete('progress'))
+			break
+		case 'intake-down':
+			store.down.add('intake/0')
+			later(() => store.down.delete('intake/0'))
+			break
+		case 'compact':
+			store.compact('progress')
+			store.compact('intake/0')
+			break
+		case 'stop-instance':
+			void instance.daemon.stop()
+			break
+	}
+}
--- /dev/null
+++ b/packages/jobs/src/lib/testing/MemoryLog.ts
@@ -0,0 +1,89 @@
+import type { TimerService } from '@mastichead/core'
+import type { AppendResult } from '../ports/AppendResult.js'
+import type { JoinResult } from '../ports/JoinResult.js'
+import type { LogEntry } from '../ports/LogEntry.js'
+import type { LogFence } from '../ports/LogFence.js'
+import type { LogRecord } from '../ports/LogRecord.js'
+import type { LogStream } from '../ports/LogStream.js'
+import type { NewestResult } from '../ports/NewestResult.js'
+import type { ReadResult } from '../ports/ReadResult.js'
+import { MetadataLog } from '../ports/MetadataLog.js'
+import type { MemoryStore } from './MemoryStore.js'
+
+/** Time of one call, in milliseconds. */
+const CALL_TIME = 4
+/** How often a waiting read looks for records, in milliseconds. */
+const LOOK_INTERVAL = 5
+
+/**
+ * One instance's way to a store in memory, in virtual time. It can be cut off.
+ *
+ * @internal
+ */
+export class MemoryLog extends MetadataLog {
+	/** Calls get no answer and do nothing. */
+	cut = false
+
+	constructor(
+		private readonly store: MemoryStore,
+		private readonly timers: TimerService
+	) {
+		super()
+	}
+
+	override async append(
+		stream: LogStream,
+		records: readonly LogRecord[],
+		timeout: number,
+		fence?: LogFence
+	): Promise<AppendResult> {
+		await this.sleep(CALL_TIME)
+		if (this.isLost(stream)) {
+			await this.sleep(timeout)
+			return { kind: 'unknown', reason: 'no answer' }
+		}
+		return this.store.append(stream, records, fence)
+	}
+
+	override async read(stream: LogStream, from: number, wait: number): Promise<ReadResult> {
+		await this.sleep(CALL_TIME)
+		const until = this.timers.now() + wait
+		while (this.timers.now() < until && this.store.getEnd(stream) <= from) {
+			await this.sleep(LOOK_INTERVAL)
+		}
+		if (this.isLost(stream)) return { kind: 'unavailable', reason: 'no answer' }
+		if (this.store.getFirst(stream) > from) return { kind: 'expired' }
+		const entries = this.store.getEntries(stream).filter((entry) => entry.offset >= from)
+		return { kind: 'entries', entries, next: this.store.getEnd(stream) }
+	}
+
+	override async readNewest(stream: LogStream): Promise<NewestResult> {
+		await this.sleep(CALL_TIME)
+		if (this.isLost(stream)) return { kind: 'unavailable', reason: 'no answer' }
+		const newest = new Map<string, LogEntry>()
+		for (const entry of this.store.getEntries(stream)) newest.set(entry.key, entry)
+		const entries = [...newest.values()].filter((entry) => entry.value !== undefined)
+		return { kind: 'entries', entries, next: this.store.getEnd(stream) }
+	}
+
+	override async join(member: string, timeToLive: number): Promise<JoinResult> {
+		await this.sleep(CALL_TIME)
+		if (this.cut) return { kind: 'unavailable', reason: 'no answer' }
+		return this.store.join(member, this.timers.now(), timeToLive)
+	}
+
+	override async leave(member: string): Promise<void> {
+		await this.sleep(CALL_TIME)
+		if (!this.cut) this.store.leave(member)
+	}
+
+	private isLost(stream: LogStream): boolean {
+		return this.cut || this.store.down.has(stream)
+	}
+
+	private sleep(duration: number): Promise<void> {
+		return new Promise((resolve) => {
+			this.timers.after(duration, resolve)
+		})
+	}
+}
--- /dev/null
+++ b/packages/jobs/src/lib/testing/MemoryStore.ts
@@ -0,0 +1,97 @@
+import type { AppendResult } from '../ports/AppendResult.js'
+import type { JoinResult } from '../ports/JoinResult.js'
+import type { LogEntry } from '../ports/LogEntry.js'
+import type { LogFence } from '../ports/LogFence.js'
+import type { LogRecord } from '../ports/LogRecord.js'
+import type { LogStream } from '../ports/LogStream.js'
+
+interface Stream {
+	readonly entries: LogEntry[]
+	end: number
+	first: number
+	term: number
+	/** Answers of the present term by sequence number. */
+	answers: Map<number, AppendResult>
+}
+
+/**
+ * What the instances of a test share: streams with fences, and a group of members.
+ *
+ * @internal
+ */
+export class MemoryStore {
+	/** Streams that give no answer. */
+	readonly down = new Set<LogStream>()
+	private readonly streams = new Map<LogStream, Stream>()
+	private readonly members = new Map<string, number>()
+	private generation = 0
+	private owner: string | undefined
+
+	append(stream: LogStream, records: readonly LogRecord[], fence?: LogFence): AppendResult {
+		const target = this.use(stream)
+		if (fence) {
+			if (fence.term < target.term) return { kind: 'fenced', reason: `term ${target.term}` }
+			if (fence.term > target.term) target.answers = new Map()
+			target.term = fence.term
+			const known = target.answers.get(fence.sequence)
+			if (records.length > 0 && known) return known
+		}
+		const offset = target.end
+		for (const record of records) {
+			target.entries.push({ ...record, offset: target.end })
+			target.end += 1
+		}
+		const result: AppendResult = { kind: 'appended', offset, end: target.end }
+		if (fence && records.length > 0) target.answers.set(fence.sequence, result)
+		return result
+	}
+
+	/** Forgets the records before the newest of each key. */
+	compact(stream: LogStream): void {
+		const target = this.use(stream)
+		target.first = target.end
+	}
+
+	getEnd(stream: LogStream): number {
+		return this.use(stream).end
+	}
+
+	getFirst(stream: LogStream): number {
+		return this.use(stream).first
+	}
+
+	getEntries(stream: LogStream): readonly LogEntry[] {
+		return this.use(stream).entries
+	}
+
+	join(member: string, now: number, timeToLive: number): JoinResult {
+		for (const [name, until] of this.members) if (until < now) this.leave(name)
+		if (!this.members.has(member)) this.generation += 1
+		this.members.set(member, now + timeToLive)
+		this.owner ??= member
+		return { kind: 'joined', generation: this.generation, owner: this.owner === member }
+	}
+
+	leave(member: string): void {
+		if (!this.members.delete(member)) return
+		this.generation += 1
+		if (this.owner === member) this.owner = [...this.members.keys()][0]
+	}
+
+	/** Gives ownership to another member without cause. */
+	rebalance(): void {
+		const names = [...this.members.keys()]
+		const place = names.indexOf(this.owner ?? '')
+		this.generation += 1
+		this.owner = names[(place + 1) % names.length]
+	}
+
+	private use(name: LogStream): Stream {
+		let stream = this.streams.get(name)
+		if (!stream) {
+			stream = { entries: [], end: 0, first: 0, term: -1, answers: new Map() }
+			this.streams.set(name, stream)
+		}
+		return stream
+	}
+}
--- /dev/null
+++ b/packages/jobs/src/lib/testing/RunJournal.ts
@@ -0,0 +1,55 @@
+interface JournalRun {
+	readonly attempt: number
+	readonly backend: string
+	readonly startedAt: number
+	endedAt: number | undefined
+}
+
+/**
+ * What all backend servers of a test have run, and the promises that were broken.
+ *
+ * @internal
+ */
+export class RunJournal {
+	readonly violations: string[] = []
+	private readonly runs = new Map<string, JournalRun[]>()
+	private readonly acknowledged = new Set<string>()
+
+	noteStart(task: string, attempt: number, backend: string, now: number): void {
+		const runs = this.runs.get(task) ?? []
+		this.runs.set(task, runs)
+		const open = runs.find((run) => run.endedAt === undefined)
+		if (open) {
+			this.violations.push(
+				`${now}: ${task} runs twice, attempt ${open.attempt} on ${open.backend} and ${attempt} on ${backend}`
+			)
+		}
+		if (this.acknowledged.has(task)) {
+			this.violations.push(`${now}: ${task} started after its end was acknowledged`)
+		}
+		runs.push({ attempt, backend, startedAt: now, endedAt: undefined })
+	}
+
+	noteEnd(task: string, attempt: number, at: number): void {
+		const run = this.runs.get(task)?.find((candidate) => candidate.attempt === attempt)
+		if (run) run.endedAt ??= at
+	}
+
+	noteAcknowledged(end: { readonly task: string; readonly ending: string }): void {
+		if (end.ending === 'done') this.acknowledged.add(end.task)
+	}
+
+	/** Runs of a task in the order of their starts. */
+	getRuns(task: string): readonly JournalRun[] {
+		return this.runs.get(task) ?? []
+	}
+
+	/** Tasks that run now. */
+	get running(): string[] {
+		const open: string[] = []
+		for (const [task, runs] of this.runs) {
+			if (runs.some((run) => run.endedAt === undefined)) open.push(task)
+		}
+		return open
+	}
+}
--- /dev/null
+++ b/packages/jobs/src/lib/testing/createTestFleet.ts
@@ -0,0 +1,164 @@
+import type { FleetConfiguration, Job, JobStep, Resources } from '@mastichead/core'
+import { VirtualTimerService } from '@mastichead/core'
+import { JobDaemon } from '../JobDaemon.js'
+import { SilentEventLog } from '../logs/SilentEventLog.js'
+import { JobMetrics } from '../metrics/JobMetrics.js'
+import type { Machine } from '../ports/Machine.js'
+import { JsonTestFormat } from './JsonTestFormat.js'
+import { MemoryBackend } from './MemoryBackend.js'
+import { MemoryBackends } from './MemoryBackends.js'
+import { MemoryLog } from './MemoryLog.js'
+import { MemoryMachines } from './MemoryMachines.js'
+import { MemoryStore } from './MemoryStore.js'
+import { RunJournal } from './RunJournal.js'
+
+const START_OF_TIME = 1_700_000_000_000
+/** Turns of the event loop after each millisecond, so that what was resolved is carried on. */
+const TURNS_PER_STEP = 2
+
+/**
+ * Makes instances, a store and backend servers that share one virtual clock.
+ *
+ * @internal
+ */
+export function createTestFleet(options: {
+	readonly instances: number
+	readonly backends: number
+	readonly limit?: Resources
+	readonly machines?: Machine[]
+}): TestFleet {
+	const timers = new VirtualTimerService()
+	const store = new MemoryStore()
+	const journal = new RunJournal()
+	const backends = new Map<string, MemoryBackend>()
+	for (let number = 1; number <= options.backends; number += 1) {
+		const backend = new MemoryBackend(`b${number}`, timers, journal)
+		backends.set(backend.id, backend)
+		register(store, backend)
+	}
+	store.append('operator', [{ key: 'config', value: '1' }])
+	const format = new JsonTestFormat(new Map([[1, createConfiguration(options.limit)]]))
+	const machines = new MemoryMachines(options.machines)
+	const instances: TestInstance[] = []
+	for (let number = 1; number <= options.instances; number += 1) {
+		const log = new MemoryLog(store, timers)
+		const server = new MemoryBackends(backends, timers)
+		const daemon = new JobDaemon({
+			member: `m${number}`,
+			log,
+			server,
+			format,
+			operator: machines,
+			timers,
+			events: new SilentEventLog(),
+			metrics: new JobMetrics(),
+			getWallTime: () => START_OF_TIME + timers.now(),
+		})
+		daemon.start()
+		instances.push({ daemon, log, server })
+	}
+	const run = async (duration: number): Promise<void> => {
+		for (let step = 0; step < duration; step += 1) {
+			timers.advance(1)
+			for (const backend of backends.values()) backend.advance()
+			for (let turn = 0; turn < TURNS_PER_STEP; turn += 1) {
+				await new Promise((resolve) => setImmediate(resolve))
+			}
+		}
+	}
+	return { timers, store, journal, backends, machines, instances, run }
+}
+
+interface TestInstance {
+	readonly daemon: JobDaemon
+	readonly log: MemoryLog
+	readonly server: MemoryBackends
+}
+
+interface TestFleet {
+	readonly timers: VirtualTimerService
+	readonly store: MemoryStore
+	readonly journal: RunJournal
+	readonly backends: Map<string, MemoryBackend>
+	readonly machines: MemoryMachines
+	readonly instances: readonly TestInstance[]
+	/** Lets virtual time pass, in milliseconds. */
+	run(duration: number): Promise<void>
+}
+
+function register(store: MemoryStore, backend: MemoryBackend): void {
+	const registration = {
+		id: backend.id,
+		machine: `machine-${backend.id}`,
+		service: 'desk',
+		address: `10.0.0.1:${backend.id}`,
+		zone: 'a',
+		labels: [],
+		capacity: { cpu: backend.cores * 1_000, memory: 64_000, gpu: 0 },
+		draining: false,
+		incarnation: backend.incarnation,
+	}
+	store.append('backends', [{ key: backend.id, value: JSON.stringify(registration) }])
+}
+
+function createConfiguration(limit: Resources = { cpu: 0, memory: 0, gpu: 0 }): FleetConfiguration {
+	const queue = {
+		name: 'quotes',
+		service: 'desk',
+		priority: 0,
+		maximumAttempts: 2,
+		stretch: 1.6,
+		latency: 600,
+		public: false,
+		host: 'example',
+		pathPrefix: '/quotes/',
+	}
+	return {
+		version: 1,
+		queues: new Map([['quotes', queue]]),
+		teams: new Map([['installers', { name: 'installers', keys: ['k'], weight: 1, limit }]]),
+		keys: new Map([['k', 'installers']]),
+		services: new Set(['desk']),
+		spareServices: new Set(),
+		maximumBodyBytes: 10_000,
+		idleTimeout: 15_000,
+	}
+}
+
+/** Fields of a step that most tests leave alone. */
+const plainStep: JobStep = {
+	count: 1,
+	needs: { cpu: 1_000, memory: 100, gpu: 0 },
+	estimate: 300,
+	dependsOn: [],
+	checkpoints: false,
+	gang: false,
+	sameRack: false,
+	requiredLabel: '',
+	dataRack: '',
+	maximumPerBackend: 0,
+	speculative: false,
+	lasting: false,
+	image: '',
+	targetLatency: 0,
+	fills: false,
+	mayMiss: undefined,
+}
+
+/**
+ * Makes a job of the test fleet's queue.
+ *
+ * @param number - makes the id
+ * @internal
+ */
+createTestFleet.createJob = (number: number, steps: readonly Partial<JobStep>[]): Job => ({
+	id: number.toString(16).padStart(16, '0'),
+	queue: 'quotes',
+	team: 'installers',
+	specification: 'text',
+	steps: steps.map((step) => ({ ...plainStep, ...step })),
+	times: 0,
+	startAt: 0,
+	interval: 0,
+	acceptedAt: START_OF_TIME,
+})
