--- a/packages/jobs/src/lib/owner/faults.test.ts
+++ b/packages/jobs/src/lib/owner/faults.test.ts
@@ -38,7 +38,13 @@
 	await fc.assert(property, { seed: 20261204, numRuns: 40 })
 }, 120_000)
 
-type Fault = Parameters<typeof inflict>[1]
+interface Fault {
+	readonly kind: string
+	readonly at: number
+	readonly duration: number
+	readonly instance: number
+	readonly backend: number
+}
 
 /** Plays a scenario and says what was wrong. */
 async function play(faults: readonly Fault[], submissions: readonly number[]): Promise<string[]> {
@@ -85,10 +91,7 @@
 	return problems
 }
 
-function inflict(
-	fleet: ReturnType<typeof createTestFleet>,
-	one: { kind: string; duration: number; instance: number; backend: number }
-): void {
+function inflict(fleet: ReturnType<typeof createTestFleet>, one: Fault): void {
 	const { timers, store } = fleet
 	const instance = fleet.instances[one.instance]
 	const backend = fleet.backends.get(`b${one.backend}`)
