--- /dev/null
+++ b/packages/core/src/lib/jobs/DemandPoolPolicy.test.ts
@@ -0,0 +1,66 @@
+import { describe, expect, it } from 'vitest'
+import { DemandPoolPolicy } from './DemandPoolPolicy.js'
+import type { PoolSituation } from './PoolSituation.js'
+
+const policy = new DemandPoolPolicy()
+
+describe('demand that turns from pool to pool', () => {
+	it('gives idle machines of the pool that was busy to the pool that is', () => {
+		const before = createPool('before', { machines: 8 })
+		const now = createPool('now', { machines: 2, demand: 90, waiting: 60, use: 30 })
+		const moves = policy.plan([before, now], 10_000)
+		expect(moves).toHaveLength(5)
+		expect(moves.every((move) => move.from === 'before' && move.to === 'now')).toBe(true)
+	})
+
+	it('wakes spare machines only when no other pool has idle ones', () => {
+		const spare = createPool('spare', { machines: 5, spare: true })
+		const idle = createPool('idle', { machines: 3 })
+		const busy = createPool('busy', { machines: 2, demand: 40 })
+		const moves = policy.plan([spare, idle, busy], 10_000)
+		expect(moves.map((move) => move.from)).toEqual(['idle'])
+	})
+
+	it('turns off what stays idle, down to the fewest machines of a pool', () => {
+		const spare = createPool('spare', { machines: 0, spare: true })
+		const idle = createPool('idle', { machines: 6 })
+		expect(policy.plan([spare, idle], 400)).toEqual([])
+		expect(policy.plan([spare, idle], 10_000)).toHaveLength(4)
+	})
+
+	it('shares too few machines in proportion to what pools need', () => {
+		const large = createPool('large', { machines: 2, demand: 300 })
+		const small = createPool('small', { machines: 0, demand: 60 })
+		const idle = createPool('idle', { machines: 10 })
+		const moves = policy.plan([large, small, idle], 10_000)
+		expect(moves.filter((move) => move.to === 'small').length).toBeGreaterThan(0)
+		expect(moves.filter((move) => move.to === 'large').length).toBeGreaterThan(4)
+	})
+
+	it('asks for machines for a pool that has none', () => {
+		expect(policy.getWanted(createPool('empty', { machines: 0, waiting: 160 }))).toBe(11)
+	})
+})
+
+function createPool(
+	service: string,
+	options: Partial<Omit<PoolSituation, 'machines'>> & { readonly machines: number }
+): PoolSituation {
+	const { machines, ...rest } = options
+	return {
+		service,
+		spare: false,
+		machineCores: 16,
+		arriving: 0,
+		demand: 0,
+		use: 0,
+		waiting: 0,
+		lasting: 0,
+		spread: 0,
+		...rest,
+		machines: Array.from({ length: machines }, (_, place) => ({
+			id: `${service}-${place}`,
+			idleSince: 0,
+		})),
+	}
+}
--- /dev/null
+++ b/packages/core/src/lib/jobs/mayInterrupt.test.ts
@@ -0,0 +1,43 @@
+import { describe, expect, it } from 'vitest'
+import { mayInterrupt } from './mayInterrupt.js'
+import { mayStop } from './mayStop.js'
+import type { TaskRow } from './TaskRow.js'
+import { createTestJob } from './testing/createTestJob.js'
+import { createTestTables } from './testing/createTestTables.js'
+
+describe('maintenance of a server with lasting tasks', () => {
+	it('waits while another task of the step is away, or while a stop of one is under way', () => {
+		const { tasks, backends } = createLasting(1)
+		const [first, second] = tasks
+		const backend = backends.get(first?.backend ?? '')
+		if (!first || !second || !backend) throw new Error('the tasks are placed')
+		expect(mayInterrupt(backend)).toBe(true)
+		second.stopping = true
+		expect(mayInterrupt(backend)).toBe(false)
+		expect(mayStop(first)).toBe(false)
+		second.stopping = false
+		second.atWorkSince = undefined
+		expect(mayStop(first)).toBe(false)
+	})
+
+	it('is refused when it would end more tasks of a step at once than may be away', () => {
+		const { tasks, backends } = createLasting(4)
+		const backend = backends.get(tasks[0]?.backend ?? '')
+		if (!backend) throw new Error('the tasks are placed')
+		expect(backend.tasks.size).toBeGreaterThan(1)
+		expect(mayInterrupt(backend)).toBe(false)
+	})
+})
+
+function createLasting(maximumPerBackend: number): {
+	tasks: TaskRow[]
+	backends: ReturnType<typeof createTestTables>['backends']
+} {
+	const { jobs, backends, planner, configuration } = createTestTables({ backends: 4 })
+	const row = jobs.admit(
+		createTestJob('a', [{ count: 4, lasting: true, mayMiss: 1, maximumPerBackend }])
+	)
+	planner.plan(configuration, 0, 0)
+	for (const task of row.tasks) task.atWorkSince = 0
+	return { tasks: row.tasks, backends }
+}
--- /dev/null
+++ b/packages/core/src/lib/jobs/testing/createTestTables.ts
@@ -0,0 +1,60 @@
+import { BackendTable } from '../BackendTable.js'
+import type { FleetConfiguration } from '../FleetConfiguration.js'
+import { InTimeOrder } from '../InTimeOrder.js'
+import { JobTable } from '../JobTable.js'
+import { PackChoice } from '../PackChoice.js'
+import { PlacementPlanner } from '../PlacementPlanner.js'
+import type { Resources } from '../Resources.js'
+
+/**
+ * Makes tables with usable backend servers of 16 cores in the pool `desk`, and a planner over them.
+ *
+ * @param options.limit - limit of the team `installers`
+ * @internal
+ */
+export function createTestTables(options: {
+	readonly backends: number
+	readonly limit?: Resources
+}): {
+	jobs: JobTable
+	backends: BackendTable
+	planner: PlacementPlanner
+	configuration: FleetConfiguration
+} {
+	const jobs = new JobTable()
+	const backends = new BackendTable()
+	for (let number = 1; number <= options.backends; number += 1) {
+		const row = backends.use(`b${number}`)
+		row.service = 'desk'
+		row.labels = [`r${number}`]
+		row.capacity = { cpu: 16_000, memory: 64_000, gpu: 0 }
+		row.registered = true
+		row.reconciled = true
+	}
+	const planner = new PlacementPlanner(jobs, backends, new InTimeOrder(), new PackChoice())
+	return { jobs, backends, planner, configuration: createConfiguration(options.limit) }
+}
+
+function createConfiguration(limit: Resources = { cpu: 0, memory: 0, gpu: 0 }): FleetConfiguration {
+	const queue = {
+		name: 'quotes',
+		service: 'desk',
+		priority: 0,
+		maximumAttempts: 2,
+		stretch: 1.6,
+		latency: 600,
+		public: false,
+		host: 'example',
+		pathPrefix: '/quotes/',
+	}
+	return {
+		version: 1,
+		queues: new Map([['quotes', queue]]),
+		teams: new Map([['installers', { name: 'installers', keys: [], weight: 1, limit }]]),
+		keys: new Map(),
+		services: new Set(['desk']),
+		spareServices: new Set(),
+		maximumBodyBytes: 0,
+		idleTimeout: 0,
+	}
+}
--- /dev/null
+++ b/packages/standins/src/lib/jobPlatform/RunServerStandin.ts
@@ -0,0 +1,139 @@
+import { setTimeout as delay } from 'node:timers/promises'
+import { JsonServer } from './JsonServer.js'
+
+/** How often a waiting list looks for ends, in milliseconds. */
+const LOOK_INTERVAL = 10
+
+interface Run {
+	readonly task: string
+	readonly attempt: number
+	/** When it ends by itself, in milliseconds since 1970; undefined for never. */
+	readonly endsAt: number | undefined
+}
+
+interface RunCall {
+	readonly task: string
+	readonly attempt: number
+	readonly fencing_token: number
+	readonly acked_through: number
+	readonly deadline_ms?: number
+	readonly wait_ms?: number
+}
+
+/**
+ * Stand-in of a backend server that runs tasks under leases and fencing tokens.
+ *
+ * @public
+ */
+export class RunServerStandin {
+	/** Every start that was taken, as `TASK/ATTEMPT`, in order. */
+	readonly starts: string[] = []
+	private readonly born = Date.now()
+	private readonly runs = new Map<string, Run>()
+	private ended: unknown[][] = []
+	private ends = 0
+	private token = 0
+	private leaseEnd = 0
+	private readonly server = new JsonServer(({ url, body }) =>
+		this.handle(url.pathname, JSON.parse(body.toString() || '{}') as RunCall)
+	)
+
+	/**
+	 * @param duration - milliseconds that a task runs; undefined: until it is stopped
+	 */
+	constructor(private readonly duration: number | undefined) {}
+
+	listen(host: string, port: number): Promise<void> {
+		return this.server.listen(host, port)
+	}
+
+	close(): Promise<void> {
+		return this.server.close()
+	}
+
+	/** Registration as the server writes it into the store. */
+	createRegistration(service: string, address: string): object {
+		return {
+			service,
+			address,
+			zone: 'a',
+			version: 'v1',
+			slots: 8,
+			state: 'ready',
+			warmup_left_ms: 0,
+			seq: 1,
+			born: this.born,
+			machine: `m-${address}`,
+			capacity: { cpu: 16_000, mem_mb: 65_536, gpu: 0 },
+			labels: ['a', 'r1'],
+			clock_ms: this.clock,
+		}
+	}
+
+	/** Tasks that run now. */
+	get running(): string[] {
+		this.advance()
+		return [...this.runs.keys()]
+	}
+
+	private async handle(path: string, call: RunCall): Promise<{ status: number; body: object }> {
+		this.advance()
+		if (call.fencing_token < this.token) return this.refuse('fence')
+		this.token = call.fencing_token
+		if (call.deadline_ms !== undefined) this.leaseEnd = Math.max(this.leaseEnd, call.deadline_ms)
+		switch (path) {
+			case '/api/run-start':
+				this.start(call)
+				return { status: 200, body: { clock_ms: this.clock } }
+			case '/api/run-stop':
+				this.end(call.task, 'stopped')
+				return { status: 200, body: { clock_ms: this.clock } }
+			case '/api/hold':
+				return { status: 200, body: await this.hold(call) }
+			default:
+				return { status: 404, body: {} }
+		}
+	}
+
+	private start({ task, attempt }: RunCall): void {
+		if (this.runs.get(task)?.attempt === attempt) return
+		const endsAt = this.duration === undefined ? undefined : Date.now() + this.duration
+		this.runs.set(task, { task, attempt, endsAt })
+		this.starts.push(`${task}/${attempt}`)
+	}
+
+	private async hold(call: RunCall): Promise<object> {
+		this.ended = this.ended.filter((end) => Number(end[0]) > call.acked_through)
+		const until = Date.now() + (call.wait_ms ?? 0)
+		while (Date.now() < until && this.ended.length === 0) {
+			await delay(LOOK_INTERVAL)
+			this.advance()
+		}
+		const running = [...this.runs.values()].map(({ task, attempt }) => [task, attempt, '', 100, 0])
+		return { clock_ms: this.clock, born: this.born, running, ended: this.ended }
+	}
+
+	private advance(): void {
+		const lapsed = this.clock > this.leaseEnd
+		for (const run of [...this.runs.values()]) {
+			if (run.endsAt !== undefined && run.endsAt <= Date.now()) this.end(run.task, 'done')
+			else if (lapsed) this.end(run.task, 'lapsed')
+		}
+	}
+
+	private end(task: string, how: string): void {
+		const run = this.runs.get(task)
+		if (!run) return
+		this.runs.delete(task)
+		this.ends += 1
+		this.ended.push([this.ends, task, run.attempt, how, ''])
+	}
+
+	private refuse(reason: string): { status: number; body: object } {
+		return { status: 409, body: { clock_ms: this.clock, reason } }
+	}
+
+	private get clock(): number {
+		return Date.now() - this.born + 1_000_000
+	}
+}
--- a/packages/standins/src/lib/processes/ProcessGroup.ts
+++ b/packages/standins/src/lib/processes/ProcessGroup.ts
@@ -25,9 +25,16 @@
 	 * Starts a Node.js program and resolves once a line of its output contains `marker`.
 	 *
 	 * @param args - path of the program and its arguments
+	 * @param environment - variables beside the inherited ones
 	 */
-	async start(name: string, args: readonly string[], marker: string): Promise<void> {
-		const child = spawn(process.execPath, args, { stdio: ['ignore', 'pipe', 'pipe'] })
+	async start(
+		name: string,
+		args: readonly string[],
+		marker: string,
+		environment: Readonly<Record<string, string>> = {}
+	): Promise<void> {
+		const env = { ...process.env, ...environment }
+		const child = spawn(process.execPath, args, { stdio: ['ignore', 'pipe', 'pipe'], env })
 		const row: Row = { name, child, lines: [] }
 		this.rows.set(name, row)
 		await new Promise<void>((resolve, reject) => {
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -6,6 +6,7 @@
 	test: {
 		include: [
 			'packages/*/src/**/*.test.ts',
+			'platform/src/**/*.test.ts',
 			'spec/src/**/*.test.ts',
 			'bench/src/**/*.test.ts',
 			'tests/**/*.test.ts',
--- a/vitest.failures.config.ts
+++ b/vitest.failures.config.ts
@@ -6,6 +6,7 @@
 	test: {
 		include: [
 			'packages/*/src/**/*.failure.test.ts',
+			'platform/src/**/*.failure.test.ts',
 			'tests/**/*.failure.test.ts',
 			'spec/src/**/*.test.ts',
 		],
