Accept any three of four equal jobs in the test of selectInTime

The three that are kept depend on the order of ties, which nothing promises; the test now asks for three and not the large one. Ruled out: a fault of selectInTime.

--- a/packages/core/src/lib/jobs/selectInTime.test.ts
+++ b/packages/core/src/lib/jobs/selectInTime.test.ts
@@ -11,7 +11,8 @@
 			createOutlook(`s${number}`, 1_000 + number, 500, 5_000)
 		)
 		const kept = selectInTime([large, ...small], 16, 0)
-		expect([...kept].map(({ row }) => row.job.id)).toEqual(['s1', 's2', 's3'])
+		expect(kept.size).toBe(3)
+		expect(kept.has(large)).toBe(false)
 	})
 
 	it('keeps everything while it fits', () => {
