--- a/packages/jobs/src/lib/machines/MachineManager.ts
+++ b/packages/jobs/src/lib/machines/MachineManager.ts
@@ -34,6 +34,7 @@
 			readonly writer: ProgressWriter
 			readonly demand: DemandMeter
 			readonly stopTask: (task: TaskRow) => void
+			readonly isRegistryFresh: () => boolean
 			readonly getBacklog: () => ReadonlyMap<string, number>
 			readonly getWaves: () => ReadonlyMap<string, Wave>
 			readonly report: (key: string, state: 'running' | 'completed') => Promise<boolean>
@@ -59,6 +60,7 @@
 			policy: new DemandPoolPolicy(),
 			demand,
 			getBacklog,
+			isRegistryFresh: parts.isRegistryFresh,
 			isReserved: (machine) => this.waves.isReserved(machine),
 		})
 	}
--- a/packages/jobs/src/lib/machines/PoolManager.ts
+++ b/packages/jobs/src/lib/machines/PoolManager.ts
@@ -41,6 +41,8 @@
 			readonly demand: DemandMeter
 			/** Cores of tasks without room by service. */
 			readonly getBacklog: () => ReadonlyMap<string, number>
+			/** Whether a machine that joins a pool would be seen. */
+			readonly isRegistryFresh: () => boolean
 			/** Machines that a wave is emptying or has taken down. */
 			readonly isReserved: (machine: string) => boolean
 		}
@@ -52,6 +54,7 @@
 		this.noteArrivals(now)
 		this.situations = this.getSituations(now)
 		this.report(now)
+		if (!this.parts.isRegistryFresh()) return
 		for (const move of this.parts.policy.plan(this.situations, now)) void this.carryOut(move)
 	}
 
--- a/packages/jobs/src/lib/owner/BackendRegistry.ts
+++ b/packages/jobs/src/lib/owner/BackendRegistry.ts
@@ -9,6 +9,8 @@
 /** Time that a read waits for a registration to change, and the pause after it, in milliseconds. */
 const READ_WAIT = 500
 const READ_PAUSE = 250
+/** Age of the latest answer up to which the registry counts as fresh, in milliseconds. */
+const MAXIMUM_AGE = 1_100
 /**
  * For this long after the log was out of reach, an entry that has gone may only have lapsed and
  * is kept, in milliseconds.
@@ -54,6 +56,12 @@
 		for (const registration of registrations) this.noteRegistration(registration)
 	}
 
+	/** Whether the registry was read a short time ago. */
+	isFresh(): boolean {
+		const { lastContact } = this.follower
+		return lastContact !== undefined && this.context.timers.now() - lastContact < MAXIMUM_AGE
+	}
+
 	/** Registration of a backend server as it was last read. */
 	get(id: BackendId): BackendRegistration | undefined {
 		return this.registrations.get(id)
--- a/packages/jobs/src/lib/owner/OwnerTerm.ts
+++ b/packages/jobs/src/lib/owner/OwnerTerm.ts
@@ -135,6 +135,7 @@
 			writer: this.writer,
 			demand: this.demand,
 			stopTask: (task) => void this.dispatcher.stop(task),
+			isRegistryFresh: () => this.registry.isFresh(),
 			getBacklog: () => this.planner.backlog,
 			getWaves: parts.getWaves,
 			report: (key, state) => this.reportWave(key, state),
