--- a/packages/core/src/lib/jobs/DemandPoolPolicy.ts
+++ b/packages/core/src/lib/jobs/DemandPoolPolicy.ts
@@ -10,6 +10,12 @@
 const GIVING_IDLE_TIME = 300
 /** A machine that no pool needs is turned off once it was idle for this long, in milliseconds. */
 const SPARING_IDLE_TIME = 1_000
+/** Machines that each pool keeps on while nothing is asked, for whichever is asked first. */
+const WAKING_MACHINES = 4
+/** Time for the first demand to show where it is, in milliseconds. */
+const WAKING_TIME = 3_000
+/** Cores below which nothing counts as asked. */
+const MINIMUM_DEMAND = 1
 
 interface Balance {
 	readonly pool: PoolSituation
@@ -28,10 +34,15 @@
  * @public
  */
 export class DemandPoolPolicy extends PoolPolicy {
+	/** Instant since which something has been asked. */
+	private awakeSince = -Infinity
+
 	override plan(pools: readonly PoolSituation[], now: number): readonly MachineMove[] {
 		const balances = pools.map((pool) => this.getBalance(pool))
+		if (isAsleep(pools)) this.awakeSince = now
+		const kept = now - this.awakeSince < WAKING_TIME ? WAKING_MACHINES : 0
 		const moves = coverShortages(balances, now)
-		moves.push(...turnOff(balances, now))
+		moves.push(...turnOff(balances, now, kept))
 		return moves
 	}
 
@@ -82,13 +93,17 @@
 	return giver && give(giver, receiver)
 }
 
-function turnOff(balances: readonly Balance[], now: number): MachineMove[] {
+/**
+ * @param kept - machines that a pool keeps even if it does not need them
+ */
+function turnOff(balances: readonly Balance[], now: number, kept: number): MachineMove[] {
 	const spare = balances.find((balance) => balance.pool.spare)
 	if (!spare) return []
 	const moves: MachineMove[] = []
 	for (const giver of balances) {
 		if (giver.pool.spare) continue
-		while (giver.surplus > 0 && isIdle(giver, now, SPARING_IDLE_TIME)) {
+		const most = Math.max(0, kept - giver.wanted)
+		while (giver.surplus > most && isIdle(giver, now, SPARING_IDLE_TIME)) {
 			const move = give(giver, spare)
 			if (!move) break
 			moves.push(move)
@@ -97,6 +112,11 @@
 	return moves
 }
 
+/** Whether nothing is asked of any pool: then nobody can tell where the next demand will be. */
+function isAsleep(pools: readonly PoolSituation[]): boolean {
+	return pools.every((pool) => pool.demand + pool.use + pool.waiting < MINIMUM_DEMAND)
+}
+
 function isIdle(balance: Balance, now: number, duration: number): boolean {
 	const longest = balance.idle[0]
 	return longest !== undefined && now - longest.idleSince >= duration
--- a/packages/jobs/src/lib/logs/StreamEventLog.ts
+++ b/packages/jobs/src/lib/logs/StreamEventLog.ts
@@ -5,6 +5,8 @@
 const FLUSH_INTERVAL = 100
 /** Characters that may wait; lines beyond them are dropped and counted. */
 const MAXIMUM_WAITING = 1_000_000
+/** Characters of one write: a pipe takes this much as a whole, so that lines stay whole. */
+const MAXIMUM_CHUNK = 4_000
 /** Lines of one event in one interval; more are summed up in one line. */
 const MAXIMUM_REPEATS = 200
 
@@ -57,7 +59,7 @@
 			this.push('warn', 'lines-dropped', { count })
 		}
 		if (this.waiting.length === 0) return
-		this.stream.write(this.waiting.join(''))
+		for (const chunk of joinLines(this.waiting)) this.stream.write(chunk)
 		this.waiting = []
 		this.waitingCharacters = 0
 	}
@@ -73,3 +75,17 @@
 		this.waitingCharacters += line.length
 	}
 }
+
+function joinLines(lines: readonly string[]): string[] {
+	const chunks: string[] = []
+	let chunk = ''
+	for (const line of lines) {
+		if (chunk !== '' && chunk.length + line.length > MAXIMUM_CHUNK) {
+			chunks.push(chunk)
+			chunk = ''
+		}
+		chunk += line
+	}
+	if (chunk !== '') chunks.push(chunk)
+	return chunks
+}
--- a/packages/jobs/src/lib/machines/MachineManager.ts
+++ b/packages/jobs/src/lib/machines/MachineManager.ts
@@ -49,6 +49,7 @@
 			ledger,
 			writer,
 			inventory: this.inventory,
+			isArriving: (machine) => this.pools.isArriving(machine),
 			hasSlack: (service) => this.pools.hasSlack(service),
 			getWaves,
 			report,
--- a/packages/jobs/src/lib/machines/PoolManager.ts
+++ b/packages/jobs/src/lib/machines/PoolManager.ts
@@ -71,6 +71,11 @@
 		this.context.events.info('pools-seen', pools)
 	}
 
+	/** Whether the machine was moved and has not registered yet. */
+	isArriving(machine: string): boolean {
+		return this.arriving.has(machine)
+	}
+
 	/** Whether a pool can do without one more of its machines now. */
 	hasSlack(service: string): boolean {
 		const pool = this.situations.find((candidate) => candidate.service === service)
--- a/packages/jobs/src/lib/machines/WaveManager.ts
+++ b/packages/jobs/src/lib/machines/WaveManager.ts
@@ -39,6 +39,8 @@
 			readonly operator: MachineOperator
 			readonly ledger: TaskLedger
 			readonly inventory: MachineInventory
+			/** Whether the machine is on its way into another pool. */
+			readonly isArriving: (machine: string) => boolean
 			/** Whether a service's pool can do without one more machine. */
 			readonly hasSlack: (service: string) => boolean
 			readonly getWaves: () => ReadonlyMap<string, Wave>
@@ -141,6 +143,7 @@
 		const backends = new Map<BackendRow, string>()
 		for (const machine of open) {
 			if (row.closing.has(machine) || this.find(machine)?.state !== 'up') continue
+			if (this.parts.isArriving(machine)) continue
 			const backend = this.parts.inventory.getBackend(machine)
 			if (backend) backends.set(backend, machine)
 			// Nothing of ours runs on a machine without a registered server.
@@ -174,6 +177,11 @@
 		const backend = this.parts.inventory.getBackend(machine)
 		if (row.down.size >= row.wave.atOnce || this.isStopped()) return
 		if (!this.parts.inventory.isSettled(machine)) return
+		if (backend && !backend.closing) {
+			// Its server has registered since the machine was chosen: it has to be emptied first.
+			this.close(row, machine, backend)
+			return
+		}
 		if (backend && !this.isEmptied(backend, row.closing.get(machine) ?? 0)) return
 		if (backend && !mayInterrupt(backend)) return
 		row.down.set(machine, timers.now())
