--- a/packages/jobs/src/lib/callers/IntakeWriter.ts
+++ b/packages/jobs/src/lib/callers/IntakeWriter.ts
@@ -10,8 +10,8 @@
 /** An append that has no answer after this long is tried on the next stream too, in milliseconds. */
 const HEDGE_DELAY = 150
 /** Time for one append, and for a record on all streams, in milliseconds. */
-const APPEND_TIMEOUT = 900
-const WRITE_TIMEOUT = 1_200
+const APPEND_TIMEOUT = 600
+const WRITE_TIMEOUT = 750
 /** A stream that has failed is tried last for this long, in milliseconds. */
 const DISTRUST_TIME = 5_000
 /** Appends under way at once, and records in one. */
--- a/packages/jobs/src/lib/machines/MachineInventory.ts
+++ b/packages/jobs/src/lib/machines/MachineInventory.ts
@@ -11,6 +11,8 @@
 /** Difference allowed between the clocks of an instance and of a backend server. */
 const CLOCK_TOLERANCE = 1_000
 const MILLICORES = 1_000
+/** Time after an order until a list is sure to show it, in milliseconds. */
+const LIST_DELAY = 300
 /** Age at which the list of machines is read again, in milliseconds. */
 const LIST_AGE = 1_500
 
@@ -25,6 +27,7 @@
 	listedAt = -Infinity
 
 	private readonly begunAt: number
+	private readonly noted = new Map<string, { readonly machine: Machine; readonly at: number }>()
 
 	constructor(
 		private readonly context: OwnerContext,
@@ -44,7 +47,9 @@
 			return this.machines.size > 0
 		}
 		const known = this.machines.size
-		this.machines = new Map(machines.map((machine) => [machine.id, machine]))
+		this.machines = new Map(
+			machines.map((machine) => [machine.id, this.getNoted(machine.id, askedAt) ?? machine])
+		)
 		this.listedAt = askedAt
 		if (machines.length !== known) events.info('machines-listed', countByPool(machines))
 		return true
@@ -88,7 +93,19 @@
 	/** Takes note of an order that the list does not show yet. */
 	noteState(id: string, change: Partial<Pick<Machine, 'state' | 'service'>>): void {
 		const machine = this.machines.get(id)
-		if (machine) this.machines.set(id, { ...machine, ...change })
+		if (!machine) return
+		const changed = { ...machine, ...change }
+		this.machines.set(id, changed)
+		this.noted.set(id, { machine: changed, at: this.context.timers.now() })
+	}
+
+	/** State after an order that a list asked for at `askedAt` may not show yet. */
+	private getNoted(id: string, askedAt: number): Machine | undefined {
+		const noted = this.noted.get(id)
+		if (!noted) return undefined
+		if (noted.at + LIST_DELAY > askedAt) return noted.machine
+		this.noted.delete(id)
+		return undefined
 	}
 }
 
--- a/packages/jobs/src/lib/machines/PoolManager.ts
+++ b/packages/jobs/src/lib/machines/PoolManager.ts
@@ -133,6 +133,7 @@
 		const machines: { id: string; idleSince: number | undefined }[] = []
 		for (const machine of this.parts.inventory.all) {
 			if (machine.service !== service || machine.state !== 'up') continue
+			if (this.parts.inventory.getBackend(machine.id)) continue
 			const paused = (this.pausedUntil.get(machine.id) ?? 0) > now
 			const settled = this.parts.inventory.isSettled(machine.id)
 			const reserved =
--- a/packages/jobs/src/lib/owner/BackendRegistry.ts
+++ b/packages/jobs/src/lib/owner/BackendRegistry.ts
@@ -103,7 +103,8 @@
 		row.capacity = registration.capacity
 		row.draining = draining
 		row.registered = true
-		events.info('backend-registered', { backend: id, service, draining })
+		const { machine } = registration
+		events.info('backend-registered', { backend: id, machine, service, draining })
 		this.noteChange(row)
 	}
 
