--- a/packages/core/src/lib/jobs/BackendHealth.ts
+++ b/packages/core/src/lib/jobs/BackendHealth.ts
@@ -1,8 +1,14 @@
 import type { BackendId } from './BackendId.js'
+import type { JobId } from './JobId.js'
 import type { BackendRow } from './BackendRow.js'
 
-/** Runs in a row that ended `failed`, without one that ended well, until a server is set aside. */
-const FAILURES_IN_A_ROW = 3
+/**
+ * Jobs of which runs ended `failed` there, without a run that ended well, until a server is set
+ * aside. One job alone may be at fault itself.
+ */
+const FAILED_JOBS = 2
+/** Orders in a row without an answer, or refused for the server's own trouble, until it is too. */
+const TROUBLES_IN_A_ROW = 2
 /** First and longest time for which a server is set aside, in milliseconds. */
 const MINIMUM_AVOIDANCE = 800
 const MAXIMUM_AVOIDANCE = 6_000
@@ -10,7 +16,8 @@
 const MAXIMUM_AVOIDED_SHARE = 0.34
 
 interface Record {
-	failures: number
+	readonly failedJobs: Set<JobId>
+	troubles: number
 	/** How often in a row the server was set aside. */
 	avoidances: number
 }
@@ -32,19 +39,32 @@
 	}
 
 	/** A run on the server ended `failed`. Returns whether the server is set aside for it. */
-	noteFailure(row: BackendRow, now: number): boolean {
+	noteFailure(row: BackendRow, job: JobId, now: number): boolean {
 		const record = this.use(row.id)
-		record.failures += 1
-		if (record.failures < FAILURES_IN_A_ROW) return false
-		record.failures = 0
+		record.failedJobs.add(job)
+		if (record.failedJobs.size < FAILED_JOBS) return false
+		record.failedJobs.clear()
 		return this.avoid(row, now)
 	}
 
-	/** The server refused an order for its own trouble, did not answer, or does not get on. */
+	/**
+	 * The server refused an order for its own trouble, or did not answer. Returns whether it is set
+	 * aside for it.
+	 */
 	noteTrouble(row: BackendRow, now: number): boolean {
+		const record = this.use(row.id)
+		record.troubles += 1
+		if (record.troubles < TROUBLES_IN_A_ROW) return false
+		record.troubles = 0
 		return this.avoid(row, now)
 	}
 
+	/** The server carried out an order. */
+	noteAnswer(backend: BackendId): void {
+		const record = this.records.get(backend)
+		if (record) record.troubles = 0
+	}
+
 	forget(backend: BackendId): void {
 		this.records.delete(backend)
 	}
@@ -72,7 +92,7 @@
 	private use(id: BackendId): Record {
 		let record = this.records.get(id)
 		if (!record) {
-			record = { failures: 0, avoidances: 0 }
+			record = { failedJobs: new Set(), troubles: 0, avoidances: 0 }
 			this.records.set(id, record)
 		}
 		return record
--- a/packages/core/src/lib/jobs/PlacementPlanner.test.ts
+++ b/packages/core/src/lib/jobs/PlacementPlanner.test.ts
@@ -91,6 +91,16 @@
 		expect(row.tasks[0]?.attempt).toBe(4)
 	})
 
+	it('take the next run to another server than the one where the last failed', () => {
+		const { jobs, backends, planner, configuration } = createTestTables({ backends: 2 })
+		jobs.admit(createTestJob('a', [{}]))
+		const [first] = planner.plan(configuration, 0, 0)
+		if (!first) throw new Error('a task was placed')
+		applyRunEnding(first.task, 'failed', '', 2, backends)
+		const [second] = planner.plan(configuration, 0, 0)
+		expect(second?.backend.id).not.toBe(first.backend.id)
+	})
+
 	it('restart a lasting task however it ends', () => {
 		const { jobs, backends, planner, configuration } = createTestTables({ backends: 1 })
 		const row = jobs.admit(createTestJob('a', [{ lasting: true }]))
--- a/packages/core/src/lib/jobs/PlacementPlanner.ts
+++ b/packages/core/src/lib/jobs/PlacementPlanner.ts
@@ -15,6 +15,8 @@
 import { getStepRuns } from './getStepRuns.js'
 
 const MILLICORES = 1_000
+/** Above every other preference. */
+const FAILED_PENALTY = 100
 
 /**
  * Places waiting tasks on backend servers. Changes the tables: a placed task has its backend
@@ -93,7 +95,7 @@
 		const placements: TaskPlacement[] = []
 		const attempt = 1 + Math.max(...run.members.map((member) => member.attempt))
 		for (const task of run.waiting) {
-			const backend = this.choose(run, open, configuration)
+			const backend = this.choose(run, task, open, configuration)
 			if (!backend) break
 			this.occupy(task, backend, run.step.gang ? attempt : task.attempt + 1)
 			placements.push({ task, backend, attempt: task.attempt })
@@ -103,8 +105,10 @@
 		return []
 	}
 
+	/** Where a run of the task has failed is the last choice. */
 	private choose(
 		run: StepRun,
+		task: TaskRow,
 		open: readonly BackendRow[],
 		configuration: FleetConfiguration
 	): BackendRow | undefined {
@@ -116,7 +120,8 @@
 		let bestScore = -Infinity
 		for (const backend of open) {
 			if (!canTake(run, backend)) continue
-			const score = this.choice.getScore(run, backend)
+			const preference = this.choice.getScore(run, backend)
+			const score = backend.id === task.failedOn ? preference - FAILED_PENALTY : preference
 			if (score <= bestScore) continue
 			best = backend
 			bestScore = score
--- a/packages/core/src/lib/jobs/TaskRow.ts
+++ b/packages/core/src/lib/jobs/TaskRow.ts
@@ -22,6 +22,8 @@
 	attempt: number
 	/** Attempts that ended `failed`. */
 	failures: number
+	/** Backend server on which the latest run that ended `failed` was. */
+	failedOn: BackendId | undefined
 	/** Backend server of the latest attempt while the task is placed. */
 	backend: BackendId | undefined
 	/** Latest checkpoint; empty for none. */
--- a/packages/core/src/lib/jobs/applyRunEnding.ts
+++ b/packages/core/src/lib/jobs/applyRunEnding.ts
@@ -17,6 +17,7 @@
 	maximumAttempts: number,
 	backends: BackendTable
 ): void {
+	const { backend } = task
 	backends.release(task)
 	task.stopping = false
 	task.atWorkSince = undefined
@@ -26,7 +27,10 @@
 		task.phase = 'done'
 		return
 	}
-	if (ending === 'failed') task.failures += 1
+	if (ending === 'failed') {
+		task.failures += 1
+		task.failedOn = backend
+	}
 	const exhausted = !task.step.lasting && task.failures >= maximumAttempts
 	task.phase = exhausted ? 'failed' : 'pending'
 }
--- a/packages/core/src/lib/jobs/createJobRow.ts
+++ b/packages/core/src/lib/jobs/createJobRow.ts
@@ -48,6 +48,7 @@
 		phase: 'pending',
 		attempt: 0,
 		failures: 0,
+		failedOn: undefined,
 		backend: undefined,
 		checkpoint: '',
 		order: 'recorded',
--- a/packages/jobs/src/lib/owner/BackendMonitor.ts
+++ b/packages/jobs/src/lib/owner/BackendMonitor.ts
@@ -7,8 +7,12 @@
 import type { TaskLedger } from './TaskLedger.js'
 import type { ProgressWriter } from './ProgressWriter.js'
 
-/** Time that a listing waits for an end, in milliseconds. */
-const LISTING_WAIT = 1_500
+/**
+ * Time that a listing waits for an end, in milliseconds: while tasks run that end by themselves, and
+ * while only lasting ones do. A listing that is lost hides ends for that long.
+ */
+const LISTING_WAIT = 700
+const LASTING_LISTING_WAIT = 1_500
 /** Pause between two listings: ends that come together cost one. */
 const LISTING_PAUSE = 70
 /** Pause before the ends of a server that runs nothing more are acknowledged, in milliseconds. */
@@ -75,14 +79,20 @@
 				await this.sleep(undefined)
 				continue
 			}
-			const wait = this.row.reconciled && this.row.tasks.size > 0 ? LISTING_WAIT : 0
-			const listed = await this.renew(wait)
+			const listed = await this.renew(this.getWait())
 			await this.sleep(listed ? LISTING_PAUSE : this.getFailurePause())
 			if (listed && this.row.tasks.size === 0) await this.sleep(IDLE_ACKNOWLEDGEMENT_PAUSE)
 			await this.waitForDurability()
 		}
 	}
 
+	private getWait(): number {
+		const { reconciled, tasks } = this.row
+		if (!reconciled || tasks.size === 0) return 0
+		for (const task of tasks.values()) if (!task.step.lasting) return LISTING_WAIT
+		return LASTING_LISTING_WAIT
+	}
+
 	private getFailurePause(): number {
 		return this.row.tasks.size > 0 ? FAILURE_PAUSE : IDLE_FAILURE_PAUSE
 	}
--- a/packages/jobs/src/lib/owner/OrderDispatcher.ts
+++ b/packages/jobs/src/lib/owner/OrderDispatcher.ts
@@ -20,12 +20,14 @@
 	/**
 	 * @param look - asks for a listing of the backend server soon
 	 * @param noteTrouble - a backend server has answered that it is in trouble, or not at all
+	 * @param noteAnswer - a backend server has carried out an order
 	 */
 	constructor(
 		private readonly context: OwnerContext,
 		private readonly getLedger: () => TaskLedger,
 		private readonly look: (backend: BackendRow) => void,
-		private readonly noteTrouble: (backend: BackendRow, reason: string) => void
+		private readonly noteTrouble: (backend: BackendRow, reason: string) => void,
+		private readonly noteAnswer: (backend: BackendRow) => void
 	) {}
 
 	/** Ends the term: nothing more is sent. */
@@ -96,6 +98,7 @@
 		const { timers, abandon } = this.context
 		switch (result.kind) {
 			case 'taken':
+				this.noteAnswer(backend)
 				if (task.order === 'sent') setOrder(task, 'confirmed', timers.now())
 				return
 			case 'unknown':
--- a/packages/jobs/src/lib/owner/OwnerTerm.ts
+++ b/packages/jobs/src/lib/owner/OwnerTerm.ts
@@ -117,13 +117,17 @@
 			(backend) => this.monitors.get(backend.id)?.look(),
 			(backend, reason) => {
 				this.noteTrouble(backend, reason)
+			},
+			(backend) => {
+				this.health.noteAnswer(backend.id)
 			}
 		)
 		this.ledger = new TaskLedger(
 			this.context,
 			this.writer,
 			(task) => void this.dispatcher.stop(task),
-			replan
+			replan,
+			this.health
 		)
 		this.planner = new PlacementPlanner(jobs, backends, new InTimeOrder(), new PackChoice())
 		this.registry = new BackendRegistry(this.context, parts.log, parts.format, (row) => {
--- a/packages/jobs/src/lib/owner/TaskLedger.ts
+++ b/packages/jobs/src/lib/owner/TaskLedger.ts
@@ -1,4 +1,4 @@
-import type { BackendRow, JobRow, RunEnding, TaskRow } from '@mastichead/core'
+import type { BackendHealth, BackendRow, JobRow, RunEnding, TaskRow } from '@mastichead/core'
 import { applyRunEnding, settleJob } from '@mastichead/core'
 import type { OwnerContext } from './OwnerContext.js'
 import type { ProgressWriter } from './ProgressWriter.js'
@@ -15,12 +15,14 @@
 	/**
 	 * @param stopTask - called for each task that still runs after its job reached a final state
 	 * @param replan - called when something may be placed anew
+	 * @param health - told how runs end
 	 */
 	constructor(
 		private readonly context: OwnerContext,
 		private readonly writer: ProgressWriter,
 		private readonly stopTask: (task: TaskRow) => void,
-		private readonly replan: () => void
+		private readonly replan: () => void,
+		private readonly health: BackendHealth
 	) {}
 
 	/** Takes note that a task's present run has ended. */
@@ -29,6 +31,7 @@
 		const queue = getConfiguration().queues.get(task.job.job.queue)
 		const backend = task.backend
 		const attempts = queue?.maximumAttempts ?? DEFAULT_ATTEMPTS
+		this.noteHealth(task, ending)
 		applyRunEnding(task, ending, checkpoint, attempts, backends)
 		metrics.count('run_ends', ending)
 		const { id, attempt, phase, failures } = task
@@ -37,6 +40,16 @@
 		this.replan()
 	}
 
+	private noteHealth(task: TaskRow, ending: RunEnding): void {
+		const { backends, events, timers } = this.context
+		const row = task.backend === undefined ? undefined : backends.get(task.backend)
+		if (!row) return
+		if (ending === 'done') this.health.noteSuccess(row.id)
+		if (ending !== 'failed' || !this.health.noteFailure(row, task.job.job.id, timers.now())) return
+		const duration = row.avoidedUntil - timers.now()
+		events.warn('backend-avoided', { backend: row.id, reason: 'runs fail', duration })
+	}
+
 	/** Brings the job's state up to date and stops what must no longer run. */
 	settle(row: JobRow): void {
 		const before = row.state
