--- a/packages/core/src/lib/jobs/mayInterrupt.test.ts
+++ b/packages/core/src/lib/jobs/mayInterrupt.test.ts
@@ -20,6 +20,16 @@
 		expect(mayStop(first)).toBe(false)
 	})
 
+	it('takes a task that has just been started for one that may be at work', () => {
+		const { tasks, backends } = createLasting(1)
+		const [first, second] = tasks
+		const backend = backends.get(first?.backend ?? '')
+		if (!first || !second || !backend) throw new Error('the tasks are placed')
+		first.atWorkSince = undefined
+		second.atWorkSince = undefined
+		expect(mayInterrupt(backend)).toBe(false)
+	})
+
 	it('is refused when it would end more tasks of a step at once than may be away', () => {
 		const { tasks, backends } = createLasting(4)
 		const backend = backends.get(tasks[0]?.backend ?? '')
--- a/packages/core/src/lib/jobs/mayInterrupt.ts
+++ b/packages/core/src/lib/jobs/mayInterrupt.ts
@@ -1,6 +1,5 @@
 import type { BackendRow } from './BackendRow.js'
 import { countAway } from './countAway.js'
-import { isAtWork } from './isAtWork.js'
 
 /**
  * Whether an order may end everything that runs on a backend server: for each lasting step that
@@ -12,7 +11,8 @@
 	const endedHere = new Map<string, number>()
 	for (const task of backend.tasks.values()) {
 		const { mayMiss } = task.step
-		if (mayMiss === undefined || !isAtWork(task)) continue
+		// A task that has just been started may be at work before a listing shows it.
+		if (mayMiss === undefined) continue
 		const key = `${task.job.job.id}.${task.occurrence}.${task.stepNumber}`
 		const before = endedHere.get(key) ?? 0
 		if (countAway(task) + before >= mayMiss) return false
--- /dev/null
+++ b/packages/jobs/src/lib/callers/IntakeWriter.test.ts
@@ -0,0 +1,69 @@
+import { VirtualTimerService } from '@mastichead/core'
+import { describe, expect, it } from 'vitest'
+import { SilentEventLog } from '../logs/SilentEventLog.js'
+import { StreamFollower } from '../log/StreamFollower.js'
+import { intakeStreams } from '../ports/intakeStreams.js'
+import { MemoryLog } from '../testing/MemoryLog.js'
+import { MemoryStore } from '../testing/MemoryStore.js'
+import { IntakeWriter } from './IntakeWriter.js'
+
+const RECORD = { key: 'job/1', value: '{}' }
+
+describe('a submission while streams give no answer', () => {
+	it('goes to another stream, and the next one goes there first', async () => {
+		const { writer, store, advance } = createWriter()
+		for (const stream of intakeStreams.slice(0, 3)) store.down.add(stream)
+		const first = writer.write(RECORD, 3_000)
+		await advance(500)
+		expect(await first).toEqual({ kind: 'stored' })
+		await advance(2_500)
+		const second = writer.write({ ...RECORD, key: 'job/2' }, 6_000)
+		await advance(20)
+		expect(await second).toEqual({ kind: 'stored' })
+	})
+
+	it('is unclear when none answers, and is told so before the caller has waited long', async () => {
+		const { writer, store, advance } = createWriter()
+		for (const stream of intakeStreams) store.down.add(stream)
+		const answer = writer.write(RECORD, 3_000)
+		await advance(1_000)
+		expect(await answer).toHaveProperty('kind', 'unclear')
+	})
+})
+
+it('waits for a log that is slow, once an answer has told so', async () => {
+	const { writer, log, advance } = createWriter()
+	log.callTime = 1_200
+	const first = writer.write(RECORD, 5_000)
+	await advance(1_300)
+	expect(await first).toHaveProperty('kind', 'unclear')
+	const second = writer.write({ ...RECORD, key: 'job/2' }, 5_000)
+	await advance(1_300)
+	expect(await second).toEqual({ kind: 'stored' })
+})
+
+function createWriter(): {
+	writer: IntakeWriter
+	store: MemoryStore
+	log: MemoryLog
+	advance: (duration: number) => Promise<void>
+} {
+	const timers = new VirtualTimerService()
+	const store = new MemoryStore()
+	const log = new MemoryLog(store, timers)
+	const events = new SilentEventLog()
+	const options = { wait: 0, getPause: () => 0 }
+	const followers = new Map(
+		intakeStreams.map((stream) => [
+			stream,
+			new StreamFollower(stream, log, timers, events, () => undefined, options),
+		])
+	)
+	const advance = async (duration: number): Promise<void> => {
+		for (let step = 0; step < duration; step += 1) {
+			timers.advance(1)
+			await new Promise((resolve) => setImmediate(resolve))
+		}
+	}
+	return { writer: new IntakeWriter(log, timers, events, followers), store, log, advance }
+}
--- a/packages/jobs/src/lib/callers/IntakeWriter.ts
+++ b/packages/jobs/src/lib/callers/IntakeWriter.ts
@@ -9,9 +9,13 @@
 
 /** An append that has no answer after this long is tried on the next stream too, in milliseconds. */
 const HEDGE_DELAY = 150
-/** Time for one append, and for a record on all streams, in milliseconds. */
-const APPEND_TIMEOUT = 600
-const WRITE_TIMEOUT = 750
+/** Time for one append, in milliseconds. An answer that is late still tells how slow the log is. */
+const APPEND_TIMEOUT = 2_000
+/** Least and longest time in which a record has to be on one of the streams, in milliseconds. */
+const MINIMUM_PATIENCE = 950
+const MAXIMUM_PATIENCE = 2_000
+/** The time allowed is this multiple of what the latest answered append took. */
+const PATIENCE_FACTOR = 2.5
 /** A stream that has failed is tried last for this long, in milliseconds. */
 const DISTRUST_TIME = 5_000
 /** Appends under way at once, and records in one. */
@@ -33,6 +37,8 @@
 export class IntakeWriter {
 	private waiting: Waiting[] = []
 	private appends = 0
+	/** Milliseconds that the latest answered append took. */
+	private latency = 0
 	private readonly distrustedUntil = new Map<IntakeStream, number>()
 
 	constructor(
@@ -66,7 +72,8 @@
 
 	private async writeBatch(batch: readonly Waiting[]): Promise<void> {
 		const records = batch.map((entry) => entry.record)
-		const limit = this.timers.now() + WRITE_TIMEOUT
+		const patience = Math.max(MINIMUM_PATIENCE, this.latency * PATIENCE_FACTOR)
+		const limit = this.timers.now() + Math.min(MAXIMUM_PATIENCE, patience)
 		const deadline = Math.min(limit, ...batch.map((entry) => entry.deadline))
 		const verdict = await this.writeRecords(records, deadline)
 		for (const { resolve } of batch) resolve(verdict)
@@ -80,15 +87,19 @@
 			let ended = 0
 			let unknown: string | undefined
 			let rejected = ''
+			this.timers.after(deadline - this.timers.now(), () => {
+				if (ended < started) resolve({ kind: 'unclear', reason: 'no answer in time' })
+				else resolve({ kind: 'not-stored', reason: rejected })
+			})
 			const tryNext = (): void => {
 				const stream = streams[started]
-				if (stream === undefined) return
+				if (stream === undefined || this.timers.now() >= deadline) return
 				started += 1
 				const mine = started
 				const hedge = this.timers.after(HEDGE_DELAY, () => {
 					if (started === mine) tryNext()
 				})
-				void this.append(stream, records, deadline).then((result) => {
+				void this.append(stream, records).then((result) => {
 					hedge.cancel()
 					ended += 1
 					if (result.kind === 'appended') resolve({ kind: 'stored' })
@@ -104,18 +115,14 @@
 		})
 	}
 
-	private async append(
-		stream: IntakeStream,
-		records: readonly LogRecord[],
-		deadline: number
-	): Promise<AppendResult> {
-		const left = deadline - this.timers.now()
-		if (left <= 0) return { kind: 'rejected', reason: 'no time left' }
-		const result = await this.log.append(stream, records, Math.min(APPEND_TIMEOUT, left))
+	private async append(stream: IntakeStream, records: readonly LogRecord[]): Promise<AppendResult> {
+		const sentAt = this.timers.now()
+		const result = await this.log.append(stream, records, APPEND_TIMEOUT)
 		if (result.kind !== 'appended') {
 			this.noteFailure(stream, result.reason)
 			return result
 		}
+		this.latency = this.timers.now() - sentAt
 		const { offset } = result
 		const entries = records.map((record, place) => ({ ...record, offset: offset + place }))
 		// Others may have appended before: what lies between is still to be read.
--- a/packages/jobs/src/lib/machines/MachineInventory.ts
+++ b/packages/jobs/src/lib/machines/MachineInventory.ts
@@ -70,12 +70,18 @@
 		return cores[Math.floor(cores.length / 2)] ?? 0
 	}
 
-	/** Backend server that is registered on a machine. */
+	/**
+	 * Backend server on a machine: the registered one, else one that still has tasks. A server can
+	 * lose its registration and run on.
+	 */
 	getBackend(machine: string): BackendRow | undefined {
+		let unregistered: BackendRow | undefined
 		for (const row of this.context.backends.all) {
-			if (row.machine === machine && row.registered) return row
+			if (row.machine !== machine) continue
+			if (row.registered) return row
+			if (row.tasks.size > 0) unregistered = row
 		}
-		return undefined
+		return unregistered
 	}
 
 	/**
--- a/packages/jobs/src/lib/ports/intakeStreams.ts
+++ b/packages/jobs/src/lib/ports/intakeStreams.ts
@@ -5,4 +5,11 @@
  *
  * @public
  */
-export const intakeStreams: readonly IntakeStream[] = ['intake/0', 'intake/1', 'intake/2']
+export const intakeStreams: readonly IntakeStream[] = [
+	'intake/0',
+	'intake/1',
+	'intake/2',
+	'intake/3',
+	'intake/4',
+	'intake/5',
+]
--- a/packages/jobs/src/lib/testing/MemoryLog.ts
+++ b/packages/jobs/src/lib/testing/MemoryLog.ts
@@ -10,8 +10,6 @@
 import { MetadataLog } from '../ports/MetadataLog.js'
 import type { MemoryStore } from './MemoryStore.js'
 
-/** Time of one call, in milliseconds. */
-const CALL_TIME = 4
 /** How often a waiting read looks for records, in milliseconds. */
 const LOOK_INTERVAL = 5
 
@@ -21,6 +19,8 @@
  * @internal
  */
 export class MemoryLog extends MetadataLog {
+	/** Time of one call, in milliseconds. */
+	callTime = 4
 	/** Calls get no answer and do nothing. */
 	cut = false
 
@@ -37,7 +37,7 @@
 		timeout: number,
 		fence?: LogFence
 	): Promise<AppendResult> {
-		await this.sleep(CALL_TIME)
+		await this.sleep(this.callTime)
 		if (this.isLost(stream)) {
 			await this.sleep(timeout)
 			return { kind: 'unknown', reason: 'no answer' }
@@ -46,7 +46,7 @@
 	}
 
 	override async read(stream: LogStream, from: number, wait: number): Promise<ReadResult> {
-		await this.sleep(CALL_TIME)
+		await this.sleep(this.callTime)
 		const until = this.timers.now() + wait
 		while (this.timers.now() < until && this.store.getEnd(stream) <= from) {
 			await this.sleep(LOOK_INTERVAL)
@@ -58,7 +58,7 @@
 	}
 
 	override async readNewest(stream: LogStream): Promise<NewestResult> {
-		await this.sleep(CALL_TIME)
+		await this.sleep(this.callTime)
 		if (this.isLost(stream)) return { kind: 'unavailable', reason: 'no answer' }
 		const newest = new Map<string, LogEntry>()
 		for (const entry of this.store.getEntries(stream)) newest.set(entry.key, entry)
@@ -67,13 +67,13 @@
 	}
 
 	override async join(member: string, timeToLive: number): Promise<JoinResult> {
-		await this.sleep(CALL_TIME)
+		await this.sleep(this.callTime)
 		if (this.cut) return { kind: 'unavailable', reason: 'no answer' }
 		return this.store.join(member, this.timers.now(), timeToLive)
 	}
 
 	override async leave(member: string): Promise<void> {
-		await this.sleep(CALL_TIME)
+		await this.sleep(this.callTime)
 		if (!this.cut) this.store.leave(member)
 	}
 
