--- a/packages/jobs/src/lib/callers/IntakeWriter.ts
+++ b/packages/jobs/src/lib/callers/IntakeWriter.ts
@@ -7,8 +7,13 @@
 import type { MetadataLog } from '../ports/MetadataLog.js'
 import type { WriteVerdict } from './WriteVerdict.js'
 
-/** An append that has no answer after this long is tried on the next stream too, in milliseconds. */
+/**
+ * An append that has no answer after this long is tried on the next stream too, in milliseconds; after
+ * this multiple of what the latest answered append took, if that is longer: a slow log is not asked
+ * more often.
+ */
 const HEDGE_DELAY = 150
+const HEDGE_FACTOR = 1.5
 /** Time for one append, in milliseconds. An answer that is late still tells how slow the log is. */
 const APPEND_TIMEOUT = 2_000
 /** Least and longest time in which a record has to be on one of the streams, in milliseconds. */
@@ -96,7 +101,7 @@
 				if (stream === undefined || this.timers.now() >= deadline) return
 				started += 1
 				const mine = started
-				const hedge = this.timers.after(HEDGE_DELAY, () => {
+				const hedge = this.timers.after(Math.max(HEDGE_DELAY, this.latency * HEDGE_FACTOR), () => {
 					if (started === mine) tryNext()
 				})
 				void this.append(stream, records).then((result) => {
