Drop the records of jobs that ended long ago

Cause: intake and progress grew for good, by about 1 KB a job: at 12 jobs/s the store's 400 MB are full in some hours, and each term reads all of it. Ruled out: dropping by the instance that took the job in, which may be gone. Test: Retention.test.ts, in virtual time.

--- a/packages/jobs/src/lib/JobDaemon.ts
+++ b/packages/jobs/src/lib/JobDaemon.ts
@@ -53,6 +53,8 @@
 			readonly events: EventLog
 			readonly metrics: JobMetrics
 			readonly getWallTime: () => number
+			/** Milliseconds for which the state of a job that has ended is told. */
+			readonly statusRetention: number
 		}
 	) {
 		const { log, timers, events, metrics, format, member } = parts
@@ -147,6 +149,7 @@
 			progress: this.progressFollower,
 			getWallTime,
 			getConfiguration: () => this.configuration.require(),
+			statusRetention: this.parts.statusRetention,
 			noteEnd: (reason) => {
 				events.warn('owner-abandoned', { token, reason })
 				this.term = undefined
--- a/packages/jobs/src/lib/log/JobReplica.ts
+++ b/packages/jobs/src/lib/log/JobReplica.ts
@@ -61,11 +61,11 @@
 			this.events.warn('log-record-unknown', { key: entry.key, offset: entry.offset })
 			return
 		}
-		const row = this.use(key.id)
 		if (entry.value === undefined) {
 			if (key.kind === 'job') this.rows.delete(key.id)
 			return
 		}
+		const row = this.use(key.id)
 		if (key.kind === 'cancel') row.cancelled = true
 		else row.job ??= this.parse(entry, (value) => JobRecords.parseJob(value))
 		for (const listener of this.jobListeners) listener(row)
--- a/packages/jobs/src/lib/log/StreamFollower.ts
+++ b/packages/jobs/src/lib/log/StreamFollower.ts
@@ -36,7 +36,7 @@
 	 * @param options.getPause - milliseconds between an answer and the next read
 	 */
 	constructor(
-		private readonly stream: LogStream,
+		readonly stream: LogStream,
 		private readonly log: MetadataLog,
 		private readonly timers: TimerService,
 		private readonly events: EventLog,
--- a/packages/jobs/src/lib/owner/OwnerTerm.ts
+++ b/packages/jobs/src/lib/owner/OwnerTerm.ts
@@ -33,12 +33,15 @@
 import { OrderDispatcher } from './OrderDispatcher.js'
 import type { OwnerContext } from './OwnerContext.js'
 import { ProgressWriter } from './ProgressWriter.js'
+import { Retention } from './Retention.js'
 import { TaskLedger } from './TaskLedger.js'
 
 /** Changes that come within this time are planned for together, in milliseconds. */
 const PLAN_DELAY = 4
 /** Longest time between two plans, for what becomes due, in milliseconds. */
 const PLAN_INTERVAL = 200
+/** Time between two looks for jobs that can be forgotten, in milliseconds. */
+const RETENTION_INTERVAL = 10_000
 /** Nothing is placed while the log has not answered an append for this long, in milliseconds. */
 const MAXIMUM_WRITER_DELAY = 1_000
 /** Time for the intake and the registry to be read while a term begins, in milliseconds. */
@@ -61,6 +64,7 @@
 	private readonly registry: BackendRegistry
 	private readonly health: BackendHealth
 	private readonly machines: MachineManager
+	private readonly retention: Retention
 	private readonly demand = new DemandMeter()
 	private readonly monitors = new Map<BackendId, BackendMonitor>()
 	private readonly subscriptions: { cancel(): void }[] = []
@@ -84,6 +88,8 @@
 			readonly progress: StreamFollower
 			readonly getWallTime: () => number
 			readonly getConfiguration: () => FleetConfiguration
+			/** Milliseconds for which the state of a job that has ended is told. */
+			readonly statusRetention: number
 			/** Called once when the term cannot go on. */
 			readonly noteEnd: (reason: string) => void
 		}
@@ -133,6 +139,13 @@
 		this.registry = new BackendRegistry(this.context, parts.log, parts.format, (row) => {
 			this.noteBackend(row)
 		})
+		this.retention = new Retention(this.context, {
+			log: parts.log,
+			writer: this.writer,
+			replica: parts.replica,
+			intake: parts.intake,
+			duration: parts.statusRetention,
+		})
 		this.machines = new MachineManager(this.context, {
 			operator: parts.operator,
 			ledger: this.ledger,
@@ -165,7 +178,8 @@
 			}),
 			timers.every(PLAN_INTERVAL, () => {
 				this.planSoon()
-			})
+			}),
+			timers.every(RETENTION_INTERVAL, () => void this.retention.run())
 		)
 		this.begun = true
 		this.registry.follower.start()
--- /dev/null
+++ b/packages/jobs/src/lib/owner/Retention.test.ts
@@ -0,0 +1,32 @@
+import { expect, it } from 'vitest'
+import { createTestFleet } from '../testing/createTestFleet.js'
+
+it('forgets a job some time after its end, everywhere, and keeps what still runs', async () => {
+	const fleet = createTestFleet({ instances: 2, backends: 1 })
+	const backend = fleet.backends.get('b1')
+	if (backend) backend.duration = (task) => (task.startsWith('0000000000000002') ? undefined : 300)
+	await fleet.run(400)
+	const intake = fleet.instances[1]?.daemon.intake
+	if (!intake) throw new Error('two instances were made')
+	const jobs = [
+		createTestFleet.createJob(1, [{ count: 2 }]),
+		createTestFleet.createJob(2, [{ count: 1, lasting: true }]),
+	]
+	for (const job of jobs) void intake.submit(job, fleet.timers.now() + 2_000)
+	await fleet.run(2_000)
+	const before = intake.getState('0000000000000001')
+	await fleet.run(50)
+	expect(await before).toEqual({ kind: 'state', state: 'completed' })
+	await fleet.run(50_000)
+	const after = [1, 2].map((number) => intake.getState(`000000000000000${number}`))
+	await fleet.run(100)
+	expect(await Promise.all(after)).toEqual([
+		{ kind: 'unknown-job' },
+		{ kind: 'state', state: 'running' },
+	])
+	const newest = new Map(
+		fleet.store.getEntries('progress').map((entry) => [entry.key, entry.value])
+	)
+	expect(newest.get('0000000000000001')).toBeUndefined()
+	expect(fleet.journal.running).toEqual(['0000000000000002.0.0.0'])
+})
--- a/packages/jobs/src/lib/testing/createTestFleet.ts
+++ b/packages/jobs/src/lib/testing/createTestFleet.ts
@@ -13,6 +13,8 @@
 import { RunJournal } from './RunJournal.js'
 
 const START_OF_TIME = 1_700_000_000_000
+/** Milliseconds for which the state of a job that has ended is told. */
+const STATUS_RETENTION = 5_000
 /** Turns of the event loop after each millisecond, so that what was resolved is carried on. */
 const TURNS_PER_STEP = 2
 
@@ -53,6 +55,7 @@
 			events: new SilentEventLog(),
 			metrics: new JobMetrics(),
 			getWallTime: () => START_OF_TIME + timers.now(),
+			statusRetention: STATUS_RETENTION,
 		})
 		daemon.start()
 		instances.push({ daemon, log, server })
