Part the beginning of a term from OwnerTerm; one fixture of jobs for both packages

TermRecovery raises the fence, reads and restores; createTestJob and createTestConfiguration are shared; the event is start-answered.

--- a/packages/core/src/lib/jobs/testing/createTestJob.ts
+++ b/packages/core/src/lib/jobs/testing/createTestJob.ts
@@ -23,7 +23,7 @@
 /**
  * Makes a job of the queue `quotes` and the team `installers`.
  *
- * @internal
+ * @public
  */
 export function createTestJob(id: string, steps: readonly Partial<JobStep>[], acceptedAt = 0): Job {
 	return {
--- a/packages/core/src/lib/jobs/testing/createTestTables.ts
+++ b/packages/core/src/lib/jobs/testing/createTestTables.ts
@@ -4,6 +4,7 @@
 import { JobTable } from '../JobTable.js'
 import { PackChoice } from '../PackChoice.js'
 import { PlacementPlanner } from '../PlacementPlanner.js'
+import { createTestConfiguration } from './createTestConfiguration.js'
 import type { Resources } from '../Resources.js'
 
 /**
@@ -32,29 +33,5 @@
 		row.reconciled = true
 	}
 	const planner = new PlacementPlanner(jobs, backends, new InTimeOrder(), new PackChoice())
-	return { jobs, backends, planner, configuration: createConfiguration(options.limit) }
-}
-
-function createConfiguration(limit: Resources = { cpu: 0, memory: 0, gpu: 0 }): FleetConfiguration {
-	const queue = {
-		name: 'quotes',
-		service: 'desk',
-		priority: 0,
-		maximumAttempts: 2,
-		stretch: 1.6,
-		latency: 600,
-		public: false,
-		host: 'example',
-		pathPrefix: '/quotes/',
-	}
-	return {
-		version: 1,
-		queues: new Map([['quotes', queue]]),
-		teams: new Map([['installers', { name: 'installers', keys: [], weight: 1, limit }]]),
-		keys: new Map(),
-		services: new Set(['desk']),
-		spareServices: new Set(),
-		maximumBodyBytes: 0,
-		idleTimeout: 0,
-	}
+	return { jobs, backends, planner, configuration: createTestConfiguration(options.limit) }
 }
--- a/packages/jobs/src/lib/owner/OrderDispatcher.ts
+++ b/packages/jobs/src/lib/owner/OrderDispatcher.ts
@@ -129,7 +129,7 @@
 	private logStart(task: TaskRow, attempt: number, backend: BackendRow, result: OrderResult): void {
 		const level = result.kind === 'taken' ? 'info' : 'warn'
 		const { id } = backend
-		this.context.events[level]('run-start', { task: task.id, attempt, backend: id, ...result })
+		this.context.events[level]('start-answered', { task: task.id, attempt, backend: id, ...result })
 	}
 
 	private isStopped(): boolean {
--- a/packages/jobs/src/lib/owner/OwnerTerm.ts
+++ b/packages/jobs/src/lib/owner/OwnerTerm.ts
@@ -29,11 +29,11 @@
 import { MachineManager } from '../machines/MachineManager.js'
 import { BackendMonitor } from './BackendMonitor.js'
 import { BackendRegistry } from './BackendRegistry.js'
-import { LeaseTerms } from './LeaseTerms.js'
 import { OrderDispatcher } from './OrderDispatcher.js'
 import type { OwnerContext } from './OwnerContext.js'
 import { ProgressWriter } from './ProgressWriter.js'
 import { Retention } from './Retention.js'
+import { TermRecovery } from './TermRecovery.js'
 import { TaskLedger } from './TaskLedger.js'
 
 /** Changes that come within this time are planned for together, in milliseconds. */
@@ -44,10 +44,6 @@
 const RETENTION_INTERVAL = 10_000
 /** Nothing is placed while the log has not answered an append for this long, in milliseconds. */
 const MAXIMUM_WRITER_DELAY = 1_000
-/** Time for the intake and the registry to be read while a term begins, in milliseconds. */
-const MAXIMUM_READ_WAIT = 500
-/** Pause before a read that failed is repeated while a term begins, in milliseconds. */
-const CATCH_UP_PAUSE = 100
 
 /**
  * One term of ownership: from the fence in the log to the end of the membership. It knows what
@@ -65,6 +61,7 @@
 	private readonly health: BackendHealth
 	private readonly machines: MachineManager
 	private readonly retention: Retention
+	private readonly recovery: TermRecovery
 	private readonly demand = new DemandMeter()
 	private readonly monitors = new Map<BackendId, BackendMonitor>()
 	private readonly subscriptions: { cancel(): void }[] = []
@@ -139,6 +136,12 @@
 		this.registry = new BackendRegistry(this.context, parts.log, parts.format, (row) => {
 			this.noteBackend(row)
 		})
+		this.recovery = new TermRecovery(this.context, {
+			log: parts.log,
+			progress: parts.progress,
+			ledger: this.ledger,
+			isEnded: () => this.ended,
+		})
 		this.retention = new Retention(this.context, {
 			log: parts.log,
 			writer: this.writer,
@@ -162,16 +165,14 @@
 
 	/** Raises the fence, reads what earlier owners have decided, and begins. */
 	async begin(): Promise<void> {
-		const { log, token, intake, progress, replica, timers, events } = this.parts
+		const { token, intake, progress, replica, timers, events } = this.parts
 		const startedAt = timers.now()
-		const end = await this.raiseFence(log, token)
-		if (end === undefined) return
-		await this.catchUp(progress, end)
+		if (!(await this.recovery.readEarlierTerms())) return
 		this.registry.adopt(replica.backends.values())
-		await this.readIfPossible([...intake, this.registry.follower])
+		await this.recovery.readIfPossible([...intake, this.registry.follower])
 		if (this.ended) return
 		progress.pause()
-		for (const row of replica.all) this.restore(row)
+		for (const row of replica.all) this.recovery.restore(row)
 		this.subscriptions.push(
 			replica.subscribe((row) => {
 				this.noteJob(row)
@@ -213,49 +214,6 @@
 		this.parts.noteEnd(reason)
 	}
 
-	private async raiseFence(log: MetadataLog, token: number): Promise<number | undefined> {
-		while (!this.ended) {
-			const result = await log.append('progress', [], 700, { term: token, sequence: 0 })
-			if (result.kind === 'appended') return result.end
-			if (result.kind === 'fenced') {
-				this.abandon(`fence refused: ${result.reason}`)
-				return undefined
-			}
-			this.parts.events.warn('owner-fence-repeated', { reason: result.reason })
-			await this.sleep(CATCH_UP_PAUSE)
-		}
-		return undefined
-	}
-
-	/** Reads everything that was written before the fence. */
-	private async catchUp(progress: StreamFollower, end: number): Promise<void> {
-		while (!this.ended && (progress.next < end || !progress.loaded)) {
-			if (!(await progress.refresh())) await this.sleep(CATCH_UP_PAUSE)
-		}
-	}
-
-	/** Reads streams to their ends; one that is out of reach is read once it is back. */
-	private async readIfPossible(followers: readonly StreamFollower[]): Promise<void> {
-		const patience = this.sleep(MAXIMUM_READ_WAIT)
-		await Promise.race([patience, Promise.all(followers.map((follower) => follower.refresh()))])
-	}
-
-	/** Takes a job in as earlier owners have left it. */
-	private restore(replicaRow: ReplicaRow): void {
-		const { jobs, backends, timers } = this.context
-		const { job, snapshot, cancelled } = replicaRow
-		if (!job) return
-		const row = jobs.admit(job, snapshot)
-		for (const task of row.tasks) {
-			if (task.phase !== 'placed' || task.backend === undefined) continue
-			const backend = backends.use(task.backend)
-			backend.leasedUntil = LeaseTerms.getEarlierOwnersEnd(timers.now())
-			backends.occupy(task)
-		}
-		if (cancelled) this.ledger.cancel(row)
-		else if (row.finishedAt !== undefined) this.ledger.settle(row)
-	}
-
 	private noteJob(replicaRow: ReplicaRow): void {
 		const { job, cancelled } = replicaRow
 		if (!job) return
@@ -264,7 +222,7 @@
 		if (!known) {
 			const service = getConfiguration().queues.get(job.queue)?.service
 			if (service !== undefined) this.demand.note(service, getJobWork(job), timers.now())
-			this.restore(replicaRow)
+			this.recovery.restore(replicaRow)
 		} else if (cancelled) {
 			this.ledger.cancel(known)
 		}
@@ -344,10 +302,4 @@
 		events.info('wave-reported', { wave: key, state, ...result })
 		return result.kind === 'appended'
 	}
-
-	private sleep(duration: number): Promise<void> {
-		return new Promise((resolve) => {
-			this.context.timers.after(duration, resolve)
-		})
-	}
 }
--- a/packages/jobs/src/lib/testing/createTestFleet.ts
+++ b/packages/jobs/src/lib/testing/createTestFleet.ts
@@ -1,5 +1,5 @@
-import type { FleetConfiguration, Job, JobStep, Resources } from '@mastichead/core'
-import { VirtualTimerService } from '@mastichead/core'
+import type { Job, JobStep, Resources } from '@mastichead/core'
+import { VirtualTimerService, createTestConfiguration, createTestJob } from '@mastichead/core'
 import { JobDaemon } from '../JobDaemon.js'
 import { SilentEventLog } from '../logs/SilentEventLog.js'
 import { JobMetrics } from '../metrics/JobMetrics.js'
@@ -39,7 +39,7 @@
 		register(store, backend)
 	}
 	store.append('operator', [{ key: 'config', value: '1' }])
-	const format = new JsonTestFormat(new Map([[1, createConfiguration(options.limit)]]))
+	const format = new JsonTestFormat(new Map([[1, createTestConfiguration(options.limit)]]))
 	const machines = new MemoryMachines(options.machines)
 	const instances: TestInstance[] = []
 	for (let number = 1; number <= options.instances; number += 1) {
@@ -104,64 +104,15 @@
 	store.append('backends', [{ key: backend.id, value: JSON.stringify(registration) }])
 }
 
-function createConfiguration(limit: Resources = { cpu: 0, memory: 0, gpu: 0 }): FleetConfiguration {
-	const queue = {
-		name: 'quotes',
-		service: 'desk',
-		priority: 0,
-		maximumAttempts: 2,
-		stretch: 1.6,
-		latency: 600,
-		public: false,
-		host: 'example',
-		pathPrefix: '/quotes/',
-	}
-	return {
-		version: 1,
-		queues: new Map([['quotes', queue]]),
-		teams: new Map([['installers', { name: 'installers', keys: ['k'], weight: 1, limit }]]),
-		keys: new Map([['k', 'installers']]),
-		services: new Set(['desk']),
-		spareServices: new Set(),
-		maximumBodyBytes: 10_000,
-		idleTimeout: 15_000,
-	}
-}
-
-/** Fields of a step that most tests leave alone. */
-const plainStep: JobStep = {
-	count: 1,
-	needs: { cpu: 1_000, memory: 100, gpu: 0 },
-	estimate: 300,
-	dependsOn: [],
-	checkpoints: false,
-	gang: false,
-	sameRack: false,
-	requiredLabel: '',
-	dataRack: '',
-	maximumPerBackend: 0,
-	speculative: false,
-	lasting: false,
-	image: '',
-	targetLatency: 0,
-	fills: false,
-	mayMiss: undefined,
-}
-
 /**
  * Makes a job of the test fleet's queue.
  *
  * @param number - makes the id
  * @internal
  */
-createTestFleet.createJob = (number: number, steps: readonly Partial<JobStep>[]): Job => ({
-	id: number.toString(16).padStart(16, '0'),
-	queue: 'quotes',
-	team: 'installers',
-	specification: 'text',
-	steps: steps.map((step) => ({ ...plainStep, ...step })),
-	times: 0,
-	startAt: 0,
-	interval: 0,
-	acceptedAt: START_OF_TIME,
-})
+createTestFleet.createJob = (number: number, steps: readonly Partial<JobStep>[]): Job =>
+	createTestJob(
+		number.toString(16).padStart(16, '0'),
+		steps.map((step) => ({ estimate: 300, ...step })),
+		START_OF_TIME
+	)
