Forget backend servers that have left

Cause: each move makes a new backend server, and rows, monitors and records of those that had left stayed: about five a second while pools follow demand, and a new owner took them for present until it had read the registry. The registry drops the record of a server that an order had already taken out, and the owner forgets rows that are gone and run nothing. Ruled out: forgetting at once, since a lapsed registration may come back. Test: takeover.test.ts, forgets a backend server.

--- a/packages/jobs/src/lib/owner/BackendRegistry.ts
+++ b/packages/jobs/src/lib/owner/BackendRegistry.ts
@@ -115,7 +115,7 @@
 
 	private drop(id: string): void {
 		const row = this.context.backends.get(id)
-		if (!row?.registered) return
+		if (!row || !this.registrations.has(id)) return
 		const { timers, events } = this.context
 		const delay = (this.follower.regainedAt ?? -Infinity) + LAPSE_GRACE - timers.now()
 		if (delay > 0) {
--- a/packages/jobs/src/lib/owner/OwnerTerm.ts
+++ b/packages/jobs/src/lib/owner/OwnerTerm.ts
@@ -40,7 +40,7 @@
 const PLAN_DELAY = 4
 /** Longest time between two plans, for what becomes due, in milliseconds. */
 const PLAN_INTERVAL = 200
-/** Time between two looks for jobs that can be forgotten, in milliseconds. */
+/** Time between two looks for jobs and servers that can be forgotten, in milliseconds. */
 const RETENTION_INTERVAL = 10_000
 /** Nothing is placed while the log has not answered an append for this long, in milliseconds. */
 const MAXIMUM_WRITER_DELAY = 1_000
@@ -180,7 +180,10 @@
 			timers.every(PLAN_INTERVAL, () => {
 				this.planSoon()
 			}),
-			timers.every(RETENTION_INTERVAL, () => void this.retention.run())
+			timers.every(RETENTION_INTERVAL, () => {
+				this.forgetBackends()
+				void this.retention.run()
+			})
 		)
 		this.begun = true
 		this.registry.follower.start()
@@ -261,6 +264,19 @@
 		monitor.start()
 	}
 
+	/** Backend servers that have left and run nothing are not watched any more. */
+	private forgetBackends(): void {
+		const { backends, server } = this.context
+		for (const row of [...backends.all]) {
+			if (row.registered || row.tasks.size > 0 || this.registry.get(row.id)) continue
+			this.monitors.get(row.id)?.stop()
+			this.monitors.delete(row.id)
+			backends.remove(row.id)
+			this.health.forget(row.id)
+			server.retire(row)
+		}
+	}
+
 	private noteTrouble(backend: BackendRow, reason: string): void {
 		const { timers, events } = this.context
 		if (!this.health.noteTrouble(backend, timers.now())) return
--- a/packages/jobs/src/lib/owner/takeover.test.ts
+++ b/packages/jobs/src/lib/owner/takeover.test.ts
@@ -107,3 +107,23 @@
 		expect(fleet.journal.getRuns(`${job.id}.0.0.0`).length).toBeGreaterThan(0)
 	})
 })
+
+it('forgets a backend server that has left', async () => {
+	const fleet = createTestFleet({ instances: 1, backends: 2 })
+	await fleet.run(500)
+	fleet.store.append('backends', [{ key: 'b1', value: undefined }])
+	await fleet.run(12_000)
+	const newest = new Map(
+		fleet.store.getEntries('progress').map((entry) => [entry.key, entry.value])
+	)
+	expect(newest.has('backend/b1')).toBe(true)
+	expect(newest.get('backend/b1')).toBeUndefined()
+	expect(newest.get('backend/b2')).toBeDefined()
+	const job = createJob(7, [{ count: 3 }])
+	void fleet.instances[0]?.daemon.intake.submit(job, fleet.timers.now() + 2_000)
+	await fleet.run(1_000)
+	const places = [0, 1, 2].map(
+		(index) => fleet.journal.getRuns(`${job.id}.0.0.${index}`)[0]?.backend
+	)
+	expect(places).toEqual(['b2', 'b2', 'b2'])
+})
