--- a/packages/core/src/lib/jobs/BackendHealth.ts
+++ b/packages/core/src/lib/jobs/BackendHealth.ts
@@ -15,7 +15,7 @@
 /** Largest share of a service's servers that is set aside at once. */
 const MAXIMUM_AVOIDED_SHARE = 0.34
 
-interface Record {
+interface Standing {
 	readonly failedJobs: Set<JobId>
 	troubles: number
 	/** How often in a row the server was set aside. */
@@ -29,7 +29,7 @@
  * @public
  */
 export class BackendHealth {
-	private readonly records = new Map<BackendId, Record>()
+	private readonly records = new Map<BackendId, Standing>()
 
 	constructor(private readonly getBackends: () => Iterable<BackendRow>) {}
 
@@ -89,7 +89,7 @@
 		return avoided + 1 <= Math.max(1, all * MAXIMUM_AVOIDED_SHARE)
 	}
 
-	private use(id: BackendId): Record {
+	private use(id: BackendId): Standing {
 		let record = this.records.get(id)
 		if (!record) {
 			record = { failedJobs: new Set(), troubles: 0, avoidances: 0 }
