Keep the port open while a shutdown still gets requests

Cause: a shutdown closed its listening socket as soon as its last answer was given. The kernel resets the connections that it has taken and the daemon has not, with the requests on them. Traced with a test that opens 20 connections and closes the port in the same turn of the loop: all 20 were cut, without load; now all 20 get 503 shutting-down. Ruled out: idle keep-alive connections (they were kept until quiet before), answers under way (counted before).

Change: the port stays open until no request but health probes has come for 1 s, and is closed last.

--- a/packages/daemon/src/lib/callers/CallerConnections.ts
+++ b/packages/daemon/src/lib/callers/CallerConnections.ts
@@ -13,8 +13,6 @@
 	/** Answers under way by connection. */
 	private readonly responses = new Map<Duplex, ServerResponse>()
 	private isLeaving = false
-	/** Requests that came. */
-	requestCount = 0
 
 	constructor(server: Server) {
 		server.prependListener('request', (request, response) => {
@@ -43,7 +41,6 @@
 
 	private handleRequest(request: IncomingMessage, response: ServerResponse): void {
 		const { socket } = request
-		this.requestCount++
 		this.responses.set(socket, response)
 		if (this.isLeaving) closeAfter(response)
 		response.once('close', () => {
--- a/packages/daemon/src/lib/callers/CallerServer.test.ts
+++ b/packages/daemon/src/lib/callers/CallerServer.test.ts
@@ -170,3 +170,15 @@
 	}
 	await fixture.expectNothingHeld()
 })
+
+test('a leaving instance answers connections that wait in the kernel when it becomes idle', async () => {
+	const { callers, port } = await createFixture()
+	callers.leave()
+	const text = 'POST /v1/queues/quotes/requests HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n'
+	const answers = Array.from({ length: 20 }, () => sendRaw(port, text))
+	await callers.waitUntilQuiet()
+	for (const answer of await Promise.all(answers)) {
+		expect(answer).toContain('HTTP/1.1 503')
+		expect(answer).toContain('shutting-down')
+	}
+})
--- a/packages/daemon/src/lib/callers/CallerServer.ts
+++ b/packages/daemon/src/lib/callers/CallerServer.ts
@@ -16,10 +16,10 @@
 const QUEUE_PATH_PATTERN = /^\/v1\/queues\/([^/]+)\/requests$/
 const SHORT_RETRY_AFTER_MILLISECONDS = 1000
 
-/** Time without a request after which idle connections are closed by a shutdown. */
+/** Time without a request after which a shutdown closes the port and the connections. */
 const QUIET_MILLISECONDS = 1000
 
-/** Time between looks at the connections during a shutdown. */
+/** Time between looks at the requests during a shutdown. */
 const QUIET_POLL_MILLISECONDS = 20
 
 interface Options {
@@ -41,6 +41,8 @@
 	private readonly listener: HttpListener
 	private readonly connections: CallerConnections
 	private isLeaving = false
+	/** Requests that came, health probes left out: a balancer goes on with those. */
+	private workCount = 0
 
 	constructor(private readonly options: Options) {
 		const { settings, logger, timers } = options
@@ -78,24 +80,24 @@
 	}
 
 	/**
-	 * Accepts no more connections and resolves once every answer was handed over and no request came
-	 * on the open connections for a while. Closing an idle connection would cut the request that its
-	 * caller has just sent on it.
+	 * Resolves once every answer was handed over and no request came for a while, then accepts no more
+	 * connections. The port stays open until then: closing it resets the connections that the kernel
+	 * has taken and this process has not, with the requests on them. Closing an idle connection would
+	 * cut the request that its caller has just sent on it.
 	 */
 	async waitUntilQuiet(): Promise<void> {
 		const { timers } = this.options
-		this.listener.stopAccepting()
-		let seen = this.connections.requestCount
+		let seen = this.workCount
 		let quietSince = timers.now()
-		while (this.listener.connectionCount > 0 && timers.now() - quietSince < QUIET_MILLISECONDS) {
+		while (timers.now() - quietSince < QUIET_MILLISECONDS) {
 			await new Promise<void>((resolve) => {
 				timers.after(QUIET_POLL_MILLISECONDS, resolve)
 			})
-			const { requestCount, responseCount } = this.connections
-			if (requestCount === seen && responseCount === 0) continue
-			seen = requestCount
+			if (this.workCount === seen && this.connections.responseCount === 0) continue
+			seen = this.workCount
 			quietSince = timers.now()
 		}
+		this.listener.stopAccepting()
 	}
 
 	/** Ends every connection. */
@@ -109,6 +111,7 @@
 			this.answerHealth(response)
 			return
 		}
+		this.workCount++
 		if (pathname === '/v1/request-ids') {
 			this.answerRequestId(request, response)
 			return
