--- a/packages/standins/src/lib/jobPlatform/RunServerStandin.ts
+++ b/packages/standins/src/lib/jobPlatform/RunServerStandin.ts
@@ -28,7 +28,9 @@
 export class RunServerStandin {
 	/** Every start that was taken, as `TASK/ATTEMPT`, in order. */
 	readonly starts: string[] = []
-	private readonly born = Date.now()
+	private born = Date.now()
+	/** Zero of its own clock, which is not the time of day. */
+	private readonly clockStart = this.born - 1_000_000
 	private readonly runs = new Map<string, Run>()
 	private ended: unknown[][] = []
 	private ends = 0
@@ -52,7 +54,7 @@
 	}
 
 	/** Registration as the server writes it into the store. */
-	createRegistration(service: string, address: string): object {
+	createRegistration(service: string, address: string, machine: string): object {
 		return {
 			service,
 			address,
@@ -63,13 +65,22 @@
 			warmup_left_ms: 0,
 			seq: 1,
 			born: this.born,
-			machine: `m-${address}`,
+			machine,
 			capacity: { cpu: 16_000, mem_mb: 65_536, gpu: 0 },
 			labels: ['a', 'r1'],
 			clock_ms: this.clock,
 		}
 	}
 
+	/** Ends everything at once and begins again as a new incarnation. */
+	restart(): void {
+		this.runs.clear()
+		this.ended = []
+		this.token = 0
+		this.leaseEnd = 0
+		this.born = Date.now()
+	}
+
 	/** Tasks that run now. */
 	get running(): string[] {
 		this.advance()
@@ -134,6 +145,6 @@
 	}
 
 	private get clock(): number {
-		return Date.now() - this.born + 1_000_000
+		return Date.now() - this.clockStart
 	}
 }
--- a/packages/standins/src/lib/jobPlatform/StoreStandin.ts
+++ b/packages/standins/src/lib/jobPlatform/StoreStandin.ts
@@ -49,6 +49,17 @@
 		this.use(topic, '0').records.push(encode(key, JSON.stringify(value)))
 	}
 
+	/** Removes a key. */
+	delete(topic: string, key: string): void {
+		this.use(topic, '0').records.push(encode(key, ''))
+	}
+
+	/** Newest value of a key; undefined if there is none. */
+	get(topic: string, key: string): string | undefined {
+		const item = listNewest(this.use(topic, '0')).items.find((entry) => entry.key === key)
+		return item && Buffer.from(item.value, 'base64').toString()
+	}
+
 	private async handle(
 		call: string,
 		query: URLSearchParams,
@@ -144,14 +155,23 @@
 	return { status: 200, body: Buffer.concat([head, ...partition.records.slice(from)]) }
 }
 
-function listNewest(partition: Partition): object {
-	const items = new Map<string, object>()
+interface Item {
+	readonly key: string
+	/** Base64. */
+	readonly value: string
+	readonly offset: number
+}
+
+function listNewest(partition: Partition): { items: Item[]; truncated: boolean; end: number } {
+	const items = new Map<string, Item>()
 	for (const [offset, record] of partition.records.entries()) {
 		const keyEnd = LENGTH_BYTES + 1 + record.readUInt8(LENGTH_BYTES)
 		const key = record.toString('utf8', LENGTH_BYTES + 1, keyEnd)
 		const value = record.subarray(keyEnd)
 		if (value.length === 0) items.delete(key)
-		else items.set(key, { key, value: value.toString('base64'), offset })
+		else {
+			items.set(key, { key, value: value.toString('base64'), offset })
+		}
 	}
 	return { items: [...items.values()], truncated: false, end: partition.records.length }
 }
