Let an owner act only while no other can count on the end of its leases

Cause: only the answer of a join told an owner that its time in the group was over. Ruled out for one pause of any length: what runs ends by itself after 4 s, and the join comes back first.

Change: each start, renewal, machine move and maintenance order asks the owner's own clock first how long the log has been silent; past LeaseTerms.ownerSilence the term ends.

--- a/packages/jobs/src/lib/JobDaemon.ts
+++ b/packages/jobs/src/lib/JobDaemon.ts
@@ -75,7 +75,7 @@
 		)
 		const writer = new IntakeWriter(log, timers, events, this.intakeFollowers)
 		const followers = [...this.intakeFollowers.values(), this.progressFollower]
-		this.intake = new JobIntake(this.replica, writer, followers, events)
+		this.intake = new JobIntake(this.replica, writer, followers, events, timers)
 		this.ownership = new Ownership({
 			member,
 			log,
@@ -100,6 +100,11 @@
 		this.ownership.start()
 	}
 
+	/** Whether this instance places, starts and recovers. */
+	get isOwner(): boolean {
+		return this.ownership.isOwner
+	}
+
 	/** Whether callers should be sent here. */
 	isReady(): boolean {
 		if (this.stopping || !this.configuration.current) return false
@@ -150,6 +155,7 @@
 			getWallTime,
 			getConfiguration: () => this.configuration.require(),
 			statusRetention: this.parts.statusRetention,
+			isCurrent: () => this.ownership.isCurrent,
 			noteEnd: (reason) => {
 				events.warn('owner-abandoned', { token, reason })
 				this.term = undefined
--- a/packages/jobs/src/lib/callers/JobIntake.ts
+++ b/packages/jobs/src/lib/callers/JobIntake.ts
@@ -1,4 +1,4 @@
-import type { Job, JobId, JobStep } from '@mastichead/core'
+import type { Job, JobId, JobStep, TimerService } from '@mastichead/core'
 import { isFinalState } from '@mastichead/core'
 import { JobRecords } from '../log/JobRecords.js'
 import type { JobReplica } from '../log/JobReplica.js'
@@ -23,7 +23,8 @@
 		private readonly replica: JobReplica,
 		private readonly writer: IntakeWriter,
 		private readonly followers: readonly StreamFollower[],
-		private readonly events: EventLog
+		private readonly events: EventLog,
+		private readonly timers: TimerService
 	) {}
 
 	/**
@@ -36,13 +37,16 @@
 			this.events.info('job-repeated', { job: job.id, queue: job.queue })
 			return { kind: 'accepted' }
 		}
+		const startedAt = this.timers.now()
 		const verdict = await this.store(job, deadline)
+		const after = Math.round(this.timers.now() - startedAt)
 		const { id, queue, team } = job
 		if (verdict.kind === 'stored') {
-			this.events.info('job-accepted', { job: id, queue, team, steps: job.steps.map(describeStep) })
+			const steps = job.steps.map(describeStep)
+			this.events.info('job-accepted', { job: id, queue, team, after, steps })
 			return { kind: 'accepted' }
 		}
-		this.events.warn('job-not-accepted', { job: id, queue, team, ...verdict })
+		this.events.warn('job-not-accepted', { job: id, queue, team, after, ...verdict })
 		if (verdict.kind === 'unclear') return verdict
 		return { kind: 'refused', reason: verdict.reason, retryAfter: RETRY_AFTER_LOG }
 	}
--- a/packages/jobs/src/lib/machines/MachineInventory.test.ts
+++ b/packages/jobs/src/lib/machines/MachineInventory.test.ts
@@ -23,6 +23,7 @@
 			getConfiguration: () => {
 				throw new Error('not needed')
 			},
+			mayAct: () => true,
 			abandon: () => undefined,
 		},
 		new MemoryMachines()
--- a/packages/jobs/src/lib/machines/PoolManager.ts
+++ b/packages/jobs/src/lib/machines/PoolManager.ts
@@ -54,7 +54,7 @@
 		this.noteArrivals(now)
 		this.situations = this.getSituations(now)
 		this.report(now)
-		if (!this.parts.isRegistryFresh()) return
+		if (!this.parts.isRegistryFresh() || !this.context.mayAct()) return
 		for (const move of this.parts.policy.plan(this.situations, now)) void this.carryOut(move)
 	}
 
--- a/packages/jobs/src/lib/machines/WaveManager.ts
+++ b/packages/jobs/src/lib/machines/WaveManager.ts
@@ -187,7 +187,7 @@
 		row.down.set(machine, timers.now())
 		row.ordered.add(machine)
 		this.record(row)
-		if (!(await this.waitForDurability())) {
+		if (!(await this.waitForDurability()) || !this.context.mayAct()) {
 			row.down.delete(machine)
 			return
 		}
--- a/packages/jobs/src/lib/owner/BackendMonitor.ts
+++ b/packages/jobs/src/lib/owner/BackendMonitor.ts
@@ -107,6 +107,7 @@
 
 	private async renew(wait: number): Promise<boolean> {
 		const { row, context } = this
+		if (!context.mayAct()) return false
 		const sentAt = context.timers.now()
 		if (row.address === '') {
 			this.noteFailure('no address', sentAt)
--- a/packages/jobs/src/lib/owner/OrderDispatcher.ts
+++ b/packages/jobs/src/lib/owner/OrderDispatcher.ts
@@ -38,6 +38,7 @@
 	/** Sends the order for a placement that is durable. */
 	async start({ task, backend, attempt }: TaskPlacement): Promise<void> {
 		if (this.stopped || !isPlacedAt(task, backend, attempt) || task.order !== 'recorded') return
+		if (!this.context.mayAct()) return
 		if (task.stopping) {
 			this.getLedger().endRun(task, 'stopped', '', 'stopped before its order was sent')
 			return
--- a/packages/jobs/src/lib/owner/OwnerContext.ts
+++ b/packages/jobs/src/lib/owner/OwnerContext.ts
@@ -21,6 +21,11 @@
 	readonly getWallTime: () => number
 	/** Newest configuration. */
 	readonly getConfiguration: () => FleetConfiguration
+	/**
+	 * Whether the term may still act: true while no other owner can count on the end of its leases.
+	 * Asked before each order; ends the term when it is false.
+	 */
+	readonly mayAct: () => boolean
 	/** Ends the term: another owner has taken over, or may have. */
 	readonly abandon: (reason: string) => void
 }
--- a/packages/jobs/src/lib/owner/OwnerTerm.ts
+++ b/packages/jobs/src/lib/owner/OwnerTerm.ts
@@ -87,6 +87,8 @@
 			readonly getConfiguration: () => FleetConfiguration
 			/** Milliseconds for which the state of a job that has ended is told. */
 			readonly statusRetention: number
+			/** Whether no other owner can count on the end of this term's leases yet. */
+			readonly isCurrent: () => boolean
 			/** Called once when the term cannot go on. */
 			readonly noteEnd: (reason: string) => void
 		}
@@ -107,6 +109,7 @@
 			token,
 			getWallTime,
 			getConfiguration,
+			mayAct: () => this.mayAct(),
 			abandon,
 		}
 		const replan = (): void => {
@@ -211,6 +214,13 @@
 		this.parts.progress.resume()
 	}
 
+	private mayAct(): boolean {
+		if (this.ended) return false
+		if (this.parts.isCurrent()) return true
+		this.abandon('no answer from the log for too long')
+		return false
+	}
+
 	private abandon(reason: string): void {
 		if (this.ended) return
 		this.end()
--- a/packages/jobs/src/lib/owner/Ownership.ts
+++ b/packages/jobs/src/lib/owner/Ownership.ts
@@ -48,6 +48,14 @@
 		return this.token !== undefined
 	}
 
+	/**
+	 * Whether another instance cannot yet count on the end of what this one holds. A process that
+	 * was suspended may find out by its own clock only.
+	 */
+	get isCurrent(): boolean {
+		return this.silence < LeaseTerms.ownerSilence
+	}
+
 	/** The present term has ended; a new one begins if the group still names this instance. */
 	forgetTerm(): void {
 		this.token = undefined
@@ -92,10 +100,13 @@
 	}
 
 	private noteSilence(reason: string): void {
-		const { timers } = this.parts
-		const silence = timers.now() - (this.lastContact ?? timers.now())
-		if (silence < LeaseTerms.ownerSilence) return
-		this.drop(`no answer from the log: ${reason}`)
+		if (!this.isCurrent) this.drop(`no answer from the log: ${reason}`)
+	}
+
+	/** Milliseconds since the log was asked for the last answer that came. */
+	private get silence(): number {
+		const now = this.parts.timers.now()
+		return now - (this.lastContact ?? now)
 	}
 
 	private drop(reason: string): void {
--- a/packages/jobs/src/lib/owner/ProgressWriter.test.ts
+++ b/packages/jobs/src/lib/owner/ProgressWriter.test.ts
@@ -54,6 +54,7 @@
 		getConfiguration: () => {
 			throw new Error('not needed')
 		},
+		mayAct: () => true,
 		abandon: () => undefined,
 	}
 	const advance = async (duration: number): Promise<void> => {
--- /dev/null
+++ b/packages/jobs/src/lib/testing/PausableTimerService.ts
@@ -0,0 +1,61 @@
+import { TimerService } from '@mastichead/core'
+import type { Subscription } from '@mastichead/core'
+
+/**
+ * Timers of one instance whose process can be suspended: the clock goes on, what becomes due runs
+ * when the process does again.
+ *
+ * @internal
+ */
+export class PausableTimerService extends TimerService {
+	private paused = false
+	private due: (() => void)[] = []
+
+	constructor(private readonly base: TimerService) {
+		super()
+	}
+
+	pause(): void {
+		this.paused = true
+	}
+
+	/** Runs at once what has become due. */
+	resume(): void {
+		this.paused = false
+		const { due } = this
+		this.due = []
+		for (const listener of due) listener()
+	}
+
+	override now(): number {
+		return this.base.now()
+	}
+
+	override after(delay: number, listener: () => void): Subscription {
+		return this.subscribe((run) => this.base.after(delay, run), listener)
+	}
+
+	override every(interval: number, listener: () => void): Subscription {
+		return this.subscribe((run) => this.base.every(interval, run), listener)
+	}
+
+	private subscribe(
+		subscribe: (run: () => void) => Subscription,
+		listener: () => void
+	): Subscription {
+		let cancelled = false
+		const run = (): void => {
+			if (!cancelled) listener()
+		}
+		const subscription = subscribe(() => {
+			if (this.paused) this.due.push(run)
+			else run()
+		})
+		return {
+			cancel: () => {
+				cancelled = true
+				subscription.cancel()
+			},
+		}
+	}
+}
--- a/packages/jobs/src/lib/testing/createTestFleet.ts
+++ b/packages/jobs/src/lib/testing/createTestFleet.ts
@@ -10,6 +10,7 @@
 import { MemoryLog } from './MemoryLog.js'
 import { MemoryMachines } from './MemoryMachines.js'
 import { MemoryStore } from './MemoryStore.js'
+import { PausableTimerService } from './PausableTimerService.js'
 import { RunJournal } from './RunJournal.js'
 
 const START_OF_TIME = 1_700_000_000_000
@@ -43,22 +44,23 @@
 	const machines = new MemoryMachines(options.machines)
 	const instances: TestInstance[] = []
 	for (let number = 1; number <= options.instances; number += 1) {
-		const log = new MemoryLog(store, timers)
-		const server = new MemoryBackends(backends, timers)
+		const own = new PausableTimerService(timers)
+		const log = new MemoryLog(store, own)
+		const server = new MemoryBackends(backends, own)
 		const daemon = new JobDaemon({
 			member: `m${number}`,
 			log,
 			server,
 			format,
 			operator: machines,
-			timers,
+			timers: own,
 			events: new SilentEventLog(),
 			metrics: new JobMetrics(),
 			getWallTime: () => START_OF_TIME + timers.now(),
 			statusRetention: STATUS_RETENTION,
 		})
 		daemon.start()
-		instances.push({ daemon, log, server })
+		instances.push({ daemon, log, server, timers: own })
 	}
 	const run = async (duration: number): Promise<void> => {
 		for (let step = 0; step < duration; step += 1) {
@@ -76,6 +78,8 @@
 	readonly daemon: JobDaemon
 	readonly log: MemoryLog
 	readonly server: MemoryBackends
+	/** The instance's own timers, which stand while its process is suspended. */
+	readonly timers: PausableTimerService
 }
 
 interface TestFleet {
