Add a model of ownership, fences, leases and attempts of the job path

Twelve seeded mistakes, at least one for each of six invariants, are all found. It found one of its own while it was written: a listing asked for before a start was answered must not count against it; the product has that rule (orderedAt is set by the answer). States are known by a digest now, whole ones did not fit in memory.

--- /dev/null
+++ b/spec/src/ownership/OwnershipModel.test.ts
@@ -0,0 +1,23 @@
+import { expect, test } from 'vitest'
+import { search } from '../search.js'
+import type { OwnershipMistake } from './OwnershipMistake.js'
+import { OwnershipModel } from './OwnershipModel.js'
+import { ownershipSearches } from './ownershipSearches.js'
+
+test.each<[OwnershipMistake, keyof typeof ownershipSearches, string]>([
+	['earlier-leases-ignored', 'an owner replaced', 'no-task-twice-at-once'],
+	['suspended-owner-renews', 'an owner replaced', 'no-task-twice-at-once'],
+	['started-before-durable', 'an owner replaced', 'no-task-twice-at-once'],
+	['slow-clock-ignored', 'calls without an answer', 'no-task-twice-at-once'],
+	['lost-before-leases-end', 'calls without an answer', 'no-task-twice-at-once'],
+	['unclear-start-forgotten', 'calls without an answer', 'no-task-twice-at-once'],
+	['listing-older-than-order-counts', 'calls without an answer', 'no-task-twice-at-once'],
+	['acknowledged-before-durable', 'ends', 'no-end-lost'],
+	['attempt-ignored', 'ends of earlier attempts', 'none-after-done'],
+	['append-not-fenced', 'ends while a lease runs out', 'recorded-end-stays'],
+	['token-kept', 'three owners', 'newest-owner-rules'],
+	['limit-counts-confirmed', 'two tasks, limit 1', 'limit-held'],
+])('finds %s', (mistake, name, invariant) => {
+	const result = search(new OwnershipModel(ownershipSearches[name], mistake))
+	expect(result.violation?.invariant).toBe(invariant)
+})
--- /dev/null
+++ b/spec/src/ownership/TaskView.ts
@@ -0,0 +1,6 @@
+/** What the log or an owner says of a task. */
+export interface TaskView {
+	readonly phase: 'waiting' | 'placed' | 'done'
+	readonly server: number
+	readonly attempt: number
+}
--- a/spec/src/runSearches.ts
+++ b/spec/src/runSearches.ts
@@ -5,6 +5,8 @@
 import { LoanModel } from './loans/LoanModel.js'
 import { loanSearches } from './loans/loanSearches.js'
 import type { Model } from './Model.js'
+import { OwnershipModel } from './ownership/OwnershipModel.js'
+import { ownershipSearches } from './ownership/ownershipSearches.js'
 import { search } from './search.js'
 
 /**
@@ -31,5 +33,8 @@
 	for (const [name, bounds] of Object.entries(configurationSearches)) {
 		run(name, new ConfigurationModel(bounds))
 	}
+	for (const [name, bounds] of Object.entries(ownershipSearches)) {
+		run(name, new OwnershipModel(bounds))
+	}
 	return isGood
 }
--- a/spec/src/search.ts
+++ b/spec/src/search.ts
@@ -1,3 +1,4 @@
+import { createHash } from 'node:crypto'
 import type { Model } from './Model.js'
 import type { SearchResult } from './SearchResult.js'
 
@@ -28,7 +29,7 @@
 ): SearchResult<Action> {
 	const { maximumStates = DEFAULT_MAXIMUM_STATES, sampleEvery = 0 } = options
 	const initial = model.createInitial()
-	const known = new Set([JSON.stringify(initial)])
+	const known = new Set([getKey(initial)])
 	let level: { state: State; visit: Visit<Action> }[] = [
 		{ state: initial, visit: { parent: undefined, action: undefined, depth: 0 } },
 	]
@@ -42,7 +43,7 @@
 			for (const action of model.getActions(state)) {
 				transitions++
 				const after = model.apply(state, action)
-				const key = JSON.stringify(after)
+				const key = getKey(after)
 				if (known.has(key)) continue
 				known.add(key)
 				const reached = { parent: visit, action, depth: depth + 1 }
@@ -62,6 +63,11 @@
 	return { states: known.size, transitions, depth, isExhaustive: true, samples }
 }
 
+/** Digest of a state: states are known by it, since many whole ones would not fit in memory. */
+function getKey(state: unknown): string {
+	return createHash('sha1').update(JSON.stringify(state)).digest('base64')
+}
+
 function findViolation<State, Action>(model: Model<State, Action>, state: State) {
 	for (const [invariant, check] of model.invariants) {
 		const message = check(state)
