--- a/packages/jobs/src/lib/machines/MachineManager.ts
+++ b/packages/jobs/src/lib/machines/MachineManager.ts
@@ -50,7 +50,7 @@
 			writer,
 			inventory: this.inventory,
 			isArriving: (machine) => this.pools.isArriving(machine),
-			hasSlack: (service) => this.pools.hasSlack(service),
+			getSlack: (service) => this.pools.getSlack(service),
 			getWaves,
 			report,
 			getProgress,
--- a/packages/jobs/src/lib/machines/PoolManager.ts
+++ b/packages/jobs/src/lib/machines/PoolManager.ts
@@ -76,11 +76,10 @@
 		return this.arriving.has(machine)
 	}
 
-	/** Whether a pool can do without one more of its machines now. */
-	hasSlack(service: string): boolean {
+	/** Machines that a pool can do without now; negative if it is short of some. */
+	getSlack(service: string): number {
 		const pool = this.situations.find((candidate) => candidate.service === service)
-		if (!pool) return false
-		return pool.machines.length > this.parts.policy.getWanted(pool)
+		return pool ? pool.machines.length - this.parts.policy.getWanted(pool) : 0
 	}
 
 	private noteArrivals(now: number): void {
--- a/packages/jobs/src/lib/machines/WaveManager.ts
+++ b/packages/jobs/src/lib/machines/WaveManager.ts
@@ -41,8 +41,8 @@
 			readonly inventory: MachineInventory
 			/** Whether the machine is on its way into another pool. */
 			readonly isArriving: (machine: string) => boolean
-			/** Whether a service's pool can do without one more machine. */
-			readonly hasSlack: (service: string) => boolean
+			/** Machines that a service's pool can do without; negative if it is short. */
+			readonly getSlack: (service: string) => number
 			readonly getWaves: () => ReadonlyMap<string, Wave>
 			readonly writer: ProgressWriter
 			/** Tells the operator how far a wave is; resolves to whether that is durable. */
@@ -149,11 +149,14 @@
 			// Nothing of ours runs on a machine without a registered server.
 			else if (row.closing.size < limit) this.close(row, machine, undefined)
 		}
+		const closing = new Map<string, number>()
 		for (const backend of getMaintenanceOrder([...backends.keys()])) {
 			if (row.closing.size >= limit) return
-			if (!backend.closing && this.isTimeFor(row, backend)) {
-				this.close(row, backends.get(backend) ?? '', backend)
-			}
+			const { service } = backend
+			const others = closing.get(service) ?? 0
+			if (backend.closing || !this.isTimeFor(row, service, others)) continue
+			closing.set(service, others + 1)
+			this.close(row, backends.get(backend) ?? '', backend)
 		}
 	}
 
@@ -165,11 +168,15 @@
 		events.info('backend-closing', { backend: backend.id, machine, tasks: backend.tasks.size })
 	}
 
-	/** A pool that needs all it has is left alone while the wave has time. */
-	private isTimeFor(row: WaveRow, backend: BackendRow): boolean {
+	/**
+	 * A pool that needs all it has is left alone while the wave has time.
+	 *
+	 * @param others - machines of the pool that have been closed in this round
+	 */
+	private isTimeFor(row: WaveRow, service: string, others: number): boolean {
 		const elapsed = this.context.getWallTime() - row.receivedAt
 		const patient = row.wave.deadline * MILLISECONDS_PER_SECOND * PATIENT_SHARE
-		return elapsed > patient || this.parts.hasSlack(backend.service)
+		return elapsed > patient || this.parts.getSlack(service) > others
 	}
 
 	private async tryMaintain(row: WaveRow, machine: string): Promise<void> {
--- a/packages/jobs/src/lib/owner/BackendRegistry.ts
+++ b/packages/jobs/src/lib/owner/BackendRegistry.ts
@@ -103,8 +103,8 @@
 		row.capacity = registration.capacity
 		row.draining = draining
 		row.registered = true
-		const { machine } = registration
-		events.info('backend-registered', { backend: id, machine, service, draining })
+		const { machine, address } = registration
+		events.info('backend-registered', { backend: id, machine, address, service, draining })
 		this.noteChange(row)
 	}
 
