Read progress anew before the state of an unfinished job is told

A question about a job that has not ended reads the stream of progress first, for 150 ms at most; questions that come together share a read.

--- a/packages/jobs/src/lib/JobDaemon.ts
+++ b/packages/jobs/src/lib/JobDaemon.ts
@@ -75,7 +75,14 @@
 		)
 		const writer = new IntakeWriter(log, timers, events, this.intakeFollowers)
 		const followers = [...this.intakeFollowers.values(), this.progressFollower]
-		this.intake = new JobIntake(this.replica, writer, followers, events, timers)
+		this.intake = new JobIntake(
+			this.replica,
+			writer,
+			followers,
+			this.progressFollower,
+			events,
+			timers
+		)
 		this.ownership = new Ownership({
 			member,
 			log,
--- a/packages/jobs/src/lib/callers/JobIntake.ts
+++ b/packages/jobs/src/lib/callers/JobIntake.ts
@@ -8,6 +8,8 @@
 import type { JobAnswer } from './JobAnswer.js'
 import type { WriteVerdict } from './WriteVerdict.js'
 
+/** Time for a question's state to be read anew before the known one is told, in milliseconds. */
+const STATE_PATIENCE = 150
 /** Seconds until a caller should try again when the log is out of reach. */
 const RETRY_AFTER_LOG = 1
 
@@ -23,6 +25,7 @@
 		private readonly replica: JobReplica,
 		private readonly writer: IntakeWriter,
 		private readonly followers: readonly StreamFollower[],
+		private readonly progress: StreamFollower,
 		private readonly events: EventLog,
 		private readonly timers: TimerService
 	) {}
@@ -68,8 +71,11 @@
 		return { kind: 'unavailable', reason: verdict.reason, retryAfter: RETRY_AFTER_LOG }
 	}
 
+	/** Tells a job's state; reads on first if it may have gone on since this instance has read. */
 	async getState(id: JobId): Promise<JobAnswer> {
 		const known = await this.find(id)
+		const before = this.replica.getState(id)
+		if (before && !isFinalState(before)) await this.progress.catchUp(STATE_PATIENCE)
 		const state = this.replica.getState(id)
 		if (known !== 'known' || !state) return this.describeMissing(id, known)
 		return { kind: 'state', state }
--- a/packages/jobs/src/lib/log/StreamFollower.ts
+++ b/packages/jobs/src/lib/log/StreamFollower.ts
@@ -29,6 +29,7 @@
 	private paused = false
 	private stopped = false
 	private reading: Promise<boolean> | undefined
+	private catching: Promise<boolean> | undefined
 	private wake: (() => void) | undefined
 
 	/**
@@ -102,6 +103,23 @@
 		}
 	}
 
+	/**
+	 * Reads once what has been written since the latest answer, for a question that must not be
+	 * answered from before. Questions that come together share a read.
+	 *
+	 * @param patience - milliseconds after which what is known has to do
+	 */
+	async catchUp(patience: number): Promise<void> {
+		if (this.paused || !this.available) return
+		this.catching ??= this.readOnce(0).finally(() => {
+			this.catching = undefined
+		})
+		const expired = new Promise<void>((resolve) => {
+			this.timers.after(patience, resolve)
+		})
+		await Promise.race([this.catching, expired])
+	}
+
 	private async run(): Promise<void> {
 		while (!this.stopped) {
 			const answered = this.paused || (await this.readOnce(this.options.wait))
