--- a/packages/jobs/src/lib/JobDaemon.ts
+++ b/packages/jobs/src/lib/JobDaemon.ts
@@ -54,7 +54,7 @@
 			readonly metrics: JobMetrics
 			readonly getWallTime: () => number
 			/** Milliseconds for which the state of a job that has ended is told. */
-			readonly statusRetention: number
+			readonly getStatusRetention: () => number
 		}
 	) {
 		const { log, timers, events, metrics, format, member } = parts
@@ -161,7 +161,7 @@
 			progress: this.progressFollower,
 			getWallTime,
 			getConfiguration: () => this.configuration.require(),
-			statusRetention: this.parts.statusRetention,
+			getStatusRetention: this.parts.getStatusRetention,
 			isCurrent: () => this.ownership.isCurrent,
 			noteEnd: (reason) => {
 				events.warn('owner-abandoned', { token, reason })
--- a/packages/jobs/src/lib/owner/OwnerTerm.ts
+++ b/packages/jobs/src/lib/owner/OwnerTerm.ts
@@ -86,7 +86,7 @@
 			readonly getWallTime: () => number
 			readonly getConfiguration: () => FleetConfiguration
 			/** Milliseconds for which the state of a job that has ended is told. */
-			readonly statusRetention: number
+			readonly getStatusRetention: () => number
 			/** Whether no other owner can count on the end of this term's leases yet. */
 			readonly isCurrent: () => boolean
 			/** Called once when the term cannot go on. */
@@ -150,7 +150,7 @@
 			writer: this.writer,
 			replica: parts.replica,
 			intake: parts.intake,
-			duration: parts.statusRetention,
+			getDuration: parts.getStatusRetention,
 		})
 		this.machines = new MachineManager(this.context, {
 			operator: parts.operator,
--- a/packages/jobs/src/lib/owner/Retention.ts
+++ b/packages/jobs/src/lib/owner/Retention.ts
@@ -30,7 +30,7 @@
 			readonly replica: JobReplica
 			readonly intake: readonly StreamFollower[]
 			/** Milliseconds for which the state of a job that has ended is told. */
-			readonly duration: number
+			readonly getDuration: () => number
 		}
 	) {}
 
@@ -46,7 +46,7 @@
 	private isDue({ snapshot }: ReplicaRow): boolean {
 		if (snapshot?.finishedAt === undefined) return false
 		if (snapshot.tasks.some((task) => task.phase === 'placed')) return false
-		return this.context.getWallTime() - snapshot.finishedAt > this.parts.duration + MARGIN
+		return this.context.getWallTime() - snapshot.finishedAt > this.parts.getDuration() + MARGIN
 	}
 
 	/** What callers asked for goes first: progress without its job starts nothing. */
--- a/packages/jobs/src/lib/testing/createTestFleet.ts
+++ b/packages/jobs/src/lib/testing/createTestFleet.ts
@@ -57,7 +57,7 @@
 			events: new SilentEventLog(),
 			metrics: new JobMetrics(),
 			getWallTime: () => START_OF_TIME + timers.now(),
-			statusRetention: STATUS_RETENTION,
+			getStatusRetention: () => STATUS_RETENTION,
 		})
 		daemon.start()
 		instances.push({ daemon, log, server, timers: own })
