Say of a job why its tasks wait: mastichead explain

Until now a job that waited could be traced from log lines only, and pools-seen gives sums. explainJob (core, pure) judges each step by the planner's tables: not due, dependency, pausing, team limit, no backend server, too large, no room, order. Every instance serves it at /explain/ID of the metrics address; the command asks all that are named and takes the owner's answer.

--- a/packages/cli/src/lib/client/createClient.ts
+++ b/packages/cli/src/lib/client/createClient.ts
@@ -10,15 +10,21 @@
 /**
  * Makes a client from the command line's options and the environment.
  *
+ * @param access - whether the port that is asked wants an operator token
  * @internal
  */
-export function createClient(options: GlobalOptions, context: CliContext): OperatorClient {
+export function createClient(
+	options: GlobalOptions,
+	context: CliContext,
+	access: 'with-token' | 'open' = 'with-token'
+): OperatorClient {
 	const { MASTICHEAD_SERVERS, MASTICHEAD_TOKEN, MASTICHEAD_CERTIFICATE_AUTHORITY } =
 		context.environment
 	const servers = options.server ?? (MASTICHEAD_SERVERS ?? '').split(/[\s,]+/).filter(Boolean)
-	const token = options.token ?? MASTICHEAD_TOKEN
+	const token = options.token ?? MASTICHEAD_TOKEN ?? ''
 	if (servers.length === 0) throw new CliError(2, 'no daemon named: --server or MASTICHEAD_SERVERS')
-	if (!token) throw new CliError(2, 'no operator token: MASTICHEAD_TOKEN or --token')
+	if (access === 'with-token' && token === '')
+		throw new CliError(2, 'no operator token: MASTICHEAD_TOKEN or --token')
 	for (const server of servers) {
 		if (!/^https?:\/\//.test(server) || !URL.canParse(server)) {
 			throw new CliError(2, `not a URL: ${server}`)
--- a/packages/cli/src/lib/createProgram.ts
+++ b/packages/cli/src/lib/createProgram.ts
@@ -1,6 +1,7 @@
 import { Command, InvalidArgumentError, Option } from 'commander'
 import type { CliContext } from './CliContext.js'
 import { addFleetCommands } from './commands/addFleetCommands.js'
+import { addJobCommands } from './commands/addJobCommands.js'
 import { addKeyCommands } from './commands/addKeyCommands.js'
 import { addMaintenanceCommands } from './commands/addMaintenanceCommands.js'
 import { addReportCommands } from './commands/addReportCommands.js'
@@ -26,6 +27,7 @@
   mastichead apply examples/padania.yaml --base 0
   mastichead keys issue installers
   mastichead waves create spring quotes-1 quotes-2 quotes-3 --parallelism 1
+  mastichead explain 00000000000000a1 --server http://10.0.0.11:7000 --server http://10.0.0.12:7000
   mastichead status --watch --server http://127.0.0.1:21201 --server http://127.0.0.1:21202
 `
 
@@ -51,6 +53,7 @@
 	addKeyCommands(program, context)
 	addMaintenanceCommands(program, context)
 	addReportCommands(program, context)
+	addJobCommands(program, context)
 	configure(program, context)
 	return program
 }
--- a/packages/cli/src/lib/runCli.test.ts
+++ b/packages/cli/src/lib/runCli.test.ts
@@ -205,3 +205,30 @@
 		expect((await run(['histograms'], [url])).output).toMatch(/installers\s+1\s+0\s+0/)
 	})
 })
+
+describe('explain', () => {
+	const known = { job: 'a1', state: 'running', queue: 'quotes', team: '', age: 100, steps: [] }
+
+	it('takes what the owner says before what others do, and needs no token', async () => {
+		const other = await startServer(() => ({ status: 200, body: { ...known, owner: false } }))
+		const step = { step: 0, occurrence: 0, waiting: 2, placed: 1, done: 0, ended: 0 }
+		const owner = await startServer(() => ({
+			status: 200,
+			body: { ...known, owner: true, steps: [{ ...step, reason: 'no-room' }] },
+		}))
+		const { code, output } = await run(['explain', 'a1'], [other.url, owner.url])
+		expect(code).toBe(0)
+		expect(output).toContain('2 waiting, 1 placed')
+		expect(output).toContain('every backend server that could take a task is full')
+		expect(owner.calls[0]?.path).toBe('/explain/a1')
+	})
+
+	it('says that a job is unknown, with exit code 1', async () => {
+		const { url } = await startServer(() => ({
+			status: 200,
+			body: { job: 'a1', queue: '', team: '', age: 0, owner: true, steps: [] },
+		}))
+		const { code, error } = await run(['explain', 'a1'], [url])
+		expect([code, error]).toEqual([1, 'no instance that answered knows of job a1\n'])
+	})
+})
--- /dev/null
+++ b/packages/core/src/lib/jobs/explainJob.test.ts
@@ -0,0 +1,58 @@
+import { expect, it } from 'vitest'
+import { createTestJob } from './testing/createTestJob.js'
+import { createTestTables } from './testing/createTestTables.js'
+import { explainJob } from './explainJob.js'
+
+const NOW = 1_000
+const needs = { cpu: 1_000, memory: 1_000, gpu: 0 }
+
+it('tells running, finished and dependent steps apart', () => {
+	const { reasons, plan } = explain([
+		{ count: 2, needs },
+		{ count: 1, needs, dependsOn: [0] },
+	])
+	plan()
+	expect(reasons()).toEqual([
+		{ step: 0, waiting: 0, placed: 2, reason: undefined },
+		{ step: 1, waiting: 1, placed: 0, reason: 'dependency' },
+	])
+})
+
+it.each([
+	['no-room', { needs: { ...needs, cpu: 9_000 }, count: 3 }, {}],
+	['too-large', { needs: { ...needs, cpu: 17_000 }, count: 1 }, {}],
+	['team-limit', { needs, count: 5 }, { limit: { cpu: 4_000, memory: 0, gpu: 0 } }],
+	['no-backend', { needs, count: 1 }, { backends: 0 }],
+] as const)('says %s', (reason, step, options) => {
+	const { reasons, plan } = explain([step], options)
+	plan()
+	expect(reasons()[0]).toMatchObject({ reason })
+})
+
+it('says of what fits and waits for the next plan that it is a matter of order', () => {
+	const { reasons } = explain([{ count: 1, needs }])
+	expect(reasons()[0]).toMatchObject({ waiting: 1, reason: 'order' })
+})
+
+it('says of a task that may not be placed again yet that it pauses', () => {
+	const { reasons, row } = explain([{ count: 1, needs }])
+	for (const task of row.tasks) task.notBefore = NOW + 100
+	expect(reasons()[0]).toMatchObject({ reason: 'pausing' })
+})
+
+function explain(
+	steps: Parameters<typeof createTestJob>[1],
+	options: Partial<Parameters<typeof createTestTables>[0]> = {}
+) {
+	const tables = createTestTables({ backends: 2, ...options })
+	const { jobs, backends, planner, configuration } = tables
+	const row = jobs.admit(createTestJob('00000000000000a1', steps, 0))
+	return {
+		row,
+		plan: () => planner.plan(configuration, NOW, NOW),
+		reasons: () =>
+			explainJob(row, { backends, configuration, now: NOW, wallTime: NOW }).map(
+				({ step, waiting, placed, reason }) => ({ step, waiting, placed, reason })
+			),
+	}
+}
--- /dev/null
+++ b/packages/core/src/lib/jobs/explainJob.ts
@@ -0,0 +1,117 @@
+import type { BackendRow } from './BackendRow.js'
+import type { BackendTable } from './BackendTable.js'
+import type { FleetConfiguration } from './FleetConfiguration.js'
+import type { JobRow } from './JobRow.js'
+import type { JobStep } from './JobStep.js'
+import type { StepExplanation } from './StepExplanation.js'
+import type { TaskRow } from './TaskRow.js'
+import { exceedsTeamLimit } from './exceedsTeamLimit.js'
+import { fitsWithin } from './fitsWithin.js'
+import { getCountedNeeds } from './getCountedNeeds.js'
+import { getStepRuns } from './getStepRuns.js'
+import { noResources } from './noResources.js'
+
+/**
+ * Says of each step of a job where its tasks stand and why those wait that do, from the tables that
+ * the planner works on.
+ *
+ * @param options.now - instant of the owner's monotonic clock, in milliseconds
+ * @param options.wallTime - milliseconds since 1970
+ * @public
+ */
+export function explainJob(
+	row: JobRow,
+	options: {
+		readonly backends: BackendTable
+		readonly configuration: FleetConfiguration
+		readonly now: number
+		readonly wallTime: number
+	}
+): StepExplanation[] {
+	const { now, wallTime } = options
+	const startable = new Set(
+		getStepRuns(row, now, wallTime).map((run) => `${run.occurrence}.${run.stepNumber}`)
+	)
+	const explanations: StepExplanation[] = []
+	for (const [key, tasks] of groupBySteps(row.tasks)) {
+		const [first] = tasks
+		if (!first) continue
+		const count = (phase: TaskRow['phase']): number =>
+			tasks.filter((task) => task.phase === phase).length
+		const waiting = count('pending')
+		const getReason = (): StepExplanation['reason'] =>
+			startable.has(key) ? explainPlace(row, first.step, options) : explainTurn(row, first, options)
+		explanations.push({
+			step: first.stepNumber,
+			occurrence: first.occurrence,
+			waiting,
+			placed: count('placed'),
+			done: count('done'),
+			ended: count('failed') + count('dropped'),
+			reason: waiting > 0 ? getReason() : undefined,
+		})
+	}
+	return explanations
+}
+
+function groupBySteps(tasks: readonly TaskRow[]): Map<string, TaskRow[]> {
+	const groups = new Map<string, TaskRow[]>()
+	for (const task of tasks) {
+		const key = `${task.occurrence}.${task.stepNumber}`
+		const group = groups.get(key)
+		if (group) group.push(task)
+		else groups.set(key, [task])
+	}
+	return groups
+}
+
+/** Why a step's turn has not come. */
+function explainTurn(
+	{ job, tasks }: JobRow,
+	{ step, occurrence }: TaskRow,
+	{ wallTime }: { readonly wallTime: number }
+): 'not-due' | 'dependency' | 'pausing' {
+	if (job.times > 0 && job.startAt + occurrence * job.interval > wallTime) return 'not-due'
+	const isOpen = tasks.some(
+		(task) =>
+			task.occurrence === occurrence &&
+			step.dependsOn.includes(task.stepNumber) &&
+			task.phase !== 'done'
+	)
+	return isOpen ? 'dependency' : 'pausing'
+}
+
+/** Why a step whose turn has come has no place. */
+function explainPlace(
+	{ job }: JobRow,
+	step: JobStep,
+	options: {
+		readonly backends: BackendTable
+		readonly configuration: FleetConfiguration
+		readonly now: number
+	}
+): 'team-limit' | 'no-backend' | 'too-large' | 'no-room' | 'order' {
+	const { backends, configuration, now } = options
+	const used = backends.getTeamUse(job.team)
+	if (exceedsTeamLimit(configuration.teams.get(job.team), used, step.needs)) return 'team-limit'
+	const service = configuration.queues.get(job.queue)?.service
+	const usable = [...backends.all].filter(
+		(backend) => backend.service === service && isUsable(backend, now)
+	)
+	if (usable.length === 0) return 'no-backend'
+	const needs = getCountedNeeds(step)
+	const able = usable.filter(
+		({ labels, capacity }) =>
+			(step.requiredLabel === '' || labels.includes(step.requiredLabel)) &&
+			fitsWithin(needs, noResources, capacity)
+	)
+	if (able.length === 0) return 'too-large'
+	return able.some((backend) => fitsWithin(needs, backend.used, backend.capacity))
+		? 'order'
+		: 'no-room'
+}
+
+function isUsable(backend: BackendRow, now: number): boolean {
+	const { registered, draining, closing, reconciled, reachable, avoidedUntil } = backend
+	return registered && !draining && !closing && reconciled && reachable && avoidedUntil <= now
+}
--- a/packages/jobs/src/lib/JobDaemon.ts
+++ b/packages/jobs/src/lib/JobDaemon.ts
@@ -1,4 +1,4 @@
-import type { TimerService } from '@mastichead/core'
+import type { TimerService, JobId, JobReport } from '@mastichead/core'
 import { IntakeWriter } from './callers/IntakeWriter.js'
 import { JobIntake } from './callers/JobIntake.js'
 import { ConfigurationManager } from './configuration/ConfigurationManager.js'
@@ -120,6 +120,24 @@
 		return this.progressFollower.loaded && silence < MAXIMUM_LOG_SILENCE
 	}
 
+	/** What this instance knows of a job. */
+	explain(id: JobId): JobReport {
+		const job = this.replica.get(id)?.job
+		const { timers, getWallTime } = this.parts
+		const { lastContact } = this.configuration.follower
+		return {
+			job: id,
+			state: this.replica.getState(id),
+			queue: job?.queue ?? '',
+			team: job?.team ?? '',
+			age: job ? getWallTime() - job.acceptedAt : 0,
+			configuration: this.configuration.current?.version ?? 0,
+			logSilence: lastContact === undefined ? undefined : timers.now() - lastContact,
+			owner: this.isOwner,
+			steps: this.term?.explain(id) ?? [],
+		}
+	}
+
 	/** Hands ownership over; callers are still answered. */
 	async stop(): Promise<void> {
 		this.stopping = true
--- a/packages/jobs/src/lib/owner/OwnerTerm.ts
+++ b/packages/jobs/src/lib/owner/OwnerTerm.ts
@@ -2,6 +2,8 @@
 	BackendId,
 	BackendRow,
 	FleetConfiguration,
+	JobId,
+	StepExplanation,
 	TaskPlacement,
 	TimerService,
 } from '@mastichead/core'
@@ -14,6 +16,7 @@
 	PackChoice,
 	getJobWork,
 	DemandMeter,
+	explainJob,
 } from '@mastichead/core'
 import { JobRecords } from '../log/JobRecords.js'
 import type { JobReplica } from '../log/JobReplica.js'
@@ -201,6 +204,15 @@
 		this.planSoon()
 	}
 
+	/** Where the steps of a job stand and why they wait; undefined if this term does not know it. */
+	explain(id: JobId): StepExplanation[] | undefined {
+		const { jobs, backends, timers, getWallTime, getConfiguration } = this.context
+		const row = jobs.get(id)
+		if (!row) return undefined
+		const [now, wallTime] = [timers.now(), getWallTime()]
+		return explainJob(row, { backends, configuration: getConfiguration(), now, wallTime })
+	}
+
 	/** Ends the term; nothing is sent any more. */
 	end(): void {
 		if (this.ended) return
