Let work that is late give way to other pools' work that can be in time

Late work counted as need like any other, and its planner refilled machines that would have fallen idle.

Change: what a pool wants counts work that can be in time. Late work, running or waiting, gets what is left once no pool is short; while another pool is short it keeps to the fullest machines that its pool wants anyway, so that the others fall idle and are given. A job is late for this only if all of it at once could not be in time: one that merely lacks machines still asks for them. Tests of the pattern in DemandPoolPolicy and PlacementPlanner; pools-seen has a fifth figure.

--- a/packages/core/src/lib/jobs/DemandPoolPolicy.test.ts
+++ b/packages/core/src/lib/jobs/DemandPoolPolicy.test.ts
@@ -49,6 +49,36 @@
 	})
 })
 
+describe('late work of one pool while another could still be in time', () => {
+	const late = createPool('late', { machines: 8, late: 400 })
+	const inTime = createPool('in-time', { machines: 2, waiting: 90 })
+
+	it('is no reason to keep machines that the other pool needs', () => {
+		const moves = new DemandPoolPolicy().plan([late, inTime], 10_000)
+		expect(moves.filter(({ to }) => to === 'in-time')).toHaveLength(5)
+		expect(moves.filter(({ to }) => to === 'late')).toEqual([])
+	})
+
+	it('keeps to the machines that its pool needs anyway, until the other pool is served', () => {
+		const busy = new DemandPoolPolicy()
+		const none = {
+			...late,
+			machines: late.machines.map(({ id }) => ({ id, idleSince: undefined })),
+		}
+		busy.plan([none, inTime], 10_000)
+		expect(busy.getLateMachines(none)).toBe(2)
+		busy.plan([none, createPool('in-time', { machines: 8, waiting: 90 })], 10_000)
+		expect(busy.getLateMachines(none)).toBeUndefined()
+	})
+
+	it('takes what is left when no pool is short', () => {
+		const spare = createPool('spare', { machines: 6, spare: true })
+		const alone = createPool('late', { machines: 2, late: 90 })
+		const moves = new DemandPoolPolicy().plan([spare, alone], 10_000)
+		expect(moves).toHaveLength(6)
+	})
+})
+
 function createPool(
 	service: string,
 	options: Partial<Omit<PoolSituation, 'machines'>> & { readonly machines: number }
@@ -62,6 +92,7 @@
 		demand: 0,
 		use: 0,
 		waiting: 0,
+		late: 0,
 		lasting: 0,
 		spread: 0,
 		...rest,
--- a/packages/core/src/lib/jobs/DemandPoolPolicy.ts
+++ b/packages/core/src/lib/jobs/DemandPoolPolicy.ts
@@ -21,6 +21,8 @@
 	readonly pool: PoolSituation
 	/** Machines that it should have. */
 	readonly wanted: number
+	/** Machines that its late work could use besides. */
+	readonly late: number
 	/** Machines that it has, less those that it should have. */
 	surplus: number
 	/** Idle machines that it may give, longest idle first. */
@@ -36,16 +38,32 @@
 export class DemandPoolPolicy extends PoolPolicy {
 	/** Instant since which something has been asked. */
 	private awakeSince = -Infinity
+	/** Services that the latest plan left short of machines for work that can be in time. */
+	private readonly short = new Set<string>()
 
 	override plan(pools: readonly PoolSituation[], now: number): readonly MachineMove[] {
 		const balances = pools.map((pool) => this.getBalance(pool))
 		if (isAsleep(pools)) this.awakeSince = now
 		const kept = now - this.awakeSince < WAKING_TIME ? WAKING_MACHINES : 0
 		const moves = coverShortages(balances, now)
+		this.short.clear()
+		for (const { pool, surplus } of balances) if (surplus < 0) this.short.add(pool.service)
+		// What is left is for late work.
+		for (const balance of balances) balance.surplus -= balance.late
+		if (this.short.size === 0) moves.push(...coverShortages(balances, now))
 		moves.push(...turnOff(balances, now, kept))
 		return moves
 	}
 
+	/**
+	 * While another pool is short for work that can be in time, late work keeps to the machines that
+	 * the pool needs anyway, so that the others fall idle and can be given away.
+	 */
+	override getLateMachines(pool: PoolSituation): number | undefined {
+		const others = [...this.short].filter((service) => service !== pool.service)
+		return others.length === 0 ? undefined : this.getWanted(pool)
+	}
+
 	override getWanted(pool: PoolSituation): number {
 		if (pool.spare || pool.machineCores === 0) return 0
 		const batch = Math.max(pool.demand, pool.use + pool.waiting)
@@ -60,7 +78,8 @@
 		}
 		idle.sort((a, b) => a.idleSince - b.idleSince)
 		const wanted = this.getWanted(pool)
-		return { pool, wanted, surplus: pool.machines.length + pool.arriving - wanted, idle }
+		const late = pool.machineCores > 0 ? Math.ceil(pool.late / pool.machineCores) : 0
+		return { pool, wanted, late, surplus: pool.machines.length + pool.arriving - wanted, idle }
 	}
 }
 
--- a/packages/core/src/lib/jobs/InTimeOrder.ts
+++ b/packages/core/src/lib/jobs/InTimeOrder.ts
@@ -1,6 +1,7 @@
 import { OrderPolicy } from './OrderPolicy.js'
 import type { JobOutlook } from './JobOutlook.js'
 import type { OrderCandidate } from './OrderCandidate.js'
+import type { OrderedCandidate } from './OrderedCandidate.js'
 import { getJobOutlook } from './getJobOutlook.js'
 import { selectInTime } from './selectInTime.js'
 
@@ -10,7 +11,7 @@
 const LATE = 2
 
 interface Ranked {
-	readonly candidate: OrderCandidate
+	readonly candidate: OrderedCandidate
 	readonly group: number
 	readonly priority: number
 	/** Order within the group: instant of the latest start, or of acceptance. */
@@ -28,7 +29,7 @@
 		candidates: readonly OrderCandidate[],
 		cores: ReadonlyMap<string, number>,
 		wallTime: number
-	): OrderCandidate[] {
+	): OrderedCandidate[] {
 		const ranked: Ranked[] = []
 		for (const [service, group] of groupByService(candidates)) {
 			ranked.push(...rankService(group, cores.get(service) ?? 0, wallTime))
@@ -61,11 +62,12 @@
 		if (!outlooks.has(key)) outlooks.set(key, getJobOutlook(run.row, run.occurrence, queue))
 	}
 	const inTime = selectInTime([...outlooks.values()], cores, wallTime)
-	return candidates.map((candidate) => {
-		const { run, queue } = candidate
+	return candidates.map(({ run, queue }) => {
 		const { priority } = queue
 		const { acceptedAt } = run.row.job
 		const outlook = outlooks.get(getKey(run))
+		const hopeless = outlook !== undefined && wallTime + outlook.chain > outlook.due
+		const candidate = { run, queue, hopeless }
 		if (run.step.lasting || !outlook) {
 			return { candidate, group: LASTING, priority, instant: acceptedAt }
 		}
--- a/packages/core/src/lib/jobs/OrderPolicy.ts
+++ b/packages/core/src/lib/jobs/OrderPolicy.ts
@@ -1,4 +1,5 @@
 import type { OrderCandidate } from './OrderCandidate.js'
+import type { OrderedCandidate } from './OrderedCandidate.js'
 
 /**
  * Decides which step is placed first when not all can be.
@@ -16,5 +17,5 @@
 		candidates: readonly OrderCandidate[],
 		cores: ReadonlyMap<string, number>,
 		wallTime: number
-	): OrderCandidate[]
+	): OrderedCandidate[]
 }
--- a/packages/core/src/lib/jobs/PlacementPlanner.test.ts
+++ b/packages/core/src/lib/jobs/PlacementPlanner.test.ts
@@ -50,6 +50,18 @@
 		expect(placements).toHaveLength(5)
 	})
 
+	it('keeps late work to the fullest machines while another pool is short', () => {
+		const { jobs, planner, configuration } = createTestTables({ backends: 3 })
+		jobs.admit(createTestJob('a', [{ count: 40, estimate: 1_000 }], 0))
+		const muchLater = 60_000
+		const placements = planner.plan(configuration, 0, muchLater, () => 1)
+		expect(placements).toHaveLength(16)
+		expect(new Set(placements.map(({ backend }) => backend.id)).size).toBe(1)
+		expect(planner.backlog.get('desk')).toBeUndefined()
+		expect(planner.lateBacklog.get('desk')).toBe(24)
+		expect(planner.plan(configuration, 0, muchLater)).toHaveLength(24)
+	})
+
 	it('places a gang as a whole or not at all', () => {
 		const { jobs, backends, planner, configuration } = createTestTables({ backends: 1 })
 		jobs.admit(createTestJob('a', [{ count: 17, gang: true }]))
--- a/packages/core/src/lib/jobs/PlacementPlanner.ts
+++ b/packages/core/src/lib/jobs/PlacementPlanner.ts
@@ -3,7 +3,9 @@
 import type { BackendTable } from './BackendTable.js'
 import type { FleetConfiguration } from './FleetConfiguration.js'
 import type { JobTable } from './JobTable.js'
+import type { JobId } from './JobId.js'
 import type { OrderCandidate } from './OrderCandidate.js'
+import type { OrderedCandidate } from './OrderedCandidate.js'
 import type { OrderPolicy } from './OrderPolicy.js'
 import type { TaskPlacement } from './TaskPlacement.js'
 import type { StepRun } from './StepRun.js'
@@ -25,8 +27,12 @@
  * @public
  */
 export class PlacementPlanner {
-	/** Cores of tasks that the latest plan found no room for, by service. */
+	/** Cores of tasks that the latest plan found no room for, by service: of jobs that can be in time. */
 	readonly backlog = new Map<string, number>()
+	/** The same of jobs that cannot be in time any more. */
+	readonly lateBacklog = new Map<string, number>()
+	/** Jobs with waiting tasks that cannot be in time any more. */
+	readonly hopeless = new Set<JobId>()
 
 	constructor(
 		private readonly jobs: JobTable,
@@ -38,29 +44,48 @@
 	/**
 	 * @param now - instant of the owner's monotonic clock, in milliseconds
 	 * @param wallTime - milliseconds since 1970
+	 * @param getLateMachines - machines of a service that late work may use; undefined for all
 	 */
-	plan(configuration: FleetConfiguration, now: number, wallTime: number): TaskPlacement[] {
+	plan(
+		configuration: FleetConfiguration,
+		now: number,
+		wallTime: number,
+		getLateMachines: (service: string) => number | undefined = () => undefined
+	): TaskPlacement[] {
 		const placements: TaskPlacement[] = []
 		const open = this.getCandidates(now)
+		const openToLate = new Map<string, readonly BackendRow[]>()
 		this.backlog.clear()
-		for (const { run, queue } of this.getOrdered(configuration, getCores(open), now, wallTime)) {
+		this.lateBacklog.clear()
+		this.hopeless.clear()
+		for (const candidate of this.getOrdered(configuration, getCores(open), now, wallTime)) {
+			const { run, queue, hopeless } = candidate
 			const { service } = queue
-			const placed = this.placeRun(run, open.get(service) ?? [], configuration)
+			let places = open.get(service) ?? []
+			if (hopeless) {
+				this.hopeless.add(run.row.job.id)
+				const known = openToLate.get(service)
+				places = known ?? selectFullest(places, getLateMachines(service))
+				if (!known) openToLate.set(service, places)
+			}
+			const placed = this.placeRun(run, places, configuration)
 			placements.push(...placed)
-			if (placed.length < run.waiting.length) this.noteBacklog(run, service, configuration)
+			if (placed.length < run.waiting.length) this.noteBacklog(candidate, configuration)
 		}
 		return placements
 	}
 
 	/** What waits for its team's limit would not be helped by more machines. */
-	private noteBacklog(run: StepRun, service: string, configuration: FleetConfiguration): void {
+	private noteBacklog(candidate: OrderedCandidate, configuration: FleetConfiguration): void {
+		const { run, queue, hopeless } = candidate
 		const { team } = run.row.job
 		const used = this.backends.getTeamUse(team)
 		if (exceedsTeamLimit(configuration.teams.get(team), used, run.step.needs)) return
-		this.backlog.set(service, (this.backlog.get(service) ?? 0) + getWaitingCores(run))
+		const backlog = hopeless ? this.lateBacklog : this.backlog
+		backlog.set(queue.service, (backlog.get(queue.service) ?? 0) + getWaitingCores(run))
 	}
 
-	private getCandidates(now: number): Map<string, BackendRow[]> {
+	private getCandidates(now: number): Map<string, readonly BackendRow[]> {
 		const candidates = new Map<string, BackendRow[]>()
 		for (const backend of this.backends.all) {
 			if (!backend.registered || backend.draining || backend.closing) continue
@@ -77,7 +102,7 @@
 		cores: ReadonlyMap<string, number>,
 		now: number,
 		wallTime: number
-	): OrderCandidate[] {
+	): OrderedCandidate[] {
 		const candidates: OrderCandidate[] = []
 		for (const row of this.jobs.active) {
 			const queue = configuration.queues.get(row.job.queue)
@@ -147,6 +172,15 @@
 	}
 }
 
+/** The backend servers with most in use: the others can be emptied. */
+function selectFullest(
+	backends: readonly BackendRow[],
+	most: number | undefined
+): readonly BackendRow[] {
+	if (most === undefined || most >= backends.length) return backends
+	return backends.toSorted((a, b) => b.used.cpu - a.used.cpu).slice(0, most)
+}
+
 function canTake(run: StepRun, backend: BackendRow): boolean {
 	const { step } = run
 	if (step.requiredLabel !== '' && !backend.labels.includes(step.requiredLabel)) return false
--- a/packages/core/src/lib/jobs/PoolPolicy.ts
+++ b/packages/core/src/lib/jobs/PoolPolicy.ts
@@ -12,6 +12,9 @@
 	 */
 	abstract plan(pools: readonly PoolSituation[], now: number): readonly MachineMove[]
 
+	/** Machines of the pool that late work may use; undefined for all. */
+	abstract getLateMachines(pool: PoolSituation): number | undefined
+
 	/** Machines that the pool should have now. */
 	abstract getWanted(pool: PoolSituation): number
 }
--- a/packages/core/src/lib/jobs/PoolSituation.ts
+++ b/packages/core/src/lib/jobs/PoolSituation.ts
@@ -16,10 +16,12 @@
 	readonly arriving: number
 	/** Cores that arriving work keeps busy. */
 	readonly demand: number
-	/** Cores in use by tasks that end by themselves. */
+	/** Cores in use by tasks that end by themselves, of jobs that can be in time. */
 	readonly use: number
-	/** Cores of tasks that could run now and have no place. */
+	/** Cores of tasks that could run now and have no place, of jobs that can be in time. */
 	readonly waiting: number
+	/** Cores of tasks that run or have no place, of jobs that cannot be in time any more. */
+	readonly late: number
 	/** Cores in use by lasting tasks. */
 	readonly lasting: number
 	/** Fewest machines on which the lasting tasks can be spread as they ask. */
--- a/packages/jobs/src/lib/machines/MachineManager.ts
+++ b/packages/jobs/src/lib/machines/MachineManager.ts
@@ -1,4 +1,4 @@
-import type { DemandMeter, TaskRow } from '@mastichead/core'
+import type { DemandMeter, PlacementPlanner, TaskRow } from '@mastichead/core'
 import { DemandPoolPolicy } from '@mastichead/core'
 import type { OwnerContext } from '../owner/OwnerContext.js'
 import type { ProgressWriter } from '../owner/ProgressWriter.js'
@@ -35,13 +35,13 @@
 			readonly demand: DemandMeter
 			readonly stopTask: (task: TaskRow) => void
 			readonly isRegistryFresh: () => boolean
-			readonly getBacklog: () => ReadonlyMap<string, number>
+			readonly planner: PlacementPlanner
 			readonly getWaves: () => ReadonlyMap<string, Wave>
 			readonly report: (key: string, state: 'running' | 'completed') => Promise<boolean>
 			readonly getProgress: (key: string) => WaveProgress | undefined
 		}
 	) {
-		const { operator, ledger, writer, getWaves, report, getProgress, demand, getBacklog } = parts
+		const { operator, ledger, writer, getWaves, report, getProgress, demand, planner } = parts
 		this.inventory = new MachineInventory(context, operator)
 		this.evacuator = new Evacuator(context, parts.stopTask)
 		this.waves = new WaveManager(context, {
@@ -60,12 +60,17 @@
 			inventory: this.inventory,
 			policy: new DemandPoolPolicy(),
 			demand,
-			getBacklog,
+			planner,
 			isRegistryFresh: parts.isRegistryFresh,
 			isReserved: (machine) => this.waves.isReserved(machine),
 		})
 	}
 
+	/** Machines of a service's pool that late work may use; undefined for all. */
+	getLateMachines(service: string): number | undefined {
+		return this.pools.getLateMachines(service)
+	}
+
 	start(): void {
 		void this.run()
 	}
--- a/packages/jobs/src/lib/machines/PoolManager.ts
+++ b/packages/jobs/src/lib/machines/PoolManager.ts
@@ -2,6 +2,7 @@
 	BackendRow,
 	DemandMeter,
 	MachineMove,
+	PlacementPlanner,
 	PoolPolicy,
 	PoolSituation,
 } from '@mastichead/core'
@@ -39,8 +40,8 @@
 			readonly inventory: MachineInventory
 			readonly policy: PoolPolicy
 			readonly demand: DemandMeter
-			/** Cores of tasks without room by service. */
-			readonly getBacklog: () => ReadonlyMap<string, number>
+			/** What the latest plan found no room for, and which jobs cannot be in time any more. */
+			readonly planner: Pick<PlacementPlanner, 'backlog' | 'lateBacklog' | 'hopeless'>
 			/** Whether a machine that joins a pool would be seen. */
 			readonly isRegistryFresh: () => boolean
 			/** Machines that a wave is emptying or has taken down. */
@@ -63,9 +64,9 @@
 		this.reportedAt = now
 		const pools: Record<string, string> = {}
 		for (const pool of this.situations) {
-			const { service, machines, arriving, demand, use, waiting, lasting } = pool
+			const { service, machines, arriving, demand, use, waiting, lasting, late } = pool
 			const wanted = this.parts.policy.getWanted(pool)
-			const cores = [demand, use, waiting, lasting].map((value) => value.toFixed(0)).join('/')
+			const cores = [demand, use, waiting, lasting, late].map((value) => value.toFixed(0)).join('/')
 			pools[service] = `${machines.length}+${arriving} of ${wanted}, cores ${cores}`
 		}
 		this.context.events.info('pools-seen', pools)
@@ -82,6 +83,12 @@
 		return pool ? pool.machines.length - this.parts.policy.getWanted(pool) : 0
 	}
 
+	/** Machines of a service's pool that late work may use; undefined for all. */
+	getLateMachines(service: string): number | undefined {
+		const pool = this.situations.find((candidate) => candidate.service === service)
+		return pool && this.parts.policy.getLateMachines(pool)
+	}
+
 	private noteArrivals(now: number): void {
 		for (const [machine, { service, at }] of this.arriving) {
 			const backend = this.parts.inventory.getBackend(machine)
@@ -103,11 +110,16 @@
 	private getPool(service: string, now: number): PoolSituation {
 		const machines: { id: string; idleSince: number | undefined }[] = []
 		const machineCores = this.parts.inventory.getTypicalCores()
+		const { backlog, lateBacklog } = this.parts.planner
 		let lasting = 0
 		let used = 0
+		let late = 0
 		for (const row of this.context.backends.all) {
 			if (row.tasks.size > 0) row.idleSince = now
-			if (row.service === service) used += row.used.cpu / MILLICORES
+			if (row.service === service) {
+				used += row.used.cpu / MILLICORES
+				late += this.getLateCores(row)
+			}
 			if (row.service !== service || !row.registered || row.draining || row.closing) continue
 			lasting += getLastingCores(row)
 			machines.push({ id: row.machine, idleSince: this.getIdleSince(row, now) })
@@ -120,8 +132,9 @@
 			machines,
 			arriving: arriving.length,
 			demand: this.parts.demand.getCores(service, now),
-			use: Math.max(0, used - lasting),
-			waiting: this.parts.getBacklog().get(service) ?? 0,
+			use: Math.max(0, used - lasting - late),
+			waiting: backlog.get(service) ?? 0,
+			late: late + (lateBacklog.get(service) ?? 0),
 			lasting,
 			spread: this.getSpread(service),
 		}
@@ -139,7 +152,7 @@
 				!settled || this.parts.isReserved(machine.id) || this.arriving.has(machine.id)
 			machines.push({ id: machine.id, idleSince: paused || reserved ? undefined : 0 })
 		}
-		const empty = { arriving: 0, demand: 0, use: 0, waiting: 0, lasting: 0, spread: 0 }
+		const empty = { arriving: 0, demand: 0, use: 0, waiting: 0, late: 0, lasting: 0, spread: 0 }
 		return { service, spare: true, machineCores: 0, machines, ...empty }
 	}
 
@@ -157,6 +170,16 @@
 		return spread
 	}
 
+	/** Cores in use by tasks of jobs that cannot be in time any more. */
+	private getLateCores(row: BackendRow): number {
+		let cores = 0
+		for (const { step, job } of row.tasks.values()) {
+			if (step.lasting || step.fills || !this.parts.planner.hopeless.has(job.job.id)) continue
+			cores += step.needs.cpu / MILLICORES
+		}
+		return cores
+	}
+
 	private getIdleSince(row: BackendRow, now: number): number | undefined {
 		const paused = (this.pausedUntil.get(row.machine) ?? 0) > now
 		const { inventory } = this.parts
--- a/packages/jobs/src/lib/owner/OwnerTerm.ts
+++ b/packages/jobs/src/lib/owner/OwnerTerm.ts
@@ -162,7 +162,7 @@
 			demand: this.demand,
 			stopTask: (task) => void this.dispatcher.stop(task),
 			isRegistryFresh: () => this.registry.isFresh(),
-			getBacklog: () => this.planner.backlog,
+			planner: this.planner,
 			getWaves: parts.getWaves,
 			report: (key, state) => this.reportWave(key, state),
 			getProgress: (key) => parts.replica.waves.get(key),
@@ -322,7 +322,9 @@
 		if (this.ended || this.writer.delay > MAXIMUM_WRITER_DELAY) return
 		const { timers, getWallTime, getConfiguration } = this.context
 		const startedAt = timers.now()
-		const placements = this.planner.plan(getConfiguration(), startedAt, getWallTime())
+		const placements = this.planner.plan(getConfiguration(), startedAt, getWallTime(), (service) =>
+			this.machines.getLateMachines(service)
+		)
 		this.context.metrics.observe('plan', timers.now() - startedAt)
 		for (const placement of placements) this.record(placement)
 	}
