--- a/packages/core/src/lib/jobs/PlacementPlanner.ts
+++ b/packages/core/src/lib/jobs/PlacementPlanner.ts
@@ -55,20 +55,21 @@
 		const placements: TaskPlacement[] = []
 		const open = this.getCandidates(now)
 		const openToLate = new Map<string, readonly BackendRow[]>()
+		const getPlaces = ({ queue, hopeless }: OrderedCandidate): readonly BackendRow[] => {
+			const { service } = queue
+			const all = open.get(service) ?? []
+			if (!hopeless) return all
+			const some = openToLate.get(service) ?? selectFullest(all, getLateMachines(service))
+			openToLate.set(service, some)
+			return some
+		}
 		this.backlog.clear()
 		this.lateBacklog.clear()
 		this.hopeless.clear()
 		for (const candidate of this.getOrdered(configuration, getCores(open), now, wallTime)) {
-			const { run, queue, hopeless } = candidate
-			const { service } = queue
-			let places = open.get(service) ?? []
-			if (hopeless) {
-				this.hopeless.add(run.row.job.id)
-				const known = openToLate.get(service)
-				places = known ?? selectFullest(places, getLateMachines(service))
-				if (!known) openToLate.set(service, places)
-			}
-			const placed = this.placeRun(run, places, configuration)
+			const { run, hopeless } = candidate
+			if (hopeless) this.hopeless.add(run.row.job.id)
+			const placed = this.placeRun(run, getPlaces(candidate), configuration)
 			placements.push(...placed)
 			if (placed.length < run.waiting.length) this.noteBacklog(candidate, configuration)
 		}
