--- a/packages/daemon/src/lib/Daemon.ts
+++ b/packages/daemon/src/lib/Daemon.ts
@@ -226,8 +226,12 @@
 		})
 	}
 
-	/** Shuts down gracefully within `shutdown.graceMilliseconds`. */
-	async stop(): Promise<void> {
+	/**
+	 * Shuts down gracefully within `shutdown.graceMilliseconds`.
+	 *
+	 * @param next - `rejoin` when the process starts again under a new name
+	 */
+	async stop(next: 'end' | 'rejoin' = 'end'): Promise<void> {
 		const { logger, settings, timers } = this.options
 		this.isLeaving = true
 		this.maintenance.stop()
@@ -239,7 +243,7 @@
 				resolve('expired')
 			})
 		})
-		const end = await Promise.race([this.waitUntilIdle(), expired])
+		const end = await Promise.race([this.waitUntilIdle(next), expired])
 		if (end === 'expired') logger.warn('shutdown-cut', { requests: this.requests.size })
 		this.allowances.leave()
 		this.peers.exchangeNow()
@@ -307,9 +311,9 @@
 		}
 	}
 
-	private async waitUntilIdle(): Promise<void> {
+	private async waitUntilIdle(next: 'end' | 'rejoin'): Promise<void> {
 		await this.requests.waitUntilIdle()
-		await this.callers.waitUntilQuiet()
+		await this.callers.waitUntilQuiet(next === 'rejoin' ? 'closes' : 'stays-open')
 	}
 
 	private getPeerAddress(): string {
--- a/packages/daemon/src/lib/callers/CallerServer.ts
+++ b/packages/daemon/src/lib/callers/CallerServer.ts
@@ -84,12 +84,17 @@
 	 * connections. The port stays open until then: closing it resets the connections that the kernel
 	 * has taken and this process has not, with the requests on them. Closing an idle connection would
 	 * cut the request that its caller has just sent on it.
+	 *
+	 * @param port - `closes` when this process opens the port again at once: callers are not to be
+	 * refused for as long as they ask
 	 */
-	async waitUntilQuiet(): Promise<void> {
+	async waitUntilQuiet(port: 'stays-open' | 'closes' = 'stays-open'): Promise<void> {
 		const { timers } = this.options
+		if (port === 'closes') this.listener.stopAccepting()
 		let seen = this.workCount
 		let quietSince = timers.now()
 		while (timers.now() - quietSince < QUIET_MILLISECONDS) {
+			if (port === 'closes' && this.listener.connectionCount === 0) return
 			await new Promise<void>((resolve) => {
 				timers.after(QUIET_POLL_MILLISECONDS, resolve)
 			})
--- a/packages/daemon/src/lib/runDaemon.ts
+++ b/packages/daemon/src/lib/runDaemon.ts
@@ -56,7 +56,7 @@
 			return 0
 		case 'dropped':
 			logger.warn('member-rejoining', { instance: daemon.instance })
-			await daemon.stop()
+			await daemon.stop('rejoin')
 			return 'dropped'
 	}
 }
