Share the test fixture of an owner's context, and say what surplus becomes

The comment of Balance.surplus told only the first of its two uses. No product code and no check changed.

--- a/packages/core/src/lib/jobs/DemandPoolPolicy.ts
+++ b/packages/core/src/lib/jobs/DemandPoolPolicy.ts
@@ -23,7 +23,7 @@
 	readonly wanted: number
 	/** Machines that its late work could use besides. */
 	readonly late: number
-	/** Machines that it has, less those that it should have. */
+	/** Machines that it has, less those that it should have; later also less those for its late work. */
 	surplus: number
 	/** Idle machines that it may give, longest idle first. */
 	readonly idle: { readonly id: string; readonly idleSince: number }[]
--- a/packages/jobs/src/lib/owner/ProgressWriter.test.ts
+++ b/packages/jobs/src/lib/owner/ProgressWriter.test.ts
@@ -1,10 +1,9 @@
-import { BackendTable, JobTable, VirtualTimerService } from '@mastichead/core'
+import type { JobTable } from '@mastichead/core'
+import { VirtualTimerService } from '@mastichead/core'
 import { expect, it } from 'vitest'
 import { StreamFollower } from '../log/StreamFollower.js'
-import { SilentEventLog } from '../logs/SilentEventLog.js'
-import { JobMetrics } from '../metrics/JobMetrics.js'
+import { createTestContext } from '../testing/createTestContext.js'
 import { createTestFleet } from '../testing/createTestFleet.js'
-import { MemoryBackends } from '../testing/MemoryBackends.js'
 import { MemoryLog } from '../testing/MemoryLog.js'
 import { MemoryStore } from '../testing/MemoryStore.js'
 import { ProgressWriter } from './ProgressWriter.js'
@@ -38,25 +37,10 @@
 	const timers = new VirtualTimerService()
 	const store = new MemoryStore()
 	const log = new MemoryLog(store, timers)
-	const events = new SilentEventLog()
-	const jobs = new JobTable()
+	const context = createTestContext(timers)
+	const { events, jobs } = context
 	const options = { wait: 0, getPause: () => 0 }
 	const follower = new StreamFollower('progress', log, timers, events, () => undefined, options)
-	const context = {
-		jobs,
-		backends: new BackendTable(),
-		server: new MemoryBackends(new Map(), timers),
-		timers,
-		events,
-		metrics: new JobMetrics(),
-		token: 1,
-		getWallTime: () => 0,
-		getConfiguration: () => {
-			throw new Error('not needed')
-		},
-		mayAct: () => true,
-		abandon: () => undefined,
-	}
 	const advance = async (duration: number): Promise<void> => {
 		for (let step = 0; step < duration; step += 1) {
 			timers.advance(1)
--- /dev/null
+++ b/packages/jobs/src/lib/testing/createTestContext.ts
@@ -0,0 +1,29 @@
+import type { TimerService } from '@mastichead/core'
+import { BackendTable, JobTable } from '@mastichead/core'
+import { SilentEventLog } from '../logs/SilentEventLog.js'
+import { JobMetrics } from '../metrics/JobMetrics.js'
+import type { OwnerContext } from '../owner/OwnerContext.js'
+import { MemoryBackends } from './MemoryBackends.js'
+
+/**
+ * Makes what the parts of a term share, with empty tables and no configuration.
+ *
+ * @internal
+ */
+export function createTestContext(timers: TimerService): OwnerContext {
+	return {
+		jobs: new JobTable(),
+		backends: new BackendTable(),
+		server: new MemoryBackends(new Map(), timers),
+		timers,
+		events: new SilentEventLog(),
+		metrics: new JobMetrics(),
+		token: 1,
+		getWallTime: () => 0,
+		getConfiguration: () => {
+			throw new Error('not needed')
+		},
+		mayAct: () => true,
+		abandon: () => undefined,
+	}
+}
