Count checks, not time, before a shutdown closes the callers' port

Cause: the shutdown took a second without requests for quiet. After a stall of the process the timer runs before the event loop has read what arrived meanwhile, so the second had passed with nothing read, and the port and its unread requests were closed. The class: elapsed time taken as evidence of silence. Ruled out: requests sent on idle connections (they stay open).

--- a/packages/daemon/src/lib/callers/CallerServer.ts
+++ b/packages/daemon/src/lib/callers/CallerServer.ts
@@ -16,12 +16,12 @@
 const QUEUE_PATH_PATTERN = /^\/v1\/queues\/([^/]+)\/requests$/
 const SHORT_RETRY_AFTER_MILLISECONDS = 1000
 
-/** Time without requests after which a shutdown stops accepting connections. */
-const QUIET_PERIOD_MILLISECONDS = 1000
-
 /** Interval between checks for requests during a shutdown. */
 const QUIET_POLL_MILLISECONDS = 20
 
+/** Consecutive checks without requests after which a shutdown stops accepting connections: 1 s. */
+const QUIET_CHECK_COUNT = 50
+
 interface Options {
 	readonly settings: Settings
 	readonly logger: Logger
@@ -86,6 +86,9 @@
 	 * that the kernel has accepted and this process has not, together with their requests. Idle
 	 * connections stay open as well: closing one would lose a request that its caller has just sent.
 	 *
+	 * Counts checks instead of time. The event loop reads what has arrived between two checks, whereas
+	 * after a stall of the process time has passed without anything being read.
+	 *
 	 * @param portMode - `closes` stops accepting connections before the wait, for a process that
 	 *   reopens the port afterwards; on an open port, callers that keep sending requests would be
 	 *   refused and the quiet period would not begin
@@ -94,15 +97,15 @@
 		const { timers } = this.options
 		if (portMode === 'closes') this.listener.stopAccepting()
 		let lastCount = this.requestCount
-		let quietSince = timers.now()
-		while (timers.now() - quietSince < QUIET_PERIOD_MILLISECONDS) {
+		let quietChecks = 0
+		while (quietChecks < QUIET_CHECK_COUNT) {
 			if (portMode === 'closes' && this.listener.connectionCount === 0) return
 			await new Promise<void>((resolve) => {
 				timers.after(QUIET_POLL_MILLISECONDS, resolve)
 			})
-			if (this.requestCount === lastCount && this.connections.pendingResponseCount === 0) continue
+			const isQuiet = this.requestCount === lastCount && this.connections.pendingResponseCount === 0
+			quietChecks = isQuiet ? quietChecks + 1 : 0
 			lastCount = this.requestCount
-			quietSince = timers.now()
 		}
 		this.listener.stopAccepting()
 	}
