--- a/packages/daemon/src/lib/Daemon.ts
+++ b/packages/daemon/src/lib/Daemon.ts
@@ -251,7 +251,6 @@
 		})
 		const result = await Promise.race([this.waitUntilIdle(afterStop), expired])
 		if (result === 'expired') logger.warn('shutdown-cut', { requests: this.requests.size })
-		await this.callers.closePort()
 		this.allowances.leave()
 		this.peers.exchangeWithAllPeers()
 		await this.membership.leave(LEAVE_GRACE_MILLISECONDS)
--- a/packages/daemon/src/lib/callers/CallerServer.ts
+++ b/packages/daemon/src/lib/callers/CallerServer.ts
@@ -22,12 +22,6 @@
 /** Consecutive checks without requests after which a shutdown stops accepting connections: 1 s. */
 const QUIET_CHECK_COUNT = 50
 
-/** Consecutive checks without requests after which a closed port has no request left: 0.1 s. */
-const CLOSED_CHECK_COUNT = 5
-
-/** Maximum time for which the closing of the port waits for the last responses. */
-const CLOSE_TIMEOUT_MILLISECONDS = 1000
-
 interface Options {
 	readonly settings: Settings
 	readonly logger: Logger
@@ -100,34 +94,12 @@
 	 *   refused and the quiet period would not begin
 	 */
 	async waitForQuietPeriod(portMode: 'stays-open' | 'closes' = 'stays-open'): Promise<void> {
-		if (portMode === 'closes') this.listener.stopAccepting()
-		await this.waitForChecks(
-			QUIET_CHECK_COUNT,
-			() => portMode === 'closes' && this.listener.connectionCount === 0
-		)
-		this.listener.stopAccepting()
-	}
-
-	/**
-	 * Stops accepting connections and waits a limited time for the responses to the requests that
-	 * arrived before. Callers that still send get a refused connection, and have not sent a request.
-	 */
-	async closePort(): Promise<void> {
-		// Runs right after the event loop has accepted the waiting connections.
-		await new Promise<void>((resolve) => setImmediate(resolve))
-		this.listener.stopAccepting()
-		const expired = new Promise<void>((resolve) => {
-			this.options.timers.after(CLOSE_TIMEOUT_MILLISECONDS, resolve)
-		})
-		await Promise.race([this.waitForChecks(CLOSED_CHECK_COUNT, () => false), expired])
-	}
-
-	/** Waits for consecutive checks that find no new request and no pending response. */
-	private async waitForChecks(count: number, isDone: () => boolean): Promise<void> {
 		const { timers } = this.options
+		if (portMode === 'closes') this.listener.stopAccepting()
 		let lastCount = this.requestCount
 		let quietChecks = 0
-		while (quietChecks < count && !isDone()) {
+		while (quietChecks < QUIET_CHECK_COUNT) {
+			if (portMode === 'closes' && this.listener.connectionCount === 0) return
 			await new Promise<void>((resolve) => {
 				timers.after(QUIET_POLL_MILLISECONDS, resolve)
 			})
@@ -135,6 +107,7 @@
 			quietChecks = isQuiet ? quietChecks + 1 : 0
 			lastCount = this.requestCount
 		}
+		this.listener.stopAccepting()
 	}
 
 	/** Closes the port and every connection. */
