--- a/packages/jobs/src/lib/metrics/JobMetrics.ts
+++ b/packages/jobs/src/lib/metrics/JobMetrics.ts
@@ -17,8 +17,10 @@
  */
 export class JobMetrics {
 	private readonly counters = new Map<string, Map<string, number>>()
-	private readonly gauges = new Map<string, () => number>()
-	private readonly histograms = new Map<string, Histogram>()
+	/** Gauges by name, then by label; a gauge without a label has an empty one. */
+	private readonly gauges = new Map<string, Map<string, () => number>>()
+	/** Histograms by family, then by label; a histogram without a label has an empty one. */
+	private readonly histograms = new Map<string, Map<string, Histogram>>()
 
 	/** Adds `amount` to a counter; `label` is the value of its `kind` label. */
 	count(family: string, label: string, amount = 1): void {
@@ -33,17 +35,14 @@
 	}
 
 	/** Adds a gauge; `read` is called whenever the metrics are formatted. */
-	addGauge(name: string, read: () => number): void {
-		this.gauges.set(name, read)
+	addGauge(name: string, read: () => number, label = ''): void {
+		const gauges = this.gauges.get(name) ?? new Map<string, () => number>()
+		this.gauges.set(name, gauges.set(label, read))
 	}
 
-	/** Records a duration in milliseconds in a histogram. */
-	observe(family: string, duration: number): void {
-		let histogram = this.histograms.get(family)
-		if (!histogram) {
-			histogram = { buckets: BUCKET_BOUNDS.map(() => 0), sum: 0, count: 0 }
-			this.histograms.set(family, histogram)
-		}
+	/** Records a duration in milliseconds in a histogram; `label` is the value of its `kind` label. */
+	observe(family: string, duration: number, label = ''): void {
+		const histogram = this.getHistogram(family, label)
 		histogram.sum += duration
 		histogram.count += 1
 		for (const [index, bound] of BUCKET_BOUNDS.entries()) {
@@ -60,22 +59,48 @@
 				lines.push(`mastichead_${family}_total{kind=${JSON.stringify(label)}} ${value}`)
 			}
 		}
-		for (const [name, read] of this.gauges) {
-			lines.push(`# TYPE mastichead_${name} gauge`, `mastichead_${name} ${read()}`)
+		for (const [name, gauges] of this.gauges) {
+			lines.push(`# TYPE mastichead_${name} gauge`)
+			for (const [label, read] of gauges) {
+				lines.push(`mastichead_${name}${formatLabels(formatKind(label))} ${read()}`)
+			}
 		}
-		for (const [family, histogram] of this.histograms) {
-			lines.push(...formatHistogram(`mastichead_${family}_milliseconds`, histogram))
+		for (const [family, histograms] of this.histograms) {
+			const name = `mastichead_${family}_milliseconds`
+			lines.push(`# TYPE ${name} histogram`)
+			for (const [label, histogram] of histograms) {
+				lines.push(...formatHistogram(name, formatKind(label), histogram))
+			}
 		}
 		return `${lines.join('\n')}\n`
 	}
-}
 
-function formatHistogram(name: string, histogram: Histogram): string[] {
-	const lines = [`# TYPE ${name} histogram`]
-	for (const [index, bound] of BUCKET_BOUNDS.entries()) {
-		lines.push(`${name}_bucket{le="${bound}"} ${histogram.buckets[index] ?? 0}`)
+	private getHistogram(family: string, label: string): Histogram {
+		const histograms = this.histograms.get(family) ?? new Map<string, Histogram>()
+		this.histograms.set(family, histograms)
+		const existing = histograms.get(label)
+		if (existing) return existing
+		const histogram = { buckets: BUCKET_BOUNDS.map(() => 0), sum: 0, count: 0 }
+		histograms.set(label, histogram)
+		return histogram
 	}
-	lines.push(`${name}_bucket{le="+Inf"} ${histogram.count}`)
-	lines.push(`${name}_sum ${histogram.sum}`, `${name}_count ${histogram.count}`)
+}
+
+function formatHistogram(name: string, labels: readonly string[], histogram: Histogram): string[] {
+	const lines = BUCKET_BOUNDS.map((bound, index) => {
+		const count = histogram.buckets[index] ?? 0
+		return `${name}_bucket${formatLabels([...labels, `le="${bound}"`])} ${count}`
+	})
+	lines.push(`${name}_bucket${formatLabels([...labels, 'le="+Inf"'])} ${histogram.count}`)
+	const suffix = formatLabels(labels)
+	lines.push(`${name}_sum${suffix} ${histogram.sum}`, `${name}_count${suffix} ${histogram.count}`)
 	return lines
 }
+
+function formatKind(label: string): string[] {
+	return label === '' ? [] : [`kind=${JSON.stringify(label)}`]
+}
+
+function formatLabels(labels: readonly string[]): string {
+	return labels.length === 0 ? '' : `{${labels.join(',')}}`
+}
--- a/packages/jobs/src/lib/ports/ReadNewestResult.ts
+++ b/packages/jobs/src/lib/ports/ReadNewestResult.ts
@@ -6,5 +6,11 @@
  * @public
  */
 export type ReadNewestResult =
-	| { readonly kind: 'entries'; readonly entries: readonly LogEntry[]; readonly next: number }
+	| {
+			readonly kind: 'entries'
+			readonly entries: readonly LogEntry[]
+			readonly next: number
+			/** Size of all answers together, if the log measures it. */
+			readonly bytes?: number
+	  }
 	| { readonly kind: 'unavailable'; readonly reason: string }
