Log how long a stream could not be read, and what a load took

log-lost told only a reason, log-regained only an offset; a load of the newest records left no line at all. From the record of it could not be told whether the 21 instances ever loaded the progress stream.

stream-loaded has the entries, bytes, tries and milliseconds since the first try; log-lost the offset, whether the stream had been loaded, and the silence before it; log-regained the milliseconds and the number of failed reads.

No change of logic.

--- a/packages/jobs/src/lib/log/StreamFollower.ts
+++ b/packages/jobs/src/lib/log/StreamFollower.ts
@@ -26,6 +26,12 @@
 	/** Offset of the next record to read. */
 	nextOffset = 0
 	private readonly offsets = new Map<string, number>()
+	/** Start of the first try of the load that is not finished, and the number of its tries. */
+	private loadingSince: number | undefined
+	private loadTries = 0
+	/** Instant of the first failed read since the latest answer, and the number of failed reads. */
+	private lostAt: number | undefined
+	private failedReads = 0
 	private paused = false
 	private stopped = false
 	private pendingRead: Promise<boolean> | undefined
@@ -148,6 +154,8 @@
 	}
 
 	private async load(): Promise<boolean> {
+		this.loadingSince ??= this.timers.now()
+		this.loadTries += 1
 		const result = await this.log.readNewest(this.stream)
 		if (result.kind === 'unavailable') return this.recordFailure(result.reason)
 		this.recordContact()
@@ -159,6 +167,7 @@
 		for (const entry of result.entries) this.apply(entry)
 		this.nextOffset = Math.max(this.nextOffset, result.next)
 		this.loaded = true
+		this.reportLoad(result.entries.length, result.bytes)
 		this.options.onLoaded?.()
 		return true
 	}
@@ -176,15 +185,36 @@
 		if (this.available) return
 		this.available = true
 		this.recoveredAt = this.timers.now()
-		this.events.info('log-regained', { stream: this.stream, next: this.nextOffset })
+		const { stream, failedReads, nextOffset: next } = this
+		const after = Math.round(this.timers.now() - (this.lostAt ?? this.timers.now()))
+		this.events.info('log-regained', { stream, next, after, failedReads })
 	}
 
 	private recordFailure(reason: string): boolean {
-		if (this.available) this.events.warn('log-lost', { stream: this.stream, reason })
+		if (this.available) this.reportLoss(reason)
+		this.failedReads += 1
 		this.available = false
 		return false
 	}
 
+	private reportLoss(reason: string): void {
+		this.lostAt = this.timers.now()
+		this.failedReads = 0
+		const { stream, loaded, lastContactAt, nextOffset: from } = this
+		const silence =
+			lastContactAt === undefined ? undefined : Math.round(this.lostAt - lastContactAt)
+		this.events.warn('log-lost', { stream, reason, from, loaded, silence })
+	}
+
+	private reportLoad(entries: number, bytes: number | undefined): void {
+		const now = this.timers.now()
+		const after = Math.round(now - (this.loadingSince ?? now))
+		const { stream, loadTries: tries, nextOffset: next } = this
+		this.events.info('stream-loaded', { stream, entries, bytes, next, after, tries })
+		this.loadingSince = undefined
+		this.loadTries = 0
+	}
+
 	private sleep(duration: number): Promise<void> {
 		return new Promise((resolve) => {
 			const timer = this.timers.after(duration, resolve)
