Name the streams that a query could not read, and its wait

876 of 886 job-not-found lines of say unreadable; which of the seven streams it was, whether they were ever loaded, and how long the caller waited could not be told. The line now has after and unread.

No change of logic.

--- a/packages/jobs/src/lib/callers/JobIntake.ts
+++ b/packages/jobs/src/lib/callers/JobIntake.ts
@@ -60,8 +60,9 @@
 	 * @param deadline - monotonic instant by which the caller needs an answer
 	 */
 	async cancel(id: JobId, deadline: number): Promise<JobAnswer> {
+		const askedAt = this.timers.now()
 		const found = await this.lookUpJob(id)
-		if (found !== 'known') return this.createMissingAnswer(id, found)
+		if (found !== 'known') return this.createMissingAnswer(id, found, askedAt)
 		const state = this.replica.getState(id)
 		if (state && isFinalState(state)) return { kind: 'cancelled' }
 		const result = await this.writer.write(JobRecords.createCancelRecord(id), deadline)
@@ -77,11 +78,12 @@
 
 	/** Returns the state of a job; catches up with the log first unless the known state is final. */
 	async getState(id: JobId): Promise<JobAnswer> {
+		const askedAt = this.timers.now()
 		const found = await this.lookUpJob(id)
 		const before = this.replica.getState(id)
 		if (before && !isFinalState(before)) await this.progress.catchUp(STATE_READ_TIMEOUT)
 		const state = this.replica.getState(id)
-		if (found !== 'known' || !state) return this.createMissingAnswer(id, found)
+		if (found !== 'known' || !state) return this.createMissingAnswer(id, found, askedAt)
 		return { kind: 'state', state }
 	}
 
@@ -106,8 +108,14 @@
 		return readResults.every(Boolean) ? 'unknown' : 'unreadable'
 	}
 
-	private createMissingAnswer(id: JobId, found: 'known' | 'unknown' | 'unreadable'): JobAnswer {
-		this.events.info('job-not-found', { job: id, found })
+	private createMissingAnswer(
+		id: JobId,
+		found: 'known' | 'unknown' | 'unreadable',
+		askedAt: number
+	): JobAnswer {
+		const after = Math.round(this.timers.now() - askedAt)
+		const unread = this.followers.map(formatUnread).filter((text) => text !== undefined)
+		this.events.info('job-not-found', { job: id, found, after, unread })
 		if (found === 'unknown') return { kind: 'unknown-job' }
 		return {
 			kind: 'unavailable',
@@ -117,6 +125,12 @@
 	}
 }
 
+/** Formats why a stream may lack records here; undefined if its latest read succeeded. */
+function formatUnread({ stream, loaded, available }: StreamFollower): string | undefined {
+	if (!loaded) return `${stream}: not loaded`
+	return available ? undefined : `${stream}: unavailable`
+}
+
 /** Formats the properties of a step that affect its scheduling, for the event log. */
 function formatStep(step: JobStep): string {
 	const { count, needs, estimate, maximumPerBackend, mayMiss, targetLatency } = step
