Log the phases of an owner's start, and why nothing was sent

owner-begun told only how long the whole start took: it has the time of the fence, of the progress, of the intake and of restoring the jobs, and names the streams that are read later. Two histograms tell a late start apart: job_wait from the acceptance to the first placement, order_delay from a placement to its order (the append of the decision).

job-not-accepted with an empty reason: a write whose deadline had passed when its batch's turn came. IntakeWriter.writeRecords then resolves from its timer with no append started, so that no stream ever gave a reason. The line and the answer now say so.

No change of logic.

--- a/packages/jobs/src/lib/callers/IntakeWriter.test.ts
+++ b/packages/jobs/src/lib/callers/IntakeWriter.test.ts
@@ -51,6 +51,19 @@
 	expect(await second).toEqual({ kind: 'stored' })
 })
 
+// Guards against a refusal of which neither the caller nor the line learns the reason.
+it('says that nothing was sent if the deadline has passed', async () => {
+	const { writer, store, advance } = createWriter()
+	await advance(100)
+	const answer = writer.write(RECORD, 50)
+	await advance(10)
+	expect(await answer).toEqual({
+		kind: 'not-stored',
+		reason: 'the deadline passed before an append was sent',
+	})
+	expect(intakeStreams.filter((stream) => store.getEnd(stream) > 0)).toEqual([])
+})
+
 function createWriter(): {
 	writer: IntakeWriter
 	store: MemoryStore
--- a/packages/jobs/src/lib/callers/IntakeWriter.ts
+++ b/packages/jobs/src/lib/callers/IntakeWriter.ts
@@ -7,6 +7,8 @@
 import type { MetadataLog } from '../ports/MetadataLog.js'
 import type { WriteResult } from './WriteResult.js'
 
+/** Reason of a write whose deadline had passed before a stream was tried. */
+const UNSENT_REASON = 'the deadline passed before an append was sent'
 /** Delay after which an unanswered append is also tried on the next stream, in milliseconds. */
 const HEDGE_DELAY = 150
 /** The delay is at least this multiple of the latest append latency, to spare a slow log. */
@@ -92,7 +94,10 @@
 			let rejectedReason = ''
 			this.timers.after(deadline - this.timers.now(), () => {
 				if (endedCount < startedCount) resolve({ kind: 'unclear', reason: 'no answer in time' })
-				else resolve({ kind: 'not-stored', reason: rejectedReason })
+				else {
+					const reason = startedCount === 0 ? UNSENT_REASON : (unknownReason ?? rejectedReason)
+					resolve({ kind: 'not-stored', reason })
+				}
 			})
 			const tryNext = (): void => {
 				const stream = streams[startedCount]
--- a/packages/jobs/src/lib/owner/OrderDispatcher.ts
+++ b/packages/jobs/src/lib/owner/OrderDispatcher.ts
@@ -36,8 +36,12 @@
 		this.stopped = true
 	}
 
-	/** Sends the start order for a placement that is durable. */
-	async startTask({ task, backend, attempt }: TaskPlacement): Promise<void> {
+	/**
+	 * Sends the start order for a placement that is durable.
+	 *
+	 * @param placedAt - monotonic instant of the placement
+	 */
+	async startTask({ task, backend, attempt }: TaskPlacement, placedAt: number): Promise<void> {
 		if (this.stopped || !isPlacedAt(task, backend, attempt) || task.orderState !== 'recorded')
 			return
 		if (!this.context.mayAct()) return
@@ -54,6 +58,7 @@
 		)
 		const { specification } = task.job.job
 		const sentAt = timers.now()
+		metrics.observe('order_delay', sentAt - placedAt)
 		const result = await backendClient.start(backend, {
 			task: task.id,
 			attempt,
--- a/packages/jobs/src/lib/owner/OwnerTerm.ts
+++ b/packages/jobs/src/lib/owner/OwnerTerm.ts
@@ -177,13 +177,12 @@
 	/** Raises the fence, reads the decisions of earlier owners, and starts planning. */
 	async start(): Promise<void> {
 		const { token, intake, progress, replica, timers, events } = this.options
-		const startedAt = timers.now()
 		if (!(await this.recovery.readEarlierTerms())) return
 		this.registry.preload(replica.backends.values())
 		await this.recovery.readStreams([...intake, this.registry.follower])
 		if (this.ended) return
 		progress.pause()
-		for (const row of replica.all) this.recovery.restoreJob(row)
+		this.recovery.restoreJobs(replica.all)
 		this.subscriptions.push(
 			replica.subscribe((row) => {
 				this.handleJobChange(row)
@@ -203,8 +202,8 @@
 			this.startMonitor(row)
 			if (!replica.backends.has(row.id)) this.recordBackend(row.id)
 		}
-		const waited = timers.now() - startedAt
-		events.info('owner-begun', { token, waited, jobs: this.context.jobs.active.size })
+		const jobs = this.context.jobs.active.size
+		events.info('owner-begun', { token, jobs, ...this.recovery.getReport() })
 		this.machines.start()
 		this.schedulePlan()
 	}
@@ -337,9 +336,10 @@
 
 	private recordPlacement(placement: TaskPlacement): void {
 		const { task, backend } = placement
+		const placedAt = this.context.timers.now()
 		this.taskUpdater.updateJob(task.job)
 		this.monitors.get(backend.id)?.wakeUp()
-		this.writer.whenDurable(() => void this.dispatcher.startTask(placement))
+		this.writer.whenDurable(() => void this.dispatcher.startTask(placement, placedAt))
 	}
 
 	private async reportWave(key: string, state: 'running' | 'completed'): Promise<boolean> {
--- a/packages/jobs/src/lib/owner/TaskUpdater.ts
+++ b/packages/jobs/src/lib/owner/TaskUpdater.ts
@@ -1,4 +1,11 @@
-import type { BackendHealth, BackendRow, JobRow, RunEnding, TaskRow } from '@mastichead/core'
+import type {
+	BackendHealth,
+	BackendRow,
+	JobRow,
+	JobState,
+	RunEnding,
+	TaskRow,
+} from '@mastichead/core'
 import { applyRunEnding, updateJobState } from '@mastichead/core'
 import type { OwnerContext } from './OwnerContext.js'
 import type { ProgressWriter } from './ProgressWriter.js'
@@ -56,7 +63,7 @@
 		const previousState = row.state
 		const tasksToStop = updateJobState(row, this.context.getWallTime())
 		this.writer.markJobChanged(row)
-		if (row.state !== previousState) this.reportState(row)
+		if (row.state !== previousState) this.reportState(row, previousState)
 		for (const task of tasksToStop) this.stopTask(task)
 	}
 
@@ -76,12 +83,13 @@
 		}
 	}
 
-	private reportState(row: JobRow): void {
+	private reportState(row: JobRow, previousState: JobState): void {
 		const { events, metrics, jobs, getWallTime } = this.context
 		const { id, queue, team, acceptedAt } = row.job
 		const age = getWallTime() - acceptedAt
 		events.info('job-state', { job: id, queue, team, state: row.state, age })
 		metrics.count('job_states', row.state)
+		if (previousState === 'queued' && row.state === 'running') metrics.observe('job_wait', age)
 		if (row.finishedAt === undefined) return
 		jobs.markFinished(row)
 		metrics.observe('job_duration', age)
--- a/packages/jobs/src/lib/owner/TermRecovery.ts
+++ b/packages/jobs/src/lib/owner/TermRecovery.ts
@@ -21,6 +21,11 @@
 export class TermRecovery {
 	/** Streams that have not been read to the end since the fence was raised. */
 	private readonly unreadStreams = new Set<StreamFollower>()
+	/** Durations of the finished phases, in milliseconds. */
+	private readonly phaseDurations = new Map<string, number>()
+	/** Monotonic instants of the start and of the end of the latest phase. */
+	private readonly startedAt: number
+	private phaseEndedAt: number
 
 	constructor(
 		private readonly context: OwnerContext,
@@ -30,16 +35,21 @@
 			readonly taskUpdater: TaskUpdater
 			readonly isEnded: () => boolean
 		}
-	) {}
+	) {
+		this.startedAt = context.timers.now()
+		this.phaseEndedAt = this.startedAt
+	}
 
 	/** Fences off earlier owners and reads all their records. Resolves to whether the term goes on. */
 	async readEarlierTerms(): Promise<boolean> {
 		const end = await this.raiseFence()
 		if (end === undefined) return false
+		this.endPhase('fence')
 		const { progress, isEnded } = this.options
 		while (!isEnded() && (progress.nextOffset < end || !progress.loaded)) {
 			if (!(await progress.readToEnd())) await this.sleep(RETRY_PAUSE)
 		}
+		this.endPhase('progress')
 		return !isEnded()
 	}
 
@@ -54,6 +64,7 @@
 			timeout,
 			Promise.all(followers.map((follower) => this.readToEnd(follower))),
 		])
+		this.endPhase('intake')
 	}
 
 	/** Whether a stream has been read at least to its end at the time the fence was raised. */
@@ -61,6 +72,19 @@
 		return !this.unreadStreams.has(follower)
 	}
 
+	/** Restores jobs in the states in which earlier owners left them. */
+	restoreJobs(rows: Iterable<ReplicaRow>): void {
+		for (const row of rows) this.restoreJob(row)
+		this.endPhase('restore')
+	}
+
+	/** Returns the duration of the start, of each phase, and the streams that are still read. */
+	getReport(): Readonly<Record<string, unknown>> {
+		const waited = this.context.timers.now() - this.startedAt
+		const unread = [...this.unreadStreams].map((follower) => follower.stream)
+		return { waited, ...Object.fromEntries(this.phaseDurations), unread }
+	}
+
 	/** Restores a job in the state in which earlier owners left it. */
 	restoreJob(replicaRow: ReplicaRow): void {
 		const { jobs, backends, timers } = this.context
@@ -94,6 +118,12 @@
 		return undefined
 	}
 
+	private endPhase(name: string): void {
+		const now = this.context.timers.now()
+		this.phaseDurations.set(name, Math.round(now - this.phaseEndedAt))
+		this.phaseEndedAt = now
+	}
+
 	private async readToEnd(follower: StreamFollower): Promise<void> {
 		while (!this.options.isEnded()) {
 			if (await follower.readToEnd()) {
--- a/packages/jobs/src/lib/testing/createTestFleet.ts
+++ b/packages/jobs/src/lib/testing/createTestFleet.ts
@@ -1,6 +1,7 @@
 import type { Job, JobStep, Resources } from '@mastichead/core'
 import { VirtualTimerService, createTestConfiguration, createTestJob } from '@mastichead/core'
 import { JobDaemon } from '../JobDaemon.js'
+import type { EventLog } from '../logs/EventLog.js'
 import { SilentEventLog } from '../logs/SilentEventLog.js'
 import { JobMetrics } from '../metrics/JobMetrics.js'
 import type { Machine } from '../ports/Machine.js'
@@ -29,6 +30,8 @@
 	readonly backends: number
 	readonly limit?: Resources
 	readonly machines?: Machine[]
+	readonly events?: EventLog
+	readonly metrics?: JobMetrics
 }): TestFleet {
 	const timers = new VirtualTimerService()
 	const store = new MemoryStore()
@@ -54,8 +57,8 @@
 			format,
 			machineController: machines,
 			timers: instanceTimers,
-			events: new SilentEventLog(),
-			metrics: new JobMetrics(),
+			events: options.events ?? new SilentEventLog(),
+			metrics: options.metrics ?? new JobMetrics(),
 			getWallTime: () => WALL_CLOCK_START + timers.now(),
 			getStatusRetention: () => STATUS_RETENTION,
 		})
