--- a/packages/jobs/src/lib/testing/createTestFleet.ts
+++ b/packages/jobs/src/lib/testing/createTestFleet.ts
@@ -27,6 +27,8 @@
 export function createTestFleet(options: {
 	readonly instances: number
 	readonly backends: number
+	/** Prefix of the ids of the backend servers; their numbers follow. */
+	readonly backendPrefix?: string
 	readonly limit?: Resources
 	readonly machines?: Machine[]
 }): TestFleet {
@@ -34,8 +36,9 @@
 	const store = new MemoryStore()
 	const journal = new RunJournal()
 	const backends = new Map<string, MemoryBackend>()
+	const backendPrefix = options.backendPrefix ?? 'b'
 	for (let number = 1; number <= options.backends; number += 1) {
-		const backend = new MemoryBackend(`b${number}`, timers, journal)
+		const backend = new MemoryBackend(`${backendPrefix}${number}`, timers, journal)
 		backends.set(backend.id, backend)
 		registerBackend(store, backend)
 	}
