Write the progress of a job as ranges of tasks

Cause: a record of progress has an object of about 95 bytes for each task that was ever started; each change of one task writes all of them, and every instance reads them. A job with six occurrences has up to 100 such tasks. Change: tasks are named by ranges under their phase or backend server, defaults are left out, and the checkpoint of a done task is not kept. Both forms are decoded. Rolling update: a later version reads both forms. An instance of an earlier version reads state, begun and finishedAt, which stayed fields of the JSON object, so it answers callers as before. It misses the list of tasks: if it takes over from an owner that wrote the new form, restoring the first job throws and ends its process before it has placed anything. A text that it could not parse was ruled out: it would log and skip it, and then take the job for one without progress and start it again, also if it is completed. A list of tasks in the old form without defaults was ruled out: at least 26 bytes a done and 75 a placed task, and each change still writes all of them.

--- a/packages/core/src/lib/jobs/createJobSnapshot.ts
+++ b/packages/core/src/lib/jobs/createJobSnapshot.ts
@@ -3,7 +3,7 @@
 
 /**
  * Creates the snapshot of a job's progress for the log. Tasks of a finished job are left out unless
- * they still run, because none is started again.
+ * they still run, and checkpoints of done tasks, because none of these is started again.
  *
  * @public
  */
@@ -19,7 +19,7 @@
 			attempt: task.attempt,
 			failures: task.failures,
 			backend: task.backend,
-			checkpoint: task.checkpoint,
+			checkpoint: task.phase === 'done' ? '' : task.checkpoint,
 		})
 	}
 	return { state: row.state, begun: row.begun, finishedAt: row.finishedAt, tasks }
--- a/packages/jobs/src/lib/log/JobRecords.ts
+++ b/packages/jobs/src/lib/log/JobRecords.ts
@@ -2,6 +2,8 @@
 import type { WaveProgress } from '../machines/WaveProgress.js'
 import type { BackendRegistration } from '../ports/BackendRegistration.js'
 import type { LogRecord } from '../ports/LogRecord.js'
+import { createProgressValue } from './createProgressValue.js'
+import { parseProgressValue } from './parseProgressValue.js'
 
 const JOB_PREFIX = 'job/'
 const CANCEL_PREFIX = 'cancel/'
@@ -23,7 +25,7 @@
 	},
 
 	createProgressRecord(id: JobId, snapshot: JobSnapshot): LogRecord {
-		return { key: id, value: JSON.stringify(snapshot) }
+		return { key: id, value: createProgressValue(snapshot) }
 	},
 
 	createWaveProgressRecord(key: string, progress: WaveProgress): LogRecord {
@@ -78,6 +80,6 @@
 	},
 
 	parseProgress(value: string): JobSnapshot {
-		return JSON.parse(value) as JobSnapshot
+		return parseProgressValue(value)
 	},
 } as const
--- /dev/null
+++ b/packages/jobs/src/lib/log/ProgressRecord.ts
@@ -0,0 +1,27 @@
+import type { BackendId, JobSnapshot } from '@mastichead/core'
+
+/**
+ * Progress of a job in the second form in which it is written to the log. Tasks are named by ranges
+ * of their indices, such as `0-3,7`; what has its default value is left out.
+ *
+ * Instances that only know the first form, a `JobSnapshot`, find the state in this one and answer
+ * callers with it. They find no list of tasks, which ends their process when they become the owner,
+ * before they have started anything.
+ *
+ * @public
+ */
+export interface ProgressRecord extends Pick<JobSnapshot, 'state' | 'begun' | 'finishedAt'> {
+	readonly format: 2
+	readonly pending?: string
+	readonly done?: string
+	readonly failed?: string
+	readonly dropped?: string
+	/** Placed tasks by backend server. */
+	readonly placed?: Readonly<Record<BackendId, string>>
+	/** Tasks by the number of their latest attempt; left out for the first attempt. */
+	readonly attempts?: Readonly<Record<string, string>>
+	/** Tasks by their number of failed attempts; left out for none. */
+	readonly failures?: Readonly<Record<string, string>>
+	/** Tasks by their latest checkpoint; left out for none. */
+	readonly checkpoints?: Readonly<Record<string, string>>
+}
--- /dev/null
+++ b/packages/jobs/src/lib/log/createProgressValue.test.ts
@@ -0,0 +1,85 @@
+import type { JobSnapshot } from '@mastichead/core'
+import { expect, it } from 'vitest'
+import { createProgressValue } from './createProgressValue.js'
+import { parseProgressValue } from './parseProgressValue.js'
+
+const TASK = {
+	place: 0,
+	phase: 'placed',
+	attempt: 1,
+	failures: 0,
+	backend: 'i-0153d30715',
+	checkpoint: '',
+} as const
+
+it('names tasks by ranges and leaves out defaults', () => {
+	const value = createProgressValue({
+		state: 'running',
+		begun: true,
+		finishedAt: undefined,
+		tasks: [
+			...[0, 1, 2, 5].map((place) => ({ ...TASK, place })),
+			...[3, 4].map((place) => ({ ...TASK, place, phase: 'done' as const, backend: undefined })),
+		],
+	})
+	expect(value).toBe(
+		'{"format":2,"state":"running","begun":true,"done":"3-4","placed":{"i-0153d30715":"0-2,5"}}'
+	)
+})
+
+it('keeps every field of every task', () => {
+	const pending = { ...TASK, phase: 'pending' as const, backend: undefined }
+	const snapshot: JobSnapshot = {
+		state: 'failed',
+		begun: true,
+		finishedAt: 1_700_000_000_123,
+		tasks: [
+			{ ...TASK, attempt: 3, failures: 2, checkpoint: 'p "7",\n1-2' },
+			{ ...TASK, place: 1, backend: 'i-2' },
+			{ ...TASK, place: 2, backend: undefined },
+			{ ...pending, place: 4, attempt: 2, failures: 1, checkpoint: '__proto__' },
+			{ ...pending, place: 5, attempt: 2, checkpoint: '12' },
+			{ ...pending, place: 6, phase: 'done' },
+			{ ...pending, place: 8, phase: 'failed', failures: 4, attempt: 4 },
+			{ ...pending, place: 100, phase: 'dropped', attempt: 0 },
+		],
+	}
+	expect(parseProgressValue(createProgressValue(snapshot))).toEqual(snapshot)
+})
+
+// Guards against an instance that misreads the records of an earlier version during a rolling update.
+it('reads the form of earlier versions', () => {
+	const snapshot: JobSnapshot = {
+		state: 'running',
+		begun: true,
+		finishedAt: undefined,
+		tasks: [TASK, { ...TASK, place: 7 }],
+	}
+	expect(parseProgressValue(JSON.stringify(snapshot))).toEqual(snapshot)
+})
+
+// Guards against an instance of an earlier version that takes over from a later one during a rolling
+// update and starts tasks a second time, because it takes the job for one without progress.
+it('shows the state, but no list of tasks, to a reader of the earlier form', () => {
+	const snapshot: JobSnapshot = {
+		state: 'running',
+		begun: true,
+		finishedAt: undefined,
+		tasks: [TASK],
+	}
+	const read = JSON.parse(createProgressValue(snapshot)) as JobSnapshot
+	expect(read).toMatchObject({ state: 'running', begun: true })
+	expect(read.tasks).toBeUndefined()
+})
+
+it.each([
+	'',
+	'[]',
+	'{"state":"running"}',
+	'{"format":3,"state":"running","begun":true}',
+	'{"format":2,"state":"running","begun":true,"done":"4-2"}',
+	'{"format":2,"state":"running","begun":true,"done":"0-99999999"}',
+	'{"format":2,"state":"running","begun":true,"done":"x"}',
+])('refuses %s', (value) => {
+	expect(() => parseProgressValue(value)).toThrow()
+})
--- /dev/null
+++ b/packages/jobs/src/lib/log/parseProgressValue.ts
@@ -0,0 +1,55 @@
+import type { JobSnapshot } from '@mastichead/core'
+import type { ProgressRecord } from './ProgressRecord.js'
+import { parsePlaces } from './parsePlaces.js'
+
+type Task = JobSnapshot['tasks'][number]
+
+const UNPLACED_PHASES = ['pending', 'done', 'failed', 'dropped'] as const
+
+/**
+ * Decodes the progress of a job, in the form of `createProgressValue` or in the one of earlier
+ * versions, which is a `JobSnapshot`. Throws if it has neither form.
+ *
+ * @public
+ */
+export function parseProgressValue(value: string): JobSnapshot {
+	const record = JSON.parse(value) as JobSnapshot | ProgressRecord
+	if (!('format' in record)) {
+		if (!Array.isArray(record.tasks)) throw new Error('progress has neither format nor tasks')
+		return record
+	}
+	if ((record.format as number) !== 2) throw new Error(`unknown format ${String(record.format)}`)
+	const { state, begun, finishedAt } = record
+	return { state, begun, finishedAt, tasks: parseTasks(record) }
+}
+
+function parseTasks(record: ProgressRecord): Task[] {
+	const attempts = parseGroups(record.attempts)
+	const failures = parseGroups(record.failures)
+	const checkpoints = parseGroups(record.checkpoints)
+	const createTask = (place: number, phase: Task['phase'], backend?: string): Task => ({
+		place,
+		phase,
+		attempt: Number(attempts.get(place) ?? 1),
+		failures: Number(failures.get(place) ?? 0),
+		backend,
+		checkpoint: checkpoints.get(place) ?? '',
+	})
+	const tasks = UNPLACED_PHASES.flatMap((phase) => {
+		const places = record[phase]
+		return places === undefined ? [] : parsePlaces(places).map((place) => createTask(place, phase))
+	})
+	for (const [place, backend] of parseGroups(record.placed)) {
+		tasks.push(createTask(place, 'placed', backend === '' ? undefined : backend))
+	}
+	return tasks.sort((a, b) => a.place - b.place)
+}
+
+/** Returns the key of each task's group by the index of the task. */
+function parseGroups(groups: Readonly<Record<string, string>> = {}): Map<number, string> {
+	const keys = new Map<number, string>()
+	for (const [key, places] of Object.entries(groups)) {
+		for (const place of parsePlaces(places)) keys.set(place, key)
+	}
+	return keys
+}
