Let the ends of single tasks wait 40 ms for further ones

Cause: each append holds what changed during the one before, so a job is written again for nearly every task that ends. Change: while a job's state stays the same, its record waits up to 40 ms for further changes. A change of state, the state completed above all, is written at once, and so is the record of a job with a placement: its start order waits for this record only, no longer for all that changed before it. What is lost if the owner ends within the 40 ms: nothing that was acknowledged. Ends are acknowledged to the backend server once they are durable, as before; a new owner finds them listed again. 40 ms and an append are shorter than the 70 ms between two listings, so acknowledgements go out with the same listing as before. Why an order may go ahead of other jobs' records: a placement depends on earlier records of its own job (steps, attempts, checkpoints), which are in the same record.

--- a/packages/jobs/src/lib/owner/OwnerTerm.ts
+++ b/packages/jobs/src/lib/owner/OwnerTerm.ts
@@ -339,7 +339,7 @@
 		const { task, backend } = placement
 		this.taskUpdater.updateJob(task.job)
 		this.monitors.get(backend.id)?.wakeUp()
-		this.writer.whenDurable(() => void this.dispatcher.startTask(placement))
+		this.writer.whenJobDurable(task.job.job.id, () => void this.dispatcher.startTask(placement))
 	}
 
 	private async reportWave(key: string, state: 'running' | 'completed'): Promise<boolean> {
--- a/packages/jobs/src/lib/owner/ProgressWriter.test.ts
+++ b/packages/jobs/src/lib/owner/ProgressWriter.test.ts
@@ -1,6 +1,6 @@
-import type { JobTable } from '@mastichead/core'
+import type { JobRow, JobTable } from '@mastichead/core'
 import { VirtualTimerService } from '@mastichead/core'
-import { expect, it } from 'vitest'
+import { describe, expect, it } from 'vitest'
 import { StreamFollower } from '../log/StreamFollower.js'
 import { createTestContext } from '../testing/createTestContext.js'
 import { createTestFleet } from '../testing/createTestFleet.js'
@@ -28,6 +28,75 @@
 	expect(endOffsets).toEqual([2])
 })
 
+describe('a change that may wait', () => {
+	it('is written once, with the changes that follow, when its time is over', async () => {
+		const { writer, store, jobs, advance } = createWriter()
+		const [row] = addJobs(jobs, 1)
+		writer.markJobChanged(row, 40)
+		await advance(30)
+		writer.markJobChanged(row, 40)
+		const durableAt: number[] = []
+		writer.whenDurable(() => durableAt.push(store.getEnd('progress')))
+		await advance(8)
+		expect(store.getEnd('progress')).toBe(0)
+		await advance(10)
+		expect(durableAt).toEqual([1])
+		await advance(100)
+		expect(store.getEnd('progress')).toBe(1)
+	})
+
+	// Guards against start orders that wait for the ends of other jobs' tasks.
+	it('holds up no callback for another job and is not written with it', async () => {
+		const { writer, store, jobs, advance } = createWriter()
+		const [delayed, placed] = addJobs(jobs, 2)
+		const calls: string[] = []
+		writer.markJobChanged(delayed, 40)
+		writer.whenDurable(() => calls.push('all'))
+		writer.markJobChanged(placed, 40)
+		writer.whenJobDurable(placed.job.id, () => calls.push('placed'))
+		await advance(10)
+		expect(calls).toEqual(['placed'])
+		expect(store.getEntries('progress').map((entry) => entry.key)).toEqual([placed.job.id])
+		await advance(40)
+		expect(calls).toEqual(['placed', 'all'])
+		expect(store.getEnd('progress')).toBe(2)
+	})
+
+	// Guards against a start order that is sent before its placement is durable.
+	it('is written without delay, in its newest version, if an order waits for it', async () => {
+		const { writer, store, jobs, advance } = createWriter()
+		const [row] = addJobs(jobs, 1)
+		const endOffsets: number[] = []
+		writer.markJobChanged(row, 40)
+		row.state = 'running'
+		writer.whenJobDurable(row.job.id, () => endOffsets.push(store.getEnd('progress')))
+		await advance(3)
+		expect(endOffsets).toEqual([])
+		await advance(3)
+		expect(endOffsets).toEqual([1])
+		expect(store.getEntries('progress')[0]?.value).toContain('"state":"running"')
+	})
+
+	it('is not written after the end of the term', async () => {
+		const { writer, store, jobs, advance } = createWriter()
+		const [row] = addJobs(jobs, 1)
+		writer.markJobChanged(row, 40)
+		await advance(10)
+		writer.stop()
+		await advance(100)
+		expect(store.getEnd('progress')).toBe(0)
+	})
+})
+
+function addJobs<const Count extends 1 | 2>(
+	jobs: JobTable,
+	count: Count
+): Count extends 1 ? [JobRow] : [JobRow, JobRow] {
+	return Array.from({ length: count }, (_, index) =>
+		jobs.add(createTestFleet.createJob(index + 1, [{ count: 1 }]))
+	) as Count extends 1 ? [JobRow] : [JobRow, JobRow]
+}
+
 function createWriter(): {
 	writer: ProgressWriter
 	store: MemoryStore
--- a/packages/jobs/src/lib/owner/ProgressWriter.ts
+++ b/packages/jobs/src/lib/owner/ProgressWriter.ts
@@ -1,4 +1,4 @@
-import type { JobRow } from '@mastichead/core'
+import type { JobId, JobRow } from '@mastichead/core'
 import { createJobSnapshot } from '@mastichead/core'
 import { JobRecords } from '../log/JobRecords.js'
 import type { StreamFollower } from '../log/StreamFollower.js'
@@ -14,22 +14,43 @@
 /** Maximum number of records in one append. */
 const MAXIMUM_RECORDS = 300
 
+interface ChangedRecord {
+	/** Creates the newest version of the record. */
+	readonly create: () => LogRecord
+	/** Number of the first change that is not in the log yet. */
+	readonly firstChange: number
+	/** Time by which the record is written, in milliseconds. */
+	readonly dueAt: number
+}
+
+interface PendingCallback {
+	readonly callback: () => void
+	/** Key of the record that it waits for; undefined if it waits for all. */
+	readonly key: string | undefined
+	/** Number of the last change that it waits for. */
+	readonly lastChange: number
+}
+
 /**
  * Makes the owner's decisions durable by appending them to the log, one append at a time, under the
- * owner's fencing token. Callbacks run once all decisions made before them are in the log.
+ * owner's fencing token. Callbacks run once the decisions that they wait for are in the log.
  *
  * @public
  */
 export class ProgressWriter {
-	/** Creates the newest record of each changed key, by key. */
-	private readonly changedRecords = new Map<string, () => LogRecord>()
-	private callbacks: (() => void)[] = []
+	/** Changed records by key, in the order of their first change that is not in the log yet. */
+	private readonly changedRecords = new Map<string, ChangedRecord>()
+	private callbacks: PendingCallback[] = []
+	/** Number of changes marked so far. */
+	private changeCount = 0
 	/** Sequence number of the next append in this term. */
 	private sequence = 0
 	private isFlushing = false
 	private stopped = false
 	/** Start of the append in flight, in milliseconds; undefined if there is none. */
 	private appendingSince: number | undefined
+	/** Timer of the next flush of delayed records. */
+	private flushTimer: { cancel(): void } | undefined
 
 	constructor(
 		private readonly context: OwnerContext,
@@ -39,6 +60,7 @@
 
 	stop(): void {
 		this.stopped = true
+		this.flushTimer?.cancel()
 	}
 
 	/** Milliseconds since the append in flight was started; 0 if there is none. */
@@ -46,21 +68,44 @@
 		return this.appendingSince === undefined ? 0 : this.context.timers.now() - this.appendingSince
 	}
 
-	/** Marks a job's progress as changed. */
-	markJobChanged(row: JobRow): void {
+	/**
+	 * Marks a job's progress as changed.
+	 *
+	 * @param delay - milliseconds for which the record may wait for further changes
+	 */
+	markJobChanged(row: JobRow, delay = 0): void {
 		const { id } = row.job
-		this.markRecordChanged(id, () => JobRecords.createProgressRecord(id, createJobSnapshot(row)))
+		const create = (): LogRecord => JobRecords.createProgressRecord(id, createJobSnapshot(row))
+		this.markRecordChanged(id, create, delay)
 	}
 
-	/** Marks a record as changed. `create` is called when the record is written. */
-	markRecordChanged(key: string, create: () => LogRecord): void {
-		this.changedRecords.set(key, create)
+	/**
+	 * Marks a record as changed. `create` is called when the record is written.
+	 *
+	 * @param delay - milliseconds for which the record may wait for further changes
+	 */
+	markRecordChanged(key: string, create: () => LogRecord, delay = 0): void {
+		this.changeCount += 1
+		const { firstChange, dueAt } = this.changedRecords.get(key) ?? {
+			firstChange: this.changeCount,
+			dueAt: Infinity,
+		}
+		const latestDueAt = this.context.timers.now() + delay
+		this.changedRecords.set(key, { create, firstChange, dueAt: Math.min(dueAt, latestDueAt) })
 		this.flushSoon()
 	}
 
 	/** Runs `callback` once everything marked as changed so far is durable. */
 	whenDurable(callback: () => void): void {
-		this.callbacks.push(callback)
+		this.callbacks.push({ callback, key: undefined, lastChange: this.changeCount })
+		this.flushSoon()
+	}
+
+	/** Writes a job's progress without delay and runs `callback` once it is durable. */
+	whenJobDurable(id: JobId, callback: () => void): void {
+		const record = this.changedRecords.get(id)
+		if (record) this.changedRecords.set(id, { ...record, dueAt: this.context.timers.now() })
+		this.callbacks.push({ callback, key: id, lastChange: this.changeCount })
 		this.flushSoon()
 	}
 
@@ -71,22 +116,52 @@
 	}
 
 	private async flush(): Promise<void> {
-		while (!this.stopped && (this.changedRecords.size > 0 || this.callbacks.length > 0)) {
-			const batch = [...this.changedRecords].slice(0, MAXIMUM_RECORDS)
-			for (const [key] of batch) this.changedRecords.delete(key)
-			const callbacks = this.changedRecords.size === 0 ? this.takeCallbacks() : []
-			const records = batch.map(([, create]) => create())
+		this.flushTimer?.cancel()
+		while (!this.stopped) {
+			const keys = this.getDueKeys()
+			const records = keys.map((key) => this.takeRecord(key))
 			if (records.length > 0 && !(await this.appendWithRetries(records))) return
-			for (const callback of callbacks) callback()
+			this.runCallbacks()
+			if (records.length === 0 && this.getDueKeys().length === 0) break
 		}
 		this.isFlushing = false
+		this.scheduleFlush()
+	}
+
+	private getDueKeys(): string[] {
+		const now = this.context.timers.now()
+		const due = [...this.changedRecords].filter(([, { dueAt }]) => dueAt <= now)
+		return due.slice(0, MAXIMUM_RECORDS).map(([key]) => key)
+	}
+
+	/** Takes a changed record out of the map. Must be followed by an append. */
+	private takeRecord(key: string): LogRecord {
+		const record = this.changedRecords.get(key)
+		if (!record) throw new Error(`record ${key} has not changed`)
+		this.changedRecords.delete(key)
+		return record.create()
+	}
+
+	/** Runs the callbacks whose changes are durable. Called while no append is in flight. */
+	private runCallbacks(): void {
+		const [oldest] = this.changedRecords.values()
+		const isPending = ({ key, lastChange }: PendingCallback): boolean => {
+			const record = key === undefined ? oldest : this.changedRecords.get(key)
+			return record !== undefined && record.firstChange <= lastChange
+		}
+		const pending = this.callbacks.filter(isPending)
+		const ready = this.callbacks.filter((callback) => !isPending(callback))
+		this.callbacks = pending
+		for (const { callback } of ready) callback()
 	}
 
-	/** Takes the current callbacks. Callbacks added during an append wait for the next one. */
-	private takeCallbacks(): (() => void)[] {
-		const callbacks = this.callbacks
-		this.callbacks = []
-		return callbacks
+	private scheduleFlush(): void {
+		if (this.stopped || this.changedRecords.size === 0) return
+		const { timers } = this.context
+		const dueAt = Math.min(...[...this.changedRecords.values()].map((record) => record.dueAt))
+		this.flushTimer = timers.after(Math.max(0, dueAt - timers.now()), () => {
+			this.flushSoon()
+		})
 	}
 
 	/**
--- a/packages/jobs/src/lib/owner/TaskUpdater.ts
+++ b/packages/jobs/src/lib/owner/TaskUpdater.ts
@@ -5,6 +5,12 @@
 
 /** Maximum attempts of a task whose queue is no longer configured. */
 const DEFAULT_MAXIMUM_ATTEMPTS = 1
+/**
+ * How long the changes of a job's tasks may wait for further ones, in milliseconds, while the job's
+ * state stays the same. Shorter than the pause between two listings, so that ends are durable, and
+ * can be acknowledged, with the next one.
+ */
+const TASK_RECORD_DELAY = 40
 
 /**
  * Applies state changes to tasks and jobs in the owner's tables and marks them to be made durable.
@@ -55,8 +61,9 @@
 	updateJob(row: JobRow): void {
 		const previousState = row.state
 		const tasksToStop = updateJobState(row, this.context.getWallTime())
-		this.writer.markJobChanged(row)
-		if (row.state !== previousState) this.reportState(row)
+		const isStateChanged = row.state !== previousState
+		this.writer.markJobChanged(row, isStateChanged ? 0 : TASK_RECORD_DELAY)
+		if (isStateChanged) this.reportState(row)
 		for (const task of tasksToStop) this.stopTask(task)
 	}
 
