--- a/packages/jobs/src/lib/owner/OwnerTerm.ts
+++ b/packages/jobs/src/lib/owner/OwnerTerm.ts
@@ -339,7 +339,8 @@
 		const placedAt = this.context.timers.now()
 		this.taskUpdater.updateJob(task.job)
 		this.monitors.get(backend.id)?.wakeUp()
-		this.writer.whenDurable(() => void this.dispatcher.startTask(placement, placedAt))
+		const { id } = task.job.job
+		this.writer.whenJobDurable(id, () => void this.dispatcher.startTask(placement, placedAt))
 	}
 
 	private async reportWave(key: string, state: 'running' | 'completed'): Promise<boolean> {
