--- a/packages/standins/src/lib/jobPlatform/StoreStandin.ts
+++ b/packages/standins/src/lib/jobPlatform/StoreStandin.ts
@@ -6,6 +6,11 @@
 const LENGTH_BYTES = 4
 const OFFSET_BYTES = 8
 const DEFAULT_PARTITIONS = 24
+/** Maximum size of a page of newest records. */
+const MAXIMUM_PAGE_RECORDS = 500
+const MAXIMUM_PAGE_BYTES = 1_000_000
+const DEFAULT_READ_KILOBYTES = 1_024
+const BYTES_PER_KILOBYTE = 1_024
 
 interface Partition {
 	readonly records: Buffer[]
@@ -57,7 +62,7 @@
 
 	/** Returns the newest value of a key, or undefined if there is none. */
 	get(topic: string, key: string): string | undefined {
-		const item = listNewestValues(this.getOrCreatePartition(topic, '0')).items.find(
+		const item = listNewestValues(this.getOrCreatePartition(topic, '0')).find(
 			(entry) => entry.key === key
 		)
 		return item && Buffer.from(item.value, 'base64').toString()
@@ -77,7 +82,7 @@
 			case 'GET /api/log-read':
 				return readRecords(partition, query)
 			case 'GET /api/log-newest':
-				return { status: 200, body: listNewestValues(partition) }
+				return { status: 200, body: createPage(partition, query.get('depends_on') ?? undefined) }
 			case 'POST /api/log-join':
 				return { status: 200, body: this.join(JSON.parse(body.toString()) as JoinCall) }
 			case 'POST /api/log-leave':
@@ -156,7 +161,27 @@
 		await delay(POLL_INTERVAL_MILLISECONDS)
 	const header = Buffer.alloc(2 * OFFSET_BYTES)
 	header.writeBigUInt64BE(BigInt(partition.records.length), 0)
-	return { status: 200, body: Buffer.concat([header, ...partition.records.slice(from)]) }
+	const kilobytes = Number(query.get('max_kb') ?? DEFAULT_READ_KILOBYTES)
+	const records = takeWhileFits(
+		partition.records.slice(from),
+		(record) => record.length,
+		kilobytes * BYTES_PER_KILOBYTE
+	)
+	return { status: 200, body: Buffer.concat([header, ...records]) }
+}
+
+/** Returns the first items whose sizes total at most `maximum`, and at least one. */
+function takeWhileFits<T>(
+	items: readonly T[],
+	getSize: (item: T) => number,
+	maximum: number
+): readonly T[] {
+	let total = 0
+	const end = items.findIndex((item, index) => {
+		total += getSize(item)
+		return total > maximum && index > 0
+	})
+	return end < 0 ? items : items.slice(0, end)
 }
 
 interface NewestValue {
@@ -166,22 +191,30 @@
 	readonly offset: number
 }
 
-function listNewestValues(partition: Partition): {
-	items: NewestValue[]
-	truncated: boolean
-	end: number
-} {
+/**
+ * Creates one page of the newest records, in the order of their keys.
+ *
+ * @param after - key after which the page begins; undefined for the first page
+ */
+function createPage(partition: Partition, after: string | undefined): object {
+	const values = listNewestValues(partition)
+		.filter(({ key }) => after === undefined || key > after)
+		.sort((a, b) => (a.key < b.key ? -1 : 1))
+	const limited = values.slice(0, MAXIMUM_PAGE_RECORDS)
+	const items = takeWhileFits(limited, ({ value }) => value.length, MAXIMUM_PAGE_BYTES)
+	return { items, truncated: items.length < values.length, end: partition.records.length }
+}
+
+function listNewestValues(partition: Partition): NewestValue[] {
 	const items = new Map<string, NewestValue>()
 	for (const [offset, record] of partition.records.entries()) {
 		const keyEnd = LENGTH_BYTES + 1 + record.readUInt8(LENGTH_BYTES)
 		const key = record.toString('utf8', LENGTH_BYTES + 1, keyEnd)
 		const value = record.subarray(keyEnd)
 		if (value.length === 0) items.delete(key)
-		else {
-			items.set(key, { key, value: value.toString('base64'), offset })
-		}
+		else items.set(key, { key, value: value.toString('base64'), offset })
 	}
-	return { items: [...items.values()], truncated: false, end: partition.records.length }
+	return [...items.values()]
 }
 
 /** Layout: length of the rest (4 bytes), length of the key (1 byte), key, value. */
