Go on with a load from the page that it reached

Whatever a failed load had received was thrown away, so that on a full link each try began with the first page; and a query for a job that is not known read the same pages beside the load, over the same link.

Now a follower reads pages one by one, applies each, keeps its place when one fails, and shares one load with queries. Records written after the first page are read from that page's end, as before. Nothing counts as deleted before the last page was read. A deletion that is applied during the load is remembered to its end, so that a page sent earlier does not bring the key back. If the history after the first page has expired, a load begins anew, which also deletes what is gone. A complete load is logged as stream-loaded with entries and duration.

Ruled out: applying nothing before the load is complete. Records of a page are the same as records read one by one, and only loaded streams make an instance ready or owner.

Six tests in virtual time; without the remembered deletions the fourth of them fails.

--- /dev/null
+++ b/packages/jobs/src/lib/log/StreamFollower.test.ts
@@ -0,0 +1,136 @@
+import { VirtualTimerService } from '@mastichead/core'
+import { describe, expect, it } from 'vitest'
+import { SilentEventLog } from '../logs/SilentEventLog.js'
+import type { LogEntry } from '../ports/LogEntry.js'
+import { MemoryLog } from '../testing/MemoryLog.js'
+import { MemoryStore } from '../testing/MemoryStore.js'
+import { StreamFollower } from './StreamFollower.js'
+
+const STREAM = 'progress'
+const KEYS = ['a', 'b', 'c', 'd', 'e', 'f']
+
+describe('a load in several pages', () => {
+	// Failure: each failed page threw away the pages before it.
+	it('goes on after a failure from the page that it reached', async () => {
+		const { follower, log, advance, state } = createFollower()
+		follower.start()
+		await advance(10)
+		log.disconnected = true
+		await advance(400)
+		expect(follower.loaded).toBe(false)
+		expect([...state.keys()]).toEqual(['a', 'b', 'c', 'd'])
+		log.disconnected = false
+		await advance(200)
+		expect(follower.loaded).toBe(true)
+		expect([...state.keys()]).toEqual(KEYS)
+		expect(log.pageReads).toBe(3)
+	})
+
+	// Failure: a query during a load read the same pages beside it, over the same link.
+	it('is shared with reads for queries', async () => {
+		const { follower, log, advance } = createFollower()
+		follower.start()
+		await advance(2)
+		const read = follower.readToEnd()
+		await advance(30)
+		expect(await read).toBe(true)
+		expect(log.pageReads).toBe(3)
+	})
+
+	it('takes changes between two pages from the records after the first page', async () => {
+		const { follower, store, advance, state } = createFollower()
+		follower.start()
+		await advance(6)
+		const deleted = ['a', 'e', 'f'].map((key) => ({ key, value: undefined }))
+		store.append(STREAM, [...deleted, { key: 'e', value: 'new' }, { key: '0', value: 'new' }])
+		await advance(200)
+		expect([...state].sort()).toEqual([
+			['0', 'new'],
+			['b', 'old'],
+			['c', 'old'],
+			['d', 'old'],
+			['e', 'new'],
+		])
+	})
+
+	it('does not bring back a key whose deletion was applied while its page was on the way', async () => {
+		const { follower, store, advance, state } = createFollower()
+		follower.start()
+		await advance(3)
+		const tombstone = { key: 'a', value: undefined }
+		follower.applyAppended([{ ...tombstone, offset: KEYS.length }], KEYS.length + 1)
+		await advance(2)
+		store.append(STREAM, [tombstone])
+		await advance(200)
+		expect(follower.loaded).toBe(true)
+		expect(state.has('a')).toBe(false)
+	})
+})
+
+describe('a load anew after the history has expired', () => {
+	it('deletes keys that are on no page, once all pages were read', async () => {
+		const { follower, log, store, advance, state } = createFollower()
+		follower.start()
+		await advance(100)
+		log.disconnected = true
+		await advance(100)
+		store.append(STREAM, [{ key: 'b', value: undefined }])
+		store.compact(STREAM)
+		log.disconnected = false
+		while (follower.loaded) await advance(1)
+		await advance(9)
+		log.disconnected = true
+		await advance(400)
+		expect(follower.loaded).toBe(false)
+		expect(state.has('b')).toBe(true)
+		log.disconnected = false
+		await advance(300)
+		expect(follower.loaded).toBe(true)
+		expect([...state.keys()].sort()).toEqual(['a', 'c', 'd', 'e', 'f'])
+	})
+
+	it('follows a load whose first page is older than the history', async () => {
+		const { follower, log, store, advance, state } = createFollower()
+		follower.start()
+		await advance(6)
+		log.disconnected = true
+		await advance(100)
+		store.append(STREAM, [
+			{ key: 'a', value: undefined },
+			{ key: 'c', value: 'new' },
+		])
+		store.compact(STREAM)
+		log.disconnected = false
+		await advance(500)
+		expect(follower.loaded).toBe(true)
+		expect(state.has('a')).toBe(false)
+		expect(state.get('c')).toBe('new')
+	})
+})
+
+/** Creates a follower of a stream with six keys, on pages of two, and the state that it builds. */
+function createFollower() {
+	const timers = new VirtualTimerService()
+	const store = new MemoryStore()
+	store.append(
+		STREAM,
+		KEYS.map((key) => ({ key, value: 'old' }))
+	)
+	const log = new MemoryLog(store, timers)
+	log.pageSize = 2
+	const state = new Map<string, string>()
+	const listener = ({ key, value }: LogEntry): void => {
+		if (value === undefined) state.delete(key)
+		else state.set(key, value)
+	}
+	const options = { maximumWait: 20, getPollDelay: () => 5 }
+	const events = new SilentEventLog()
+	const follower = new StreamFollower(STREAM, log, timers, events, listener, options)
+	const advance = async (duration: number): Promise<void> => {
+		for (let step = 0; step < duration; step += 1) {
+			timers.advance(1)
+			await new Promise((resolve) => setImmediate(resolve))
+		}
+	}
+	return { follower, log, store, state, advance }
+}
--- a/packages/jobs/src/lib/log/StreamFollower.ts
+++ b/packages/jobs/src/lib/log/StreamFollower.ts
@@ -3,6 +3,7 @@
 import type { LogEntry } from '../ports/LogEntry.js'
 import type { LogStream } from '../ports/LogStream.js'
 import type { MetadataLog } from '../ports/MetadataLog.js'
+import { StreamLoad } from './StreamLoad.js'
 
 /** Delay after a failed read, in milliseconds. */
 const RETRY_DELAY = 150
@@ -28,6 +29,9 @@
 	private readonly offsets = new Map<string, number>()
 	private paused = false
 	private stopped = false
+	/** The load that is going on or has failed midway; undefined if there is none. */
+	private load: StreamLoad | undefined
+	private pendingLoad: Promise<boolean> | undefined
 	private pendingRead: Promise<boolean> | undefined
 	private pendingCatchUp: Promise<boolean> | undefined
 	private cancelSleep: (() => void) | undefined
@@ -132,13 +136,13 @@
 	}
 
 	private async readOnce(wait: number): Promise<boolean> {
-		if (!this.loaded) return this.load()
+		if (!this.loaded) return this.finishLoad()
 		const from = this.nextOffset
 		const result = await this.log.read(this.stream, from, wait)
 		if (result.kind === 'expired') {
 			this.events.warn('log-history-expired', { stream: this.stream, from })
 			this.loaded = false
-			return this.load()
+			return this.finishLoad()
 		}
 		if (result.kind === 'unavailable') return this.recordFailure(result.reason)
 		this.recordContact()
@@ -147,27 +151,48 @@
 		return true
 	}
 
-	private async load(): Promise<boolean> {
-		const result = await this.log.readNewest(this.stream)
-		if (result.kind === 'unavailable') return this.recordFailure(result.reason)
-		this.recordContact()
-		const present = new Set(result.entries.map((entry) => entry.key))
+	/** Loads the stream, or goes on with a load that failed midway. Concurrent calls share one load. */
+	private finishLoad(): Promise<boolean> {
+		this.pendingLoad ??= this.readPages().finally(() => {
+			this.pendingLoad = undefined
+		})
+		return this.pendingLoad
+	}
+
+	private async readPages(): Promise<boolean> {
+		this.load ??= new StreamLoad(this.stream, this.log, this.timers.now())
+		const { load } = this
+		while (!load.complete) {
+			const page = await load.readPage()
+			if (page.kind === 'unavailable') return this.recordFailure(page.reason)
+			this.recordContact()
+			for (const entry of page.entries) this.apply(entry)
+		}
+		this.completeLoad(load)
+		return true
+	}
+
+	private completeLoad(load: StreamLoad): void {
+		const next = load.next ?? 0
 		for (const [key, offset] of [...this.offsets]) {
-			if (present.has(key) || offset >= result.next) continue
-			this.apply({ key, value: undefined, offset: result.next })
+			if (load.keys.has(key) || offset >= next) continue
+			this.apply({ key, value: undefined, offset: next })
 		}
-		for (const entry of result.entries) this.apply(entry)
-		this.nextOffset = Math.max(this.nextOffset, result.next)
+		this.load = undefined
+		this.nextOffset = Math.max(this.nextOffset, next)
 		this.loaded = true
+		const after = Math.round(this.timers.now() - load.startedAt)
+		this.events.info('stream-loaded', { stream: this.stream, entries: load.keys.size, after })
 		this.options.onLoaded?.()
-		return true
 	}
 
 	private apply(entry: LogEntry): void {
-		const applied = this.offsets.get(entry.key) ?? -1
+		const applied = this.offsets.get(entry.key) ?? this.load?.deletions.get(entry.key) ?? -1
 		if (entry.offset <= applied) return
-		if (entry.value === undefined) this.offsets.delete(entry.key)
-		else this.offsets.set(entry.key, entry.offset)
+		if (entry.value === undefined) {
+			this.offsets.delete(entry.key)
+			this.load?.deletions.set(entry.key, entry.offset)
+		} else this.offsets.set(entry.key, entry.offset)
 		this.listener(entry)
 	}
 
--- a/packages/jobs/src/lib/ports/MetadataLog.ts
+++ b/packages/jobs/src/lib/ports/MetadataLog.ts
@@ -31,8 +31,12 @@
 	 */
 	abstract read(stream: LogStream, from: number, wait: number): Promise<ReadResult>
 
-	/** Reads the newest record of each key. */
-	abstract readNewest(stream: LogStream): Promise<ReadNewestResult>
+	/**
+	 * Reads a page of the newest record of each key, in the order of the keys. Pages are no snapshot.
+	 *
+	 * @param lastKey - last key of the page before; undefined for the first page
+	 */
+	abstract readNewest(stream: LogStream, lastKey: string | undefined): Promise<ReadNewestResult>
 
 	/**
 	 * Joins the group of instances, or renews the membership.
--- a/packages/jobs/src/lib/testing/MemoryLog.ts
+++ b/packages/jobs/src/lib/testing/MemoryLog.ts
@@ -23,6 +23,10 @@
 	callLatency = 4
 	/** While true, calls have no effect and get no answer. */
 	disconnected = false
+	/** Maximum number of records on a page of newest records. */
+	pageSize = Infinity
+	/** Number of pages of newest records that were read. */
+	pageReads = 0
 
 	constructor(
 		private readonly store: MemoryStore,
@@ -57,13 +61,22 @@
 		return { kind: 'entries', entries, next: this.store.getEnd(stream) }
 	}
 
-	override async readNewest(stream: LogStream): Promise<ReadNewestResult> {
+	override async readNewest(
+		stream: LogStream,
+		lastKey: string | undefined
+	): Promise<ReadNewestResult> {
 		await this.sleep(this.callLatency)
 		if (this.isUnavailable(stream)) return { kind: 'unavailable', reason: 'no answer' }
+		this.pageReads += 1
 		const newest = new Map<string, LogEntry>()
 		for (const entry of this.store.getEntries(stream)) newest.set(entry.key, entry)
-		const entries = [...newest.values()].filter((entry) => entry.value !== undefined)
-		return { kind: 'entries', entries, next: this.store.getEnd(stream) }
+		const remaining = [...newest.values()]
+			.filter(({ key, value }) => value !== undefined && (lastKey === undefined || key > lastKey))
+			.sort((a, b) => (a.key < b.key ? -1 : 1))
+		const entries = remaining.slice(0, this.pageSize)
+		const isLast = entries.length === remaining.length
+		const next = this.store.getEnd(stream)
+		return { kind: 'page', entries, next, lastKey: isLast ? undefined : entries.at(-1)?.key }
 	}
 
 	override async join(member: string, timeToLive: number): Promise<JoinResult> {
