Read a stream piece by piece, once for all callers, while behind

A follower that was behind asked for 1,024 KB at a time and applied nothing before all of it had arrived; each query and the follower itself fetched the same records side by side.

While the log's latest answer shows records beyond those that were read, the next read follows without a pause, and concurrent callers share it. A caller shares a read only from the offset that it stands at, so that it still reads on to an end found after it asked; for the same reason it reads on after a load that others began.

Ruled out: an amount fitted to the measured rate.

Without sharing, the test of shared reads counts 9 reads where 5 are enough.

--- a/packages/jobs/src/lib/log/StreamFollower.test.ts
+++ b/packages/jobs/src/lib/log/StreamFollower.test.ts
@@ -2,6 +2,7 @@
 import { describe, expect, it } from 'vitest'
 import { SilentEventLog } from '../logs/SilentEventLog.js'
 import type { LogEntry } from '../ports/LogEntry.js'
+import type { LogRecord } from '../ports/LogRecord.js'
 import { MemoryLog } from '../testing/MemoryLog.js'
 import { MemoryStore } from '../testing/MemoryStore.js'
 import { StreamFollower } from './StreamFollower.js'
@@ -37,6 +38,18 @@
 		expect(log.pageReads).toBe(3)
 	})
 
+	it('does not stand for the end of the stream in a read that began after its first page', async () => {
+		const { follower, log, store, advance, state } = createFollower(10_000, [])
+		log.transferTime = 10
+		follower.start()
+		await advance(6)
+		store.append(STREAM, createRecords(1))
+		const read = follower.readToEnd()
+		await advance(100)
+		expect(await read).toBe(true)
+		expect(state.size).toBe(1)
+	})
+
 	it('takes changes between two pages from the records after the first page', async () => {
 		const { follower, store, advance, state } = createFollower()
 		follower.start()
@@ -67,6 +80,38 @@
 	})
 })
 
+describe('a follower that is behind', () => {
+	it('reads piece by piece without a pause', async () => {
+		const { follower, store, log, advance, state } = createFollower(10_000)
+		follower.start()
+		await advance(100)
+		log.readSize = 3
+		store.append(STREAM, createRecords(12))
+		follower.wakeUp()
+		await advance(6)
+		expect(state.size).toBe(KEYS.length + 3)
+		await advance(20)
+		expect(state.size).toBe(KEYS.length + 12)
+	})
+
+	// Failure: a query read the same records beside the follower, over the same link.
+	it('shares its reads with queries', async () => {
+		const { follower, store, log, advance, state } = createFollower(10_000)
+		follower.start()
+		await advance(100)
+		log.readSize = 3
+		store.append(STREAM, createRecords(12))
+		const before = log.reads
+		follower.wakeUp()
+		await advance(6)
+		const reads = [follower.readToEnd(), follower.catchUp(50)]
+		await advance(30)
+		expect(await Promise.all(reads)).toEqual([true, undefined])
+		expect(state.size).toBe(KEYS.length + 12)
+		expect(log.reads - before).toBeLessThanOrEqual(5)
+	})
+})
+
 describe('a load anew after the history has expired', () => {
 	it('deletes keys that are on no page, once all pages were read', async () => {
 		const { follower, log, store, advance, state } = createFollower()
@@ -108,13 +153,17 @@
 	})
 })
 
-/** Creates a follower of a stream with six keys, on pages of two, and the state that it builds. */
-function createFollower() {
+function createRecords(count: number): LogRecord[] {
+	return Array.from({ length: count }, (_, index) => ({ key: `k${index}`, value: 'new' }))
+}
+
+/** Creates a follower of a stream that has some keys, on pages of two, and the state that it builds. */
+function createFollower(pollDelay = 5, keys = KEYS) {
 	const timers = new VirtualTimerService()
 	const store = new MemoryStore()
 	store.append(
 		STREAM,
-		KEYS.map((key) => ({ key, value: 'old' }))
+		keys.map((key) => ({ key, value: 'old' }))
 	)
 	const log = new MemoryLog(store, timers)
 	log.pageSize = 2
@@ -123,7 +172,7 @@
 		if (value === undefined) state.delete(key)
 		else state.set(key, value)
 	}
-	const options = { maximumWait: 20, getPollDelay: () => 5 }
+	const options = { maximumWait: 20, getPollDelay: () => pollDelay }
 	const events = new SilentEventLog()
 	const follower = new StreamFollower(STREAM, log, timers, events, listener, options)
 	const advance = async (duration: number): Promise<void> => {
--- a/packages/jobs/src/lib/log/StreamFollower.ts
+++ b/packages/jobs/src/lib/log/StreamFollower.ts
@@ -32,6 +32,10 @@
 	/** The load that is going on or has failed midway; undefined if there is none. */
 	private load: StreamLoad | undefined
 	private pendingLoad: Promise<boolean> | undefined
+	/** Whether the log has records after those that were read, according to its latest answer. */
+	private behind = false
+	/** The read in flight while behind, and its offset. */
+	private pendingPiece: { readonly from: number; readonly answered: Promise<boolean> } | undefined
 	private pendingRead: Promise<boolean> | undefined
 	private pendingCatchUp: Promise<boolean> | undefined
 	private cancelSleep: (() => void) | undefined
@@ -85,7 +89,9 @@
 	 */
 	applyAppended(entries: readonly LogEntry[], nextOffset: number): void {
 		for (const entry of entries) this.apply(entry)
-		this.nextOffset = Math.max(this.nextOffset, nextOffset)
+		if (nextOffset <= this.nextOffset) return
+		this.nextOffset = nextOffset
+		this.behind = false
 	}
 
 	/** Whether the key has a record, according to what has been read so far. */
@@ -131,23 +137,45 @@
 	private async run(): Promise<void> {
 		while (!this.stopped) {
 			const answered = this.paused || (await this.readOnce(this.options.maximumWait))
-			await this.sleep(answered ? this.options.getPollDelay() : RETRY_DELAY)
+			await this.sleep(this.getDelay(answered))
 		}
 	}
 
+	private getDelay(answered: boolean): number {
+		if (!answered) return RETRY_DELAY
+		return this.behind ? 0 : this.options.getPollDelay()
+	}
+
 	private async readOnce(wait: number): Promise<boolean> {
-		if (!this.loaded) return this.finishLoad()
+		if (!this.loaded && !(await this.finishLoad())) return false
+		return this.behind ? this.readPiece() : this.readNext(wait)
+	}
+
+	/** Reads records that the log is known to have. Concurrent calls share one read. */
+	private readPiece(): Promise<boolean> {
+		const from = this.nextOffset
+		if (this.pendingPiece?.from === from) return this.pendingPiece.answered
+		const answered = this.readNext(0).finally(() => {
+			if (this.pendingPiece?.answered === answered) this.pendingPiece = undefined
+		})
+		this.pendingPiece = { from, answered }
+		return answered
+	}
+
+	private async readNext(wait: number): Promise<boolean> {
 		const from = this.nextOffset
 		const result = await this.log.read(this.stream, from, wait)
 		if (result.kind === 'expired') {
 			this.events.warn('log-history-expired', { stream: this.stream, from })
 			this.loaded = false
+			this.behind = false
 			return this.finishLoad()
 		}
 		if (result.kind === 'unavailable') return this.recordFailure(result.reason)
 		this.recordContact()
 		for (const entry of result.entries) this.apply(entry)
 		this.nextOffset = Math.max(this.nextOffset, result.next)
+		this.behind = this.nextOffset < result.end
 		return true
 	}
 
--- a/packages/jobs/src/lib/ports/ReadResult.ts
+++ b/packages/jobs/src/lib/ports/ReadResult.ts
@@ -1,11 +1,19 @@
 import type { LogEntry } from './LogEntry.js'
 
 /**
- * Result of a read. `expired`: the log no longer has the record at the requested offset.
+ * Result of a read, which may hold only the first records from the requested offset on. `expired`: the
+ * log no longer has the record at the requested offset.
  *
  * @public
  */
 export type ReadResult =
-	| { readonly kind: 'entries'; readonly entries: readonly LogEntry[]; readonly next: number }
+	| {
+			readonly kind: 'entries'
+			readonly entries: readonly LogEntry[]
+			/** Offset after the last record of the result. */
+			readonly next: number
+			/** End of the stream. */
+			readonly end: number
+	  }
 	| { readonly kind: 'expired' }
 	| { readonly kind: 'unavailable'; readonly reason: string }
--- a/packages/jobs/src/lib/testing/MemoryLog.ts
+++ b/packages/jobs/src/lib/testing/MemoryLog.ts
@@ -21,10 +21,16 @@
 export class MemoryLog extends MetadataLog {
 	/** Latency of one call, in milliseconds. */
 	callLatency = 4
+	/** Milliseconds for which the answer to a read or a page is on the way. */
+	transferTime = 0
 	/** While true, calls have no effect and get no answer. */
 	disconnected = false
 	/** Maximum number of records on a page of newest records. */
 	pageSize = Infinity
+	/** Maximum number of records of one read. */
+	readSize = Infinity
+	/** Number of reads that were answered. */
+	reads = 0
 	/** Number of pages of newest records that were read. */
 	pageReads = 0
 
@@ -57,8 +63,12 @@
 		}
 		if (this.isUnavailable(stream)) return { kind: 'unavailable', reason: 'no answer' }
 		if (this.store.getFirst(stream) > from) return { kind: 'expired' }
-		const entries = this.store.getEntries(stream).filter((entry) => entry.offset >= from)
-		return { kind: 'entries', entries, next: this.store.getEnd(stream) }
+		this.reads += 1
+		const remaining = this.store.getEntries(stream).filter((entry) => entry.offset >= from)
+		const entries = remaining.slice(0, this.readSize)
+		const end = this.store.getEnd(stream)
+		if (this.transferTime > 0) await this.sleep(this.transferTime)
+		return { kind: 'entries', entries, next: from + entries.length, end }
 	}
 
 	override async readNewest(
@@ -76,6 +86,7 @@
 		const entries = remaining.slice(0, this.pageSize)
 		const isLast = entries.length === remaining.length
 		const next = this.store.getEnd(stream)
+		if (this.transferTime > 0) await this.sleep(this.transferTime)
 		return { kind: 'page', entries, next, lastKey: isLast ? undefined : entries.at(-1)?.key }
 	}
 
--- a/packages/standins/src/lib/jobPlatform/StoreStandin.ts
+++ b/packages/standins/src/lib/jobPlatform/StoreStandin.ts
@@ -170,16 +170,16 @@
 	return { status: 200, body: Buffer.concat([header, ...records]) }
 }
 
-/** Returns the first items whose sizes total at most `maximum`, and at least one. */
+/** Returns the first items whose sizes total at most `maximum`. */
 function takeWhileFits<T>(
 	items: readonly T[],
 	getSize: (item: T) => number,
 	maximum: number
 ): readonly T[] {
 	let total = 0
-	const end = items.findIndex((item, index) => {
+	const end = items.findIndex((item) => {
 		total += getSize(item)
-		return total > maximum && index > 0
+		return total > maximum
 	})
 	return end < 0 ? items : items.slice(0, end)
 }
