--- a/packages/jobs/src/lib/log/StreamFollower.ts
+++ b/packages/jobs/src/lib/log/StreamFollower.ts
@@ -27,6 +27,9 @@
 	/** Offset of the next record to read. */
 	nextOffset = 0
 	private readonly offsets = new Map<string, number>()
+	/** Instant of the first failed read since the latest answer, and the number of failed reads. */
+	private lostAt: number | undefined
+	private failedReads = 0
 	private paused = false
 	private stopped = false
 	/** The load that is going on or has failed midway; undefined if there is none. */
@@ -190,6 +193,7 @@
 	private async readPages(): Promise<boolean> {
 		this.load ??= new StreamLoad(this.stream, this.log, this.timers.now())
 		const { load } = this
+		load.tries += 1
 		while (!load.complete) {
 			const page = await load.readPage()
 			if (page.kind === 'unavailable') return this.recordFailure(page.reason)
@@ -209,8 +213,7 @@
 		this.load = undefined
 		this.nextOffset = Math.max(this.nextOffset, next)
 		this.loaded = true
-		const after = Math.round(this.timers.now() - load.startedAt)
-		this.events.info('stream-loaded', { stream: this.stream, entries: load.keys.size, after })
+		this.reportLoad(load)
 		this.options.onLoaded?.()
 	}
 
@@ -229,15 +232,41 @@
 		if (this.available) return
 		this.available = true
 		this.recoveredAt = this.timers.now()
-		this.events.info('log-regained', { stream: this.stream, next: this.nextOffset })
+		const { stream, failedReads, nextOffset: next } = this
+		const after = Math.round(this.timers.now() - (this.lostAt ?? this.timers.now()))
+		this.events.info('log-regained', { stream, next, after, failedReads })
 	}
 
 	private recordFailure(reason: string): boolean {
-		if (this.available) this.events.warn('log-lost', { stream: this.stream, reason })
+		if (this.available) this.reportLoss(reason)
+		this.failedReads += 1
 		this.available = false
 		return false
 	}
 
+	private reportLoss(reason: string): void {
+		this.lostAt = this.timers.now()
+		this.failedReads = 0
+		const { stream, loaded, lastContactAt, nextOffset: from } = this
+		const silence =
+			lastContactAt === undefined ? undefined : Math.round(this.lostAt - lastContactAt)
+		this.events.warn('log-lost', { stream, reason, from, loaded, silence })
+	}
+
+	private reportLoad(load: StreamLoad): void {
+		const after = Math.round(this.timers.now() - load.startedAt)
+		const { stream, nextOffset: next } = this
+		const { bytes, tries } = load
+		this.events.info('stream-loaded', {
+			stream,
+			entries: load.keys.size,
+			bytes,
+			next,
+			after,
+			tries,
+		})
+	}
+
 	private sleep(duration: number): Promise<void> {
 		return new Promise((resolve) => {
 			const timer = this.timers.after(duration, resolve)
--- a/packages/jobs/src/lib/log/StreamLoad.ts
+++ b/packages/jobs/src/lib/log/StreamLoad.ts
@@ -15,6 +15,10 @@
 	readonly deletions = new Map<string, number>()
 	/** Offset from which to read on after the load: the end of the stream at the first page. */
 	next: number | undefined
+	/** Size of the pages that have been read, if the log measures it. */
+	bytes: number | undefined
+	/** Number of times that the load was begun or gone on with. */
+	tries = 0
 	/** Whether the last page has been read. */
 	complete = false
 	private lastKey: string | undefined
@@ -33,6 +37,7 @@
 		const page = await this.log.readNewest(this.stream, this.lastKey)
 		if (page.kind === 'unavailable') return page
 		for (const { key } of page.entries) this.keys.add(key)
+		if (page.bytes !== undefined) this.bytes = (this.bytes ?? 0) + page.bytes
 		this.next ??= page.next
 		this.lastKey = page.lastKey
 		this.complete = page.lastKey === undefined
--- a/packages/jobs/src/lib/ports/MetadataLog.ts
+++ b/packages/jobs/src/lib/ports/MetadataLog.ts
@@ -36,7 +36,7 @@
 	 *
 	 * @param lastKey - last key of the page before; undefined for the first page
 	 */
-	abstract readNewest(stream: LogStream, lastKey: string | undefined): Promise<ReadNewestResult>
+	abstract readNewest(stream: LogStream, lastKey?: string): Promise<ReadNewestResult>
 
 	/**
 	 * Joins the group of instances, or renews the membership.
--- a/packages/jobs/src/lib/ports/ReadNewestResult.ts
+++ b/packages/jobs/src/lib/ports/ReadNewestResult.ts
@@ -8,10 +8,12 @@
  */
 export type ReadNewestResult =
 	| {
-			readonly kind: 'page'
+			readonly kind: 'entries'
 			readonly entries: readonly LogEntry[]
 			readonly next: number
 			/** Key after which the next page begins; undefined for the last page. */
 			readonly lastKey: string | undefined
+			/** Size of the answer, if the log measures it. */
+			readonly bytes?: number
 	  }
 	| { readonly kind: 'unavailable'; readonly reason: string }
--- a/packages/jobs/src/lib/ports/ReadResult.ts
+++ b/packages/jobs/src/lib/ports/ReadResult.ts
@@ -12,8 +12,10 @@
 			readonly entries: readonly LogEntry[]
 			/** Offset after the last record of the result. */
 			readonly next: number
-			/** End of the stream. */
+			/** End offset of the stream at the time of the answer. */
 			readonly end: number
+			/** Size of the answer, if the log measures it. */
+			readonly bytes?: number
 	  }
 	| { readonly kind: 'expired' }
 	| { readonly kind: 'unavailable'; readonly reason: string }
--- a/packages/jobs/src/lib/testing/MemoryLog.ts
+++ b/packages/jobs/src/lib/testing/MemoryLog.ts
@@ -71,10 +71,7 @@
 		return { kind: 'entries', entries, next: from + entries.length, end }
 	}
 
-	override async readNewest(
-		stream: LogStream,
-		lastKey: string | undefined
-	): Promise<ReadNewestResult> {
+	override async readNewest(stream: LogStream, lastKey?: string): Promise<ReadNewestResult> {
 		await this.sleep(this.callLatency)
 		if (this.isUnavailable(stream)) return { kind: 'unavailable', reason: 'no answer' }
 		this.pageReads += 1
@@ -87,7 +84,7 @@
 		const isLast = entries.length === remaining.length
 		const next = this.store.getEnd(stream)
 		if (this.transferTime > 0) await this.sleep(this.transferTime)
-		return { kind: 'page', entries, next, lastKey: isLast ? undefined : entries.at(-1)?.key }
+		return { kind: 'entries', entries, next, lastKey: isLast ? undefined : entries.at(-1)?.key }
 	}
 
 	override async join(member: string, timeToLive: number): Promise<JoinResult> {
