Read on at once after a load, without waiting for a new record

The read after a load could wait 2 s at the log for a new record, and with it whoever had called for the load. It asks for what is there now.

--- a/packages/jobs/src/lib/log/StreamFollower.test.ts
+++ b/packages/jobs/src/lib/log/StreamFollower.test.ts
@@ -50,6 +50,16 @@
 		expect(state.size).toBe(1)
 	})
 
+	it('is followed at once by the records that were written during it', async () => {
+		const { follower, log, store, advance, state } = createFollower(10_000)
+		follower.start()
+		await advance(6)
+		store.append(STREAM, [{ key: '0', value: 'new' }])
+		await advance(14)
+		expect(state.get('0')).toBe('new')
+		expect(log.reads).toBe(1)
+	})
+
 	it('takes changes between two pages from the records after the first page', async () => {
 		const { follower, store, advance, state } = createFollower()
 		follower.start()
--- a/packages/jobs/src/lib/log/StreamFollower.ts
+++ b/packages/jobs/src/lib/log/StreamFollower.ts
@@ -150,8 +150,9 @@
 	}
 
 	private async readOnce(wait: number): Promise<boolean> {
-		if (!this.loaded && !(await this.finishLoad())) return false
-		return this.behind ? this.readPiece() : this.readNext(wait)
+		if (this.loaded) return this.behind ? this.readPiece() : this.readNext(wait)
+		// Reads on at once, since records may have been written after the load's first page.
+		return (await this.finishLoad()) && this.readNext(0)
 	}
 
 	/** Reads records that the log is known to have. Concurrent calls share one read. */
