Read no part of a stream twice at the same time while behind

Cause: a caller that stood at another offset than the read in flight started its own read, of a part that overlaps.

Now all callers wait for the read in flight and go on from where it ends.

The test counts 5 reads where the code before made 7.

--- a/packages/jobs/src/lib/log/StreamFollower.test.ts
+++ b/packages/jobs/src/lib/log/StreamFollower.test.ts
@@ -120,6 +120,27 @@
 		expect(state.size).toBe(KEYS.length + 12)
 		expect(log.reads - before).toBeLessThanOrEqual(5)
 	})
+
+	// Failure: reads of overlapping parts of a stream filled a narrow link.
+	it('reads no part of the stream beside another read of that part', async () => {
+		const { follower, store, log, advance, state } = createFollower(10_000)
+		follower.start()
+		await advance(100)
+		log.transferTime = 50
+		log.readSize = 4
+		store.append(STREAM, createRecords(2))
+		const reads: Promise<unknown>[] = [follower.catchUp(1_000)]
+		await advance(6)
+		store.append(STREAM, createRecords(12).slice(2))
+		const before = log.reads
+		follower.wakeUp()
+		await advance(50)
+		reads.push(follower.readToEnd())
+		await advance(300)
+		expect(await Promise.all(reads)).toEqual([undefined, true])
+		expect(state.size).toBe(KEYS.length + 12)
+		expect(log.reads - before).toBe(5)
+	})
 })
 
 describe('a load anew after the history has expired', () => {
--- a/packages/jobs/src/lib/log/StreamFollower.ts
+++ b/packages/jobs/src/lib/log/StreamFollower.ts
@@ -8,6 +8,13 @@
 /** Delay after a failed read, in milliseconds. */
 const RETRY_DELAY = 150
 
+interface PendingPiece {
+	/** Offset from which the piece is read. */
+	readonly from: number
+	/** Resolves to whether the log answered. */
+	readonly answered: Promise<boolean>
+}
+
 /**
  * Loads the newest record of each key of a stream, then follows the stream and passes every change
  * to a listener, in stream order. A key that disappeared while the follower was behind is passed on
@@ -38,7 +45,7 @@
 	/** Whether the log has records after those that were read, according to its latest answer. */
 	private behind = false
 	/** The read in flight while behind, and its offset. */
-	private pendingPiece: { readonly from: number; readonly answered: Promise<boolean> } | undefined
+	private pendingPiece: PendingPiece | undefined
 	private pendingRead: Promise<boolean> | undefined
 	private pendingCatchUp: Promise<boolean> | undefined
 	private cancelSleep: (() => void) | undefined
@@ -155,15 +162,21 @@
 		return (await this.finishLoad()) && this.readNext(0)
 	}
 
-	/** Reads records that the log is known to have. Concurrent calls share one read. */
-	private readPiece(): Promise<boolean> {
+	/** Reads records that the log is known to have, one read at a time for all callers. */
+	private async readPiece(): Promise<boolean> {
 		const from = this.nextOffset
-		if (this.pendingPiece?.from === from) return this.pendingPiece.answered
+		const pending = this.pendingPiece ?? this.startPiece(from)
+		const answered = await pending.answered
+		// A piece from an earlier offset may have been sent before the records that this call is for.
+		return answered && pending.from !== from ? this.readOnce(0) : answered
+	}
+
+	private startPiece(from: number): PendingPiece {
 		const answered = this.readNext(0).finally(() => {
-			if (this.pendingPiece?.answered === answered) this.pendingPiece = undefined
+			this.pendingPiece = undefined
 		})
 		this.pendingPiece = { from, answered }
-		return answered
+		return this.pendingPiece
 	}
 
 	private async readNext(wait: number): Promise<boolean> {
