--- a/packages/jobs/src/lib/log/StreamFollower.ts
+++ b/packages/jobs/src/lib/log/StreamFollower.ts
@@ -3,10 +3,18 @@
 import type { LogEntry } from '../ports/LogEntry.js'
 import type { LogStream } from '../ports/LogStream.js'
 import type { MetadataLog } from '../ports/MetadataLog.js'
+import { StreamLoad } from './StreamLoad.js'
 
 /** Delay after a failed read, in milliseconds. */
 const RETRY_DELAY = 150
 
+interface PendingPiece {
+	/** Offset from which the piece is read. */
+	readonly from: number
+	/** Resolves to whether the log answered. */
+	readonly answered: Promise<boolean>
+}
+
 /**
  * Loads the newest record of each key of a stream, then follows the stream and passes every change
  * to a listener, in stream order. A key that disappeared while the follower was behind is passed on
@@ -26,14 +34,18 @@
 	/** Offset of the next record to read. */
 	nextOffset = 0
 	private readonly offsets = new Map<string, number>()
-	/** Start of the first try of the load that is not finished, and the number of its tries. */
-	private loadingSince: number | undefined
-	private loadTries = 0
 	/** Instant of the first failed read since the latest answer, and the number of failed reads. */
 	private lostAt: number | undefined
 	private failedReads = 0
 	private paused = false
 	private stopped = false
+	/** The load that is going on or has failed midway; undefined if there is none. */
+	private load: StreamLoad | undefined
+	private pendingLoad: Promise<boolean> | undefined
+	/** Whether the log has records after those that were read, according to its latest answer. */
+	private behind = false
+	/** The read in flight while behind, and its offset. */
+	private pendingPiece: PendingPiece | undefined
 	private pendingRead: Promise<boolean> | undefined
 	private pendingCatchUp: Promise<boolean> | undefined
 	private cancelSleep: (() => void) | undefined
@@ -87,7 +99,9 @@
 	 */
 	applyAppended(entries: readonly LogEntry[], nextOffset: number): void {
 		for (const entry of entries) this.apply(entry)
-		this.nextOffset = Math.max(this.nextOffset, nextOffset)
+		if (nextOffset <= this.nextOffset) return
+		this.nextOffset = nextOffset
+		this.behind = false
 	}
 
 	/** Whether the key has a record, according to what has been read so far. */
@@ -133,50 +147,97 @@
 	private async run(): Promise<void> {
 		while (!this.stopped) {
 			const answered = this.paused || (await this.readOnce(this.options.maximumWait))
-			await this.sleep(answered ? this.options.getPollDelay() : RETRY_DELAY)
+			await this.sleep(this.getDelay(answered))
 		}
 	}
 
+	private getDelay(answered: boolean): number {
+		if (!answered) return RETRY_DELAY
+		return this.behind ? 0 : this.options.getPollDelay()
+	}
+
 	private async readOnce(wait: number): Promise<boolean> {
-		if (!this.loaded) return this.load()
+		if (this.loaded) return this.behind ? this.readPiece() : this.readNext(wait)
+		// Reads on at once, since records may have been written after the load's first page.
+		return (await this.finishLoad()) && this.readNext(0)
+	}
+
+	/** Reads records that the log is known to have, one read at a time for all callers. */
+	private async readPiece(): Promise<boolean> {
+		const from = this.nextOffset
+		const pending = this.pendingPiece ?? this.startPiece(from)
+		const answered = await pending.answered
+		// A piece from an earlier offset may have been sent before the records that this call is for.
+		return answered && pending.from !== from ? this.readOnce(0) : answered
+	}
+
+	private startPiece(from: number): PendingPiece {
+		const answered = this.readNext(0).finally(() => {
+			this.pendingPiece = undefined
+		})
+		this.pendingPiece = { from, answered }
+		return this.pendingPiece
+	}
+
+	private async readNext(wait: number): Promise<boolean> {
 		const from = this.nextOffset
 		const result = await this.log.read(this.stream, from, wait)
 		if (result.kind === 'expired') {
 			this.events.warn('log-history-expired', { stream: this.stream, from })
 			this.loaded = false
-			return this.load()
+			this.behind = false
+			return this.finishLoad()
 		}
 		if (result.kind === 'unavailable') return this.recordFailure(result.reason)
 		this.recordContact()
 		for (const entry of result.entries) this.apply(entry)
 		this.nextOffset = Math.max(this.nextOffset, result.next)
+		this.behind = this.nextOffset < result.end
 		return true
 	}
 
-	private async load(): Promise<boolean> {
-		this.loadingSince ??= this.timers.now()
-		this.loadTries += 1
-		const result = await this.log.readNewest(this.stream)
-		if (result.kind === 'unavailable') return this.recordFailure(result.reason)
-		this.recordContact()
-		const present = new Set(result.entries.map((entry) => entry.key))
+	/** Loads the stream, or goes on with a load that failed midway. Concurrent calls share one load. */
+	private finishLoad(): Promise<boolean> {
+		this.pendingLoad ??= this.readPages().finally(() => {
+			this.pendingLoad = undefined
+		})
+		return this.pendingLoad
+	}
+
+	private async readPages(): Promise<boolean> {
+		this.load ??= new StreamLoad(this.stream, this.log, this.timers.now())
+		const { load } = this
+		load.tries += 1
+		while (!load.complete) {
+			const page = await load.readPage()
+			if (page.kind === 'unavailable') return this.recordFailure(page.reason)
+			this.recordContact()
+			for (const entry of page.entries) this.apply(entry)
+		}
+		this.completeLoad(load)
+		return true
+	}
+
+	private completeLoad(load: StreamLoad): void {
+		const next = load.next ?? 0
 		for (const [key, offset] of [...this.offsets]) {
-			if (present.has(key) || offset >= result.next) continue
-			this.apply({ key, value: undefined, offset: result.next })
+			if (load.keys.has(key) || offset >= next) continue
+			this.apply({ key, value: undefined, offset: next })
 		}
-		for (const entry of result.entries) this.apply(entry)
-		this.nextOffset = Math.max(this.nextOffset, result.next)
+		this.load = undefined
+		this.nextOffset = Math.max(this.nextOffset, next)
 		this.loaded = true
-		this.reportLoad(result.entries.length, result.bytes)
+		this.reportLoad(load)
 		this.options.onLoaded?.()
-		return true
 	}
 
 	private apply(entry: LogEntry): void {
-		const applied = this.offsets.get(entry.key) ?? -1
+		const applied = this.offsets.get(entry.key) ?? this.load?.deletions.get(entry.key) ?? -1
 		if (entry.offset <= applied) return
-		if (entry.value === undefined) this.offsets.delete(entry.key)
-		else this.offsets.set(entry.key, entry.offset)
+		if (entry.value === undefined) {
+			this.offsets.delete(entry.key)
+			this.load?.deletions.set(entry.key, entry.offset)
+		} else this.offsets.set(entry.key, entry.offset)
 		this.listener(entry)
 	}
 
@@ -206,13 +267,18 @@
 		this.events.warn('log-lost', { stream, reason, from, loaded, silence })
 	}
 
-	private reportLoad(entries: number, bytes: number | undefined): void {
-		const now = this.timers.now()
-		const after = Math.round(now - (this.loadingSince ?? now))
-		const { stream, loadTries: tries, nextOffset: next } = this
-		this.events.info('stream-loaded', { stream, entries, bytes, next, after, tries })
-		this.loadingSince = undefined
-		this.loadTries = 0
+	private reportLoad(load: StreamLoad): void {
+		const after = Math.round(this.timers.now() - load.startedAt)
+		const { stream, nextOffset: next } = this
+		const { bytes, tries } = load
+		this.events.info('stream-loaded', {
+			stream,
+			entries: load.keys.size,
+			bytes,
+			next,
+			after,
+			tries,
+		})
 	}
 
 	private sleep(duration: number): Promise<void> {
--- a/packages/jobs/src/lib/metrics/MeteredLog.ts
+++ b/packages/jobs/src/lib/metrics/MeteredLog.ts
@@ -44,13 +44,13 @@
 		this.metrics.observe(family, this.timers.now() - startedAt, outcome)
 		if (result.kind !== 'entries') return result
 		this.countBytes(stream, result.bytes)
-		if (result.end !== undefined) this.recordUnread(stream, result.end - result.next)
+		this.recordUnread(stream, result.end - result.next)
 		return result
 	}
 
-	override async readNewest(stream: LogStream): Promise<ReadNewestResult> {
+	override async readNewest(stream: LogStream, lastKey?: string): Promise<ReadNewestResult> {
 		const startedAt = this.timers.now()
-		const result = await this.log.readNewest(stream)
+		const result = await this.log.readNewest(stream, lastKey)
 		this.metrics.observe('log_load', this.timers.now() - startedAt, result.kind)
 		if (result.kind === 'entries') this.countBytes(stream, result.bytes)
 		return result
