--- a/packages/jobs/src/lib/callers/JobIntake.ts
+++ b/packages/jobs/src/lib/callers/JobIntake.ts
@@ -75,11 +75,16 @@
 		}
 	}
 
-	/** Returns the state of a job; catches up with the log first unless the known state is final. */
-	async getState(id: JobId): Promise<JobAnswer> {
+	/**
+	 * Returns the state of a job; catches up with the log first unless the known state is final.
+	 *
+	 * @param deadline - monotonic instant by which the caller needs an answer
+	 */
+	async getState(id: JobId, deadline: number): Promise<JobAnswer> {
 		const found = await this.lookUpJob(id)
 		const before = this.replica.getState(id)
-		if (before && !isFinalState(before)) await this.progress.catchUp(STATE_READ_TIMEOUT)
+		const timeout = Math.min(STATE_READ_TIMEOUT, deadline - this.timers.now())
+		if (before && !isFinalState(before)) await this.progress.catchUp(timeout)
 		const state = this.replica.getState(id)
 		if (found !== 'known' || !state) return this.createMissingAnswer(id, found)
 		return { kind: 'state', state }
--- a/packages/jobs/src/lib/owner/JobRetention.test.ts
+++ b/packages/jobs/src/lib/owner/JobRetention.test.ts
@@ -15,11 +15,13 @@
 	]
 	for (const job of jobs) void intake.submit(job, fleet.timers.now() + 2_000)
 	await fleet.advance(2_000)
-	const before = intake.getState('0000000000000001')
+	const before = intake.getState('0000000000000001', fleet.timers.now() + 2_000)
 	await fleet.advance(50)
 	expect(await before).toEqual({ kind: 'state', state: 'completed' })
 	await fleet.advance(50_000)
-	const after = [1, 2].map((number) => intake.getState(`000000000000000${number}`))
+	const after = [1, 2].map((number) =>
+		intake.getState(`000000000000000${number}`, fleet.timers.now() + 2_000)
+	)
 	await fleet.advance(100)
 	expect(await Promise.all(after)).toEqual([
 		{ kind: 'unknown-job' },
--- a/packages/jobs/src/lib/owner/faults.test.ts
+++ b/packages/jobs/src/lib/owner/faults.test.ts
@@ -8,6 +8,8 @@
 const RECOVERY_TIME = 22_000
 const INSTANCES = 3
 const BACKENDS = 4
+/** Time that a caller gives a query, in milliseconds. */
+const QUERY_TIMEOUT = 2_000
 /** Latencies of a call to the log, in milliseconds. */
 const NORMAL_CALL_TIME = 4
 const SLOW_CALL_TIME = 400
@@ -107,7 +109,7 @@
 	const intake = fleet.instances[2]?.daemon.intake
 	for (const id of accepted) {
 		if (id === '0000000000000001') continue
-		const state = intake?.getState(id)
+		const state = intake?.getState(id, fleet.timers.now() + QUERY_TIMEOUT)
 		await fleet.advance(10)
 		const answer = await state
 		if (answer?.kind !== 'state' || answer.state !== 'completed') {
--- a/packages/jobs/src/lib/owner/takeover.test.ts
+++ b/packages/jobs/src/lib/owner/takeover.test.ts
@@ -13,7 +13,7 @@
 		await fleet.advance(50)
 		expect(await answer).toEqual({ kind: 'accepted' })
 		await fleet.advance(1_500)
-		const state = second?.daemon.intake.getState(job.id)
+		const state = second?.daemon.intake.getState(job.id, fleet.timers.now() + 2_000)
 		await fleet.advance(50)
 		expect(await state).toEqual({ kind: 'state', state: 'completed' })
 		const ends = [0, 1, 2].map(
@@ -29,7 +29,7 @@
 		await fleet.advance(500)
 		const intake = fleet.instances[0]?.daemon.intake
 		if (!intake) throw new Error('the fleet has no instance')
-		const unknown = intake.getState('00000000000000ff')
+		const unknown = intake.getState('00000000000000ff', fleet.timers.now() + 2_000)
 		await fleet.advance(50)
 		expect(await unknown).toEqual({ kind: 'unknown-job' })
 		const job = createJob(2, [{ count: 1 }])
