--- /dev/null
+++ b/packages/jobs/src/lib/testing/CountingLog.ts
@@ -0,0 +1,37 @@
+import type { LogStream } from '../ports/LogStream.js'
+import type { ReadNewestResult } from '../ports/ReadNewestResult.js'
+import type { ReadResult } from '../ports/ReadResult.js'
+import { MemoryLog } from './MemoryLog.js'
+
+/**
+ * Counts the reads of each stream that do not wait for records. Reads of a stream that is unavailable end late,
+ * as those of the platform's log do.
+ *
+ * @internal
+ */
+export class CountingLog extends MemoryLog {
+	/** Number of reads without a wait by stream. */
+	readonly readCounts = new Map<LogStream, number>()
+	/** Number of loads by stream. */
+	readonly loadCounts = new Map<LogStream, number>()
+	/** Milliseconds after which a read of an unavailable stream fails. */
+	failureTime = 0
+
+	override async read(stream: LogStream, from: number, wait: number): Promise<ReadResult> {
+		if (wait === 0) this.count(this.readCounts, stream)
+		const result = await super.read(stream, from, wait)
+		if (result.kind === 'unavailable') await this.sleep(this.failureTime)
+		return result
+	}
+
+	override async readNewest(stream: LogStream): Promise<ReadNewestResult> {
+		this.count(this.loadCounts, stream)
+		const result = await super.readNewest(stream)
+		if (result.kind === 'unavailable') await this.sleep(this.failureTime)
+		return result
+	}
+
+	private count(counts: Map<LogStream, number>, stream: LogStream): void {
+		counts.set(stream, (counts.get(stream) ?? 0) + 1)
+	}
+}
--- a/packages/jobs/src/lib/testing/MemoryLog.ts
+++ b/packages/jobs/src/lib/testing/MemoryLog.ts
@@ -81,7 +81,7 @@
 		return this.disconnected || this.store.unavailableStreams.has(stream)
 	}
 
-	private sleep(duration: number): Promise<void> {
+	protected sleep(duration: number): Promise<void> {
 		return new Promise((resolve) => {
 			this.timers.after(duration, resolve)
 		})
