Let concurrent queries share the reads of the log that they wait for

Callers saw queries that were answered one after the other: each read seven streams for itself, and each read began when those of all callers before it had ended. Cause: readToEnd waited for the read in flight and then made one of its own.

A call made during a read now waits for one next read, shared with all calls made in the meantime. It starts after them, so that what it says about the end is true for each. A shared read in flight alone would not do: it may have passed the end before the call.

--- a/packages/jobs/src/lib/log/StreamFollower.ts
+++ b/packages/jobs/src/lib/log/StreamFollower.ts
@@ -28,7 +28,10 @@
 	private readonly offsets = new Map<string, number>()
 	private paused = false
 	private stopped = false
-	private pendingRead: Promise<boolean> | undefined
+	/** The read to the end that is in flight. */
+	private currentReadToEnd: Promise<boolean> | undefined
+	/** The read to the end that follows it, for all calls made in the meantime. */
+	private nextReadToEnd: Promise<boolean> | undefined
 	private pendingCatchUp: Promise<boolean> | undefined
 	private cancelSleep: (() => void) | undefined
 
@@ -90,21 +93,24 @@
 	}
 
 	/**
-	 * Reads to the end of the stream without waiting for new records.
+	 * Reads to the end of the stream without waiting for new records. Concurrent calls share one
+	 * read that starts after they were made, since a read in flight may have passed the end before.
 	 *
 	 * @returns whether the log answered every read
 	 */
-	async readToEnd(): Promise<boolean> {
-		while (this.pendingRead) await this.pendingRead
-		for (;;) {
-			const before = this.nextOffset
-			this.pendingRead = this.readOnce(0)
-			const answered = await this.pendingRead.finally(() => {
-				this.pendingRead = undefined
+	readToEnd(): Promise<boolean> {
+		if (!this.currentReadToEnd) {
+			this.currentReadToEnd = this.readPagesToEnd().finally(() => {
+				this.currentReadToEnd = undefined
 			})
-			if (!answered) return false
-			if (this.nextOffset === before && this.loaded) return true
+			return this.currentReadToEnd
 		}
+		const startNext = (): Promise<boolean> => {
+			this.nextReadToEnd = undefined
+			return this.readToEnd()
+		}
+		this.nextReadToEnd ??= this.currentReadToEnd.then(startNext, startNext)
+		return this.nextReadToEnd
 	}
 
 	/**
@@ -124,6 +130,14 @@
 		await Promise.race([this.pendingCatchUp, expired])
 	}
 
+	private async readPagesToEnd(): Promise<boolean> {
+		for (;;) {
+			const before = this.nextOffset
+			if (!(await this.readOnce(0))) return false
+			if (this.nextOffset === before && this.loaded) return true
+		}
+	}
+
 	private async run(): Promise<void> {
 		while (!this.stopped) {
 			const answered = this.paused || (await this.readOnce(this.options.maximumWait))
