Wait for a load in flight instead of loading a stream a second time for a query

Callers saw: none of them directly; each query for an unknown job that came while a stream was being loaded made a second load of it, beside that of the loop.

A read to the end now waits for the loop's load in flight and goes on from there. If that load fails, the read fails with it; the loop retries. A load inside the loop itself is unchanged.

--- a/packages/jobs/src/lib/log/StreamFollower.ts
+++ b/packages/jobs/src/lib/log/StreamFollower.ts
@@ -28,6 +28,8 @@
 	private readonly offsets = new Map<string, number>()
 	private paused = false
 	private stopped = false
+	/** The read of the loop that is in flight. */
+	private loopRead: Promise<boolean> | undefined
 	/** The read to the end that is in flight. */
 	private currentReadToEnd: Promise<boolean> | undefined
 	/** The read to the end that follows it, for all calls made in the meantime. */
@@ -131,6 +133,8 @@
 	}
 
 	private async readPagesToEnd(): Promise<boolean> {
+		// Waits for a load in flight, because a second one would take half of the link.
+		if (!this.loaded && this.loopRead && !(await this.loopRead)) return false
 		for (;;) {
 			const before = this.nextOffset
 			if (!(await this.readOnce(0))) return false
@@ -140,7 +144,9 @@
 
 	private async run(): Promise<void> {
 		while (!this.stopped) {
-			const answered = this.paused || (await this.readOnce(this.options.maximumWait))
+			this.loopRead = this.paused ? undefined : this.readOnce(this.options.maximumWait)
+			const answered = (await this.loopRead) ?? true
+			this.loopRead = undefined
 			await this.sleep(answered ? this.options.getPollDelay() : RETRY_DELAY)
 		}
 	}
