Answer a query for an unread job by its caller's deadline

ReplicaReader ends a look-up when the job is found, when all reads have ended, or at the deadline. A stream that did not answer its latest read is given 150 ms, since the loop tells when it is back; one that was never loaded and does not answer is left out, and the job can then only be found or be unreadable. The progress stream is not read for a look-up any more: whether a job was submitted is written in the intake streams alone. 410 still takes a read of every intake stream to its end that began after the query.

Ruled out: a limit for all look-ups, which would refuse callers who can wait for a slow log.

--- a/packages/jobs/src/lib/callers/JobIntake.ts
+++ b/packages/jobs/src/lib/callers/JobIntake.ts
@@ -6,6 +6,7 @@
 import type { EventLog } from '../logs/EventLog.js'
 import type { IntakeWriter } from './IntakeWriter.js'
 import type { JobAnswer } from './JobAnswer.js'
+import { ReplicaReader } from './ReplicaReader.js'
 import type { WriteResult } from './WriteResult.js'
 
 /** How long a query waits for new progress before it uses the known state, in milliseconds. */
@@ -19,16 +20,20 @@
  * @public
  */
 export class JobIntake {
+	private readonly reader: ReplicaReader
 	private readonly pendingWrites = new Map<JobId, Promise<WriteResult>>()
 
 	constructor(
 		private readonly replica: JobReplica,
 		private readonly writer: IntakeWriter,
-		private readonly followers: readonly StreamFollower[],
+		followers: readonly StreamFollower[],
 		private readonly progress: StreamFollower,
 		private readonly events: EventLog,
 		private readonly timers: TimerService
-	) {}
+	) {
+		const intake = followers.filter((follower) => follower !== progress)
+		this.reader = new ReplicaReader(replica, intake, timers)
+	}
 
 	/**
 	 * Submits a job. Resolves once the job is durable.
@@ -60,7 +65,7 @@
 	 * @param deadline - monotonic instant by which the caller needs an answer
 	 */
 	async cancel(id: JobId, deadline: number): Promise<JobAnswer> {
-		const found = await this.lookUpJob(id)
+		const found = await this.reader.lookUp(id, deadline)
 		if (found !== 'known') return this.createMissingAnswer(id, found)
 		const state = this.replica.getState(id)
 		if (state && isFinalState(state)) return { kind: 'cancelled' }
@@ -81,7 +86,7 @@
 	 * @param deadline - monotonic instant by which the caller needs an answer
 	 */
 	async getState(id: JobId, deadline: number): Promise<JobAnswer> {
-		const found = await this.lookUpJob(id)
+		const found = await this.reader.lookUp(id, deadline)
 		const before = this.replica.getState(id)
 		const timeout = Math.min(STATE_READ_TIMEOUT, deadline - this.timers.now())
 		if (before && !isFinalState(before)) await this.progress.catchUp(timeout)
@@ -103,14 +108,6 @@
 		return write.finally(() => this.pendingWrites.delete(job.id))
 	}
 
-	/** Looks up a job; reads the rest of the log before it reports the job as unknown. */
-	private async lookUpJob(id: JobId): Promise<'known' | 'unknown' | 'unreadable'> {
-		if (this.replica.get(id)?.job) return 'known'
-		const readResults = await Promise.all(this.followers.map((follower) => follower.readToEnd()))
-		if (this.replica.get(id)?.job) return 'known'
-		return readResults.every(Boolean) ? 'unknown' : 'unreadable'
-	}
-
 	private createMissingAnswer(id: JobId, found: 'known' | 'unknown' | 'unreadable'): JobAnswer {
 		this.events.info('job-not-found', { job: id, found })
 		if (found === 'unknown') return { kind: 'unknown-job' }
--- /dev/null
+++ b/packages/jobs/src/lib/callers/ReplicaReader.ts
@@ -0,0 +1,71 @@
+import type { JobId, TimerService } from '@mastichead/core'
+import type { JobReplica } from '../log/JobReplica.js'
+import type { StreamFollower } from '../log/StreamFollower.js'
+
+/** How long a query waits for a stream that did not answer lately, in milliseconds. */
+const UNAVAILABLE_STREAM_TIMEOUT = 150
+
+/**
+ * Brings the replica up to date for queries, within the deadlines of their callers.
+ *
+ * @public
+ */
+export class ReplicaReader {
+	/**
+	 * @param intake - followers of all intake streams
+	 */
+	constructor(
+		private readonly replica: JobReplica,
+		private readonly intake: readonly StreamFollower[],
+		private readonly timers: TimerService
+	) {}
+
+	/**
+	 * Looks up a job; reads the intake streams to their ends before it reports the job as unknown.
+	 *
+	 * @param deadline - monotonic instant at which the job is `unreadable` if it was not found
+	 */
+	async lookUp(id: JobId, deadline: number): Promise<'known' | 'unknown' | 'unreadable'> {
+		if (this.isKnown(id)) return 'known'
+		const allRead = await this.readIntake(id, deadline)
+		if (this.isKnown(id)) return 'known'
+		return allRead ? 'unknown' : 'unreadable'
+	}
+
+	private isKnown(id: JobId): boolean {
+		return this.replica.get(id)?.job !== undefined
+	}
+
+	/**
+	 * Reads the intake streams until the job is found, every stream was read, or the time is over.
+	 * A stream that was never loaded and is unavailable is left out.
+	 *
+	 * @returns whether every stream was read to its end
+	 */
+	private readIntake(id: JobId, deadline: number): Promise<boolean> {
+		const readable = this.intake.filter((follower) => follower.loaded || follower.available)
+		if (readable.length === 0) return Promise.resolve(false)
+		const timeout = this.getTimeout(readable, deadline)
+		return new Promise((resolve) => {
+			let readCount = 0
+			let endedCount = 0
+			const timer = this.timers.after(timeout, () => {
+				resolve(false)
+			})
+			const recordEnd = (read: boolean): void => {
+				endedCount += 1
+				if (read) readCount += 1
+				if (endedCount < readable.length && !this.isKnown(id)) return
+				timer.cancel()
+				resolve(readCount === this.intake.length)
+			}
+			for (const follower of readable) void follower.readToEnd().then(recordEnd)
+		})
+	}
+
+	private getTimeout(followers: readonly StreamFollower[], deadline: number): number {
+		const remaining = deadline - this.timers.now()
+		if (followers.every((follower) => follower.available)) return remaining
+		return Math.min(UNAVAILABLE_STREAM_TIMEOUT, remaining)
+	}
+}
