Give the state of a job only when the records that decide it are loaded

Callers saw `queued` for jobs that had completed, and `running` for jobs whose cancellation had been acknowledged. Cause: after a start, a job is known as soon as its intake record is read; without its progress record it counts as queued.

Now the state is given if the recorded progress is final, or if the progress stream was loaded and so was every intake stream, where a cancellation may be (for a job known to be cancelled the progress alone decides). While the progress is being loaded, the query waits for that load up to its deadline; if it is unavailable, it gets 503 with Retry-After at once. A job whose state is not known can still be cancelled: its cancel record is right in every state.

Ruled out: to refuse while a stream that was loaded does not answer. What is known is durable state then, at most as old as the outage, and the log event log-lost says so.

--- a/packages/jobs/src/lib/callers/JobIntake.ts
+++ b/packages/jobs/src/lib/callers/JobIntake.ts
@@ -9,8 +9,6 @@
 import { ReplicaReader } from './ReplicaReader.js'
 import type { WriteResult } from './WriteResult.js'
 
-/** How long a query waits for new progress before it uses the known state, in milliseconds. */
-const STATE_READ_TIMEOUT = 150
 /** Delay after which a caller should retry when the log is unreachable. */
 const LOG_RETRY_AFTER_SECONDS = 1
 
@@ -27,12 +25,12 @@
 		private readonly replica: JobReplica,
 		private readonly writer: IntakeWriter,
 		followers: readonly StreamFollower[],
-		private readonly progress: StreamFollower,
+		progress: StreamFollower,
 		private readonly events: EventLog,
 		private readonly timers: TimerService
 	) {
 		const intake = followers.filter((follower) => follower !== progress)
-		this.reader = new ReplicaReader(replica, intake, timers)
+		this.reader = new ReplicaReader(replica, intake, progress, timers)
 	}
 
 	/**
@@ -73,26 +71,22 @@
 		this.events.info('job-cancel-asked', { job: id, state, verdict: result.kind })
 		if (result.kind === 'stored') return { kind: 'cancelled' }
 		if (result.kind === 'unclear') return result
-		return {
-			kind: 'unavailable',
-			reason: result.reason,
-			retryAfterSeconds: LOG_RETRY_AFTER_SECONDS,
-		}
+		return createUnavailableAnswer(result.reason)
 	}
 
 	/**
-	 * Returns the state of a job; catches up with the log first unless the known state is final.
+	 * Returns the state of a job; catches up with the log first unless the known state is final. The
+	 * answer is `unavailable` while the records that decide the state have not all been loaded.
 	 *
 	 * @param deadline - monotonic instant by which the caller needs an answer
 	 */
 	async getState(id: JobId, deadline: number): Promise<JobAnswer> {
 		const found = await this.reader.lookUp(id, deadline)
-		const before = this.replica.getState(id)
-		const timeout = Math.min(STATE_READ_TIMEOUT, deadline - this.timers.now())
-		if (before && !isFinalState(before)) await this.progress.catchUp(timeout)
-		const state = this.replica.getState(id)
-		if (found !== 'known' || !state) return this.createMissingAnswer(id, found)
-		return { kind: 'state', state }
+		if (found !== 'known') return this.createMissingAnswer(id, found)
+		const state = await this.reader.readState(id, deadline)
+		if (state !== undefined) return { kind: 'state', state }
+		this.events.info('job-state-unread', { job: id })
+		return createUnavailableAnswer('state not loaded yet')
 	}
 
 	/** Counts the jobs of a queue that have no schedule and of which no task has started. */
@@ -111,14 +105,14 @@
 	private createMissingAnswer(id: JobId, found: 'known' | 'unknown' | 'unreadable'): JobAnswer {
 		this.events.info('job-not-found', { job: id, found })
 		if (found === 'unknown') return { kind: 'unknown-job' }
-		return {
-			kind: 'unavailable',
-			reason: 'log out of reach',
-			retryAfterSeconds: LOG_RETRY_AFTER_SECONDS,
-		}
+		return createUnavailableAnswer('log out of reach')
 	}
 }
 
+function createUnavailableAnswer(reason: string): JobAnswer {
+	return { kind: 'unavailable', reason, retryAfterSeconds: LOG_RETRY_AFTER_SECONDS }
+}
+
 /** Formats the properties of a step that affect its scheduling, for the event log. */
 function formatStep(step: JobStep): string {
 	const { count, needs, estimate, maximumPerBackend, mayMiss, targetLatency } = step
--- a/packages/jobs/src/lib/callers/ReplicaReader.ts
+++ b/packages/jobs/src/lib/callers/ReplicaReader.ts
@@ -1,7 +1,10 @@
-import type { JobId, TimerService } from '@mastichead/core'
+import type { JobId, JobState, TimerService } from '@mastichead/core'
+import { isFinalState } from '@mastichead/core'
 import type { JobReplica } from '../log/JobReplica.js'
 import type { StreamFollower } from '../log/StreamFollower.js'
 
+/** How long a query waits for new progress before it uses the known state, in milliseconds. */
+const STATE_READ_TIMEOUT = 150
 /** How long a query waits for a stream that did not answer lately, in milliseconds. */
 const UNAVAILABLE_STREAM_TIMEOUT = 150
 
@@ -17,6 +20,7 @@
 	constructor(
 		private readonly replica: JobReplica,
 		private readonly intake: readonly StreamFollower[],
+		private readonly progress: StreamFollower,
 		private readonly timers: TimerService
 	) {}
 
@@ -32,6 +36,50 @@
 		return allRead ? 'unknown' : 'unreadable'
 	}
 
+	/**
+	 * Returns the state of a known job; catches up with the progress stream first unless the known
+	 * state is final. Returns undefined if the records that decide it may not have been loaded.
+	 *
+	 * @param deadline - monotonic instant at which it returns what is known
+	 */
+	async readState(id: JobId, deadline: number): Promise<JobState | undefined> {
+		if (!this.hasFinalProgress(id)) await this.readProgress(deadline)
+		return this.isStateLoaded(id) ? this.replica.getState(id) : undefined
+	}
+
+	/** Whether every record that can decide the state of a known job has been loaded. */
+	private isStateLoaded(id: JobId): boolean {
+		if (this.hasFinalProgress(id)) return true
+		if (!this.progress.loaded) return false
+		// A cancellation may be on any intake stream.
+		return this.replica.get(id)?.cancelled === true || this.isIntakeLoaded
+	}
+
+	private get isIntakeLoaded(): boolean {
+		return this.intake.every((follower) => follower.loaded)
+	}
+
+	private hasFinalProgress(id: JobId): boolean {
+		const state = this.replica.get(id)?.snapshot?.state
+		return state !== undefined && isFinalState(state)
+	}
+
+	private async readProgress(deadline: number): Promise<void> {
+		const remaining = deadline - this.timers.now()
+		if (this.progress.loaded) {
+			await this.progress.catchUp(Math.min(STATE_READ_TIMEOUT, remaining))
+			return
+		}
+		if (!this.progress.available) return
+		await new Promise<void>((resolve) => {
+			const timer = this.timers.after(remaining, resolve)
+			void this.progress.readToEnd().then(() => {
+				timer.cancel()
+				resolve()
+			})
+		})
+	}
+
 	private isKnown(id: JobId): boolean {
 		return this.replica.get(id)?.job !== undefined
 	}
