Count waiting jobs only once every stream is loaded

Callers saw counts made of half a replica: without an intake stream too few, without the progress stream all jobs ever accepted, since none counts as begun. Now the answer is 503 with Retry-After until every stream was loaded; log event waiting-jobs-uncounted.

Tests in virtual time: before 1 where no job waits and 0 where one does, now `unavailable`.

--- a/packages/jobs/src/lib/callers/JobIntake.ts
+++ b/packages/jobs/src/lib/callers/JobIntake.ts
@@ -89,8 +89,15 @@
 		return createUnavailableAnswer('state not loaded yet')
 	}
 
-	/** Counts the jobs of a queue that have no schedule and of which no task has started. */
+	/**
+	 * Counts the jobs of a queue that have no schedule and of which no task has started. The answer is
+	 * `unavailable` until every stream has been loaded.
+	 */
 	countWaitingJobs(queue: string): JobAnswer {
+		if (!this.reader.isLoaded) {
+			this.events.info('waiting-jobs-uncounted', { queue })
+			return createUnavailableAnswer('state not loaded yet')
+		}
 		return { kind: 'waiting', count: this.replica.countWaitingJobs(queue) }
 	}
 
--- a/packages/jobs/src/lib/callers/ReplicaReader.ts
+++ b/packages/jobs/src/lib/callers/ReplicaReader.ts
@@ -47,6 +47,11 @@
 		return this.isStateLoaded(id) ? this.replica.getState(id) : undefined
 	}
 
+	/** Whether every stream has been loaded, so that no job and no progress is missing. */
+	get isLoaded(): boolean {
+		return this.progress.loaded && this.isIntakeLoaded
+	}
+
 	/** Whether every record that can decide the state of a known job has been loaded. */
 	private isStateLoaded(id: JobId): boolean {
 		if (this.hasFinalProgress(id)) return true
