Answer for a job from its progress if its submission cannot be read

Callers got 503 about a job that had completed, and its completion was on record on the same instance: only the submission made a job known, and it is on one of six streams. An owner records progress only for a job whose submission it has read, so progress shows that the job was submitted. It makes the job known now for queries, cancellations and repeated submissions, which then write no second record.

--- a/packages/jobs/src/lib/callers/JobIntake.test.ts
+++ b/packages/jobs/src/lib/callers/JobIntake.test.ts
@@ -56,3 +56,15 @@
 	expect(await intake.submit(JOB, timers.now() + 2_000)).toEqual({ kind: 'accepted' })
 	expect(store.getEnd('intake/0')).toBe(0)
 })
+
+// Guards against a second record of a job whose submission cannot be read but whose progress is known.
+it('a submission of a job with known progress is accepted and not written again', async () => {
+	const { intake, store, timers, start, advance } = createTestIntake()
+	const snapshot = { state: 'running', begun: true, finishedAt: undefined, tasks: [] } as const
+	store.append('progress', [JobRecords.createProgressRecord(JOB.id, snapshot)])
+	store.unavailableStreams.add('intake/5')
+	start()
+	await advance(READ_TIME)
+	expect(await intake.submit(JOB, timers.now() + 2_000)).toEqual({ kind: 'accepted' })
+	expect(store.getEnd('intake/0')).toBe(0)
+})
--- a/packages/jobs/src/lib/callers/JobIntake.ts
+++ b/packages/jobs/src/lib/callers/JobIntake.ts
@@ -39,7 +39,7 @@
 	 * @param deadline - monotonic instant by which the caller needs an answer
 	 */
 	async submit(job: Job, deadline: number): Promise<JobAnswer> {
-		if (this.replica.get(job.id)?.job) {
+		if (this.replica.isSubmitted(job.id)) {
 			this.events.info('job-repeated', { job: job.id, queue: job.queue })
 			return { kind: 'accepted' }
 		}
--- a/packages/jobs/src/lib/callers/ReplicaReader.ts
+++ b/packages/jobs/src/lib/callers/ReplicaReader.ts
@@ -30,9 +30,9 @@
 	 * @param deadline - monotonic instant at which the job is `unreadable` if it was not found
 	 */
 	async lookUp(id: JobId, deadline: number): Promise<'known' | 'unknown' | 'unreadable'> {
-		if (this.isKnown(id)) return 'known'
+		if (this.replica.isSubmitted(id)) return 'known'
 		const allRead = await this.readIntake(id, deadline)
-		if (this.isKnown(id)) return 'known'
+		if (this.replica.isSubmitted(id)) return 'known'
 		return allRead ? 'unknown' : 'unreadable'
 	}
 
@@ -85,10 +85,6 @@
 		})
 	}
 
-	private isKnown(id: JobId): boolean {
-		return this.replica.get(id)?.job !== undefined
-	}
-
 	/**
 	 * Reads the intake streams until the job is found, every stream was read, or the time is over.
 	 * A stream that was never loaded and is unavailable is left out.
@@ -108,7 +104,7 @@
 			const recordEnd = (read: boolean): void => {
 				endedCount += 1
 				if (read) readCount += 1
-				if (endedCount < readable.length && !this.isKnown(id)) return
+				if (endedCount < readable.length && !this.replica.isSubmitted(id)) return
 				timer.cancel()
 				resolve(readCount === this.intake.length)
 			}
--- a/packages/jobs/src/lib/log/JobReplica.ts
+++ b/packages/jobs/src/lib/log/JobReplica.ts
@@ -37,10 +37,16 @@
 		return this.rows.values()
 	}
 
-	/** Returns the state of a job; undefined if its submission has not been read. */
+	/** Whether a record shows that the job was submitted: the submission or its progress. */
+	isSubmitted(id: JobId): boolean {
+		const row = this.rows.get(id)
+		return row?.job !== undefined || row?.snapshot !== undefined
+	}
+
+	/** Returns the state of a job; undefined if no record shows that it was submitted. */
 	getState(id: JobId): JobState | undefined {
 		const row = this.rows.get(id)
-		if (!row?.job) return undefined
+		if (!row || !this.isSubmitted(id)) return undefined
 		const state = row.snapshot?.state ?? 'queued'
 		return row.cancelled && !isFinalState(state) ? 'cancelled' : state
 	}
