Give each submission its own deadline instead of the earliest of its batch

Callers saw three things. (1) 504 although nearly all of their time was left: a batch ended at the earliest deadline of its records, and a repeated submission at that of the first. (2) No answer: a record that waited for one of the four appends in flight had no deadline at all. No append was made, since the deadline had passed, and so there was no reason of a rejected one.

A PendingWrite now holds a record with all callers that wait for it, each with a deadline of its own. At the deadline the result is `unclear` if an append was begun or another caller may still cause one, otherwise `not-stored` with the reason `no time left to append`, and the record is dropped from the queue. A batch goes on for its own time while anyone waits for it. The concurrent submissions of one id that JobIntake joined are joined in the writer, by key.

Ruled out for (3): an append that was rejected without a text; none had been sent.

--- a/packages/jobs/src/lib/callers/IntakeWriter.ts
+++ b/packages/jobs/src/lib/callers/IntakeWriter.ts
@@ -5,6 +5,7 @@
 import type { IntakeStream } from '../ports/IntakeStream.js'
 import type { LogRecord } from '../ports/LogRecord.js'
 import type { MetadataLog } from '../ports/MetadataLog.js'
+import { PendingWrite } from './PendingWrite.js'
 import type { WriteResult } from './WriteResult.js'
 
 /** Delay after which an unanswered append is also tried on the next stream, in milliseconds. */
@@ -23,12 +24,6 @@
 const MAXIMUM_APPENDS_IN_FLIGHT = 4
 const MAXIMUM_RECORDS_PER_APPEND = 100
 
-interface PendingWrite {
-	readonly record: LogRecord
-	readonly deadline: number
-	readonly resolve: (result: WriteResult) => void
-}
-
 /**
  * Appends the records of callers to one of the intake streams, and to another one if the first does
  * not answer. Records are idempotent, so one may be appended more than once, to any stream.
@@ -36,7 +31,10 @@
  * @public
  */
 export class IntakeWriter {
-	private pendingWrites: PendingWrite[] = []
+	/** Writes that have not ended, by the keys of their records. */
+	private readonly pendingWrites = new Map<string, PendingWrite>()
+	/** Pending writes that have not started. */
+	private readonly queue: PendingWrite[] = []
 	private appendsInFlight = 0
 	/** Latency of the latest successful append, in milliseconds. */
 	private appendLatency = 0
@@ -50,21 +48,28 @@
 	) {}
 
 	/**
-	 * Appends a record, batched with others.
+	 * Appends a record, batched with others. Concurrent calls for one key share one write.
 	 *
 	 * @param deadline - monotonic instant by which the caller needs an answer
 	 */
 	write(record: LogRecord, deadline: number): Promise<WriteResult> {
-		return new Promise((resolve) => {
-			this.pendingWrites.push({ record, deadline, resolve })
-			this.flush()
-		})
+		const pendingWrite = this.pendingWrites.get(record.key)
+		if (pendingWrite) return pendingWrite.wait(deadline)
+		if (deadline <= this.timers.now()) {
+			return Promise.resolve({ kind: 'not-stored', reason: 'no time left to append' })
+		}
+		const write = new PendingWrite(record, this.timers)
+		this.pendingWrites.set(record.key, write)
+		this.queue.push(write)
+		const result = write.wait(deadline)
+		this.flush()
+		return result
 	}
 
 	private flush(): void {
-		while (this.appendsInFlight < MAXIMUM_APPENDS_IN_FLIGHT && this.pendingWrites.length > 0) {
-			const batch = this.pendingWrites.slice(0, MAXIMUM_RECORDS_PER_APPEND)
-			this.pendingWrites = this.pendingWrites.slice(MAXIMUM_RECORDS_PER_APPEND)
+		while (this.appendsInFlight < MAXIMUM_APPENDS_IN_FLIGHT) {
+			const batch = this.takeBatch()
+			if (batch.length === 0) return
 			this.appendsInFlight += 1
 			void this.writeBatch(batch).finally(() => {
 				this.appendsInFlight -= 1
@@ -73,17 +78,32 @@
 		}
 	}
 
+	/** Takes the next writes from the queue, and drops those whose callers do not wait any more. */
+	private takeBatch(): PendingWrite[] {
+		const batch: PendingWrite[] = []
+		while (batch.length < MAXIMUM_RECORDS_PER_APPEND) {
+			const write = this.queue.shift()
+			if (!write) return batch
+			if (write.isAwaited) batch.push(write)
+			else this.pendingWrites.delete(write.record.key)
+		}
+		return batch
+	}
+
 	private async writeBatch(batch: readonly PendingWrite[]): Promise<void> {
-		const records = batch.map((entry) => entry.record)
-		const writeTimeout = Math.max(MINIMUM_WRITE_TIMEOUT, this.appendLatency * WRITE_TIMEOUT_FACTOR)
-		const latestDeadline = this.timers.now() + Math.min(MAXIMUM_WRITE_TIMEOUT, writeTimeout)
-		const deadline = Math.min(latestDeadline, ...batch.map((entry) => entry.deadline))
-		const result = await this.writeRecords(records, deadline)
-		for (const { resolve } of batch) resolve(result)
+		for (const write of batch) write.start()
+		const result = await this.writeRecords(batch)
+		for (const write of batch) {
+			this.pendingWrites.delete(write.record.key)
+			write.settle(result)
+		}
 	}
 
 	/** Tries the streams in turn: the next one when an append fails or is not answered in time. */
-	private writeRecords(records: readonly LogRecord[], deadline: number): Promise<WriteResult> {
+	private writeRecords(batch: readonly PendingWrite[]): Promise<WriteResult> {
+		const records = batch.map((write) => write.record)
+		const writeTimeout = Math.max(MINIMUM_WRITE_TIMEOUT, this.appendLatency * WRITE_TIMEOUT_FACTOR)
+		const deadline = this.timers.now() + Math.min(MAXIMUM_WRITE_TIMEOUT, writeTimeout)
 		return new Promise((resolve) => {
 			const streams = this.getStreamsByPreference()
 			let startedCount = 0
@@ -97,6 +117,7 @@
 			const tryNext = (): void => {
 				const stream = streams[startedCount]
 				if (stream === undefined || this.timers.now() >= deadline) return
+				if (!batch.some((write) => write.isAwaited)) return
 				startedCount += 1
 				// Only the latest attempt starts the next one, so that each stream is tried at most once.
 				const attempt = startedCount
--- a/packages/jobs/src/lib/callers/JobIntake.ts
+++ b/packages/jobs/src/lib/callers/JobIntake.ts
@@ -7,7 +7,6 @@
 import type { IntakeWriter } from './IntakeWriter.js'
 import type { JobAnswer } from './JobAnswer.js'
 import { ReplicaReader } from './ReplicaReader.js'
-import type { WriteResult } from './WriteResult.js'
 
 /** Delay after which a caller should retry when the log is unreachable. */
 const LOG_RETRY_AFTER_SECONDS = 1
@@ -19,7 +18,6 @@
  */
 export class JobIntake {
 	private readonly reader: ReplicaReader
-	private readonly pendingWrites = new Map<JobId, Promise<WriteResult>>()
 
 	constructor(
 		private readonly replica: JobReplica,
@@ -44,7 +42,7 @@
 			return { kind: 'accepted' }
 		}
 		const startedAt = this.timers.now()
-		const result = await this.writeJob(job, deadline)
+		const result = await this.writer.write(JobRecords.createJobRecord(job), deadline)
 		const after = Math.round(this.timers.now() - startedAt)
 		const { id, queue, team } = job
 		if (result.kind === 'stored') {
@@ -101,14 +99,6 @@
 		return { kind: 'waiting', count: this.replica.countWaitingJobs(queue) }
 	}
 
-	private async writeJob(job: Job, deadline: number): Promise<WriteResult> {
-		const pendingWrite = this.pendingWrites.get(job.id)
-		if (pendingWrite) return pendingWrite
-		const write = this.writer.write(JobRecords.createJobRecord(job), deadline)
-		this.pendingWrites.set(job.id, write)
-		return write.finally(() => this.pendingWrites.delete(job.id))
-	}
-
 	private createMissingAnswer(id: JobId, found: 'known' | 'unknown' | 'unreadable'): JobAnswer {
 		this.events.info('job-not-found', { job: id, found })
 		if (found === 'unknown') return { kind: 'unknown-job' }
