Say not-stored only if every append was rejected, and leave no timers behind

A caller could be told that its submission was not stored, 503, although an append of it had not been answered. When the process lagged behind its timers, so that an unanswered append ended after the time of the batch but before the timer, no append was in flight any more and the timer took the batch for rejected, again with an empty reason. Each submission also left its time-out timer behind for up to 2 s.

The tries of a batch are a class of their own now, BatchWrite. An append without an answer makes the result `unclear` however the batch ends; the timers end with the batch; a batch whose appends have all ended and which starts no more ends at once, and gives up its place among the four in flight, instead of with the timer.

--- /dev/null
+++ b/packages/jobs/src/lib/callers/BatchWrite.ts
@@ -0,0 +1,92 @@
+import type { Subscription, TimerService } from '@mastichead/core'
+import type { AppendResult } from '../ports/AppendResult.js'
+import type { IntakeStream } from '../ports/IntakeStream.js'
+import type { WriteResult } from './WriteResult.js'
+
+/**
+ * Writes a batch of records to one of several streams: tries the next one when an append fails or is
+ * not answered in time.
+ *
+ * @public
+ */
+export class BatchWrite {
+	private startedCount = 0
+	private endedCount = 0
+	private unknownReason: string | undefined
+	private rejectedReason = ''
+	private hedgeTimer: Subscription | undefined
+	/** Ends the write with a result; undefined before the start and after the end. */
+	private settle: ((result: WriteResult) => void) | undefined
+
+	constructor(
+		private readonly options: {
+			/** Streams in order of preference. */
+			readonly streams: readonly IntakeStream[]
+			readonly append: (stream: IntakeStream) => Promise<AppendResult>
+			/** Returns the milliseconds after which an unanswered append is also tried elsewhere. */
+			readonly getHedgeDelay: () => number
+			/** Whether a caller still waits for the result. */
+			readonly isAwaited: () => boolean
+			readonly timers: TimerService
+		}
+	) {}
+
+	/**
+	 * Starts the write.
+	 *
+	 * @param timeout - milliseconds after which the write ends
+	 */
+	start(timeout: number): Promise<WriteResult> {
+		return new Promise((resolve) => {
+			const timer = this.options.timers.after(timeout, () => {
+				this.settleAsFailed()
+			})
+			this.settle = (result) => {
+				this.settle = undefined
+				timer.cancel()
+				this.hedgeTimer?.cancel()
+				resolve(result)
+			}
+			this.tryNext()
+		})
+	}
+
+	private tryNext(): void {
+		const { streams, append, getHedgeDelay, isAwaited, timers } = this.options
+		const stream = streams[this.startedCount]
+		if (stream === undefined || !this.settle || !isAwaited()) return
+		this.startedCount += 1
+		const attempt = this.startedCount
+		this.hedgeTimer?.cancel()
+		this.hedgeTimer = timers.after(getHedgeDelay(), () => {
+			this.tryNext()
+		})
+		void append(stream).then((result) => {
+			this.recordResult(attempt, result)
+		})
+	}
+
+	private recordResult(attempt: number, result: AppendResult): void {
+		this.endedCount += 1
+		if (result.kind === 'appended') {
+			this.settle?.({ kind: 'stored' })
+			return
+		}
+		if (result.kind === 'unknown') this.unknownReason = result.reason
+		else this.rejectedReason = result.reason
+		// Only the latest attempt starts the next one, so that each stream is tried at most once.
+		if (this.startedCount === attempt) this.tryNext()
+		if (this.startedCount === this.endedCount) this.settleAsFailed()
+	}
+
+	/** Ends the write as `not-stored` only if every append that was started has been rejected. */
+	private settleAsFailed(): void {
+		if (this.unknownReason !== undefined) {
+			this.settle?.({ kind: 'unclear', reason: this.unknownReason })
+		} else if (this.endedCount < this.startedCount) {
+			this.settle?.({ kind: 'unclear', reason: 'no answer in time' })
+		} else {
+			this.settle?.({ kind: 'not-stored', reason: this.rejectedReason })
+		}
+	}
+}
--- a/packages/jobs/src/lib/callers/IntakeWriter.ts
+++ b/packages/jobs/src/lib/callers/IntakeWriter.ts
@@ -5,6 +5,7 @@
 import type { IntakeStream } from '../ports/IntakeStream.js'
 import type { LogRecord } from '../ports/LogRecord.js'
 import type { MetadataLog } from '../ports/MetadataLog.js'
+import { BatchWrite } from './BatchWrite.js'
 import { PendingWrite } from './PendingWrite.js'
 import type { WriteResult } from './WriteResult.js'
 
@@ -99,51 +100,17 @@
 		}
 	}
 
-	/** Tries the streams in turn: the next one when an append fails or is not answered in time. */
 	private writeRecords(batch: readonly PendingWrite[]): Promise<WriteResult> {
 		const records = batch.map((write) => write.record)
-		const writeTimeout = Math.max(MINIMUM_WRITE_TIMEOUT, this.appendLatency * WRITE_TIMEOUT_FACTOR)
-		const deadline = this.timers.now() + Math.min(MAXIMUM_WRITE_TIMEOUT, writeTimeout)
-		return new Promise((resolve) => {
-			const streams = this.getStreamsByPreference()
-			let startedCount = 0
-			let endedCount = 0
-			let unknownReason: string | undefined
-			let rejectedReason = ''
-			this.timers.after(deadline - this.timers.now(), () => {
-				if (endedCount < startedCount) resolve({ kind: 'unclear', reason: 'no answer in time' })
-				else resolve({ kind: 'not-stored', reason: rejectedReason })
-			})
-			const tryNext = (): void => {
-				const stream = streams[startedCount]
-				if (stream === undefined || this.timers.now() >= deadline) return
-				if (!batch.some((write) => write.isAwaited)) return
-				startedCount += 1
-				// Only the latest attempt starts the next one, so that each stream is tried at most once.
-				const attempt = startedCount
-				const hedgeTimer = this.timers.after(
-					Math.max(HEDGE_DELAY, this.appendLatency * HEDGE_FACTOR),
-					() => {
-						if (startedCount === attempt) tryNext()
-					}
-				)
-				void this.append(stream, records).then((result) => {
-					hedgeTimer.cancel()
-					endedCount += 1
-					if (result.kind === 'appended') {
-						resolve({ kind: 'stored' })
-						return
-					}
-					if (result.kind === 'unknown') unknownReason = result.reason
-					else rejectedReason = result.reason
-					if (startedCount === attempt) tryNext()
-					if (endedCount < streams.length) return
-					if (unknownReason !== undefined) resolve({ kind: 'unclear', reason: unknownReason })
-					else resolve({ kind: 'not-stored', reason: rejectedReason })
-				})
-			}
-			tryNext()
+		const batchWrite = new BatchWrite({
+			streams: this.getStreamsByPreference(),
+			append: (stream) => this.append(stream, records),
+			getHedgeDelay: () => Math.max(HEDGE_DELAY, this.appendLatency * HEDGE_FACTOR),
+			isAwaited: () => batch.some((write) => write.isAwaited),
+			timers: this.timers,
 		})
+		const timeout = Math.max(MINIMUM_WRITE_TIMEOUT, this.appendLatency * WRITE_TIMEOUT_FACTOR)
+		return batchWrite.start(Math.min(MAXIMUM_WRITE_TIMEOUT, timeout))
 	}
 
 	private async append(stream: IntakeStream, records: readonly LogRecord[]): Promise<AppendResult> {
