--- a/packages/jobs/src/lib/callers/IntakeWriter.test.ts
+++ b/packages/jobs/src/lib/callers/IntakeWriter.test.ts
@@ -1,13 +1,16 @@
 import { VirtualTimerService } from '@mastichead/core'
+import type { Subscription } from '@mastichead/core'
 import { describe, expect, it } from 'vitest'
 import { SilentEventLog } from '../logs/SilentEventLog.js'
 import { StreamFollower } from '../log/StreamFollower.js'
 import { intakeStreams } from '../ports/intakeStreams.js'
+import type { AppendResult } from '../ports/AppendResult.js'
 import { MemoryLog } from '../testing/MemoryLog.js'
 import { MemoryStore } from '../testing/MemoryStore.js'
 import { IntakeWriter } from './IntakeWriter.js'
 
 const RECORD = { key: 'job/1', value: '{}' }
+const OTHER_RECORD = { key: 'job/2', value: '{}' }
 
 describe('a submission while some streams do not answer', () => {
 	it('is appended to another stream, which the next submission tries first', async () => {
@@ -51,15 +54,118 @@
 	expect(await second).toEqual({ kind: 'stored' })
 })
 
+// Guards against 504 for a batch because one of its callers has hardly any time left.
+it('a caller with little time left does not shorten the time of the others in its batch', async () => {
+	const { writer, log, advance } = createWriter()
+	log.callLatency = 30
+	const blocking = occupy(writer)
+	const short = writer.write(RECORD, 35)
+	const long = writer.write(OTHER_RECORD, 3_000)
+	await advance(100)
+	await Promise.all(blocking)
+	expect(await short).toHaveProperty('kind', 'unclear')
+	expect(await long).toEqual({ kind: 'stored' })
+})
+
+// Guards against "not stored" for a record whose append was not answered, if the process lags behind its timers.
+it('says not-stored only if no append can have stored the record', async () => {
+	const { writer, log, timers, advance } = createWriter()
+	log.append = async (): Promise<AppendResult> => {
+		await log.pause(10)
+		timers.lag = 2_000
+		return { kind: 'unknown', reason: 'connection reset' }
+	}
+	const answer = writer.write(RECORD, 5_000)
+	await advance(1_000)
+	expect(await answer).toHaveProperty('kind', 'unclear')
+})
+
+// Guards against a refusal without a reason, which was logged for two submissions of the incident.
+it('a submission whose time is over is refused with a reason, and appends nothing', async () => {
+	const { writer, store, advance } = createWriter()
+	await advance(10)
+	const answer = writer.write(RECORD, 9)
+	await advance(20)
+	expect(await answer).toEqual({ kind: 'not-stored', reason: 'no time left to append' })
+	expect(intakeStreams.filter((stream) => store.getEnd(stream) > 0)).toEqual([])
+})
+
+// Guards against a caller without an answer while its record waits for appends that are not answered.
+it('a submission that waits for other appends is refused by its deadline, and never appended', async () => {
+	const { writer, store, log, advance } = createWriter()
+	log.callLatency = 600
+	const blocking = occupy(writer)
+	const answer = writer.write(RECORD, 300)
+	await advance(300)
+	expect(await Promise.race([answer, Promise.resolve('no answer')])).toHaveProperty(
+		'kind',
+		'not-stored'
+	)
+	await advance(2_000)
+	await Promise.all(blocking)
+	const keys = intakeStreams.flatMap((stream) => store.getEntries(stream).map(({ key }) => key))
+	expect(keys).not.toContain(RECORD.key)
+})
+
+// Guards against timers that stay behind for every submission.
+it('leaves no timers behind', async () => {
+	const { writer, timers, advance } = createWriter()
+	const answer = writer.write(RECORD, 3_000)
+	await advance(20)
+	expect(await answer).toEqual({ kind: 'stored' })
+	expect(timers.pendingCount).toBe(0)
+})
+
+/** Starts as many appends as may be in flight, so that later records wait. */
+function occupy(writer: IntakeWriter): Promise<unknown>[] {
+	return [1, 2, 3, 4].map((number) => writer.write({ key: `job/x${number}`, value: '{}' }, 5_000))
+}
+
+class CountingTimerService extends VirtualTimerService {
+	pendingCount = 0
+	/** Milliseconds by which the clock is ahead of the timers, as in a process that was blocked. */
+	lag = 0
+
+	override now(): number {
+		return super.now() + this.lag
+	}
+
+	override after(delay: number, listener: () => void): Subscription {
+		let isPending = true
+		const end = (): void => {
+			if (isPending) this.pendingCount -= 1
+			isPending = false
+		}
+		this.pendingCount += 1
+		const timer = super.after(delay, () => {
+			end()
+			listener()
+		})
+		return {
+			cancel: () => {
+				end()
+				timer.cancel()
+			},
+		}
+	}
+}
+
+class PausableLog extends MemoryLog {
+	pause(duration: number): Promise<void> {
+		return this.sleep(duration)
+	}
+}
+
 function createWriter(): {
 	writer: IntakeWriter
 	store: MemoryStore
-	log: MemoryLog
+	log: PausableLog
+	timers: CountingTimerService
 	advance: (duration: number) => Promise<void>
 } {
-	const timers = new VirtualTimerService()
+	const timers = new CountingTimerService()
 	const store = new MemoryStore()
-	const log = new MemoryLog(store, timers)
+	const log = new PausableLog(store, timers)
 	const events = new SilentEventLog()
 	const options = { maximumWait: 0, getPollDelay: () => 0 }
 	const followers = new Map(
@@ -74,5 +180,5 @@
 			await new Promise((resolve) => setImmediate(resolve))
 		}
 	}
-	return { writer: new IntakeWriter(log, timers, events, followers), store, log, advance }
+	return { writer: new IntakeWriter(log, timers, events, followers), store, log, timers, advance }
 }
