--- a/packages/jobs/src/lib/testing/CountingLog.ts
+++ b/packages/jobs/src/lib/testing/CountingLog.ts
@@ -16,11 +16,13 @@
 	readonly loadCounts = new Map<LogStream, number>()
 	/** Milliseconds after which a read of an unavailable stream fails. */
 	failureTime = 0
+	/** Milliseconds that the answer to a read takes after the records were looked up. */
+	answerTime = 0
 
 	override async read(stream: LogStream, from: number, wait: number): Promise<ReadResult> {
 		if (wait === 0) this.count(this.readCounts, stream)
 		const result = await super.read(stream, from, wait)
-		if (result.kind === 'unavailable') await this.sleep(this.failureTime)
+		await this.sleep(result.kind === 'unavailable' ? this.failureTime : this.answerTime)
 		return result
 	}
 
--- a/packages/jobs/src/lib/testing/createTestIntake.ts
+++ b/packages/jobs/src/lib/testing/createTestIntake.ts
@@ -1,4 +1,3 @@
-import { VirtualTimerService } from '@mastichead/core'
 import { IntakeWriter } from '../callers/IntakeWriter.js'
 import { JobIntake } from '../callers/JobIntake.js'
 import { JobReplica } from '../log/JobReplica.js'
@@ -8,6 +7,7 @@
 import type { LogEntry } from '../ports/LogEntry.js'
 import type { LogStream } from '../ports/LogStream.js'
 import { CountingLog } from './CountingLog.js'
+import { CountingTimerService } from './CountingTimerService.js'
 import { MemoryStore } from './MemoryStore.js'
 
 /** Options of the followers, in milliseconds; those of an instance that is not the owner. */
@@ -21,7 +21,7 @@
  * @internal
  */
 export function createTestIntake(): TestIntake {
-	const timers = new VirtualTimerService()
+	const timers = new CountingTimerService()
 	const store = new MemoryStore()
 	const log = new CountingLog(store, timers)
 	const events = new SilentEventLog()
@@ -62,7 +62,7 @@
 }
 
 interface TestIntake {
-	readonly timers: VirtualTimerService
+	readonly timers: CountingTimerService
 	readonly store: MemoryStore
 	readonly log: CountingLog
 	readonly intake: JobIntake
