Cancel the timer of a query's catch-up when the read has ended

Callers saw nothing of it: each query of a job that has not ended left a timer of 150 ms behind, 300 of them after 300 queries at once, each holding its closures. Test in virtual time: before 300 timers pending after the answers, now 0.

--- a/packages/jobs/src/lib/log/StreamFollower.ts
+++ b/packages/jobs/src/lib/log/StreamFollower.ts
@@ -126,10 +126,14 @@
 		this.pendingCatchUp ??= this.readOnce(0).finally(() => {
 			this.pendingCatchUp = undefined
 		})
-		const expired = new Promise<void>((resolve) => {
-			this.timers.after(timeout, resolve)
+		const read = this.pendingCatchUp
+		await new Promise<void>((resolve) => {
+			const timer = this.timers.after(timeout, resolve)
+			void read.then(() => {
+				timer.cancel()
+				resolve()
+			})
 		})
-		await Promise.race([this.pendingCatchUp, expired])
 	}
 
 	private async readPagesToEnd(): Promise<boolean> {
