Answer a query from a read that began after it came

Callers could see an older state than the one that had been recorded, and shown by another instance, before they asked: concurrent queries shared the catch-up in flight, which may have looked at the progress before. The sharing of reads to the end, which keeps one read in flight and one for all later calls, is a class of its own now, SharedRead, and the catch-up uses it too.

The cost is one more read of the progress where queries come during another one; 300 queries at once make two reads.

--- a/packages/jobs/src/lib/log/StreamFollower.ts
+++ b/packages/jobs/src/lib/log/StreamFollower.ts
@@ -3,6 +3,7 @@
 import type { LogEntry } from '../ports/LogEntry.js'
 import type { LogStream } from '../ports/LogStream.js'
 import type { MetadataLog } from '../ports/MetadataLog.js'
+import { SharedRead } from './SharedRead.js'
 
 /** Delay after a failed read, in milliseconds. */
 const RETRY_DELAY = 150
@@ -30,11 +31,8 @@
 	private stopped = false
 	/** The read of the loop that is in flight. */
 	private loopRead: Promise<boolean> | undefined
-	/** The read to the end that is in flight. */
-	private currentReadToEnd: Promise<boolean> | undefined
-	/** The read to the end that follows it, for all calls made in the meantime. */
-	private nextReadToEnd: Promise<boolean> | undefined
-	private pendingCatchUp: Promise<boolean> | undefined
+	private readonly endRead = new SharedRead(() => this.readPagesToEnd())
+	private readonly catchUpRead = new SharedRead(() => this.readOnce(0))
 	private cancelSleep: (() => void) | undefined
 
 	/**
@@ -96,37 +94,23 @@
 
 	/**
 	 * Reads to the end of the stream without waiting for new records. Concurrent calls share one
-	 * read that starts after they were made, since a read in flight may have passed the end before.
+	 * read that starts after they were made.
 	 *
 	 * @returns whether the log answered every read
 	 */
 	readToEnd(): Promise<boolean> {
-		if (!this.currentReadToEnd) {
-			this.currentReadToEnd = this.readPagesToEnd().finally(() => {
-				this.currentReadToEnd = undefined
-			})
-			return this.currentReadToEnd
-		}
-		const startNext = (): Promise<boolean> => {
-			this.nextReadToEnd = undefined
-			return this.readToEnd()
-		}
-		this.nextReadToEnd ??= this.currentReadToEnd.then(startNext, startNext)
-		return this.nextReadToEnd
+		return this.endRead.request()
 	}
 
 	/**
 	 * Reads what was written since the latest answer, for a query that needs the current state.
-	 * Concurrent calls share one read.
+	 * Concurrent calls share one read that starts after they were made.
 	 *
 	 * @param timeout - milliseconds after which it resolves even if the read has not finished
 	 */
 	async catchUp(timeout: number): Promise<void> {
 		if (this.paused || !this.available) return
-		this.pendingCatchUp ??= this.readOnce(0).finally(() => {
-			this.pendingCatchUp = undefined
-		})
-		const read = this.pendingCatchUp
+		const read = this.catchUpRead.request()
 		await new Promise<void>((resolve) => {
 			const timer = this.timers.after(timeout, resolve)
 			void read.then(() => {
