--- a/packages/jobs/src/lib/callers/JobIntake.lines.test.ts
+++ b/packages/jobs/src/lib/callers/JobIntake.lines.test.ts
@@ -18,7 +18,7 @@
 	await advance(50)
 	for (const stream of ['intake/0', 'progress'] as const) store.unavailableStreams.add(stream)
 	await advance(50)
-	const answer = intake.getState(JOB)
+	const answer = intake.getState(JOB, 2_000)
 	await advance(50)
 	expect(await answer).toHaveProperty('kind', 'unavailable')
 	expect(events.get('job-not-found')).toEqual([
--- a/packages/jobs/src/lib/callers/JobIntake.ts
+++ b/packages/jobs/src/lib/callers/JobIntake.ts
@@ -6,10 +6,8 @@
 import type { EventLog } from '../logs/EventLog.js'
 import type { IntakeWriter } from './IntakeWriter.js'
 import type { JobAnswer } from './JobAnswer.js'
-import type { WriteResult } from './WriteResult.js'
+import { ReplicaReader } from './ReplicaReader.js'
 
-/** How long a query waits for new progress before it uses the known state, in milliseconds. */
-const STATE_READ_TIMEOUT = 150
 /** Delay after which a caller should retry when the log is unreachable. */
 const LOG_RETRY_AFTER_SECONDS = 1
 
@@ -19,16 +17,19 @@
  * @public
  */
 export class JobIntake {
-	private readonly pendingWrites = new Map<JobId, Promise<WriteResult>>()
+	private readonly reader: ReplicaReader
 
 	constructor(
 		private readonly replica: JobReplica,
 		private readonly writer: IntakeWriter,
 		private readonly followers: readonly StreamFollower[],
-		private readonly progress: StreamFollower,
+		progress: StreamFollower,
 		private readonly events: EventLog,
 		private readonly timers: TimerService
-	) {}
+	) {
+		const intake = followers.filter((follower) => follower !== progress)
+		this.reader = new ReplicaReader(replica, intake, progress, timers)
+	}
 
 	/**
 	 * Submits a job. Resolves once the job is durable.
@@ -36,12 +37,12 @@
 	 * @param deadline - monotonic instant by which the caller needs an answer
 	 */
 	async submit(job: Job, deadline: number): Promise<JobAnswer> {
-		if (this.replica.get(job.id)?.job) {
+		if (this.replica.isSubmitted(job.id)) {
 			this.events.info('job-repeated', { job: job.id, queue: job.queue })
 			return { kind: 'accepted' }
 		}
 		const startedAt = this.timers.now()
-		const result = await this.writeJob(job, deadline)
+		const result = await this.writer.write(JobRecords.createJobRecord(job), deadline)
 		const after = Math.round(this.timers.now() - startedAt)
 		const { id, queue, team } = job
 		if (result.kind === 'stored') {
@@ -61,7 +62,7 @@
 	 */
 	async cancel(id: JobId, deadline: number): Promise<JobAnswer> {
 		const askedAt = this.timers.now()
-		const found = await this.lookUpJob(id)
+		const found = await this.reader.lookUp(id, deadline)
 		if (found !== 'known') return this.createMissingAnswer(id, found, askedAt)
 		const state = this.replica.getState(id)
 		if (state && isFinalState(state)) return { kind: 'cancelled' }
@@ -69,45 +70,37 @@
 		this.events.info('job-cancel-asked', { job: id, state, verdict: result.kind })
 		if (result.kind === 'stored') return { kind: 'cancelled' }
 		if (result.kind === 'unclear') return result
-		return {
-			kind: 'unavailable',
-			reason: result.reason,
-			retryAfterSeconds: LOG_RETRY_AFTER_SECONDS,
-		}
+		return createUnavailableAnswer(result.reason)
 	}
 
-	/** Returns the state of a job; catches up with the log first unless the known state is final. */
-	async getState(id: JobId): Promise<JobAnswer> {
+	/**
+	 * Returns the state of a job; catches up with the log first unless the known state is final. The
+	 * answer is `unavailable` while the records that decide the state have not all been loaded.
+	 *
+	 * @param deadline - monotonic instant by which the caller needs an answer
+	 */
+	async getState(id: JobId, deadline: number): Promise<JobAnswer> {
 		const askedAt = this.timers.now()
-		const found = await this.lookUpJob(id)
-		const before = this.replica.getState(id)
-		if (before && !isFinalState(before)) await this.progress.catchUp(STATE_READ_TIMEOUT)
-		const state = this.replica.getState(id)
-		if (found !== 'known' || !state) return this.createMissingAnswer(id, found, askedAt)
-		return { kind: 'state', state }
+		const found = await this.reader.lookUp(id, deadline)
+		if (found !== 'known') return this.createMissingAnswer(id, found, askedAt)
+		const state = await this.reader.readState(id, deadline)
+		if (state !== undefined) return { kind: 'state', state }
+		this.events.info('job-state-unread', { job: id })
+		return createUnavailableAnswer('state not loaded yet')
 	}
 
-	/** Counts the jobs of a queue that have no schedule and of which no task has started. */
+	/**
+	 * Counts the jobs of a queue that have no schedule and of which no task has started. The answer is
+	 * `unavailable` until every stream has been loaded.
+	 */
 	countWaitingJobs(queue: string): JobAnswer {
+		if (!this.reader.isLoaded) {
+			this.events.info('waiting-jobs-uncounted', { queue })
+			return createUnavailableAnswer('state not loaded yet')
+		}
 		return { kind: 'waiting', count: this.replica.countWaitingJobs(queue) }
 	}
 
-	private async writeJob(job: Job, deadline: number): Promise<WriteResult> {
-		const pendingWrite = this.pendingWrites.get(job.id)
-		if (pendingWrite) return pendingWrite
-		const write = this.writer.write(JobRecords.createJobRecord(job), deadline)
-		this.pendingWrites.set(job.id, write)
-		return write.finally(() => this.pendingWrites.delete(job.id))
-	}
-
-	/** Looks up a job; reads the rest of the log before it reports the job as unknown. */
-	private async lookUpJob(id: JobId): Promise<'known' | 'unknown' | 'unreadable'> {
-		if (this.replica.get(id)?.job) return 'known'
-		const readResults = await Promise.all(this.followers.map((follower) => follower.readToEnd()))
-		if (this.replica.get(id)?.job) return 'known'
-		return readResults.every(Boolean) ? 'unknown' : 'unreadable'
-	}
-
 	private createMissingAnswer(
 		id: JobId,
 		found: 'known' | 'unknown' | 'unreadable',
@@ -117,11 +110,7 @@
 		const unread = this.followers.map(formatUnread).filter((text) => text !== undefined)
 		this.events.info('job-not-found', { job: id, found, after, unread })
 		if (found === 'unknown') return { kind: 'unknown-job' }
-		return {
-			kind: 'unavailable',
-			reason: 'log out of reach',
-			retryAfterSeconds: LOG_RETRY_AFTER_SECONDS,
-		}
+		return createUnavailableAnswer('log out of reach')
 	}
 }
 
@@ -131,6 +120,10 @@
 	return available ? undefined : `${stream}: unavailable`
 }
 
+function createUnavailableAnswer(reason: string): JobAnswer {
+	return { kind: 'unavailable', reason, retryAfterSeconds: LOG_RETRY_AFTER_SECONDS }
+}
+
 /** Formats the properties of a step that affect its scheduling, for the event log. */
 function formatStep(step: JobStep): string {
 	const { count, needs, estimate, maximumPerBackend, mayMiss, targetLatency } = step
--- a/packages/jobs/src/lib/log/StreamFollower.ts
+++ b/packages/jobs/src/lib/log/StreamFollower.ts
@@ -3,6 +3,7 @@
 import type { LogEntry } from '../ports/LogEntry.js'
 import type { LogStream } from '../ports/LogStream.js'
 import type { MetadataLog } from '../ports/MetadataLog.js'
+import { SharedRead } from './SharedRead.js'
 import { StreamLoad } from './StreamLoad.js'
 
 /** Delay after a failed read, in milliseconds. */
@@ -46,8 +47,8 @@
 	private behind = false
 	/** The read in flight while behind, and its offset. */
 	private pendingPiece: PendingPiece | undefined
-	private pendingRead: Promise<boolean> | undefined
-	private pendingCatchUp: Promise<boolean> | undefined
+	private readonly endRead = new SharedRead(() => this.readPagesToEnd())
+	private readonly catchUpRead = new SharedRead(() => this.readOnce(0))
 	private cancelSleep: (() => void) | undefined
 
 	/**
@@ -110,38 +111,39 @@
 	}
 
 	/**
-	 * Reads to the end of the stream without waiting for new records.
+	 * Reads to the end of the stream without waiting for new records. Concurrent calls share one
+	 * read that starts after they were made.
 	 *
 	 * @returns whether the log answered every read
 	 */
-	async readToEnd(): Promise<boolean> {
-		while (this.pendingRead) await this.pendingRead
-		for (;;) {
-			const before = this.nextOffset
-			this.pendingRead = this.readOnce(0)
-			const answered = await this.pendingRead.finally(() => {
-				this.pendingRead = undefined
-			})
-			if (!answered) return false
-			if (this.nextOffset === before && this.loaded) return true
-		}
+	readToEnd(): Promise<boolean> {
+		return this.endRead.request()
 	}
 
 	/**
 	 * Reads what was written since the latest answer, for a query that needs the current state.
-	 * Concurrent calls share one read.
+	 * Concurrent calls share one read that starts after they were made.
 	 *
 	 * @param timeout - milliseconds after which it resolves even if the read has not finished
 	 */
 	async catchUp(timeout: number): Promise<void> {
 		if (this.paused || !this.available) return
-		this.pendingCatchUp ??= this.readOnce(0).finally(() => {
-			this.pendingCatchUp = undefined
-		})
-		const expired = new Promise<void>((resolve) => {
-			this.timers.after(timeout, resolve)
+		const read = this.catchUpRead.request()
+		await new Promise<void>((resolve) => {
+			const timer = this.timers.after(timeout, resolve)
+			void read.then(() => {
+				timer.cancel()
+				resolve()
+			})
 		})
-		await Promise.race([this.pendingCatchUp, expired])
+	}
+
+	private async readPagesToEnd(): Promise<boolean> {
+		for (;;) {
+			const before = this.nextOffset
+			if (!(await this.readOnce(0))) return false
+			if (this.nextOffset === before && this.loaded) return true
+		}
 	}
 
 	private async run(): Promise<void> {
--- a/packages/jobs/src/lib/owner/progressVolume.test.ts
+++ b/packages/jobs/src/lib/owner/progressVolume.test.ts
@@ -22,7 +22,7 @@
 	const job = createTestFleet.createJob(1, [{ count: 16, maximumPerBackend: 4 }])
 	void intake.submit(job, fleet.timers.now() + 2_000)
 	await fleet.advance(2_000)
-	const state = intake.getState(job.id)
+	const state = intake.getState(job.id, fleet.timers.now() + 2_000)
 	await fleet.advance(50)
 	expect(await state).toEqual({ kind: 'state', state: 'completed' })
 	const records = fleet.store.getEntries('progress').filter((entry) => entry.key === job.id)
--- a/packages/jobs/src/lib/owner/taskEnds.test.ts
+++ b/packages/jobs/src/lib/owner/taskEnds.test.ts
@@ -16,7 +16,7 @@
 	const { length } = fleet.store.getEntries('progress')
 	expect(fleet.journal.running).toHaveLength(16)
 	await fleet.advance(1_000)
-	const state = intake.getState(job.id)
+	const state = intake.getState(job.id, fleet.timers.now() + 2_000)
 	await fleet.advance(50)
 	expect(await state).toEqual({ kind: 'state', state: 'completed' })
 	const records = fleet.store.getEntries('progress').slice(length)
