Write everything at once when a maintenance order waits for it

Cause: a maintenance order waits until everything marked as changed is durable, one machine after the other. It has to: the ends on that machine are lost with it. Acknowledgements of ends, which hurry nobody, use whenWritten. A start order waits for the records that were due when it was placed, not only for its own, so that the registration of its server is in the log before it, also if an append is full (300 records).

--- a/packages/jobs/src/lib/owner/BackendMonitor.ts
+++ b/packages/jobs/src/lib/owner/BackendMonitor.ts
@@ -205,7 +205,7 @@
 		}
 		const { lastProcessedEnd, incarnation } = row
 		if (lastProcessedEnd <= row.lastAcknowledgedEnd) return
-		options.writer.whenDurable(() => {
+		options.writer.whenWritten(() => {
 			if (row.incarnation !== incarnation) return
 			row.lastAcknowledgedEnd = Math.max(row.lastAcknowledgedEnd, lastProcessedEnd)
 		})
@@ -287,7 +287,7 @@
 		if (row.lastProcessedEnd <= row.lastAcknowledgedEnd) return
 		await new Promise<void>((resolve) => {
 			context.timers.after(MAXIMUM_DURABILITY_WAIT, resolve)
-			this.options.writer.whenDurable(resolve)
+			this.options.writer.whenWritten(resolve)
 		})
 	}
 
--- a/packages/jobs/src/lib/owner/ProgressWriter.ts
+++ b/packages/jobs/src/lib/owner/ProgressWriter.ts
@@ -25,10 +25,10 @@
 
 interface PendingCallback {
 	readonly callback: () => void
-	/** Key of the record that it waits for; undefined if it waits for all. */
-	readonly key: string | undefined
 	/** Number of the last change that it waits for. */
 	readonly lastChange: number
+	/** It does not wait for records that are due later, in milliseconds. */
+	readonly dueBy: number
 }
 
 /**
@@ -95,20 +95,36 @@
 		this.flushSoon()
 	}
 
-	/** Runs `callback` once everything marked as changed so far is durable. */
+	/** Writes everything marked as changed so far without delay, and runs `callback` once it is durable. */
 	whenDurable(callback: () => void): void {
-		this.callbacks.push({ callback, key: undefined, lastChange: this.changeCount })
+		for (const key of this.changedRecords.keys()) this.endDelay(key)
+		this.whenWritten(callback)
+	}
+
+	/** Runs `callback` once everything marked as changed so far is durable, without hurrying it. */
+	whenWritten(callback: () => void): void {
+		this.callbacks.push({ callback, lastChange: this.changeCount, dueBy: Infinity })
 		this.flushSoon()
 	}
 
-	/** Writes a job's progress without delay and runs `callback` once it is durable. */
+	/**
+	 * Writes a job's progress without delay. Runs `callback` once it is durable, with everything that
+	 * was marked as changed before and may not wait either.
+	 */
 	whenJobDurable(id: JobId, callback: () => void): void {
-		const record = this.changedRecords.get(id)
-		if (record) this.changedRecords.set(id, { ...record, dueAt: this.context.timers.now() })
-		this.callbacks.push({ callback, key: id, lastChange: this.changeCount })
+		this.endDelay(id)
+		const dueBy = this.context.timers.now()
+		this.callbacks.push({ callback, lastChange: this.changeCount, dueBy })
 		this.flushSoon()
 	}
 
+	private endDelay(key: string): void {
+		const record = this.changedRecords.get(key)
+		if (!record) return
+		const dueAt = Math.min(record.dueAt, this.context.timers.now())
+		this.changedRecords.set(key, { ...record, dueAt })
+	}
+
 	private flushSoon(): void {
 		if (this.isFlushing || this.stopped) return
 		this.isFlushing = true
@@ -144,11 +160,9 @@
 
 	/** Runs the callbacks whose changes are durable. Called while no append is in flight. */
 	private runCallbacks(): void {
-		const [oldest] = this.changedRecords.values()
-		const isPending = ({ key, lastChange }: PendingCallback): boolean => {
-			const record = key === undefined ? oldest : this.changedRecords.get(key)
-			return record !== undefined && record.firstChange <= lastChange
-		}
+		const records = [...this.changedRecords.values()]
+		const isPending = ({ lastChange, dueBy }: PendingCallback): boolean =>
+			records.some(({ firstChange, dueAt }) => firstChange <= lastChange && dueAt <= dueBy)
 		const pending = this.callbacks.filter(isPending)
 		const ready = this.callbacks.filter((callback) => !isPending(callback))
 		this.callbacks = pending
