Leave the records of finished jobs alone when a term starts

What callers saw: after a change of owner the first placements are late. Cause: TermRecovery.restoreJob passed each job that an earlier owner had recorded as finished to TaskUpdater.updateJob, which marks its record as changed. The writer appends marked records 300 at a time, and runs the callbacks of placements only when none is left; so a placement waited for as many appends as there were finished jobs (kept for 150 s), and every instance had to read them. The next owner started over.

Cancelled jobs that had ended were written again in the same way.

settleJob drops and stops what is left of such a job and records nothing, since nothing durable changes: a task that it stops is recorded when its run has ended.

--- a/packages/jobs/src/lib/owner/TaskUpdater.ts
+++ b/packages/jobs/src/lib/owner/TaskUpdater.ts
@@ -67,6 +67,11 @@
 		for (const task of tasksToStop) this.stopTask(task)
 	}
 
+	/** Stops the tasks of a job whose final state an earlier owner has recorded. Records nothing. */
+	settleJob(row: JobRow): void {
+		for (const task of updateJobState(row, this.context.getWallTime())) this.stopTask(task)
+	}
+
 	/** Cancels a job at its caller's request. */
 	cancelJob(row: JobRow): void {
 		if (row.cancelled) return
--- a/packages/jobs/src/lib/owner/TermRecovery.ts
+++ b/packages/jobs/src/lib/owner/TermRecovery.ts
@@ -97,8 +97,8 @@
 			backend.leasesExpireBy = LeaseTiming.getLatestInheritedExpiry(timers.now())
 			backends.assign(task)
 		}
-		if (cancelled) this.options.taskUpdater.cancelJob(row)
-		else if (row.finishedAt !== undefined) this.options.taskUpdater.updateJob(row)
+		if (row.finishedAt !== undefined) this.options.taskUpdater.settleJob(row)
+		else if (cancelled) this.options.taskUpdater.cancelJob(row)
 	}
 
 	/** Resolves to the end offset of the progress stream at the fence; undefined if the term has ended. */
