--- a/packages/jobs/src/lib/owner/OwnerTerm.ts
+++ b/packages/jobs/src/lib/owner/OwnerTerm.ts
@@ -182,11 +182,13 @@
 		await this.recovery.readStreams([...intake, this.registry.follower])
 		if (this.ended) return
 		progress.pause()
-		this.recovery.restoreJobs(replica.all)
 		this.subscriptions.push(
 			replica.subscribe((row) => {
 				this.handleJobChange(row)
-			}),
+			})
+		)
+		if (!(await this.recovery.restoreJobs(replica.all))) return
+		this.subscriptions.push(
 			timers.every(PLAN_INTERVAL, () => {
 				this.schedulePlan()
 			}),
@@ -251,7 +253,8 @@
 		const existing = jobs.get(job.id)
 		if (!existing) {
 			const service = getConfiguration().queues.get(job.queue)?.service
-			if (service !== undefined) this.demand.recordArrival(service, getJobWork(job), timers.now())
+			if (service !== undefined && this.started)
+				this.demand.recordArrival(service, getJobWork(job), timers.now())
 			this.recovery.restoreJob(replicaRow)
 		} else if (cancelled) {
 			this.taskUpdater.cancelJob(existing)
--- a/packages/jobs/src/lib/owner/TermRecovery.ts
+++ b/packages/jobs/src/lib/owner/TermRecovery.ts
@@ -72,10 +72,14 @@
 		return !this.unreadStreams.has(follower)
 	}
 
-	/** Restores jobs in the states in which earlier owners left them. */
-	restoreJobs(rows: Iterable<ReplicaRow>): void {
+	/**
+	 * Restores jobs in the states in which earlier owners left them. Resolves to whether the term goes
+	 * on.
+	 */
+	restoreJobs(rows: Iterable<ReplicaRow>): Promise<boolean> {
 		for (const row of rows) this.restoreJob(row)
 		this.endPhase('restore')
+		return Promise.resolve(!this.options.isEnded())
 	}
 
 	/** Returns the duration of the start, of each phase, and the streams that are still read. */
@@ -89,7 +93,8 @@
 	restoreJob(replicaRow: ReplicaRow): void {
 		const { jobs, backends, timers } = this.context
 		const { job, snapshot, cancelled } = replicaRow
-		if (!job) return
+		// A job that was submitted or cancelled meanwhile has been restored by then.
+		if (!job || jobs.get(job.id)) return
 		const row = jobs.add(job, snapshot)
 		for (const task of row.tasks) {
 			if (task.phase !== 'placed' || task.backend === undefined) continue
