Restore the jobs of a new owner in slices

Cause: the restoration of all jobs ran in one turn of the loop, however many there are. Now it gives way every 20 ms. Nothing is placed before it is complete, since the term starts planning after it.

The failing test before: 2,000 ms between two turns; now below 300 ms.

--- a/packages/jobs/src/lib/owner/TermRecovery.ts
+++ b/packages/jobs/src/lib/owner/TermRecovery.ts
@@ -9,6 +9,8 @@
 const MAXIMUM_READ_WAIT = 500
 /** Pause before a failed call to the log is retried, in milliseconds. */
 const RETRY_PAUSE = 100
+/** Time for which jobs are restored without giving way to heartbeats and reads, in milliseconds. */
+const RESTORE_SLICE = 20
 /** Timeout of the append that raises the fence, in milliseconds. */
 const FENCE_TIMEOUT = 700
 
@@ -73,13 +75,21 @@
 	}
 
 	/**
-	 * Restores jobs in the states in which earlier owners left them. Resolves to whether the term goes
-	 * on.
+	 * Restores jobs in the states in which earlier owners left them, a slice in each turn of the loop.
+	 * Resolves to whether the term goes on.
 	 */
-	restoreJobs(rows: Iterable<ReplicaRow>): Promise<boolean> {
-		for (const row of rows) this.restoreJob(row)
+	async restoreJobs(rows: Iterable<ReplicaRow>): Promise<boolean> {
+		const { timers } = this.context
+		let sliceEndsAt = timers.now() + RESTORE_SLICE
+		for (const row of rows) {
+			this.restoreJob(row)
+			if (timers.now() < sliceEndsAt) continue
+			await this.sleep(0)
+			if (this.options.isEnded()) return false
+			sliceEndsAt = timers.now() + RESTORE_SLICE
+		}
 		this.endPhase('restore')
-		return Promise.resolve(!this.options.isEnded())
+		return !this.options.isEnded()
 	}
 
 	/** Returns the duration of the start, of each phase, and the streams that are still read. */
