Ask for smaller pages of the log after a failed read

Cause: LogFollower asked for 1,000 records each time. Its timeout grows to 8 s, which is 10 MB on such a link, and an answer above 32 MB is refused by HttpLogClient; the page that failed was asked for again in the same size.

The page is halved after each failed read, down to one record, and grows by half after each response. Together with the timeout, which grows as before, each record that fits the longest timeout gets through. What has been read stays, in the replica or in the restorer.

--- a/packages/daemon/src/lib/log/LogFollower.ts
+++ b/packages/daemon/src/lib/log/LogFollower.ts
@@ -16,6 +16,9 @@
  * slow platform does not cause a timeout on every read.
  */
 const RESPONSE_TIMEOUT_DECAY_FACTOR = 0.9
+/** Factors applied to the size of a page after each failed read, and after each response. */
+const PAGE_REDUCTION_FACTOR = 0.5
+const PAGE_GROWTH_FACTOR = 1.5
 const INITIAL_BACKOFF_MILLISECONDS = 100
 const MAXIMUM_BACKOFF_MILLISECONDS = 1600
 
@@ -31,6 +34,8 @@
 	private hasCaughtUp = false
 	private isStopped = false
 	private responseTimeout: Milliseconds = MINIMUM_RESPONSE_TIMEOUT_MILLISECONDS
+	/** Number of records to ask for, so that a response arrives within its timeout on any link. */
+	private pageRecords = MAXIMUM_PAGE_RECORDS
 	private backoff: Milliseconds = 0
 	private backoffTimer: Subscription | undefined
 	private endBackoff: (() => void) | undefined
@@ -60,7 +65,7 @@
 			const from = this.restorer?.nextOffset ?? this.replica.state.offset + 1
 			const outcome = await this.client.read(
 				from,
-				MAXIMUM_PAGE_RECORDS,
+				this.pageRecords,
 				wait,
 				wait + this.responseTimeout
 			)
@@ -85,6 +90,10 @@
 			MINIMUM_RESPONSE_TIMEOUT_MILLISECONDS,
 			this.responseTimeout * RESPONSE_TIMEOUT_DECAY_FACTOR
 		)
+		this.pageRecords = Math.min(
+			MAXIMUM_PAGE_RECORDS,
+			Math.ceil(this.pageRecords * PAGE_GROWTH_FACTOR)
+		)
 		this.backoff = 0
 		if (outcome.type === 'expired') {
 			this.handleExpired(outcome.firstOffset)
@@ -124,6 +133,7 @@
 
 	private handleFailure(reason: string, sentAt: Milliseconds): void {
 		this.logger.warn('log-read-failed', { reason })
+		this.pageRecords = Math.max(1, Math.floor(this.pageRecords * PAGE_REDUCTION_FACTOR))
 		if (this.timers.now() - sentAt >= this.responseTimeout) {
 			this.responseTimeout = Math.min(
 				MAXIMUM_RESPONSE_TIMEOUT_MILLISECONDS,
