Give the fence of a new owner more time after each try

Cause: the append that raises the fence had a timeout of 0.7 s, the same for every try, while the log lets appends wait up to 2 s before it refuses them. Its answer was thrown away each time.

The timeout doubles after each failed try, from 0.7 s to 2.5 s; the line owner-fence-repeated has it. A repeated fence of the same term changes nothing.

--- a/packages/jobs/src/lib/owner/TermRecovery.ts
+++ b/packages/jobs/src/lib/owner/TermRecovery.ts
@@ -11,8 +11,12 @@
 const RETRY_PAUSE = 100
 /** Time for which jobs are restored without giving way to heartbeats and reads, in milliseconds. */
 const RESTORE_SLICE = 20
-/** Timeout of the append that raises the fence, in milliseconds. */
-const FENCE_TIMEOUT = 700
+/**
+ * Initial and maximum timeout of the append that raises the fence, in milliseconds; it doubles each
+ * time. An append may wait 2 s in the log.
+ */
+const MINIMUM_FENCE_TIMEOUT = 700
+const MAXIMUM_FENCE_TIMEOUT = 2_500
 
 /**
  * Recovers the state of earlier owners at the start of a term: raises the fence, replays their
@@ -119,15 +123,17 @@
 	/** Resolves to the end offset of the progress stream at the fence; undefined if the term has ended. */
 	private async raiseFence(): Promise<number | undefined> {
 		const { token, events, endTerm } = this.context
+		let timeout = MINIMUM_FENCE_TIMEOUT
 		while (!this.options.isEnded()) {
 			const fence = { term: token, sequence: 0 }
-			const result = await this.options.log.append('progress', [], FENCE_TIMEOUT, fence)
+			const result = await this.options.log.append('progress', [], timeout, fence)
 			if (result.kind === 'appended') return result.end
 			if (result.kind === 'fenced') {
 				endTerm(`fence refused: ${result.reason}`)
 				return undefined
 			}
-			events.warn('owner-fence-repeated', { reason: result.reason })
+			events.warn('owner-fence-repeated', { reason: result.reason, timeout })
+			timeout = Math.min(timeout * 2, MAXIMUM_FENCE_TIMEOUT)
 			await this.sleep(RETRY_PAUSE)
 		}
 		return undefined
