Drop all expired jobs in a run, in batches

Cause: each run, every 10 s, dropped 200 jobs at most. Above 20 finished jobs a second the records pile up in the log, in the replica of each instance and in what a new owner restores, and are never worked off while the load lasts.

A run goes on in batches of 200 until nothing is left, and waits after each one until its records are durable, so that placements wait behind one batch at most. It ends at the first batch that fails.

--- a/packages/jobs/src/lib/owner/JobRetention.ts
+++ b/packages/jobs/src/lib/owner/JobRetention.ts
@@ -9,8 +9,8 @@
 
 /** Extra time for which expired jobs are kept, for late repeated requests, in milliseconds. */
 const RETENTION_MARGIN = 30_000
-/** Maximum number of jobs dropped at once. */
-const MAXIMUM_JOBS_PER_RUN = 200
+/** Maximum number of jobs dropped at once, so that few records of placements wait behind them. */
+const MAXIMUM_JOBS_PER_BATCH = 200
 /** Timeout of one append, in milliseconds. */
 const APPEND_TIMEOUT = 900
 
@@ -41,11 +41,20 @@
 		this.isDropping = true
 		const expired = [...this.options.replica.all]
 			.filter((row) => this.isExpired(row))
-			.slice(0, MAXIMUM_JOBS_PER_RUN)
-		if (expired.length > 0) await this.dropJobs(expired.map((row) => row.id))
+			.map((row) => row.id)
+		for (let start = 0; start < expired.length; start += MAXIMUM_JOBS_PER_BATCH) {
+			if (!(await this.dropJobs(expired.slice(start, start + MAXIMUM_JOBS_PER_BATCH)))) break
+			await this.waitForDurability()
+		}
 		this.isDropping = false
 	}
 
+	private waitForDurability(): Promise<void> {
+		return new Promise((resolve) => {
+			this.options.writer.whenDurable(resolve)
+		})
+	}
+
 	private isExpired({ snapshot }: ReplicaRow): boolean {
 		if (snapshot?.finishedAt === undefined) return false
 		if (snapshot.tasks.some((task) => task.phase === 'placed')) return false
@@ -55,8 +64,11 @@
 		)
 	}
 
-	/** Drops the intake records first, because progress without its job starts nothing. */
-	private async dropJobs(ids: readonly JobId[]): Promise<void> {
+	/**
+	 * Drops the intake records first, because progress without its job starts nothing. Resolves to
+	 * whether the jobs were dropped.
+	 */
+	private async dropJobs(ids: readonly JobId[]): Promise<boolean> {
 		const { log, intake, writer } = this.options
 		const records = ids.flatMap((id) => JobRecords.createIntakeTombstones(id))
 		for (const follower of intake) {
@@ -65,12 +77,13 @@
 			const result = await log.append(follower.stream, present, APPEND_TIMEOUT)
 			if (result.kind === 'appended') continue
 			this.context.events.warn('jobs-not-dropped', { stream: follower.stream, ...result })
-			return
+			return false
 		}
 		for (const id of ids) {
 			writer.markRecordChanged(id, () => ({ key: id, value: undefined }))
 			this.context.jobs.remove(id)
 		}
 		this.context.events.info('jobs-dropped', { count: ids.length })
+		return true
 	}
 }
