Drop the expired jobs of streams that answer

Cause: JobRetention gave up the whole run at the first intake stream that did not accept its append, always in the same order. One stream out of reach kept the expired jobs of all others, in the log and in each replica, until it came back; a run repeated the appends to the streams before it.

Now the jobs with a record in a stream that failed are kept, and all others dropped. A stream that failed is not tried again in the same run. jobs-not-dropped has the number of jobs.

--- a/packages/jobs/src/lib/owner/JobRetention.ts
+++ b/packages/jobs/src/lib/owner/JobRetention.ts
@@ -3,6 +3,7 @@
 import type { JobReplica } from '../log/JobReplica.js'
 import type { ReplicaRow } from '../log/ReplicaRow.js'
 import type { StreamFollower } from '../log/StreamFollower.js'
+import type { LogRecord } from '../ports/LogRecord.js'
 import type { MetadataLog } from '../ports/MetadataLog.js'
 import type { OwnerContext } from './OwnerContext.js'
 import type { ProgressWriter } from './ProgressWriter.js'
@@ -39,11 +40,12 @@
 	async dropExpired(): Promise<void> {
 		if (this.isDropping) return
 		this.isDropping = true
+		const failedStreams = new Set<StreamFollower>()
 		const expired = [...this.options.replica.all]
 			.filter((row) => this.isExpired(row))
 			.map((row) => row.id)
 		for (let start = 0; start < expired.length; start += MAXIMUM_JOBS_PER_BATCH) {
-			if (!(await this.dropJobs(expired.slice(start, start + MAXIMUM_JOBS_PER_BATCH)))) break
+			await this.dropJobs(expired.slice(start, start + MAXIMUM_JOBS_PER_BATCH), failedStreams)
 			await this.waitForDurability()
 		}
 		this.isDropping = false
@@ -65,25 +67,51 @@
 	}
 
 	/**
-	 * Drops the intake records first, because progress without its job starts nothing. Resolves to
-	 * whether the jobs were dropped.
+	 * Drops the intake records first, because progress without its job starts nothing. Keeps the jobs
+	 * with records in a stream that does not accept an append.
+	 *
+	 * @param failedStreams - streams that are not tried again in this run
 	 */
-	private async dropJobs(ids: readonly JobId[]): Promise<boolean> {
-		const { log, intake, writer } = this.options
-		const records = ids.flatMap((id) => JobRecords.createIntakeTombstones(id))
-		for (const follower of intake) {
-			const present = records.filter((record) => follower.has(record.key))
+	private async dropJobs(ids: readonly JobId[], failedStreams: Set<StreamFollower>): Promise<void> {
+		const remaining = new Set(ids)
+		const { intake } = this.options
+		const streams = [...intake].sort(
+			(a, b) => Number(failedStreams.has(b)) - Number(failedStreams.has(a))
+		)
+		for (const follower of streams) {
+			const present = [...remaining].filter((id) => getIntakeRecords(follower, id).length > 0)
 			if (present.length === 0) continue
-			const result = await log.append(follower.stream, present, APPEND_TIMEOUT)
-			if (result.kind === 'appended') continue
-			this.context.events.warn('jobs-not-dropped', { stream: follower.stream, ...result })
-			return false
+			if (!failedStreams.has(follower) && (await this.dropIntakeRecords(follower, present)))
+				continue
+			failedStreams.add(follower)
+			for (const id of present) remaining.delete(id)
 		}
+		this.dropProgress(remaining)
+	}
+
+	private async dropIntakeRecords(
+		follower: StreamFollower,
+		ids: readonly JobId[]
+	): Promise<boolean> {
+		const { stream } = follower
+		const records = ids.flatMap((id) => getIntakeRecords(follower, id))
+		const result = await this.options.log.append(stream, records, APPEND_TIMEOUT)
+		if (result.kind === 'appended') return true
+		this.context.events.warn('jobs-not-dropped', { stream, count: ids.length, ...result })
+		return false
+	}
+
+	private dropProgress(ids: ReadonlySet<JobId>): void {
+		if (ids.size === 0) return
 		for (const id of ids) {
-			writer.markRecordChanged(id, () => ({ key: id, value: undefined }))
+			this.options.writer.markRecordChanged(id, () => ({ key: id, value: undefined }))
 			this.context.jobs.remove(id)
 		}
-		this.context.events.info('jobs-dropped', { count: ids.length })
-		return true
+		this.context.events.info('jobs-dropped', { count: ids.size })
 	}
 }
+
+/** Returns the tombstones for the records that a job has in a stream. */
+function getIntakeRecords(follower: StreamFollower, id: JobId): LogRecord[] {
+	return JobRecords.createIntakeTombstones(id).filter((record) => follower.has(record.key))
+}
