--- a/packages/jobs/src/lib/owner/JobRetention.failure.test.ts
+++ b/packages/jobs/src/lib/owner/JobRetention.failure.test.ts
@@ -3,6 +3,7 @@
 import { JobRecords } from '../log/JobRecords.js'
 import { JobReplica } from '../log/JobReplica.js'
 import { StreamFollower } from '../log/StreamFollower.js'
+import type { IntakeStream } from '../ports/IntakeStream.js'
 import { intakeStreams } from '../ports/intakeStreams.js'
 import { createTestContext } from '../testing/createTestContext.js'
 import { MemoryLog } from '../testing/MemoryLog.js'
@@ -32,6 +33,24 @@
 	expect(countPresentJobs(store)).toBe(10)
 })
 
+// Guards against a finished job that is run again: its progress was dropped while its submission was
+// in a stream that had not been read.
+it('keeps the progress of jobs whose submissions may be in an unread stream', async () => {
+	const { retention, store, advance } = await createRetention(60, 'intake/0')
+	void retention.dropExpired()
+	await advance(3_000)
+	expect(countDroppedProgress(store)).toBe(0)
+	store.unavailableStreams.delete('intake/0')
+	await advance(3_000)
+	void retention.dropExpired()
+	await advance(3_000)
+	expect([countPresentJobs(store), countDroppedProgress(store)]).toEqual([0, 60])
+})
+
+function countDroppedProgress(store: MemoryStore): number {
+	return store.getEntries('progress').filter(({ value }) => value === undefined).length
+}
+
 function countPresentJobs(store: MemoryStore): number {
 	const present = new Set<string>()
 	for (const stream of intakeStreams) {
@@ -43,15 +62,20 @@
 	return present.size
 }
 
-/** Creates the retention of jobs that are spread evenly over the streams. */
-async function createRetention(jobs: number) {
+/**
+ * Creates the retention of jobs that are spread evenly over the streams.
+ *
+ * @param unread - stream that does not answer from the start
+ */
+async function createRetention(jobs: number, unread?: IntakeStream) {
 	const timers = new VirtualTimerService()
 	const store = new MemoryStore()
+	if (unread) store.unavailableStreams.add(unread)
 	const log = new MemoryLog(store, timers)
 	const context = { ...createTestContext(timers), getWallTime: () => NOW }
 	const replica = new JobReplica(context.events)
 	const options = { maximumWait: 0, getPollDelay: () => 50 }
-	const createFollower = (stream: 'progress' | (typeof intakeStreams)[number]): StreamFollower =>
+	const createFollower = (stream: 'progress' | IntakeStream): StreamFollower =>
 		new StreamFollower(
 			stream,
 			log,
