Keep the progress of jobs whose submissions may be unread

Cause: JobRetention dropped the progress of an expired job when none of the intake followers knew of a submission; a follower that has not loaded its stream, as on narrow links in, knows none at all. When the stream is read later, the submission has no progress beside it, so the job counts as new. The same holds for a copy of a submission in a second stream.

A job is dropped only if every intake stream has been read at least 10 s after the job ended; so no submission of it is unread. A stream that is out of reach for less than the retention delays nothing.

--- a/packages/jobs/src/lib/owner/JobRetention.ts
+++ b/packages/jobs/src/lib/owner/JobRetention.ts
@@ -10,6 +10,8 @@
 
 /** Extra time for which expired jobs are kept, for late repeated requests, in milliseconds. */
 const RETENTION_MARGIN = 30_000
+/** Time after the end of a job in which a copy of its submission may still arrive, in milliseconds. */
+const MAXIMUM_SUBMISSION_DELAY = 10_000
 /** Maximum number of jobs dropped at once, so that few records of placements wait behind them. */
 const MAXIMUM_JOBS_PER_BATCH = 200
 /** Timeout of one append, in milliseconds. */
@@ -41,8 +43,9 @@
 		if (this.isDropping) return
 		this.isDropping = true
 		const failedStreams = new Set<StreamFollower>()
+		const intakeReadAt = this.getIntakeReadAt()
 		const expired = [...this.options.replica.all]
-			.filter((row) => this.isExpired(row))
+			.filter((row) => this.isExpired(row, intakeReadAt))
 			.map((row) => row.id)
 		for (let start = 0; start < expired.length; start += MAXIMUM_JOBS_PER_BATCH) {
 			await this.dropJobs(expired.slice(start, start + MAXIMUM_JOBS_PER_BATCH), failedStreams)
@@ -57,8 +60,22 @@
 		})
 	}
 
-	private isExpired({ snapshot }: ReplicaRow): boolean {
+	/**
+	 * Returns the wall time of the oldest answer among the latest ones of all intake streams. A job that
+	 * ended before it has no submission that is still unread, which would make it a new job again.
+	 */
+	private getIntakeReadAt(): number {
+		const { timers, getWallTime } = this.context
+		const offset = getWallTime() - timers.now()
+		const instants = this.options.intake.map(({ loaded, lastContactAt }) =>
+			loaded && lastContactAt !== undefined ? lastContactAt + offset : -Infinity
+		)
+		return Math.min(...instants)
+	}
+
+	private isExpired({ snapshot }: ReplicaRow, intakeReadAt: number): boolean {
 		if (snapshot?.finishedAt === undefined) return false
+		if (snapshot.finishedAt + MAXIMUM_SUBMISSION_DELAY > intakeReadAt) return false
 		if (snapshot.tasks.some((task) => task.phase === 'placed')) return false
 		return (
 			this.context.getWallTime() - snapshot.finishedAt >
