Read first lists of ends few at a time after one has failed

Cause: a new owner asks all backend servers at the same time, with 0.4 s for each whole list, up to 500 ends or 35 KB. On a link of 10 Mbit/s all lists together have to be below 500 KB; 230 servers with 150 ends have 2 MB. All lists time out at the same time, nothing is acknowledged, and all are asked again 0.3 or 0.8 s later.

A first list that has failed is asked for again by a queue of the term with 8 at a time: 280 KB at most, 0.23 s on such a link. The first try is as before, so that nothing changes where all lists arrive.

The cost: servers that do not answer at all hold room in the queue for 0.4 s each. With 80 of them a server that comes back waits up to 4 s for its first list in this term, instead of 1.2 s. Servers that have been listed once, and refused connections, are not affected.

--- a/packages/jobs/src/lib/owner/BackendMonitor.limits.failure.test.ts
+++ b/packages/jobs/src/lib/owner/BackendMonitor.limits.failure.test.ts
@@ -7,6 +7,7 @@
 import type { RenewalResult } from '../ports/RenewalResult.js'
 import { createTestContext } from '../testing/createTestContext.js'
 import { BackendMonitor } from './BackendMonitor.js'
+import { ListingQueue } from './ListingQueue.js'
 import type { OrderDispatcher } from './OrderDispatcher.js'
 import type { ProgressWriter } from './ProgressWriter.js'
 import type { TaskUpdater } from './TaskUpdater.js'
@@ -88,6 +89,7 @@
 		taskUpdater: { endLostRuns: ignore } as unknown as TaskUpdater,
 		dispatcher: {} as unknown as OrderDispatcher,
 		writer: { whenDurable: ignore } as unknown as ProgressWriter,
+		listingQueue: new ListingQueue(),
 		replan: ignore,
 		isIntakeRead: () => true,
 	}
--- a/packages/jobs/src/lib/owner/BackendMonitor.ts
+++ b/packages/jobs/src/lib/owner/BackendMonitor.ts
@@ -2,6 +2,7 @@
 import type { RenewalResult } from '../ports/RenewalResult.js'
 import type { RunListing } from '../ports/RunListing.js'
 import { LeaseTiming } from './LeaseTiming.js'
+import type { ListingQueue } from './ListingQueue.js'
 import type { OrderDispatcher } from './OrderDispatcher.js'
 import type { OwnerContext } from './OwnerContext.js'
 import type { TaskUpdater } from './TaskUpdater.js'
@@ -47,6 +48,8 @@
 			readonly taskUpdater: TaskUpdater
 			readonly dispatcher: OrderDispatcher
 			readonly writer: ProgressWriter
+			/** Shared by all monitors of a term. */
+			readonly listingQueue: ListingQueue
 			readonly replan: () => void
 			/** Whether every job that an earlier owner may have started has been read. */
 			readonly isIntakeRead: () => boolean
@@ -82,13 +85,24 @@
 				await this.sleep(undefined)
 				continue
 			}
-			const listed = await this.renew(this.getListingWait())
+			const listed = await this.readListing()
 			await this.sleep(listed ? LISTING_PAUSE : this.getFailurePause())
 			if (listed && this.row.tasks.size === 0) await this.sleep(IDLE_ACKNOWLEDGEMENT_PAUSE)
 			await this.waitForDurability()
 		}
 	}
 
+	/**
+	 * Renews the leases and reads a listing. A first listing that failed is tried again with few others
+	 * at a time: if all servers have many ends, they delay each other beyond the timeout.
+	 */
+	private async readListing(): Promise<boolean> {
+		const { row, options } = this
+		const isRetry = !row.reconciled && !row.reachable
+		const renew = (): Promise<boolean> => this.renew(this.getListingWait())
+		return isRetry ? options.listingQueue.run(renew) : renew()
+	}
+
 	private getListingWait(): number {
 		const { reconciled, tasks } = this.row
 		if (!reconciled || tasks.size === 0) return 0
