Check in random states of the log that every caller is answered truly and in time

One instance, jobs of other instances, silent streams, a silent or slow log, lost answers and expired history; queries, cancellations, submissions and counts, up to 40 at once, with timeouts from 0 to 2,850 ms. Each answer must come by its deadline (plus 2 ms of virtual time) and must have been true at some time since the instance started; a job that was submitted before the query is never unknown, and what was refused is not stored.

The test was tried against changes to the code under test: it finds a count from part of the streams, 410 with a stream left out, a state without the progress, not-stored for a started append, and a look-up without a deadline. It does not find a state without all intake streams, or a batch that forgets an unanswered append; JobIntake.test.ts and IntakeWriter.test.ts do.

--- a/packages/jobs/src/lib/testing/CountingLog.ts
+++ b/packages/jobs/src/lib/testing/CountingLog.ts
@@ -1,11 +1,14 @@
+import type { AppendResult } from '../ports/AppendResult.js'
+import type { LogFence } from '../ports/LogFence.js'
+import type { LogRecord } from '../ports/LogRecord.js'
 import type { LogStream } from '../ports/LogStream.js'
 import type { ReadNewestResult } from '../ports/ReadNewestResult.js'
 import type { ReadResult } from '../ports/ReadResult.js'
 import { MemoryLog } from './MemoryLog.js'
 
 /**
- * Counts the reads of each stream that do not wait for records. Reads of a stream that is unavailable end late,
- * as those of the platform's log do.
+ * Counts the reads of each stream that do not wait for records. Reads of a stream that is unavailable
+ * end late, as those of the platform's log do, and answers can be late or lost.
  *
  * @internal
  */
@@ -18,6 +21,20 @@
 	failureTime = 0
 	/** Milliseconds that the answer to a read takes after the records were looked up. */
 	answerTime = 0
+	/** While true, records are appended but the answers are lost. */
+	losesAppendAnswers = false
+
+	override async append(
+		stream: LogStream,
+		records: readonly LogRecord[],
+		timeout: number,
+		fence?: LogFence
+	): Promise<AppendResult> {
+		const result = await super.append(stream, records, timeout, fence)
+		if (!this.losesAppendAnswers || result.kind !== 'appended') return result
+		await this.sleep(timeout)
+		return { kind: 'unknown', reason: 'no answer' }
+	}
 
 	override async read(stream: LogStream, from: number, wait: number): Promise<ReadResult> {
 		if (wait === 0) this.count(this.readCounts, stream)
