--- a/packages/jobs/src/lib/callers/JobAnswer.ts
+++ b/packages/jobs/src/lib/callers/JobAnswer.ts
@@ -5,7 +5,8 @@
  *
  * - `refused`: the job was not accepted and will not run because of this request
  * - `unclear`: the write was not confirmed and may still take effect
- * - `unavailable`: the log is unreachable, so the state is unknown or nothing was written
+ * - `unavailable`: the log is unreachable or not loaded yet, so the state is unknown or nothing was
+ *   written
  *
  * @public
  */
