--- a/packages/jobs/src/lib/owner/TermRecovery.failure.test.ts
+++ b/packages/jobs/src/lib/owner/TermRecovery.failure.test.ts
@@ -32,7 +32,7 @@
 	const written = fleet.store.getEntries('progress').slice(FINISHED_JOBS)
 	expect(written.filter(({ key }) => ids.includes(key))).toHaveLength(0)
 	expect(written.map(({ key }) => key)).toContain('backend/b1')
-	const state = fleet.instances[0]?.daemon.intake.getState(ids[0] ?? '')
+	const state = fleet.instances[0]?.daemon.intake.getState(ids[0] ?? '', fleet.timers.now() + 2_000)
 	await fleet.advance(50)
 	expect(await state).toEqual({ kind: 'state', state: 'completed' })
 })
