Tell by the latest end of the stream whether a follower is behind

An answer that was sent earlier and arrives later could say that nothing is left to read. A follower keeps the latest end that any answer has shown. It pauses as usual after a read that brought no record, so that a log that shows an end and sends nothing is not asked without a pause.

--- a/packages/jobs/src/lib/log/StreamFollower.ts
+++ b/packages/jobs/src/lib/log/StreamFollower.ts
@@ -42,8 +42,8 @@
 	/** The load that is going on or has failed midway; undefined if there is none. */
 	private load: StreamLoad | undefined
 	private pendingLoad: Promise<boolean> | undefined
-	/** Whether the log has records after those that were read, according to its latest answer. */
-	private behind = false
+	/** The latest end of the stream that an answer has shown. */
+	private latestEnd = 0
 	/** The read in flight while behind, and its offset. */
 	private pendingPiece: PendingPiece | undefined
 	private pendingRead: Promise<boolean> | undefined
@@ -99,9 +99,7 @@
 	 */
 	applyAppended(entries: readonly LogEntry[], nextOffset: number): void {
 		for (const entry of entries) this.apply(entry)
-		if (nextOffset <= this.nextOffset) return
-		this.nextOffset = nextOffset
-		this.behind = false
+		this.nextOffset = Math.max(this.nextOffset, nextOffset)
 	}
 
 	/** Whether the key has a record, according to what has been read so far. */
@@ -146,14 +144,21 @@
 
 	private async run(): Promise<void> {
 		while (!this.stopped) {
+			const from = this.nextOffset
 			const answered = this.paused || (await this.readOnce(this.options.maximumWait))
-			await this.sleep(this.getDelay(answered))
+			await this.sleep(this.getDelay(answered, from))
 		}
 	}
 
-	private getDelay(answered: boolean): number {
+	/** Whether the log is known to have records after those that were read. */
+	private get behind(): boolean {
+		return this.nextOffset < this.latestEnd
+	}
+
+	/** Returns the delay after a read from an offset; none if it brought some of the records. */
+	private getDelay(answered: boolean, from: number): number {
 		if (!answered) return RETRY_DELAY
-		return this.behind ? 0 : this.options.getPollDelay()
+		return this.behind && this.nextOffset > from ? 0 : this.options.getPollDelay()
 	}
 
 	private async readOnce(wait: number): Promise<boolean> {
@@ -185,14 +190,13 @@
 		if (result.kind === 'expired') {
 			this.events.warn('log-history-expired', { stream: this.stream, from })
 			this.loaded = false
-			this.behind = false
 			return this.finishLoad()
 		}
 		if (result.kind === 'unavailable') return this.recordFailure(result.reason)
 		this.recordContact()
 		for (const entry of result.entries) this.apply(entry)
 		this.nextOffset = Math.max(this.nextOffset, result.next)
-		this.behind = this.nextOffset < result.end
+		this.latestEnd = Math.max(this.latestEnd, result.end)
 		return true
 	}
 
