Advance the waves beside the rounds of the pools

Cause: each round of MachineManager ran the pools and then waited for all waves: in turn for each machine, up to 1 s for the record and 1.5 s for the order. The time of a round grew with the number of machines that are ready to be taken down; the list of machines was not read meanwhile.

The waves are now advanced beside the rounds, one call at a time. A machine that a wave has chosen is reserved before the first wait, and a machine that is moved is passed over by the waves, as before; the moves ran beside the waves already.

--- a/packages/jobs/src/lib/machines/MachineManager.ts
+++ b/packages/jobs/src/lib/machines/MachineManager.ts
@@ -25,6 +25,7 @@
 	private readonly pools: PoolManager
 	private readonly evacuator: Evacuator
 	private stopped = false
+	private isAdvancingWaves = false
 
 	constructor(
 		private readonly context: OwnerContext,
@@ -96,12 +97,21 @@
 			this.evacuator.evacuate()
 			if (listed) {
 				this.pools.runRound()
-				await this.waves.advanceWaves()
+				this.advanceWaves()
 			}
 			await this.sleep(ROUND_INTERVAL)
 		}
 	}
 
+	/** Advances the waves beside the rounds, unless an earlier call is still waiting for answers. */
+	private advanceWaves(): void {
+		if (this.isAdvancingWaves) return
+		this.isAdvancingWaves = true
+		void this.waves.advanceWaves().finally(() => {
+			this.isAdvancingWaves = false
+		})
+	}
+
 	private isStopped(): boolean {
 		return this.stopped
 	}
