Move no machine whose runs and ends are known from its listing alone

What callers saw: nothing yet; found by the review and shown in virtual time. Tasks that had ended done ran twice. Cause: a move counted a server without placed tasks as idle, also while the ends that made it so were not in the log, or while it listed runs or ends of jobs that the owner had not read. A move deletes the listing, the only evidence of them; after a change of owner the tasks are started again. Servers that list unread runs are listed again until the jobs are read. Class: an order that destroys evidence before it is durable.

--- a/packages/core/src/lib/jobs/BackendRow.ts
+++ b/packages/core/src/lib/jobs/BackendRow.ts
@@ -40,6 +40,8 @@
 	lastProcessedEnd: number
 	/** Number of the latest end of a run whose outcome is durable. */
 	lastAcknowledgedEnd: number
+	/** Whether its latest listing names runs or ends of jobs that may not have been read yet. */
+	hasUnreadRuns: boolean
 	/** Time since which no task has been placed on it. */
 	idleSince: number
 	/** Resources reserved by its placed tasks. */
--- a/packages/core/src/lib/jobs/BackendTable.ts
+++ b/packages/core/src/lib/jobs/BackendTable.ts
@@ -83,6 +83,7 @@
 		leasesExpireBy: 0,
 		lastProcessedEnd: 0,
 		lastAcknowledgedEnd: 0,
+		hasUnreadRuns: false,
 		idleSince: 0,
 		used: noResources,
 		tasks: new Map(),
--- a/packages/jobs/src/lib/machines/PoolManager.ts
+++ b/packages/jobs/src/lib/machines/PoolManager.ts
@@ -206,6 +206,8 @@
 		const { inventory } = this.options
 		const usable = row.reconciled && row.reachable && inventory.isSafeToOrder(row.machine)
 		if (row.tasks.size > 0 || paused || !usable || row.machine === '') return undefined
+		// Its listing is the only evidence of ends that are not durable.
+		if (row.hasUnreadRuns || row.lastProcessedEnd > row.lastAcknowledgedEnd) return undefined
 		return this.options.isReserved(row.machine) ? undefined : row.idleSince
 	}
 
--- a/packages/jobs/src/lib/owner/BackendMonitor.ts
+++ b/packages/jobs/src/lib/owner/BackendMonitor.ts
@@ -120,7 +120,8 @@
 		if (row.address === '') return row.tasks.size > 0
 		const hasUnacknowledgedEnds = row.lastProcessedEnd > row.lastAcknowledgedEnd
 		const isUnusable = !row.reconciled || !row.reachable
-		return (row.registered && isUnusable) || row.tasks.size > 0 || hasUnacknowledgedEnds
+		if (row.tasks.size > 0 || row.hasUnreadRuns || hasUnacknowledgedEnds) return true
+		return row.registered && isUnusable
 	}
 
 	/** Renews the leases and reads a listing. Returns whether the server answered with a listing. */
@@ -160,6 +161,9 @@
 		}
 		if (row.incarnation !== listing.incarnation) this.handleIncarnationChange(listing.incarnation)
 		row.clockOffset = listing.clock - context.timers.now()
+		row.hasUnreadRuns = [...listing.running, ...listing.ended].some(({ task }) =>
+			this.mayBeUnread(task)
+		)
 		const listed = this.updateRunningTasks(listing)
 		this.processEnds(listing, listed)
 		this.handleUnlistedTasks(listed, sentAt)
--- a/packages/jobs/src/lib/testing/createTestFleet.ts
+++ b/packages/jobs/src/lib/testing/createTestFleet.ts
@@ -1,4 +1,4 @@
-import type { Job, JobStep, Resources } from '@mastichead/core'
+import type { FleetConfiguration, Job, JobStep, Resources } from '@mastichead/core'
 import { VirtualTimerService, createTestConfiguration, createTestJob } from '@mastichead/core'
 import { JobDaemon } from '../JobDaemon.js'
 import type { EventLog } from '../logs/EventLog.js'
@@ -31,6 +31,7 @@
 	/** Prefix of the ids of the backend servers; their numbers follow. */
 	readonly backendPrefix?: string
 	readonly limit?: Resources
+	readonly configuration?: FleetConfiguration
 	readonly machines?: Machine[]
 	readonly events?: EventLog
 	readonly metrics?: JobMetrics
@@ -46,7 +47,8 @@
 		registerBackend(store, backend)
 	}
 	store.append('operator', [{ key: 'config', value: '1' }])
-	const format = new JsonTestFormat(new Map([[1, createTestConfiguration(options.limit)]]))
+	const configuration = options.configuration ?? createTestConfiguration(options.limit)
+	const format = new JsonTestFormat(new Map([[1, configuration]]))
 	const machines = new MemoryMachineController(options.machines)
 	const instances: TestInstance[] = []
 	for (let number = 1; number <= options.instances; number += 1) {
