--- a/packages/jobs/src/lib/owner/TermRecovery.ts
+++ b/packages/jobs/src/lib/owner/TermRecovery.ts
@@ -9,8 +9,14 @@
 const MAXIMUM_READ_WAIT = 500
 /** Pause before a failed call to the log is retried, in milliseconds. */
 const RETRY_PAUSE = 100
-/** Timeout of the append that raises the fence, in milliseconds. */
-const FENCE_TIMEOUT = 700
+/** Time for which jobs are restored without giving way to heartbeats and reads, in milliseconds. */
+const RESTORE_SLICE = 20
+/**
+ * Initial and maximum timeout of the append that raises the fence, in milliseconds; it doubles each
+ * time. An append may wait 2 s in the log.
+ */
+const MINIMUM_FENCE_TIMEOUT = 700
+const MAXIMUM_FENCE_TIMEOUT = 2_500
 
 /**
  * Recovers the state of earlier owners at the start of a term: raises the fence, replays their
@@ -72,10 +78,22 @@
 		return !this.unreadStreams.has(follower)
 	}
 
-	/** Restores jobs in the states in which earlier owners left them. */
-	restoreJobs(rows: Iterable<ReplicaRow>): void {
-		for (const row of rows) this.restoreJob(row)
+	/**
+	 * Restores jobs in the states in which earlier owners left them, a slice in each turn of the loop.
+	 * Resolves to whether the term goes on.
+	 */
+	async restoreJobs(rows: Iterable<ReplicaRow>): Promise<boolean> {
+		const { timers } = this.context
+		let sliceEndsAt = timers.now() + RESTORE_SLICE
+		for (const row of rows) {
+			this.restoreJob(row)
+			if (timers.now() < sliceEndsAt) continue
+			await this.sleep(0)
+			if (this.options.isEnded()) return false
+			sliceEndsAt = timers.now() + RESTORE_SLICE
+		}
 		this.endPhase('restore')
+		return !this.options.isEnded()
 	}
 
 	/** Returns the duration of the start, of each phase, and the streams that are still read. */
@@ -89,7 +107,8 @@
 	restoreJob(replicaRow: ReplicaRow): void {
 		const { jobs, backends, timers } = this.context
 		const { job, snapshot, cancelled } = replicaRow
-		if (!job) return
+		// A job that was submitted or cancelled meanwhile has been restored by then.
+		if (!job || jobs.get(job.id)) return
 		const row = jobs.add(job, snapshot)
 		for (const task of row.tasks) {
 			if (task.phase !== 'placed' || task.backend === undefined) continue
@@ -97,22 +116,24 @@
 			backend.leasesExpireBy = LeaseTiming.getLatestInheritedExpiry(timers.now())
 			backends.assign(task)
 		}
-		if (cancelled) this.options.taskUpdater.cancelJob(row)
-		else if (row.finishedAt !== undefined) this.options.taskUpdater.updateJob(row)
+		if (row.finishedAt !== undefined) this.options.taskUpdater.settleJob(row)
+		else if (cancelled) this.options.taskUpdater.cancelJob(row)
 	}
 
 	/** Resolves to the end offset of the progress stream at the fence; undefined if the term has ended. */
 	private async raiseFence(): Promise<number | undefined> {
 		const { token, events, endTerm } = this.context
+		let timeout = MINIMUM_FENCE_TIMEOUT
 		while (!this.options.isEnded()) {
 			const fence = { term: token, sequence: 0 }
-			const result = await this.options.log.append('progress', [], FENCE_TIMEOUT, fence)
+			const result = await this.options.log.append('progress', [], timeout, fence)
 			if (result.kind === 'appended') return result.end
 			if (result.kind === 'fenced') {
 				endTerm(`fence refused: ${result.reason}`)
 				return undefined
 			}
-			events.warn('owner-fence-repeated', { reason: result.reason })
+			events.warn('owner-fence-repeated', { reason: result.reason, timeout })
+			timeout = Math.min(timeout * 2, MAXIMUM_FENCE_TIMEOUT)
 			await this.sleep(RETRY_PAUSE)
 		}
 		return undefined
