Order machines for the work that arrives while they move

Callers saw jobs of one second finish late whenever their queue's demand rose. Cause: a pool asked for the cores in use and waiting now.

A pool in which tasks wait now adds what it accumulates in that time: the demand beyond the cores in use, for as long as machines took to arrive on average in this term (learned from the moves; 0 until one has arrived). A pool in which nothing waits keeps its size, so that noise of the arrivals moves no machines.

--- a/packages/core/src/lib/jobs/DemandPoolPolicy.test.ts
+++ b/packages/core/src/lib/jobs/DemandPoolPolicy.test.ts
@@ -49,6 +49,13 @@
 		expect(moves.filter((move) => move.to === 'large').length).toBeGreaterThan(4)
 	})
 
+	it('adds the work that arrives while a machine moves if tasks already wait', () => {
+		const demand = { machines: 10, demandCores: 300, usedCores: 160, arrivalTime: 1_400 }
+		const waiting = createPool('rising', { ...demand, pendingCores: 160 })
+		expect(policy.getTargetSize(waiting)).toBe(Math.ceil(((160 + 160 + 140) * 1.1) / 16))
+		expect(policy.getTargetSize(createPool('steady', demand))).toBe(21)
+	})
+
 	it('sizes a pool that has no machines by its pending work', () => {
 		expect(policy.getTargetSize(createPool('empty', { machines: 0, pendingCores: 160 }))).toBe(11)
 	})
@@ -94,6 +101,7 @@
 		spare: false,
 		machineCores: 16,
 		arrivingMachines: 0,
+		arrivalTime: 0,
 		demandCores: 0,
 		usedCores: 0,
 		pendingCores: 0,
--- a/packages/core/src/lib/jobs/DemandPoolPolicy.ts
+++ b/packages/core/src/lib/jobs/DemandPoolPolicy.ts
@@ -19,6 +19,8 @@
 const WARM_TIME = 3_000
 /** Demand below which a pool counts as having none, in cores. */
 const MINIMUM_DEMAND = 1
+/** Time in which work that accumulates while a machine moves should be done, in milliseconds. */
+const BACKLOG_TIME = 1_400
 
 interface PoolBalance {
 	readonly pool: PoolState
@@ -72,7 +74,8 @@
 
 	override getTargetSize(pool: PoolState): number {
 		if (pool.spare || pool.machineCores === 0) return 0
-		const batchCores = Math.max(pool.demandCores, pool.usedCores + pool.pendingCores)
+		const neededCores = pool.usedCores + pool.pendingCores + getBacklogGrowth(pool)
+		const batchCores = Math.max(pool.demandCores, neededCores)
 		const cores = batchCores * HEADROOM + pool.lastingCores
 		return Math.max(
 			MINIMUM_MACHINES,
@@ -99,6 +102,16 @@
 	}
 }
 
+/**
+ * Returns the cores needed for the work that a pool with unplaced tasks accumulates until a machine
+ * ordered now can run tasks, because work arrives faster than the cores in use do it.
+ */
+function getBacklogGrowth(pool: PoolState): number {
+	if (pool.pendingCores === 0) return 0
+	const excess = Math.max(0, pool.demandCores - pool.usedCores)
+	return (excess * pool.arrivalTime) / BACKLOG_TIME
+}
+
 /** Moves machines one by one, each to the pool that is furthest below its target size. */
 function coverShortages(balances: readonly PoolBalance[], now: number): MachineMove[] {
 	const moves: MachineMove[] = []
--- a/packages/core/src/lib/jobs/PoolState.ts
+++ b/packages/core/src/lib/jobs/PoolState.ts
@@ -14,6 +14,8 @@
 	readonly machines: readonly PoolMachine[]
 	/** Number of machines that are moving into the pool. */
 	readonly arrivingMachines: number
+	/** Time from the order for a machine until it can run tasks, in milliseconds; 0 until known. */
+	readonly arrivalTime: number
 	/** Cores that newly arriving work keeps busy. */
 	readonly demandCores: number
 	/** Cores in use by tasks of jobs that can finish on time, lasting tasks excluded. */
--- a/packages/jobs/src/lib/machines/PoolManager.ts
+++ b/packages/jobs/src/lib/machines/PoolManager.ts
@@ -14,6 +14,8 @@
 const ARRIVAL_TIMEOUT = 4_000
 /** Delay before the next order for a machine whose move failed, in milliseconds. */
 const FAILED_MOVE_COOLDOWN = 2_000
+/** Weight of the latest arrival in the average time of arrivals. */
+const ARRIVAL_WEIGHT = 0.1
 /** Maximum number of attempts of one order that gets no answer. */
 const MAXIMUM_ATTEMPTS = 3
 const MILLICORES_PER_CORE = 1_000
@@ -30,6 +32,8 @@
 	private readonly arrivals = new Map<string, { readonly service: string; readonly at: number }>()
 	/** Time until which no order is sent for a machine whose move failed, by machine. */
 	private readonly pausedUntil = new Map<string, number>()
+	/** Average time from an order until the machine could run tasks; 0 until a machine has arrived. */
+	private arrivalTime = 0
 	private poolStates: readonly PoolState[] = []
 	private loggedAt = -Infinity
 
@@ -104,10 +108,16 @@
 		for (const [machine, { service, at }] of this.arrivals) {
 			const backend = this.options.inventory.getBackend(machine)
 			const arrived = backend?.service === service && backend.reconciled
+			if (arrived) this.recordArrivalTime(now - at)
 			if (arrived || now - at > ARRIVAL_TIMEOUT) this.arrivals.delete(machine)
 		}
 	}
 
+	private recordArrivalTime(duration: number): void {
+		if (this.arrivalTime === 0) this.arrivalTime = duration
+		else this.arrivalTime += (duration - this.arrivalTime) * ARRIVAL_WEIGHT
+	}
+
 	private getPoolStates(now: number): PoolState[] {
 		const configuration = this.context.getConfiguration()
 		const states: PoolState[] = []
@@ -144,6 +154,7 @@
 			machineCores,
 			machines,
 			arrivingMachines: arrivingMachines.length,
+			arrivalTime: this.arrivalTime,
 			demandCores: this.options.demand.getCores(service, now),
 			usedCores: Math.max(0, usedCores - lastingCores - lateCores),
 			pendingCores: backlog.get(service) ?? 0,
@@ -167,6 +178,7 @@
 		}
 		const empty = {
 			arrivingMachines: 0,
+			arrivalTime: 0,
 			demandCores: 0,
 			usedCores: 0,
 			pendingCores: 0,
