Bound the growth of a pool's backlog by the work that waits

Growth while machines move is now at most as much as waits, so that a pool asks for at most twice what waits. A pool in which nothing waits still adds nothing.

Test: 169 machines for a burst that can use 68 before; at most 149 now. The test of rising demand still passes.

--- a/packages/core/src/lib/jobs/DemandPoolPolicy.ts
+++ b/packages/core/src/lib/jobs/DemandPoolPolicy.ts
@@ -104,12 +104,12 @@
 
 /**
  * Returns the cores needed for the work that a pool with unplaced tasks accumulates until a machine
- * ordered now can run tasks, because work arrives faster than the cores in use do it.
+ * ordered now can run tasks, because work arrives faster than the cores in use do it. At most as much
+ * as waits now, because the measured demand also rises by jobs that arrive at once.
  */
 function getBacklogGrowth(pool: PoolState): number {
-	if (pool.pendingCores === 0) return 0
 	const excess = Math.max(0, pool.demandCores - pool.usedCores)
-	return (excess * pool.arrivalTime) / BACKLOG_TIME
+	return Math.min((excess * pool.arrivalTime) / BACKLOG_TIME, pool.pendingCores)
 }
 
 /** Moves machines one by one, each to the pool that is furthest below its target size. */
