End a read to the end at the end that the stream had when asked

Cause: readToEnd ended only with an empty read. The owner writes progress all the time, so on a full link it went on until the traffic ended, and took part of the link.

Each answer tells the end of the stream. The first read that was sent after the call fixes the end to reach; a read that was in flight before does not count. The empty read at the end is no longer needed.

--- a/packages/jobs/src/lib/log/StreamFollower.ts
+++ b/packages/jobs/src/lib/log/StreamFollower.ts
@@ -47,7 +47,7 @@
 	private latestEnd = 0
 	/** The read in flight while behind, and its offset. */
 	private pendingPiece: PendingPiece | undefined
-	private readonly endRead = new SharedRead(() => this.readPagesToEnd())
+	private readonly endRead = new SharedRead(() => this.readPiecesToEnd())
 	private readonly catchUpRead = new SharedRead(() => this.readOnce(0))
 	private cancelSleep: (() => void) | undefined
 
@@ -109,8 +109,8 @@
 	}
 
 	/**
-	 * Reads to the end of the stream without waiting for new records. Concurrent calls share one
-	 * read that starts after they were made.
+	 * Reads to the end that the stream has now, without waiting for new records. Concurrent calls share
+	 * one read that starts after they were made.
 	 *
 	 * @returns whether the log answered every read
 	 */
@@ -136,11 +136,14 @@
 		})
 	}
 
-	private async readPagesToEnd(): Promise<boolean> {
+	private async readPiecesToEnd(): Promise<boolean> {
+		let end: number | undefined
 		for (;;) {
-			const before = this.nextOffset
+			// A piece in flight may have been sent before a record that the caller asks for.
+			const joined = this.pendingPiece !== undefined
 			if (!(await this.readOnce(0))) return false
-			if (this.nextOffset === before && this.loaded) return true
+			if (!joined) end ??= this.latestEnd
+			if (this.loaded && end !== undefined && this.nextOffset >= end) return true
 		}
 	}
 
