--- a/packages/jobs/src/lib/callers/IntakeWriter.test.ts
+++ b/packages/jobs/src/lib/callers/IntakeWriter.test.ts
@@ -115,6 +115,25 @@
 	expect(timers.pendingCount).toBe(0)
 })
 
+// Guards against submissions that are refused because the call in which they are sent is too large.
+it('sends large submissions in several appends', async () => {
+	const { writer, store, log, advance } = createWriter()
+	const sizes: number[] = []
+	const append = log.append.bind(log)
+	log.append = (stream, records, timeout) => {
+		sizes.push(records.reduce((sum, { value }) => sum + (value?.length ?? 0), 0))
+		return append(stream, records, timeout)
+	}
+	const value = 'x'.repeat(100_000)
+	const answers = Array.from({ length: 64 }, (_, number) =>
+		writer.write({ key: `job/${number}`, value }, 3_000)
+	)
+	await advance(500)
+	expect(new Set((await Promise.all(answers)).map(({ kind }) => kind))).toEqual(new Set(['stored']))
+	expect(Math.max(...sizes)).toBeLessThanOrEqual(350_000)
+	expect(store.getEnd('intake/0')).toBe(64)
+})
+
 /** Starts as many appends as may be in flight, so that later records wait. */
 function occupy(writer: IntakeWriter): Promise<unknown>[] {
 	return [1, 2, 3, 4].map((number) => writer.write({ key: `job/x${number}`, value: '{}' }, 5_000))
--- a/packages/jobs/src/lib/callers/IntakeWriter.ts
+++ b/packages/jobs/src/lib/callers/IntakeWriter.ts
@@ -24,6 +24,8 @@
 const FAILURE_COOLDOWN = 5_000
 const MAXIMUM_APPENDS_IN_FLIGHT = 4
 const MAXIMUM_RECORDS_PER_APPEND = 100
+/** Size from which a batch takes no further record, in bytes: 0.2 s of a link of 10 Mbit/s. */
+const FULL_BATCH_BYTES = 250_000
 
 /**
  * Appends the records of callers to one of the intake streams, and to another one if the first does
@@ -82,11 +84,14 @@
 	/** Takes the next writes from the queue, and drops those whose callers do not wait any more. */
 	private takeBatch(): PendingWrite[] {
 		const batch: PendingWrite[] = []
-		while (batch.length < MAXIMUM_RECORDS_PER_APPEND) {
+		let bytes = 0
+		while (batch.length < MAXIMUM_RECORDS_PER_APPEND && bytes < FULL_BATCH_BYTES) {
 			const write = this.queue.shift()
 			if (!write) return batch
-			if (write.isAwaited) batch.push(write)
-			else this.pendingWrites.delete(write.record.key)
+			if (write.isAwaited) {
+				batch.push(write)
+				bytes += write.record.value?.length ?? 0
+			} else this.pendingWrites.delete(write.record.key)
 		}
 		return batch
 	}
