--- a/packages/jobs/src/lib/owner/JobRetention.ts
+++ b/packages/jobs/src/lib/owner/JobRetention.ts
@@ -3,14 +3,17 @@
 import type { JobReplica } from '../log/JobReplica.js'
 import type { ReplicaRow } from '../log/ReplicaRow.js'
 import type { StreamFollower } from '../log/StreamFollower.js'
+import type { LogRecord } from '../ports/LogRecord.js'
 import type { MetadataLog } from '../ports/MetadataLog.js'
 import type { OwnerContext } from './OwnerContext.js'
 import type { ProgressWriter } from './ProgressWriter.js'
 
 /** Extra time for which expired jobs are kept, for late repeated requests, in milliseconds. */
 const RETENTION_MARGIN = 30_000
-/** Maximum number of jobs dropped at once. */
-const MAXIMUM_JOBS_PER_RUN = 200
+/** Time after the end of a job in which a copy of its submission may still arrive, in milliseconds. */
+const MAXIMUM_SUBMISSION_DELAY = 10_000
+/** Maximum number of jobs dropped at once, so that few records of placements wait behind them. */
+const MAXIMUM_JOBS_PER_BATCH = 200
 /** Timeout of one append, in milliseconds. */
 const APPEND_TIMEOUT = 900
 
@@ -39,15 +42,40 @@
 	async dropExpired(): Promise<void> {
 		if (this.isDropping) return
 		this.isDropping = true
+		const failedStreams = new Set<StreamFollower>()
+		const intakeReadAt = this.getIntakeReadAt()
 		const expired = [...this.options.replica.all]
-			.filter((row) => this.isExpired(row))
-			.slice(0, MAXIMUM_JOBS_PER_RUN)
-		if (expired.length > 0) await this.dropJobs(expired.map((row) => row.id))
+			.filter((row) => this.isExpired(row, intakeReadAt))
+			.map((row) => row.id)
+		for (let start = 0; start < expired.length; start += MAXIMUM_JOBS_PER_BATCH) {
+			await this.dropJobs(expired.slice(start, start + MAXIMUM_JOBS_PER_BATCH), failedStreams)
+			await this.waitForDurability()
+		}
 		this.isDropping = false
 	}
 
-	private isExpired({ snapshot }: ReplicaRow): boolean {
+	private waitForDurability(): Promise<void> {
+		return new Promise((resolve) => {
+			this.options.writer.whenDurable(resolve)
+		})
+	}
+
+	/**
+	 * Returns the wall time of the oldest answer among the latest ones of all intake streams. A job that
+	 * ended before it has no submission that is still unread, which would make it a new job again.
+	 */
+	private getIntakeReadAt(): number {
+		const { timers, getWallTime } = this.context
+		const offset = getWallTime() - timers.now()
+		const instants = this.options.intake.map(({ loaded, lastContactAt }) =>
+			loaded && lastContactAt !== undefined ? lastContactAt + offset : -Infinity
+		)
+		return Math.min(...instants)
+	}
+
+	private isExpired({ snapshot }: ReplicaRow, intakeReadAt: number): boolean {
 		if (snapshot?.finishedAt === undefined) return false
+		if (snapshot.finishedAt + MAXIMUM_SUBMISSION_DELAY > intakeReadAt) return false
 		if (snapshot.tasks.some((task) => task.phase === 'placed')) return false
 		return (
 			this.context.getWallTime() - snapshot.finishedAt >
@@ -55,22 +83,52 @@
 		)
 	}
 
-	/** Drops the intake records first, because progress without its job starts nothing. */
-	private async dropJobs(ids: readonly JobId[]): Promise<void> {
-		const { log, intake, writer } = this.options
-		const records = ids.flatMap((id) => JobRecords.createIntakeTombstones(id))
-		for (const follower of intake) {
-			const present = records.filter((record) => follower.has(record.key))
+	/**
+	 * Drops the intake records first, because progress without its job starts nothing. Keeps the jobs
+	 * with records in a stream that does not accept an append.
+	 *
+	 * @param failedStreams - streams that are not tried again in this run
+	 */
+	private async dropJobs(ids: readonly JobId[], failedStreams: Set<StreamFollower>): Promise<void> {
+		const remaining = new Set(ids)
+		const { intake } = this.options
+		const streams = [...intake].sort(
+			(a, b) => Number(failedStreams.has(b)) - Number(failedStreams.has(a))
+		)
+		for (const follower of streams) {
+			const present = [...remaining].filter((id) => getIntakeRecords(follower, id).length > 0)
 			if (present.length === 0) continue
-			const result = await log.append(follower.stream, present, APPEND_TIMEOUT)
-			if (result.kind === 'appended') continue
-			this.context.events.warn('jobs-not-dropped', { stream: follower.stream, ...result })
-			return
+			if (!failedStreams.has(follower) && (await this.dropIntakeRecords(follower, present)))
+				continue
+			failedStreams.add(follower)
+			for (const id of present) remaining.delete(id)
 		}
+		this.dropProgress(remaining)
+	}
+
+	private async dropIntakeRecords(
+		follower: StreamFollower,
+		ids: readonly JobId[]
+	): Promise<boolean> {
+		const { stream } = follower
+		const records = ids.flatMap((id) => getIntakeRecords(follower, id))
+		const result = await this.options.log.append(stream, records, APPEND_TIMEOUT)
+		if (result.kind === 'appended') return true
+		this.context.events.warn('jobs-not-dropped', { stream, count: ids.length, ...result })
+		return false
+	}
+
+	private dropProgress(ids: ReadonlySet<JobId>): void {
+		if (ids.size === 0) return
 		for (const id of ids) {
-			writer.markRecordChanged(id, () => ({ key: id, value: undefined }))
+			this.options.writer.markRecordChanged(id, () => ({ key: id, value: undefined }))
 			this.context.jobs.remove(id)
 		}
-		this.context.events.info('jobs-dropped', { count: ids.length })
+		this.context.events.info('jobs-dropped', { count: ids.size })
 	}
 }
+
+/** Returns the tombstones for the records that a job has in a stream. */
+function getIntakeRecords(follower: StreamFollower, id: JobId): LogRecord[] {
+	return JobRecords.createIntakeTombstones(id).filter((record) => follower.has(record.key))
+}
--- a/packages/jobs/src/lib/owner/OwnerTerm.ts
+++ b/packages/jobs/src/lib/owner/OwnerTerm.ts
@@ -32,6 +32,7 @@
 import { MachineManager } from '../machines/MachineManager.js'
 import { BackendMonitor } from './BackendMonitor.js'
 import { BackendRegistry } from './BackendRegistry.js'
+import { ListingQueue } from './ListingQueue.js'
 import { OrderDispatcher } from './OrderDispatcher.js'
 import type { OwnerContext } from './OwnerContext.js'
 import { ProgressWriter } from './ProgressWriter.js'
@@ -66,6 +67,7 @@
 	private readonly retention: JobRetention
 	private readonly recovery: TermRecovery
 	private readonly demand = new DemandMeter()
+	private readonly listingQueue = new ListingQueue()
 	private readonly monitors = new Map<BackendId, BackendMonitor>()
 	private readonly subscriptions: { cancel(): void }[] = []
 	private isPlanScheduled = false
@@ -182,11 +184,13 @@
 		await this.recovery.readStreams([...intake, this.registry.follower])
 		if (this.ended) return
 		progress.pause()
-		this.recovery.restoreJobs(replica.all)
 		this.subscriptions.push(
 			replica.subscribe((row) => {
 				this.handleJobChange(row)
-			}),
+			})
+		)
+		if (!(await this.recovery.restoreJobs(replica.all))) return
+		this.subscriptions.push(
 			timers.every(PLAN_INTERVAL, () => {
 				this.schedulePlan()
 			}),
@@ -251,7 +255,8 @@
 		const existing = jobs.get(job.id)
 		if (!existing) {
 			const service = getConfiguration().queues.get(job.queue)?.service
-			if (service !== undefined) this.demand.recordArrival(service, getJobWork(job), timers.now())
+			if (service !== undefined && this.started)
+				this.demand.recordArrival(service, getJobWork(job), timers.now())
 			this.recovery.restoreJob(replicaRow)
 		} else if (cancelled) {
 			this.taskUpdater.cancelJob(existing)
@@ -282,6 +287,7 @@
 			taskUpdater,
 			dispatcher,
 			writer,
+			listingQueue: this.listingQueue,
 			replan: () => {
 				this.schedulePlan()
 			},
