--- a/packages/jobs/src/lib/log/StreamFollower.test.ts
+++ b/packages/jobs/src/lib/log/StreamFollower.test.ts
@@ -60,6 +60,14 @@
 		expect(log.reads).toBe(1)
 	})
 
+	// Guards against callers that wait at the log for a new record after the load that they called for.
+	it('is complete at once if nothing was written during it', async () => {
+		const { follower, advance } = createFollower(10_000, KEYS, 2_000)
+		follower.start()
+		await advance(50)
+		expect(follower.loaded).toBe(true)
+	})
+
 	it('takes changes between two pages from the records after the first page', async () => {
 		const { follower, store, advance, state } = createFollower()
 		follower.start()
@@ -189,7 +197,7 @@
 }
 
 /** Creates a follower of a stream that has some keys, on pages of two, and the state that it builds. */
-function createFollower(pollDelay = 5, keys = KEYS) {
+function createFollower(pollDelay = 5, keys = KEYS, maximumWait = 20) {
 	const timers = new VirtualTimerService()
 	const store = new MemoryStore()
 	store.append(
@@ -203,7 +211,7 @@
 		if (value === undefined) state.delete(key)
 		else state.set(key, value)
 	}
-	const options = { maximumWait: 20, getPollDelay: () => pollDelay }
+	const options = { maximumWait, getPollDelay: () => pollDelay }
 	const events = new SilentEventLog()
 	const follower = new StreamFollower(STREAM, log, timers, events, listener, options)
 	const advance = async (duration: number): Promise<void> => {
