--- a/packages/jobs/src/lib/log/StreamFollower.test.ts
+++ b/packages/jobs/src/lib/log/StreamFollower.test.ts
@@ -1,11 +1,6 @@
-import { VirtualTimerService } from '@mastichead/core'
 import { describe, expect, it } from 'vitest'
-import { SilentEventLog } from '../logs/SilentEventLog.js'
-import type { LogEntry } from '../ports/LogEntry.js'
 import type { LogRecord } from '../ports/LogRecord.js'
-import { MemoryLog } from '../testing/MemoryLog.js'
-import { MemoryStore } from '../testing/MemoryStore.js'
-import { StreamFollower } from './StreamFollower.js'
+import { createTestFollower } from '../testing/createTestFollower.js'
 
 const STREAM = 'progress'
 const KEYS = ['a', 'b', 'c', 'd', 'e', 'f']
@@ -13,7 +8,7 @@
 describe('a load in several pages', () => {
 	// Failure: each failed page threw away the pages before it.
 	it('goes on after a failure from the page that it reached', async () => {
-		const { follower, log, advance, state } = createFollower()
+		const { follower, log, advance, state } = createTestFollower()
 		follower.start()
 		await advance(10)
 		log.disconnected = true
@@ -29,7 +24,7 @@
 
 	// Failure: a query during a load read the same pages beside it, over the same link.
 	it('is shared with reads for queries', async () => {
-		const { follower, log, advance } = createFollower()
+		const { follower, log, advance } = createTestFollower()
 		follower.start()
 		await advance(2)
 		const read = follower.readToEnd()
@@ -39,7 +34,10 @@
 	})
 
 	it('does not stand for the end of the stream in a read that began after its first page', async () => {
-		const { follower, log, store, advance, state } = createFollower(10_000, [])
+		const { follower, log, store, advance, state } = createTestFollower({
+			pollDelay: 10_000,
+			keys: [],
+		})
 		log.transferTime = 10
 		follower.start()
 		await advance(6)
@@ -51,7 +49,7 @@
 	})
 
 	it('is followed at once by the records that were written during it', async () => {
-		const { follower, log, store, advance, state } = createFollower(10_000)
+		const { follower, log, store, advance, state } = createTestFollower({ pollDelay: 10_000 })
 		follower.start()
 		await advance(6)
 		store.append(STREAM, [{ key: '0', value: 'new' }])
@@ -62,14 +60,14 @@
 
 	// Guards against callers that wait at the log for a new record after the load that they called for.
 	it('is complete at once if nothing was written during it', async () => {
-		const { follower, advance } = createFollower(10_000, KEYS, 2_000)
+		const { follower, advance } = createTestFollower({ pollDelay: 10_000, maximumWait: 2_000 })
 		follower.start()
 		await advance(50)
 		expect(follower.loaded).toBe(true)
 	})
 
 	it('takes changes between two pages from the records after the first page', async () => {
-		const { follower, store, advance, state } = createFollower()
+		const { follower, store, advance, state } = createTestFollower()
 		follower.start()
 		await advance(6)
 		const deleted = ['a', 'e', 'f'].map((key) => ({ key, value: undefined }))
@@ -85,7 +83,7 @@
 	})
 
 	it('does not bring back a key whose deletion was applied while its page was on the way', async () => {
-		const { follower, store, advance, state } = createFollower()
+		const { follower, store, advance, state } = createTestFollower()
 		follower.start()
 		await advance(3)
 		const tombstone = { key: 'a', value: undefined }
@@ -100,7 +98,7 @@
 
 describe('a follower that is behind', () => {
 	it('reads piece by piece without a pause', async () => {
-		const { follower, store, log, advance, state } = createFollower(10_000)
+		const { follower, store, log, advance, state } = createTestFollower({ pollDelay: 10_000 })
 		follower.start()
 		await advance(100)
 		log.readSize = 3
@@ -114,7 +112,7 @@
 
 	// Failure: a query read the same records beside the follower, over the same link.
 	it('shares its reads with queries', async () => {
-		const { follower, store, log, advance, state } = createFollower(10_000)
+		const { follower, store, log, advance, state } = createTestFollower({ pollDelay: 10_000 })
 		follower.start()
 		await advance(100)
 		log.readSize = 3
@@ -131,7 +129,7 @@
 
 	// Failure: reads of overlapping parts of a stream filled a narrow link.
 	it('reads no part of the stream beside another read of that part', async () => {
-		const { follower, store, log, advance, state } = createFollower(10_000)
+		const { follower, store, log, advance, state } = createTestFollower({ pollDelay: 10_000 })
 		follower.start()
 		await advance(100)
 		log.transferTime = 50
@@ -153,7 +151,7 @@
 
 describe('a load anew after the history has expired', () => {
 	it('deletes keys that are on no page, once all pages were read', async () => {
-		const { follower, log, store, advance, state } = createFollower()
+		const { follower, log, store, advance, state } = createTestFollower()
 		follower.start()
 		await advance(100)
 		log.disconnected = true
@@ -174,7 +172,7 @@
 	})
 
 	it('follows a load whose first page is older than the history', async () => {
-		const { follower, log, store, advance, state } = createFollower()
+		const { follower, log, store, advance, state } = createTestFollower()
 		follower.start()
 		await advance(6)
 		log.disconnected = true
@@ -195,30 +193,3 @@
 function createRecords(count: number): LogRecord[] {
 	return Array.from({ length: count }, (_, index) => ({ key: `k${index}`, value: 'new' }))
 }
-
-/** Creates a follower of a stream that has some keys, on pages of two, and the state that it builds. */
-function createFollower(pollDelay = 5, keys = KEYS, maximumWait = 20) {
-	const timers = new VirtualTimerService()
-	const store = new MemoryStore()
-	store.append(
-		STREAM,
-		keys.map((key) => ({ key, value: 'old' }))
-	)
-	const log = new MemoryLog(store, timers)
-	log.pageSize = 2
-	const state = new Map<string, string>()
-	const listener = ({ key, value }: LogEntry): void => {
-		if (value === undefined) state.delete(key)
-		else state.set(key, value)
-	}
-	const options = { maximumWait, getPollDelay: () => pollDelay }
-	const events = new SilentEventLog()
-	const follower = new StreamFollower(STREAM, log, timers, events, listener, options)
-	const advance = async (duration: number): Promise<void> => {
-		for (let step = 0; step < duration; step += 1) {
-			timers.advance(1)
-			await new Promise((resolve) => setImmediate(resolve))
-		}
-	}
-	return { follower, log, store, state, advance }
-}
--- a/packages/jobs/src/lib/log/lateAnswers.test.ts
+++ b/packages/jobs/src/lib/log/lateAnswers.test.ts
@@ -1,16 +1,11 @@
-import { VirtualTimerService } from '@mastichead/core'
 import { expect, it } from 'vitest'
-import { SilentEventLog } from '../logs/SilentEventLog.js'
-import type { LogEntry } from '../ports/LogEntry.js'
-import { MemoryLog } from '../testing/MemoryLog.js'
-import { MemoryStore } from '../testing/MemoryStore.js'
-import { StreamFollower } from './StreamFollower.js'
+import { createTestFollower } from '../testing/createTestFollower.js'
 
 const STREAM = 'progress'
 
 // Guards against a deleted key that an answer that arrives late brings back for good.
 it('does not bring back a deleted key from an answer that arrives after a newer one', async () => {
-	const { follower, log, store, advance, state } = createFollower()
+	const { follower, log, store, advance, state } = createTestFollower({ pollDelay: 10_000 })
 	follower.start()
 	await advance(100)
 	log.transferTime = 60
@@ -33,7 +28,7 @@
 
 // Guards against a read to the end that never ends while others write as fast as one read takes.
 it('ends a read to the end of the stream while records are appended steadily', async () => {
-	const { follower, log, store, advance } = createFollower()
+	const { follower, log, store, advance } = createTestFollower({ pollDelay: 10_000 })
 	follower.start()
 	await advance(100)
 	log.transferTime = 40
@@ -47,28 +42,3 @@
 	}
 	expect(ended).toBe(true)
 })
-
-function createFollower(pollDelay = 10_000, keys = ['a', 'b', 'c', 'd', 'e', 'f']) {
-	const timers = new VirtualTimerService()
-	const store = new MemoryStore()
-	store.append(
-		STREAM,
-		keys.map((key) => ({ key, value: 'old' }))
-	)
-	const log = new MemoryLog(store, timers)
-	log.pageSize = 2
-	const state = new Map<string, string>()
-	const listener = ({ key, value }: LogEntry): void => {
-		if (value === undefined) state.delete(key)
-		else state.set(key, value)
-	}
-	const options = { maximumWait: 20, getPollDelay: () => pollDelay }
-	const follower = new StreamFollower(STREAM, log, timers, new SilentEventLog(), listener, options)
-	const advance = async (duration: number): Promise<void> => {
-		for (let step = 0; step < duration; step += 1) {
-			timers.advance(1)
-			await new Promise((resolve) => setImmediate(resolve))
-		}
-	}
-	return { follower, log, store, state, advance }
-}
