Count the tasks of a machine as unavailable while its maintenance order becomes durable

Cause: a wave checks availability, waits until the order is durable (20 ms and more, up to 1 s), then sends it. Meanwhile the tasks of that machine still counted as at work, so that the evacuator and later orders of the round stopped others of the step; and the order itself was sent without a second look. Ruled out by reading: orders of one wave among each other (one after the other, each waits for the answer before), pools (move machines without tasks only). Change: tasks are marked as interrupted from the decision on, one rule for the evacuator, waves and moves; availability is checked again at the moment of sending.

--- a/packages/core/src/lib/jobs/PlacementPlanner.ts
+++ b/packages/core/src/lib/jobs/PlacementPlanner.ts
@@ -174,6 +174,7 @@
 		task.backend = backend.id
 		task.orderState = 'recorded'
 		task.stopping = false
+		task.interrupting = false
 		task.percent = 0
 		task.availableSince = undefined
 		this.backends.assign(task)
--- a/packages/core/src/lib/jobs/TaskRow.ts
+++ b/packages/core/src/lib/jobs/TaskRow.ts
@@ -33,6 +33,8 @@
 	orderStateChangedAt: number
 	/** Whether the current attempt is being stopped. */
 	stopping: boolean
+	/** Whether an order for the machine of the current attempt, which ends it, may be in flight. */
+	interrupting: boolean
 	/** Last reported progress, or share of full speed for a lasting task; 0 to 100. */
 	percent: number
 	/** Time since which a lasting task has run at full speed; undefined if it does not. */
--- a/packages/core/src/lib/jobs/applyRunEnding.ts
+++ b/packages/core/src/lib/jobs/applyRunEnding.ts
@@ -20,6 +20,7 @@
 	const { backend } = task
 	backends.release(task)
 	task.stopping = false
+	task.interrupting = false
 	task.availableSince = undefined
 	task.percent = 0
 	if (checkpoint !== '') task.checkpoint = checkpoint
--- a/packages/core/src/lib/jobs/canDisruptBackend.ts
+++ b/packages/core/src/lib/jobs/canDisruptBackend.ts
@@ -1,4 +1,5 @@
 import type { BackendRow } from './BackendRow.js'
+import type { TaskRow } from './TaskRow.js'
 import { countUnavailableSiblings } from './countUnavailableSiblings.js'
 
 /**
@@ -8,16 +9,24 @@
  * @public
  */
 export function canDisruptBackend(backend: BackendRow): boolean {
-	const stoppedByStep = new Map<string, number>()
+	const tasksByStep = new Map<string, TaskRow[]>()
 	for (const task of backend.tasks.values()) {
-		const { mayMiss } = task.step
-		// Tasks that do not count as available are included: a task that has just started may be
-		// available before a listing shows it.
-		if (mayMiss === undefined) continue
+		if (task.step.mayMiss === undefined) continue
 		const key = `${task.job.job.id}.${task.occurrence}.${task.stepNumber}`
-		const stopped = stoppedByStep.get(key) ?? 0
-		if (countUnavailableSiblings(task) + stopped >= mayMiss) return false
-		stoppedByStep.set(key, stopped + 1)
+		const tasks = tasksByStep.get(key)
+		if (tasks) tasks.push(task)
+		else tasksByStep.set(key, [task])
 	}
-	return true
+	return [...tasksByStep.values()].every((tasks) => canDisruptTogether(tasks, backend))
+}
+
+/**
+ * Tasks that do not count as available are included: a task that has just started may be available
+ * before a listing shows it.
+ */
+function canDisruptTogether(tasks: readonly TaskRow[], backend: BackendRow): boolean {
+	const [first] = tasks
+	if (first?.step.mayMiss === undefined) return true
+	const isElsewhere = (sibling: TaskRow): boolean => sibling.backend !== backend.id
+	return tasks.length + countUnavailableSiblings(first, isElsewhere) <= first.step.mayMiss
 }
--- a/packages/core/src/lib/jobs/createJobRow.ts
+++ b/packages/core/src/lib/jobs/createJobRow.ts
@@ -54,6 +54,7 @@
 		orderState: 'recorded',
 		orderStateChangedAt: 0,
 		stopping: false,
+		interrupting: false,
 		percent: 0,
 		availableSince: undefined,
 		notBefore: 0,
--- a/packages/core/src/lib/jobs/isTaskAvailable.ts
+++ b/packages/core/src/lib/jobs/isTaskAvailable.ts
@@ -1,10 +1,11 @@
 import type { TaskRow } from './TaskRow.js'
 
 /**
- * Whether a lasting task runs at full speed and is not being stopped.
+ * Whether a lasting task runs at full speed and no order that ends it is in flight.
  *
  * @public
  */
 export function isTaskAvailable(task: TaskRow): boolean {
-	return task.phase === 'placed' && task.availableSince !== undefined && !task.stopping
+	if (task.phase !== 'placed' || task.availableSince === undefined) return false
+	return !task.stopping && !task.interrupting
 }
--- a/packages/jobs/src/lib/machines/WaveManager.ts
+++ b/packages/jobs/src/lib/machines/WaveManager.ts
@@ -1,5 +1,5 @@
 import type { BackendRow } from '@mastichead/core'
-import { sortByDisruptionCost, canDisruptBackend } from '@mastichead/core'
+import { canDisruptBackend, setInterrupting, sortByDisruptionCost } from '@mastichead/core'
 import { JobRecords } from '../log/JobRecords.js'
 import type { OwnerContext } from '../owner/OwnerContext.js'
 import type { ProgressWriter } from '../owner/ProgressWriter.js'
@@ -37,7 +37,7 @@
 		private readonly context: OwnerContext,
 		private readonly options: {
 			readonly controller: MachineController
-			readonly taskUpdater: TaskUpdater
+			readonly taskUpdater: Pick<TaskUpdater, 'endLostRuns'>
 			readonly inventory: MachineInventory
 			/** Whether the machine is being moved to another pool. */
 			readonly isArriving: (machine: string) => boolean
@@ -194,11 +194,9 @@
 		}
 		if (backend && !this.isEvacuated(backend, row.evacuating.get(machine) ?? 0)) return
 		if (backend && !canDisruptBackend(backend)) return
-		row.down.set(machine, timers.now())
-		row.ordered.add(machine)
-		this.recordProgress(row)
-		if (!(await this.waitForDurability()) || !this.context.mayAct()) {
+		if (!(await this.recordOrder(row, machine, backend))) {
 			row.down.delete(machine)
+			if (backend) setInterrupting(backend, false)
 			return
 		}
 		const result = await this.options.controller.maintain(machine, row.wave.number, token)
@@ -216,6 +214,23 @@
 		else if (result.kind === 'refused') this.handleMaintenanceRefused(row, machine, result.reason)
 	}
 
+	/**
+	 * Makes an order durable before it is sent. The tasks of the machine count as unavailable from here
+	 * on. Resolves to whether the order may be sent now; other tasks may have ended in the meantime.
+	 */
+	private async recordOrder(
+		row: WaveRow,
+		machine: string,
+		backend: BackendRow | undefined
+	): Promise<boolean> {
+		if (backend) setInterrupting(backend, true)
+		row.down.set(machine, this.context.timers.now())
+		row.ordered.add(machine)
+		this.recordProgress(row)
+		if (!(await this.waitForDurability()) || !this.context.mayAct()) return false
+		return backend === undefined || canDisruptBackend(backend)
+	}
+
 	private isEvacuated(backend: BackendRow, evacuatingSince: number): boolean {
 		if (this.context.timers.now() - evacuatingSince > EVACUATION_TIMEOUT) return true
 		for (const task of backend.tasks.values()) if (!task.step.lasting) return false
@@ -236,6 +251,7 @@
 		// tasks may still be running.
 		if (row.orderedByEarlierOwners.has(machine)) {
 			backend.cordoned = false
+			setInterrupting(backend, false)
 			return
 		}
 		backend.registered = false
@@ -244,11 +260,12 @@
 
 	private handleMaintenanceRefused(row: WaveRow, machine: string, reason: string): void {
 		row.down.delete(machine)
+		const backend = this.options.inventory.getBackend(machine)
+		if (backend) setInterrupting(backend, false)
 		if (reason === 'fence') this.context.endTerm(`maintenance of ${machine} refused: fence`)
 		if (reason !== 'wave') return
 		row.done.add(machine)
 		row.evacuating.delete(machine)
-		const backend = this.options.inventory.getBackend(machine)
 		if (backend) backend.cordoned = false
 	}
 
