Keep ownership on instances with wide links, and renew it without waiting for answers

Causes: (1) any instance could be the owner; one with 10 Mbit/s fills its link with what a new owner reads, so that its joins are late. (2) A join waited for the answer to the one before; one lost answer (900 ms, more with the wait for a connection) and the pause of 300 ms are as long as the membership of 1,200 ms, so that it lapsed without any other fault. Change: the settings name the link; instances from 100 Mbit/s on are preferred, the others join the group only after 3.5 s without a record of an owner, which now writes one each second. A returning preferred instance takes nothing away. Joins are sent each 300 ms whatever is unanswered; late answers are ignored by the time they were sent. Recovery reports the fence's offset.

--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -1,3 +1,4 @@
+export { isPreferredOwner } from './lib/owner/isPreferredOwner.js'
 export { JobDaemon } from './lib/JobDaemon.js'
 export { IntakeWriter } from './lib/callers/IntakeWriter.js'
 export type { JobAnswer } from './lib/callers/JobAnswer.js'
--- a/packages/jobs/src/lib/JobDaemon.ts
+++ b/packages/jobs/src/lib/JobDaemon.ts
@@ -40,6 +40,8 @@
 	private readonly intakeFollowers: ReadonlyMap<IntakeStream, StreamFollower>
 	private readonly progressFollower: StreamFollower
 	private readonly ownership: Ownership
+	/** Monotonic instant at which the latest record of an owner was read. */
+	private ownerSeenAt: number
 	private term: OwnerTerm | undefined
 	private stopping = false
 
@@ -47,6 +49,8 @@
 		private readonly options: {
 			/** Name of this instance in the group of instances. */
 			readonly member: string
+			/** Whether the owner should be this instance rather than one that is not preferred. */
+			readonly isPreferredOwner: boolean
 			readonly log: MetadataLog
 			readonly backendClient: BackendServerClient
 			readonly format: OperatorFormat
@@ -59,7 +63,8 @@
 			readonly getStatusRetention: () => number
 		}
 	) {
-		const { log, timers, events, metrics, format, member } = options
+		const { log, timers, events, metrics, format, member, getWallTime } = options
+		this.ownerSeenAt = timers.now()
 		this.replica = new JobReplica(events)
 		this.configuration = new ConfigurationManager({ log, timers, events, format })
 		this.intakeFollowers = new Map(
@@ -71,6 +76,7 @@
 			timers,
 			events,
 			(entry) => {
+				this.ownerSeenAt = timers.now()
 				this.replica.applyProgress(entry)
 			},
 			{ maximumWait: MAXIMUM_PROGRESS_WAIT, getPollDelay: () => PROGRESS_POLL_DELAY }
@@ -90,6 +96,9 @@
 			log,
 			timers,
 			events,
+			getWallTime,
+			isPreferred: this.options.isPreferredOwner,
+			getOwnerSilence: () => this.getOwnerSilence(),
 			isReady: () => this.configuration.current !== undefined && this.progressFollower.loaded,
 			onAcquire: (token) => {
 				this.beginTerm(token)
@@ -146,6 +155,13 @@
 		await this.ownership.leave()
 	}
 
+	/** Returns the milliseconds without a record of an owner; undefined while none could be read. */
+	private getOwnerSilence(): number | undefined {
+		const { loaded, available, recoveredAt } = this.progressFollower
+		if (!loaded || !available) return undefined
+		return this.options.timers.now() - Math.max(this.ownerSeenAt, recoveredAt ?? -Infinity)
+	}
+
 	private createIntakeFollower(stream: IntakeStream): StreamFollower {
 		const { log, timers, events } = this.options
 		return new StreamFollower(
@@ -184,6 +200,7 @@
 			getConfiguration: () => this.configuration.getCurrentOrEmpty(),
 			getStatusRetention: this.options.getStatusRetention,
 			isCurrent: () => this.ownership.isCurrent,
+			isMember: () => this.ownership.isMember,
 			onEnd: (reason) => {
 				events.warn('owner-abandoned', { token, reason })
 				this.term = undefined
--- a/packages/jobs/src/lib/log/JobRecords.ts
+++ b/packages/jobs/src/lib/log/JobRecords.ts
@@ -9,6 +9,7 @@
 const CANCEL_PREFIX = 'cancel/'
 const WAVE_PREFIX = 'wave/'
 const BACKEND_PREFIX = 'backend/'
+const OWNER_KEY = 'owner/heartbeat'
 
 /**
  * Creates and parses the records that the instances write to the log.
@@ -50,6 +51,17 @@
 		return { key: BACKEND_PREFIX + id, value: undefined }
 	},
 
+	/** Key of the record that an owner writes at intervals, so that others see that there is one. */
+	ownerKey: OWNER_KEY,
+
+	/**
+	 * @param heartbeat.token - fencing token of the owner's term
+	 * @param heartbeat.writtenAt - milliseconds since 1970
+	 */
+	createOwnerRecord(heartbeat: { readonly token: number; readonly writtenAt: number }): LogRecord {
+		return { key: OWNER_KEY, value: JSON.stringify(heartbeat) }
+	},
+
 	/** Returns the id of the backend server that a progress record belongs to, if any. */
 	parseBackendKey(key: string): BackendId | undefined {
 		return key.startsWith(BACKEND_PREFIX) ? key.slice(BACKEND_PREFIX.length) : undefined
--- a/packages/jobs/src/lib/log/JobReplica.ts
+++ b/packages/jobs/src/lib/log/JobReplica.ts
@@ -80,6 +80,7 @@
 
 	/** Applies a record that was written by an owner. */
 	applyProgress(entry: LogEntry): void {
+		if (entry.key === JobRecords.ownerKey) return
 		if (JobRecords.isWaveKey(entry.key)) {
 			this.applyWaveProgress(entry)
 			return
--- a/packages/jobs/src/lib/machines/PoolManager.ts
+++ b/packages/jobs/src/lib/machines/PoolManager.ts
@@ -59,7 +59,7 @@
 		this.removeEndedArrivals(now)
 		this.poolStates = this.getPoolStates(now)
 		this.logPools(now)
-		if (!this.options.isRegistryFresh() || !this.context.mayAct()) return
+		if (!this.options.isRegistryFresh() || !this.context.mayOrderMachines()) return
 		for (const move of this.options.policy.plan(this.poolStates, now)) void this.executeMove(move)
 	}
 
--- a/packages/jobs/src/lib/machines/WaveManager.ts
+++ b/packages/jobs/src/lib/machines/WaveManager.ts
@@ -227,7 +227,7 @@
 		row.down.set(machine, this.context.timers.now())
 		row.ordered.add(machine)
 		this.recordProgress(row)
-		if (!(await this.waitForDurability()) || !this.context.mayAct()) return false
+		if (!(await this.waitForDurability()) || !this.context.mayOrderMachines()) return false
 		return backend === undefined || canDisruptBackend(backend)
 	}
 
--- a/packages/jobs/src/lib/owner/OwnerContext.ts
+++ b/packages/jobs/src/lib/owner/OwnerContext.ts
@@ -26,6 +26,8 @@
 	 * expire. Checked before each order. Ends the term if it returns false.
 	 */
 	readonly mayAct: () => boolean
+	/** Whether an order for a machine may be sent: true while no other instance can be the owner. */
+	readonly mayOrderMachines: () => boolean
 	/** Ends the term because another owner has taken over or may have. */
 	readonly endTerm: (reason: string) => void
 }
--- a/packages/jobs/src/lib/owner/OwnerTerm.ts
+++ b/packages/jobs/src/lib/owner/OwnerTerm.ts
@@ -35,6 +35,7 @@
 import { ListingQueue } from './ListingQueue.js'
 import { OrderDispatcher } from './OrderDispatcher.js'
 import type { OwnerContext } from './OwnerContext.js'
+import { OwnerTiming } from './OwnerTiming.js'
 import { ProgressWriter } from './ProgressWriter.js'
 import { JobRetention } from './JobRetention.js'
 import { TermRecovery } from './TermRecovery.js'
@@ -94,6 +95,8 @@
 			readonly getStatusRetention: () => number
 			/** Whether no other owner may rely on this term's leases to expire yet. */
 			readonly isCurrent: () => boolean
+			/** Whether this instance is still a member of the group, so that it must be the owner. */
+			readonly isMember: () => boolean
 			/** Called once if the term ends itself. */
 			readonly onEnd: (reason: string) => void
 		}
@@ -115,6 +118,7 @@
 			getWallTime,
 			getConfiguration,
 			mayAct: () => this.mayAct(),
+			mayOrderMachines: () => this.mayAct() && options.isMember(),
 			endTerm,
 		}
 		const replan = (): void => {
@@ -180,6 +184,12 @@
 	async start(): Promise<void> {
 		const { token, intake, progress, replica, timers, events } = this.options
 		if (!(await this.recovery.readEarlierTerms())) return
+		this.recordHeartbeat()
+		this.subscriptions.push(
+			timers.every(OwnerTiming.heartbeatInterval, () => {
+				this.recordHeartbeat()
+			})
+		)
 		this.registry.preload(replica.backends.values())
 		await this.recovery.readStreams([...intake, this.registry.follower])
 		if (this.ended) return
@@ -272,6 +282,14 @@
 		this.schedulePlan()
 	}
 
+	/** Shows the other instances that there is an owner. */
+	private recordHeartbeat(): void {
+		const { token, getWallTime } = this.context
+		this.writer.markRecordChanged(JobRecords.ownerKey, () =>
+			JobRecords.createOwnerRecord({ token, writtenAt: getWallTime() })
+		)
+	}
+
 	private recordBackend(id: BackendId): void {
 		this.writer.markRecordChanged(`backend/${id}`, () => {
 			const registration = this.registry.get(id)
--- a/packages/jobs/src/lib/owner/Ownership.ts
+++ b/packages/jobs/src/lib/owner/Ownership.ts
@@ -1,18 +1,32 @@
 import type { TimerService } from '@mastichead/core'
 import type { EventLog } from '../logs/EventLog.js'
+import type { JoinResult } from '../ports/JoinResult.js'
 import type { MetadataLog } from '../ports/MetadataLog.js'
 import { LeaseTiming } from './LeaseTiming.js'
+import { OwnerTiming } from './OwnerTiming.js'
 
-/** Time without a join after which the log removes a member from the group, in milliseconds. */
-const MEMBERSHIP_TIMEOUT = 1_200
-/** Pause between two joins, which also serve as heartbeats, in milliseconds. */
-const JOIN_PAUSE = 300
+/**
+ * Interval of the joins, which also serve as heartbeats, in milliseconds. A join does not wait for
+ * the answer to the one before, so that a lost answer does not end the membership.
+ */
+const JOIN_INTERVAL = 300
+/** Maximum number of joins without an answer at a time. */
+const MAXIMUM_PENDING_JOINS = 4
 /** Tokens reserved per group generation, because one member may start several terms in it. */
 const TOKENS_PER_GENERATION = 1_000
 
+/** Instants at which something happened, in milliseconds. */
+interface Instant {
+	/** On the monotonic clock, which may stand still while the machine is suspended. */
+	readonly monotonic: number
+	/** Since 1970, on a clock that operators may set. */
+	readonly wall: number
+}
+
 /**
  * Keeps this instance a member of the group and reports when it acquires or loses ownership, and
- * under which fencing token.
+ * under which fencing token. An instance that is not preferred as the owner only joins while there
+ * is no sign of an owner.
  *
  * @public
  */
@@ -20,8 +34,9 @@
 	private generation = 0
 	private token: number | undefined
 	private lastToken = 0
-	/** Time at which the latest answered join was sent, in milliseconds. */
-	private lastContactAt: number | undefined
+	/** Time at which the latest answered join was sent. */
+	private lastContact: Instant | undefined
+	private readonly pendingJoins = new Set<Promise<void>>()
 	private stopped = false
 
 	/**
@@ -34,8 +49,14 @@
 			readonly log: MetadataLog
 			readonly timers: TimerService
 			readonly events: EventLog
+			/** Returns the milliseconds since 1970. */
+			readonly getWallTime: () => number
 			/** Whether this instance has read enough of the log to be the owner. */
 			readonly isReady: () => boolean
+			/** Whether the owner should be this instance rather than one that is not preferred. */
+			readonly isPreferred: boolean
+			/** Returns the milliseconds since the latest record of an owner; undefined if unknown. */
+			readonly getOwnerSilence: () => number | undefined
 			readonly onAcquire: (token: number) => void
 			readonly onLose: (reason: string) => void
 		}
@@ -49,14 +70,16 @@
 		return this.token !== undefined
 	}
 
-	/**
-	 * Whether no other instance may rely on the leases of this one to expire yet. After a suspension of
-	 * the process, its own clock is the only sign that this time has passed.
-	 */
+	/** Whether no other instance may rely on the leases of this one to expire yet. */
 	get isCurrent(): boolean {
 		return this.silence < LeaseTiming.maximumOwnerSilence
 	}
 
+	/** Whether this instance is still a member of the group, so that no other can be the owner. */
+	get isMember(): boolean {
+		return this.silence < OwnerTiming.membershipTimeout
+	}
+
 	/** Clears an ended term. A new one starts if the group still names this instance as the owner. */
 	clearTerm(): void {
 		this.token = undefined
@@ -66,30 +89,51 @@
 	async leave(): Promise<void> {
 		this.stopped = true
 		this.loseOwnership('leaving')
+		// A join that arrives after the call to leave would restore the membership.
+		await Promise.all(this.pendingJoins)
 		await this.options.log.leave(this.options.member)
 	}
 
 	private async run(): Promise<void> {
 		const { timers } = this.options
 		while (!this.stopped) {
-			if (this.generation > 0 || this.options.isReady()) await this.join()
-			await new Promise<void>((resolve) => timers.after(JOIN_PAUSE, resolve))
+			if (this.mayJoin()) this.startJoin()
+			await new Promise<void>((resolve) => timers.after(JOIN_INTERVAL, resolve))
 		}
 	}
 
+	private mayJoin(): boolean {
+		const { isPreferred, isReady, getOwnerSilence } = this.options
+		if (this.token !== undefined) return true
+		if (this.generation === 0 && !isReady()) return false
+		return isPreferred || (getOwnerSilence() ?? 0) > OwnerTiming.standbyDelay
+	}
+
+	private startJoin(): void {
+		if (this.pendingJoins.size >= MAXIMUM_PENDING_JOINS) return
+		const join = this.join().finally(() => {
+			this.pendingJoins.delete(join)
+		})
+		this.pendingJoins.add(join)
+	}
+
 	private async join(): Promise<void> {
-		const { log, member, timers } = this.options
-		const sentAt = timers.now()
-		const result = await log.join(member, MEMBERSHIP_TIMEOUT, this.generation)
+		const { log, member } = this.options
+		const sentAt = this.now()
+		const result = await log.join(member, OwnerTiming.membershipTimeout, this.generation)
 		if (this.stopped) return
-		if (result.kind === 'unavailable') {
-			this.handleUnavailableLog(result.reason)
-			return
-		}
-		this.lastContactAt = sentAt
+		if (result.kind === 'unavailable') this.handleUnavailableLog(result.reason)
+		else this.handleJoined(result, sentAt)
+	}
+
+	private handleJoined(result: Extract<JoinResult, { kind: 'joined' }>, sentAt: Instant): void {
+		// Answers may overtake each other; an older one says nothing about now.
+		if (this.lastContact && sentAt.monotonic < this.lastContact.monotonic) return
+		if (result.generation < this.generation) return
+		this.lastContact = sentAt
 		this.generation = result.generation
 		if (!result.owner) this.loseOwnership('owned by another instance')
-		else if (this.token === undefined) this.acquire()
+		else if (this.token === undefined && this.isMember) this.acquire()
 	}
 
 	private acquire(): void {
@@ -99,6 +143,8 @@
 		this.options.events.info('ownership-acquired', {
 			generation: this.generation,
 			token: this.token,
+			preferred: this.options.isPreferred,
+			ownerSilence: this.options.getOwnerSilence(),
 		})
 		this.options.onAcquire(this.token)
 	}
@@ -107,17 +153,30 @@
 		if (!this.isCurrent) this.loseOwnership(`no answer from the log: ${reason}`)
 	}
 
-	/** Milliseconds since the latest answered join was sent. */
+	/**
+	 * Milliseconds since the latest answered join was sent. The larger one of two clocks counts: the
+	 * monotonic clock misses the time in which the machine was suspended, the wall clock may be set back.
+	 */
 	private get silence(): number {
-		const now = this.options.timers.now()
-		return now - (this.lastContactAt ?? now)
+		const now = this.now()
+		const { monotonic, wall } = this.lastContact ?? now
+		return Math.max(now.monotonic - monotonic, now.wall - wall)
+	}
+
+	private now(): Instant {
+		return { monotonic: this.options.timers.now(), wall: this.options.getWallTime() }
 	}
 
 	private loseOwnership(reason: string): void {
 		if (this.token === undefined) return
 		const { token } = this
 		this.token = undefined
-		this.options.events.warn('ownership-lost', { reason, token, generation: this.generation })
+		this.options.events.warn('ownership-lost', {
+			reason,
+			token,
+			generation: this.generation,
+			silence: this.silence,
+		})
 		this.options.onLose(reason)
 	}
 }
--- a/packages/jobs/src/lib/owner/TermRecovery.ts
+++ b/packages/jobs/src/lib/owner/TermRecovery.ts
@@ -32,6 +32,9 @@
 	/** Monotonic instants of the start and of the end of the latest phase. */
 	private readonly startedAt: number
 	private phaseEndedAt: number
+	/** End offset of the progress stream at the fence, and the offset that had been read by then. */
+	private fenceEnd: number | undefined
+	private offsetAtFence = 0
 
 	constructor(
 		private readonly context: OwnerContext,
@@ -52,6 +55,8 @@
 		if (end === undefined) return false
 		this.endPhase('fence')
 		const { progress, isEnded } = this.options
+		this.fenceEnd = end
+		this.offsetAtFence = progress.nextOffset
 		while (!isEnded() && (progress.nextOffset < end || !progress.loaded)) {
 			if (!(await progress.readToEnd())) await this.sleep(RETRY_PAUSE)
 		}
@@ -96,11 +101,12 @@
 		return !this.options.isEnded()
 	}
 
-	/** Returns the duration of the start, of each phase, and the streams that are still read. */
+	/** Returns the durations of the start and its phases, the offsets, and the streams still unread. */
 	getReport(): Readonly<Record<string, unknown>> {
 		const waited = this.context.timers.now() - this.startedAt
 		const unread = [...this.unreadStreams].map((follower) => follower.stream)
-		return { waited, ...Object.fromEntries(this.phaseDurations), unread }
+		const { fenceEnd, offsetAtFence } = this
+		return { waited, ...Object.fromEntries(this.phaseDurations), fenceEnd, offsetAtFence, unread }
 	}
 
 	/** Restores a job in the state in which earlier owners left it. */
--- a/packages/jobs/src/lib/testing/createTestContext.ts
+++ b/packages/jobs/src/lib/testing/createTestContext.ts
@@ -24,6 +24,7 @@
 			throw new Error('the test context has no configuration')
 		},
 		mayAct: () => true,
+		mayOrderMachines: () => true,
 		endTerm: () => undefined,
 	}
 }
--- a/packages/jobs/src/lib/testing/createTestFleet.ts
+++ b/packages/jobs/src/lib/testing/createTestFleet.ts
@@ -31,6 +31,8 @@
 	/** Prefix of the ids of the backend servers; their numbers follow. */
 	readonly backendPrefix?: string
 	readonly limit?: Resources
+	/** Number of instances, the first ones, that are not preferred as owners; none by default. */
+	readonly standbys?: number
 	readonly configuration?: FleetConfiguration
 	readonly machines?: Machine[]
 	readonly events?: EventLog
@@ -57,6 +59,7 @@
 		const backendClient = new MemoryBackendServerClient(backends, instanceTimers)
 		const daemon = new JobDaemon({
 			member: `m${number}`,
+			isPreferredOwner: number > (options.standbys ?? 0),
 			log,
 			backendClient,
 			format,
