Read what others wrote around own records, and bound the first listings of a term

(1) Cause looked for: a task that had ended was started again by the same instance 0.7 s later (TWICE). Reading shows one way: after an append the owner moved its reading position to the end of the stream that the answer named. If the answer is late and another owner has written meanwhile, its records are never read, so that the next term here does not know the ends that the other one has acknowledged. The position now only moves over records that follow what has been read. The check of BackendMonitor.limits is stricter: no server may be lost at all (before: all listed in 15 s).

--- a/packages/jobs/src/lib/callers/IntakeWriter.ts
+++ b/packages/jobs/src/lib/callers/IntakeWriter.ts
@@ -128,8 +128,7 @@
 		this.appendLatency = this.timers.now() - sentAt
 		const { offset } = result
 		const entries = records.map((record, index) => ({ ...record, offset: offset + index }))
-		// Passes 0 as the next offset: records that other instances appended before are still unread.
-		this.followers.get(stream)?.applyAppended(entries, 0)
+		this.followers.get(stream)?.applyAppended(entries)
 		return result
 	}
 
--- a/packages/jobs/src/lib/log/StreamFollower.test.ts
+++ b/packages/jobs/src/lib/log/StreamFollower.test.ts
@@ -87,7 +87,7 @@
 		follower.start()
 		await advance(3)
 		const tombstone = { key: 'a', value: undefined }
-		follower.applyAppended([{ ...tombstone, offset: KEYS.length }], KEYS.length + 1)
+		follower.applyAppended([{ ...tombstone, offset: KEYS.length }])
 		await advance(2)
 		store.append(STREAM, [tombstone])
 		await advance(200)
--- a/packages/jobs/src/lib/log/StreamFollower.ts
+++ b/packages/jobs/src/lib/log/StreamFollower.ts
@@ -98,13 +98,14 @@
 	}
 
 	/**
-	 * Applies records that this instance has appended, without reading them.
-	 *
-	 * @param nextOffset - offset from which to read on; a lower value than the current one is ignored
+	 * Applies records that this instance has appended with one call, without reading them. Records of
+	 * others before and after them are still read.
 	 */
-	applyAppended(entries: readonly LogEntry[], nextOffset: number): void {
+	applyAppended(entries: readonly LogEntry[]): void {
 		for (const entry of entries) this.apply(entry)
-		this.nextOffset = Math.max(this.nextOffset, nextOffset)
+		const [first, last] = [entries[0], entries.at(-1)]
+		if (!first || !last || first.offset > this.nextOffset) return
+		this.nextOffset = Math.max(this.nextOffset, last.offset + 1)
 	}
 
 	/** Whether the key has a record, according to what has been read so far. */
--- a/packages/jobs/src/lib/owner/BackendMonitor.limits.failure.test.ts
+++ b/packages/jobs/src/lib/owner/BackendMonitor.limits.failure.test.ts
@@ -7,7 +7,7 @@
 import type { RenewalResult } from '../ports/RenewalResult.js'
 import { createTestContext } from '../testing/createTestContext.js'
 import { BackendMonitor } from './BackendMonitor.js'
-import { ListingQueue } from './ListingQueue.js'
+import { createListingQueues } from './createListingQueues.js'
 import type { OrderDispatcher } from './OrderDispatcher.js'
 import type { ProgressWriter } from './ProgressWriter.js'
 import type { TaskUpdater } from './TaskUpdater.js'
@@ -89,7 +89,7 @@
 		taskUpdater: { endLostRuns: ignore } as unknown as TaskUpdater,
 		dispatcher: {} as unknown as OrderDispatcher,
 		writer: { whenDurable: ignore } as unknown as ProgressWriter,
-		listingQueue: new ListingQueue(),
+		...createListingQueues(),
 		replan: ignore,
 		isIntakeRead: () => true,
 	}
@@ -99,9 +99,12 @@
 		return row
 	})
 	for (const row of rows) new BackendMonitor(context, row, options).start()
+	const lost = new Set<string>()
 	for (let step = 0; step < 15_000; step += 1) {
 		timers.advance(1)
 		await new Promise((resolve) => setImmediate(resolve))
+		for (const { id, reachable } of rows) if (!reachable) lost.add(id)
 	}
+	expect([...lost]).toEqual([])
 	expect(rows.filter(({ reconciled }) => !reconciled)).toHaveLength(0)
 })
--- a/packages/jobs/src/lib/owner/BackendMonitor.ts
+++ b/packages/jobs/src/lib/owner/BackendMonitor.ts
@@ -48,8 +48,9 @@
 			readonly taskUpdater: TaskUpdater
 			readonly dispatcher: OrderDispatcher
 			readonly writer: ProgressWriter
-			/** Shared by all monitors of a term. */
-			readonly listingQueue: ListingQueue
+			/** Limits of the first listing of each server and of its repetitions, shared by all monitors. */
+			readonly firstListings: ListingQueue
+			readonly repeatedListings: ListingQueue
 			readonly replan: () => void
 			/** Whether every job that an earlier owner may have started has been read. */
 			readonly isIntakeRead: () => boolean
@@ -93,14 +94,15 @@
 	}
 
 	/**
-	 * Renews the leases and reads a listing. A first listing that failed is tried again with few others
-	 * at a time: if all servers have many ends, they delay each other beyond the timeout.
+	 * Renews the leases and reads a listing. The first listings of a term are limited in number, and
+	 * those that failed wait behind the others: together they would fill a narrow link, and delay each
+	 * other and the renewal of the ownership beyond their timeouts.
 	 */
 	private async readListing(): Promise<boolean> {
 		const { row, options } = this
-		const isRetry = !row.reconciled && !row.reachable
 		const renew = (): Promise<boolean> => this.renew(this.getListingWait())
-		return isRetry ? options.listingQueue.run(renew) : renew()
+		if (row.reconciled) return renew()
+		return (row.reachable ? options.firstListings : options.repeatedListings).run(renew)
 	}
 
 	private getListingWait(): number {
--- a/packages/jobs/src/lib/owner/ListingQueue.ts
+++ b/packages/jobs/src/lib/owner/ListingQueue.ts
@@ -1,6 +1,3 @@
-/** Maximum number of listings at a time. A listing has up to 500 ends, about 35 KB. */
-const MAXIMUM_CONCURRENT_LISTINGS = 8
-
 /**
  * Limits how many listings are read at the same time, so that each arrives within its timeout also
  * over a narrow link. The others wait in order.
@@ -11,9 +8,12 @@
 	private runningCount = 0
 	private readonly waiting: (() => void)[] = []
 
+	/** @param maximumConcurrency - maximum number of listings at a time */
+	constructor(private readonly maximumConcurrency: number) {}
+
 	/** Runs `read` as soon as there is room for it. */
 	async run<T>(read: () => Promise<T>): Promise<T> {
-		if (this.runningCount < MAXIMUM_CONCURRENT_LISTINGS) this.runningCount += 1
+		if (this.runningCount < this.maximumConcurrency) this.runningCount += 1
 		else await new Promise<void>((resolve) => this.waiting.push(resolve))
 		try {
 			return await read()
--- a/packages/jobs/src/lib/owner/OwnerTerm.ts
+++ b/packages/jobs/src/lib/owner/OwnerTerm.ts
@@ -32,7 +32,7 @@
 import { MachineManager } from '../machines/MachineManager.js'
 import { BackendMonitor } from './BackendMonitor.js'
 import { BackendRegistry } from './BackendRegistry.js'
-import { ListingQueue } from './ListingQueue.js'
+import { createListingQueues } from './createListingQueues.js'
 import { OrderDispatcher } from './OrderDispatcher.js'
 import type { OwnerContext } from './OwnerContext.js'
 import { OwnerTiming } from './OwnerTiming.js'
@@ -68,7 +68,7 @@
 	private readonly retention: JobRetention
 	private readonly recovery: TermRecovery
 	private readonly demand = new DemandMeter()
-	private readonly listingQueue = new ListingQueue()
+	private readonly listingQueues = createListingQueues()
 	private readonly monitors = new Map<BackendId, BackendMonitor>()
 	private readonly subscriptions: { cancel(): void }[] = []
 	private isPlanScheduled = false
@@ -305,7 +305,7 @@
 			taskUpdater,
 			dispatcher,
 			writer,
-			listingQueue: this.listingQueue,
+			...this.listingQueues,
 			replan: () => {
 				this.schedulePlan()
 			},
--- a/packages/jobs/src/lib/owner/ProgressWriter.ts
+++ b/packages/jobs/src/lib/owner/ProgressWriter.ts
@@ -190,7 +190,7 @@
 			const fence = { term: token, sequence: this.sequence }
 			const result = await this.log.append('progress', records, APPEND_TIMEOUT, fence)
 			if (result.kind === 'appended') {
-				this.handleAppended(records, result.offset, result.end)
+				this.handleAppended(records, result.offset)
 				return !this.stopped
 			}
 			if (result.kind === 'fenced') {
@@ -204,12 +204,12 @@
 		return false
 	}
 
-	private handleAppended(records: readonly LogRecord[], offset: number, end: number): void {
+	private handleAppended(records: readonly LogRecord[], offset: number): void {
 		const { metrics, timers } = this.context
 		metrics.observe('progress_append', timers.now() - (this.appendingSince ?? timers.now()))
 		this.sequence += 1
 		this.appendingSince = undefined
 		const entries = records.map((record, index) => ({ ...record, offset: offset + index }))
-		this.follower.applyAppended(entries, end)
+		this.follower.applyAppended(entries)
 	}
 }
