Record orders for machines before they are sent, so that the next owner need not wait

An order that is not durable within 1 s, or whose owner's membership may have lapsed by then, is given up. Machines on the way that an earlier owner ordered count as arriving. An owner of the version before leaves no such records; then the old delay holds.

--- a/packages/jobs/src/lib/log/JobRecords.ts
+++ b/packages/jobs/src/lib/log/JobRecords.ts
@@ -1,4 +1,5 @@
 import type { BackendId, Job, JobId, JobSnapshot } from '@mastichead/core'
+import type { MachineOrder } from '../machines/MachineOrder.js'
 import type { WaveProgress } from '../machines/WaveProgress.js'
 import type { BackendRegistration } from '../ports/BackendRegistration.js'
 import type { LogRecord } from '../ports/LogRecord.js'
@@ -9,6 +10,7 @@
 const CANCEL_PREFIX = 'cancel/'
 const WAVE_PREFIX = 'wave/'
 const BACKEND_PREFIX = 'backend/'
+const MACHINE_PREFIX = 'machine/'
 const OWNER_KEY = 'owner/heartbeat'
 
 /**
@@ -51,6 +53,23 @@
 		return { key: BACKEND_PREFIX + id, value: undefined }
 	},
 
+	getMachineKey(machine: string): string {
+		return MACHINE_PREFIX + machine
+	},
+
+	createMachineOrderRecord(machine: string, order: MachineOrder): LogRecord {
+		return { key: MACHINE_PREFIX + machine, value: JSON.stringify(order) }
+	},
+
+	/** Returns the id of the machine that a progress record belongs to, if any. */
+	parseMachineKey(key: string): string | undefined {
+		return key.startsWith(MACHINE_PREFIX) ? key.slice(MACHINE_PREFIX.length) : undefined
+	},
+
+	parseMachineOrder(value: string): MachineOrder {
+		return JSON.parse(value) as MachineOrder
+	},
+
 	/** Key of the record that an owner writes at intervals, so that others see that there is one. */
 	ownerKey: OWNER_KEY,
 
--- a/packages/jobs/src/lib/log/JobReplica.ts
+++ b/packages/jobs/src/lib/log/JobReplica.ts
@@ -1,6 +1,7 @@
 import type { BackendId, Job, JobId, JobSnapshot, JobState } from '@mastichead/core'
 import { isFinalState } from '@mastichead/core'
 import type { EventLog } from '../logs/EventLog.js'
+import type { MachineOrder } from '../machines/MachineOrder.js'
 import type { WaveProgress } from '../machines/WaveProgress.js'
 import type { BackendRegistration } from '../ports/BackendRegistration.js'
 import type { LogEntry } from '../ports/LogEntry.js'
@@ -19,6 +20,10 @@
 	readonly waveProgress = new Map<string, WaveProgress>()
 	/** Backend servers as the latest owner recorded them. */
 	readonly backends = new Map<BackendId, BackendRegistration>()
+	/** Latest order for each machine by an owner that records its orders. */
+	readonly machineOrders = new Map<string, MachineOrder>()
+	/** Whether an owner was seen that records its orders for machines; earlier versions do not. */
+	recordsMachineOrders = false
 	private readonly jobListeners = new Set<(row: ReplicaRow) => void>()
 
 	constructor(private readonly events: EventLog) {}
@@ -80,7 +85,15 @@
 
 	/** Applies a record that was written by an owner. */
 	applyProgress(entry: LogEntry): void {
-		if (entry.key === JobRecords.ownerKey) return
+		if (entry.key === JobRecords.ownerKey) {
+			this.recordsMachineOrders = true
+			return
+		}
+		const machine = JobRecords.parseMachineKey(entry.key)
+		if (machine !== undefined) {
+			this.applyMachineOrder(machine, entry)
+			return
+		}
 		if (JobRecords.isWaveKey(entry.key)) {
 			this.applyWaveProgress(entry)
 			return
@@ -108,6 +121,11 @@
 		if (backend) this.backends.set(id, backend)
 	}
 
+	private applyMachineOrder(machine: string, entry: LogEntry): void {
+		const order = this.parse(entry, (value) => JobRecords.parseMachineOrder(value))
+		if (order) this.machineOrders.set(machine, order)
+	}
+
 	private applyWaveProgress(entry: LogEntry): void {
 		const progress = this.parse(entry, (value) => JobRecords.parseWaveProgress(value))
 		if (progress) this.waveProgress.set(entry.key, progress)
@@ -121,7 +139,7 @@
 		return row
 	}
 
-	private parse<T extends Job | JobSnapshot | WaveProgress | BackendRegistration>(
+	private parse<T extends Job | JobSnapshot | WaveProgress | BackendRegistration | MachineOrder>(
 		entry: LogEntry,
 		parse: (value: string) => T
 	): T | undefined {
--- a/packages/jobs/src/lib/machines/MachineInventory.ts
+++ b/packages/jobs/src/lib/machines/MachineInventory.ts
@@ -3,13 +3,6 @@
 import type { Machine } from '../ports/Machine.js'
 import type { MachineController } from '../ports/MachineController.js'
 
-/**
- * For this long after its term started, an owner sends no order for a machine for which an earlier
- * owner may just have sent one, in milliseconds.
- */
-const TAKEOVER_DELAY = 3_100
-/** Tolerated difference between the clocks of an instance and a backend server, in milliseconds. */
-const CLOCK_TOLERANCE = 1_000
 const MILLICORES_PER_CORE = 1_000
 /** Time after which the platform's list reflects an order, in milliseconds. */
 const LIST_DELAY = 300
@@ -26,7 +19,6 @@
 	/** Monotonic instant at which the current list was requested; -Infinity before the first one. */
 	listedAt = -Infinity
 
-	private readonly termStartedAt: number
 	/** Expected states of machines after recent orders, with the instant of each order. */
 	private readonly recentChanges = new Map<
 		string,
@@ -36,9 +28,7 @@
 	constructor(
 		private readonly context: OwnerContext,
 		private readonly controller: MachineController
-	) {
-		this.termStartedAt = context.timers.now()
-	}
+	) {}
 
 	/** Refreshes the list if it is older than `maximumAge`. Resolves to whether there is a list. */
 	async refresh(maximumAge = MAXIMUM_LIST_AGE): Promise<boolean> {
@@ -94,16 +84,14 @@
 		return unregistered
 	}
 
-	/**
-	 * Whether no earlier owner can have sent an order for the machine recently: the takeover delay is
-	 * over, or the server has run for longer than that delay, since an order would have restarted it.
-	 */
-	isSafeToOrder(machine: string): boolean {
-		const { timers, getWallTime } = this.context
-		if (timers.now() - this.termStartedAt > TAKEOVER_DELAY) return true
-		const backend = this.getBackend(machine)
-		if (!backend || backend.incarnation === 0) return false
-		return getWallTime() - backend.incarnation > TAKEOVER_DELAY + CLOCK_TOLERANCE
+	/** Counts the machines that are on the way to a service's pool, according to the platform. */
+	countMoving(service: string, isCounted: (machine: string) => boolean): number {
+		let count = 0
+		for (const machine of this.machines.values()) {
+			if (machine.service !== service || machine.state !== 'moving') continue
+			if (isCounted(machine.id) && !this.getBackend(machine.id)?.registered) count += 1
+		}
+		return count
 	}
 
 	/** Records the effect of an order until the list reflects it. */
--- a/packages/jobs/src/lib/machines/MachineManager.ts
+++ b/packages/jobs/src/lib/machines/MachineManager.ts
@@ -7,6 +7,8 @@
 import type { MaintenanceWave } from '../ports/MaintenanceWave.js'
 import { Evacuator } from './Evacuator.js'
 import { MachineInventory } from './MachineInventory.js'
+import type { MachineOrder } from './MachineOrder.js'
+import { MachineOrderJournal } from './MachineOrderJournal.js'
 import { PoolManager } from './PoolManager.js'
 import { WaveManager } from './WaveManager.js'
 import type { WaveProgress } from './WaveProgress.js'
@@ -40,6 +42,10 @@
 			readonly getWaves: () => ReadonlyMap<string, MaintenanceWave>
 			readonly reportWave: (key: string, state: 'running' | 'completed') => Promise<boolean>
 			readonly getWaveProgress: (key: string) => WaveProgress | undefined
+			/** Returns the latest recorded order for a machine. */
+			readonly getMachineOrder: (machine: string) => MachineOrder | undefined
+			/** Whether earlier owners are known to have recorded their orders. */
+			readonly recordsMachineOrders: boolean
 		}
 	) {
 		const {
@@ -53,12 +59,19 @@
 			planner,
 		} = options
 		this.inventory = new MachineInventory(context, controller)
+		const orders = new MachineOrderJournal(
+			context,
+			writer,
+			options.getMachineOrder,
+			options.recordsMachineOrders
+		)
 		this.evacuator = new Evacuator(context, options.stopTask)
 		this.waves = new WaveManager(context, {
 			controller,
 			taskUpdater,
 			writer,
 			inventory: this.inventory,
+			orders,
 			isArriving: (machine) => this.pools.isArriving(machine),
 			getSlack: (service) => this.pools.getSlack(service),
 			getWaves,
@@ -68,6 +81,7 @@
 		this.pools = new PoolManager(context, {
 			controller,
 			inventory: this.inventory,
+			orders,
 			policy: new DemandPoolPolicy(),
 			demand,
 			planner,
--- a/packages/jobs/src/lib/machines/PoolManager.ts
+++ b/packages/jobs/src/lib/machines/PoolManager.ts
@@ -9,6 +9,7 @@
 import type { OwnerContext } from '../owner/OwnerContext.js'
 import type { MachineController } from '../ports/MachineController.js'
 import type { MachineInventory } from './MachineInventory.js'
+import type { MachineOrderJournal } from './MachineOrderJournal.js'
 
 /** Time after a move until its machine is no longer expected to register, in milliseconds. */
 const ARRIVAL_TIMEOUT = 4_000
@@ -42,6 +43,7 @@
 		private readonly options: {
 			readonly controller: MachineController
 			readonly inventory: MachineInventory
+			readonly orders: Pick<MachineOrderJournal, 'record' | 'isSafeToOrder'>
 			readonly policy: PoolPolicy
 			readonly demand: DemandMeter
 			/** Work that the latest plan could not place, and jobs that can no longer finish in time. */
@@ -60,7 +62,8 @@
 		this.poolStates = this.getPoolStates(now)
 		this.logPools(now)
 		if (!this.options.isRegistryFresh() || !this.context.mayOrderMachines()) return
-		for (const move of this.options.policy.plan(this.poolStates, now)) void this.executeMove(move)
+		const moves = this.options.policy.plan(this.poolStates, now)
+		if (moves.length > 0) void this.executeMoves(moves)
 	}
 
 	private logPools(now: number): void {
@@ -145,15 +148,12 @@
 			lastingCores += getLastingCores(row)
 			machines.push({ id: row.machine, idleSince: this.getIdleSince(row, now) })
 		}
-		const arrivingMachines = [...this.arrivals.values()].filter(
-			(entry) => entry.service === service
-		)
 		return {
 			service,
 			spare: false,
 			machineCores,
 			machines,
-			arrivingMachines: arrivingMachines.length,
+			arrivingMachines: this.countArrivingMachines(service),
 			arrivalTime: this.arrivalTime,
 			demandCores: this.options.demand.getCores(service, now),
 			usedCores: Math.max(0, usedCores - lastingCores - lateCores),
@@ -164,6 +164,12 @@
 		}
 	}
 
+	/** Counts the machines on the way to a pool, also those that an earlier owner has ordered. */
+	private countArrivingMachines(service: string): number {
+		const own = [...this.arrivals.values()].filter((entry) => entry.service === service).length
+		return own + this.options.inventory.countMoving(service, (id) => !this.arrivals.has(id))
+	}
+
 	/** Uses the platform's list, because the machines in a spare pool are off and not registered. */
 	private getSparePoolState(service: string, now: number): PoolState {
 		const machines: { id: string; idleSince: number | undefined }[] = []
@@ -171,7 +177,7 @@
 			if (machine.service !== service || machine.state !== 'up') continue
 			if (this.options.inventory.getBackend(machine.id)) continue
 			const paused = (this.pausedUntil.get(machine.id) ?? 0) > now
-			const safeToOrder = this.options.inventory.isSafeToOrder(machine.id)
+			const safeToOrder = this.options.orders.isSafeToOrder(machine.id)
 			const reserved =
 				!safeToOrder || this.options.isReserved(machine.id) || this.arrivals.has(machine.id)
 			machines.push({ id: machine.id, idleSince: paused || reserved ? undefined : 0 })
@@ -215,19 +221,34 @@
 
 	private getIdleSince(row: BackendRow, now: number): number | undefined {
 		const paused = (this.pausedUntil.get(row.machine) ?? 0) > now
-		const { inventory } = this.options
-		const usable = row.reconciled && row.reachable && inventory.isSafeToOrder(row.machine)
+		const { orders } = this.options
+		const usable = row.reconciled && row.reachable && orders.isSafeToOrder(row.machine)
 		if (row.tasks.size > 0 || paused || !usable || row.machine === '') return undefined
 		// Its listing is the only evidence of ends that are not durable.
 		if (row.hasUnreadRuns || row.lastProcessedEnd > row.lastAcknowledgedEnd) return undefined
 		return this.options.isReserved(row.machine) ? undefined : row.idleSince
 	}
 
+	/** Takes the machines out of placement, records the orders for them, and sends them. */
+	private async executeMoves(moves: readonly MachineMove[]): Promise<void> {
+		const { timers, events } = this.context
+		for (const { machine, to } of moves) {
+			const backend = this.options.inventory.getBackend(machine)
+			if (backend) backend.cordoned = true
+			this.arrivals.set(machine, { service: to, at: timers.now() })
+		}
+		const machines = moves.map(({ machine }) => machine)
+		if (await this.options.orders.record(machines)) {
+			for (const move of moves) void this.executeMove(move)
+			return
+		}
+		events.warn('machine-moves-dropped', { machines, reason: 'not recorded in time' })
+		for (const machine of machines) this.cancelMove(machine)
+	}
+
 	private async executeMove(move: MachineMove): Promise<void> {
-		const { timers, events, token } = this.context
+		const { events, token } = this.context
 		const backend = this.options.inventory.getBackend(move.machine)
-		if (backend) backend.cordoned = true
-		this.arrivals.set(move.machine, { service: move.to, at: timers.now() })
 		let result = await this.options.controller.move(move.machine, move.to, token)
 		for (let attempt = 1; result.kind === 'unknown' && attempt < MAXIMUM_ATTEMPTS; attempt += 1) {
 			result = await this.options.controller.move(move.machine, move.to, token)
@@ -238,13 +259,18 @@
 			this.options.inventory.recordStateChange(move.machine, { service: move.to, state: 'moving' })
 			return
 		}
-		this.arrivals.delete(move.machine)
-		this.pausedUntil.set(move.machine, timers.now() + FAILED_MOVE_COOLDOWN)
-		if (backend) backend.cordoned = false
+		this.cancelMove(move.machine)
 		if (result.kind === 'refused' && result.reason === 'fence') {
 			this.context.endTerm(`move of ${move.machine} refused: fence`)
 		}
 	}
+
+	private cancelMove(machine: string): void {
+		this.arrivals.delete(machine)
+		this.pausedUntil.set(machine, this.context.timers.now() + FAILED_MOVE_COOLDOWN)
+		const backend = this.options.inventory.getBackend(machine)
+		if (backend) backend.cordoned = false
+	}
 }
 
 function getLastingCores(row: BackendRow): number {
--- a/packages/jobs/src/lib/machines/WaveManager.test.ts
+++ b/packages/jobs/src/lib/machines/WaveManager.test.ts
@@ -10,6 +10,7 @@
 import { MemoryMachineController } from '../testing/MemoryMachineController.js'
 import { MemoryStore } from '../testing/MemoryStore.js'
 import { Evacuator } from './Evacuator.js'
+import { MachineOrderJournal } from './MachineOrderJournal.js'
 import { MachineInventory } from './MachineInventory.js'
 import { WaveManager } from './WaveManager.js'
 
@@ -61,6 +62,7 @@
 		controller,
 		taskUpdater: { endLostRuns: () => undefined },
 		inventory,
+		orders: new MachineOrderJournal(context, writer, () => undefined, false),
 		isArriving: () => false,
 		getSlack: () => 1,
 		getWaves: () => new Map([['wave/1', createWave()]]),
--- a/packages/jobs/src/lib/machines/WaveManager.ts
+++ b/packages/jobs/src/lib/machines/WaveManager.ts
@@ -6,6 +6,7 @@
 import type { TaskUpdater } from '../owner/TaskUpdater.js'
 import type { Machine } from '../ports/Machine.js'
 import type { MachineInventory } from './MachineInventory.js'
+import type { MachineOrderJournal } from './MachineOrderJournal.js'
 import type { MachineController } from '../ports/MachineController.js'
 import type { MaintenanceWave } from '../ports/MaintenanceWave.js'
 import type { WaveProgress } from './WaveProgress.js'
@@ -20,8 +21,6 @@
 const EVACUATED_AHEAD = 1
 /** Minimum time for which a machine counts as down after its order, in milliseconds. */
 const MINIMUM_DOWN_TIME = 1_500
-/** Time within which an order must be durable, or else it is postponed, in milliseconds. */
-const DURABILITY_TIMEOUT = 1_000
 
 /**
  * Carries out the operator's maintenance waves: evacuates machines, takes them down as availability
@@ -39,6 +38,7 @@
 			readonly controller: MachineController
 			readonly taskUpdater: Pick<TaskUpdater, 'endLostRuns'>
 			readonly inventory: MachineInventory
+			readonly orders: Pick<MachineOrderJournal, 'record' | 'isSafeToOrder'>
 			/** Whether the machine is being moved to another pool. */
 			readonly isArriving: (machine: string) => boolean
 			/** Returns how many machines a pool has beyond its need; negative if it is short. */
@@ -186,7 +186,7 @@
 		const { events, timers, token } = this.context
 		const backend = this.options.inventory.getBackend(machine)
 		if (row.down.size >= row.wave.parallelism || this.isStopped()) return
-		if (!this.options.inventory.isSafeToOrder(machine)) return
+		if (!this.options.orders.isSafeToOrder(machine)) return
 		if (backend && !backend.cordoned) {
 			// The server registered after the machine was chosen, so it must be evacuated first.
 			this.cordonMachine(row, machine, backend)
@@ -227,7 +227,7 @@
 		row.down.set(machine, this.context.timers.now())
 		row.ordered.add(machine)
 		this.recordProgress(row)
-		if (!(await this.waitForDurability()) || !this.context.mayOrderMachines()) return false
+		if (!(await this.options.orders.record([machine]))) return false
 		return backend === undefined || canDisruptBackend(backend)
 	}
 
@@ -282,18 +282,6 @@
 		})
 	}
 
-	/** Resolves to whether the recorded progress became durable in time. */
-	private waitForDurability(): Promise<boolean> {
-		return new Promise((resolve) => {
-			this.context.timers.after(DURABILITY_TIMEOUT, () => {
-				resolve(false)
-			})
-			this.options.writer.whenDurable(() => {
-				resolve(true)
-			})
-		})
-	}
-
 	private isStopped(): boolean {
 		return this.stopped
 	}
--- a/packages/jobs/src/lib/owner/OwnerTerm.ts
+++ b/packages/jobs/src/lib/owner/OwnerTerm.ts
@@ -177,6 +177,8 @@
 			getWaves: options.getWaves,
 			reportWave: (key, state) => this.reportWave(key, state),
 			getWaveProgress: (key) => options.replica.waveProgress.get(key),
+			getMachineOrder: (machine) => options.replica.machineOrders.get(machine),
+			recordsMachineOrders: options.replica.recordsMachineOrders,
 		})
 	}
 
@@ -364,7 +366,7 @@
 		this.taskUpdater.updateJob(task.job)
 		this.monitors.get(backend.id)?.wakeUp()
 		const { id } = task.job.job
-		this.writer.whenJobDurable(id, () => void this.dispatcher.startTask(placement, placedAt))
+		this.writer.whenRecordDurable(id, () => void this.dispatcher.startTask(placement, placedAt))
 	}
 
 	private async reportWave(key: string, state: 'running' | 'completed'): Promise<boolean> {
--- a/packages/jobs/src/lib/owner/ProgressWriter.test.ts
+++ b/packages/jobs/src/lib/owner/ProgressWriter.test.ts
@@ -53,7 +53,7 @@
 		writer.markJobChanged(delayed, 40)
 		writer.whenWritten(() => calls.push('all'))
 		writer.markJobChanged(placed, 40)
-		writer.whenJobDurable(placed.job.id, () => calls.push('placed'))
+		writer.whenRecordDurable(placed.job.id, () => calls.push('placed'))
 		await advance(10)
 		expect(calls).toEqual(['placed'])
 		expect(store.getEntries('progress').map((entry) => entry.key)).toEqual([placed.job.id])
@@ -69,7 +69,7 @@
 		const endOffsets: number[] = []
 		writer.markJobChanged(row, 40)
 		row.state = 'running'
-		writer.whenJobDurable(row.job.id, () => endOffsets.push(store.getEnd('progress')))
+		writer.whenRecordDurable(row.job.id, () => endOffsets.push(store.getEnd('progress')))
 		await advance(3)
 		expect(endOffsets).toEqual([])
 		await advance(3)
@@ -87,7 +87,7 @@
 			writer.markRecordChanged(key, () => ({ key, value: '{}' }))
 		}
 		const endOffsets: number[] = []
-		writer.whenJobDurable(row.job.id, () => endOffsets.push(store.getEnd('progress')))
+		writer.whenRecordDurable(row.job.id, () => endOffsets.push(store.getEnd('progress')))
 		await advance(20)
 		expect(endOffsets).toEqual([301])
 	})
--- a/packages/jobs/src/lib/owner/ProgressWriter.ts
+++ b/packages/jobs/src/lib/owner/ProgressWriter.ts
@@ -1,4 +1,4 @@
-import type { JobId, JobRow } from '@mastichead/core'
+import type { JobRow } from '@mastichead/core'
 import { createJobSnapshot } from '@mastichead/core'
 import { JobRecords } from '../log/JobRecords.js'
 import type { StreamFollower } from '../log/StreamFollower.js'
@@ -108,11 +108,11 @@
 	}
 
 	/**
-	 * Writes a job's progress without delay. Runs `callback` once it is durable, with everything that
+	 * Writes one record, such as a job's progress, without delay. Runs `callback` once it is durable, with everything that
 	 * was marked as changed before and may not wait either.
 	 */
-	whenJobDurable(id: JobId, callback: () => void): void {
-		this.endDelay(id)
+	whenRecordDurable(key: string, callback: () => void): void {
+		this.endDelay(key)
 		const dueBy = this.context.timers.now()
 		this.callbacks.push({ callback, lastChange: this.changeCount, dueBy })
 		this.flushSoon()
--- a/packages/jobs/src/lib/testing/createTestPool.ts
+++ b/packages/jobs/src/lib/testing/createTestPool.ts
@@ -61,6 +61,7 @@
 	const pools = new PoolManager(context, {
 		controller,
 		inventory,
+		orders: { record: () => Promise.resolve(true), isSafeToOrder: () => true },
 		policy: new DemandPoolPolicy(),
 		demand,
 		planner,
