Let a new owner know the demand of the jobs that arrived before its term

Change: the meter of a term starts with the jobs of the last 10 s, by their time of acceptance. Test: recordEarlierArrivals.test.ts.

--- a/packages/core/src/lib/jobs/DemandMeter.ts
+++ b/packages/core/src/lib/jobs/DemandMeter.ts
@@ -20,9 +20,11 @@
 	 * Records work that has arrived.
 	 *
 	 * @param work - core-milliseconds
+	 * @param age - milliseconds since it arrived
 	 */
-	recordArrival(service: string, work: number, now: number): void {
-		const cores = this.getCores(service, now) + work / TIME_CONSTANT
+	recordArrival(service: string, work: number, now: number, age = 0): void {
+		const remaining = work * Math.exp(-Math.max(0, age) / TIME_CONSTANT)
+		const cores = this.getCores(service, now) + remaining / TIME_CONSTANT
 		this.rates.set(service, { cores, at: now })
 	}
 
--- /dev/null
+++ b/packages/core/src/lib/jobs/recordEarlierArrivals.ts
@@ -0,0 +1,30 @@
+import type { DemandMeter } from './DemandMeter.js'
+import type { FleetConfiguration } from './FleetConfiguration.js'
+import type { Job } from './Job.js'
+import { getJobWork } from './getJobWork.js'
+
+/** Age from which a job no longer counts as arriving, in milliseconds. */
+const MAXIMUM_AGE = 10_000
+
+/**
+ * Records the work of jobs that arrived before the meter was created, so that a new owner knows the
+ * demand at once.
+ *
+ * @param now - time on the owner's monotonic clock, in milliseconds
+ * @param wallTime - milliseconds since 1970
+ * @public
+ */
+export function recordEarlierArrivals(
+	demand: DemandMeter,
+	jobs: Iterable<Job>,
+	configuration: FleetConfiguration,
+	now: number,
+	wallTime: number
+): void {
+	for (const job of jobs) {
+		const age = wallTime - job.acceptedAt
+		const service = configuration.queues.get(job.queue)?.service
+		if (service === undefined || age > MAXIMUM_AGE) continue
+		demand.recordArrival(service, getJobWork(job), now, age)
+	}
+}
--- a/packages/jobs/src/lib/owner/OwnerTerm.ts
+++ b/packages/jobs/src/lib/owner/OwnerTerm.ts
@@ -17,6 +17,7 @@
 	getJobWork,
 	DemandMeter,
 	explainJob,
+	recordEarlierArrivals,
 } from '@mastichead/core'
 import { JobRecords } from '../log/JobRecords.js'
 import type { JobReplica } from '../log/JobReplica.js'
@@ -202,6 +203,7 @@
 			})
 		)
 		if (!(await this.recovery.restoreJobs(replica.all))) return
+		this.restoreDemand()
 		this.subscriptions.push(
 			timers.every(PLAN_INTERVAL, () => {
 				this.schedulePlan()
@@ -284,6 +286,12 @@
 		this.schedulePlan()
 	}
 
+	private restoreDemand(): void {
+		const { timers, getWallTime, getConfiguration } = this.context
+		const jobs = [...this.options.replica.all].flatMap(({ job }) => job ?? [])
+		recordEarlierArrivals(this.demand, jobs, getConfiguration(), timers.now(), getWallTime())
+	}
+
 	/** Shows the other instances that there is an owner. */
 	private recordHeartbeat(): void {
 		const { token, getWallTime } = this.context
