Report not ready soon when the log turns an instance away

Change: reads that have failed for 400 ms make an instance not ready; after a failure the log is asked without waiting for a record, so that its return is seen at once, too. A single failed read changes nothing.

--- a/packages/jobs/src/lib/JobDaemon.ts
+++ b/packages/jobs/src/lib/JobDaemon.ts
@@ -26,6 +26,8 @@
 const PROGRESS_POLL_DELAY = 120
 /** An instance without an answer from the log for this long is not ready, in milliseconds. */
 const MAXIMUM_LOG_SILENCE = 2_500
+/** An instance whose reads of the log have failed for this long is not ready, in milliseconds. */
+const MAXIMUM_FAILURE_TIME = 400
 
 /**
  * The job daemon of one instance: accepts jobs from callers, and schedules them while the instance
@@ -126,9 +128,11 @@
 	/** Whether the instance can serve callers; the load balancer checks this. */
 	isReady(): boolean {
 		if (this.stopping || !this.configuration.current) return false
-		const { lastContactAt } = this.configuration.follower
-		const silence = this.options.timers.now() - (lastContactAt ?? -Infinity)
-		return this.progressFollower.loaded && silence < MAXIMUM_LOG_SILENCE
+		const { lastContactAt, unavailableSince } = this.configuration.follower
+		const now = this.options.timers.now()
+		if (now - (lastContactAt ?? -Infinity) >= MAXIMUM_LOG_SILENCE) return false
+		if (now - (unavailableSince ?? now) >= MAXIMUM_FAILURE_TIME) return false
+		return this.progressFollower.loaded
 	}
 
 	/** Returns what this instance knows about a job, for operators. */
--- a/packages/jobs/src/lib/log/StreamFollower.ts
+++ b/packages/jobs/src/lib/log/StreamFollower.ts
@@ -152,6 +152,11 @@
 		}
 	}
 
+	/** Monotonic instant of the first failed read since the latest answer; undefined if there is none. */
+	get unavailableSince(): number | undefined {
+		return this.available ? undefined : this.lostAt
+	}
+
 	private async run(): Promise<void> {
 		while (!this.stopped) {
 			const from = this.nextOffset
@@ -175,7 +180,8 @@
 	private async readOnce(wait: number): Promise<boolean> {
 		if (!this.arePagesRead && !(await this.finishLoad())) return false
 		if (this.behind) return this.readPiece()
-		return this.readNext(this.loaded ? wait : 0)
+		// After a failure an answer shows at once that the log is back.
+		return this.readNext(this.loaded && this.available ? wait : 0)
 	}
 
 	/** Reads records that the log is known to have, one read at a time for all callers. */
