--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -1,3 +1,4 @@
+export { formatError } from './lib/logs/formatError.js'
 export { isPreferredOwner } from './lib/owner/isPreferredOwner.js'
 export { JobDaemon } from './lib/JobDaemon.js'
 export { IntakeWriter } from './lib/callers/IntakeWriter.js'
--- a/packages/jobs/src/lib/JobDaemon.ts
+++ b/packages/jobs/src/lib/JobDaemon.ts
@@ -212,7 +212,7 @@
 			},
 		})
 		this.term = term
-		void term.start()
+		term.start()
 	}
 
 	private endTerm(): void {
--- a/packages/jobs/src/lib/log/JobRecords.ts
+++ b/packages/jobs/src/lib/log/JobRecords.ts
@@ -106,8 +106,12 @@
 		return undefined
 	},
 
+	/** Throws if the value is not a job. */
 	parseJob(value: string): Job {
-		return JSON.parse(value) as Job
+		const job = JSON.parse(value) as Partial<Job> | null
+		const isJob = typeof job?.id === 'string' && typeof job.queue === 'string'
+		if (!isJob || !Array.isArray(job.steps)) throw new Error('job has no id, queue or steps')
+		return job as Job
 	},
 
 	parseProgress(value: string): JobSnapshot {
--- a/packages/jobs/src/lib/log/StreamFollower.ts
+++ b/packages/jobs/src/lib/log/StreamFollower.ts
@@ -1,5 +1,6 @@
 import type { TimerService } from '@mastichead/core'
 import type { EventLog } from '../logs/EventLog.js'
+import { formatError } from '../logs/formatError.js'
 import type { LogEntry } from '../ports/LogEntry.js'
 import type { LogStream } from '../ports/LogStream.js'
 import type { MetadataLog } from '../ports/MetadataLog.js'
@@ -271,7 +272,22 @@
 			this.offsets.delete(entry.key)
 			this.load?.deletions.set(entry.key, entry.offset)
 		} else this.offsets.set(entry.key, entry.offset)
-		this.listener(entry)
+		this.notify(entry)
+	}
+
+	/** Passes a change on. A record that cannot be processed must not keep the later ones back. */
+	private notify(entry: LogEntry): void {
+		try {
+			this.listener(entry)
+		} catch (error) {
+			const { key, offset } = entry
+			this.events.error('log-record-failed', {
+				stream: this.stream,
+				key,
+				offset,
+				error: formatError(error),
+			})
+		}
 	}
 
 	private recordContact(): void {
--- a/packages/jobs/src/lib/machines/MachineManager.ts
+++ b/packages/jobs/src/lib/machines/MachineManager.ts
@@ -96,7 +96,7 @@
 	}
 
 	start(): void {
-		void this.run()
+		this.run().catch(this.context.fail)
 	}
 
 	stop(): void {
@@ -121,9 +121,10 @@
 	private advanceWaves(): void {
 		if (this.isAdvancingWaves) return
 		this.isAdvancingWaves = true
-		void this.waves.advanceWaves().finally(() => {
+		const advance = this.waves.advanceWaves().finally(() => {
 			this.isAdvancingWaves = false
 		})
+		advance.catch(this.context.fail)
 	}
 
 	private isStopped(): boolean {
--- a/packages/jobs/src/lib/machines/PoolManager.ts
+++ b/packages/jobs/src/lib/machines/PoolManager.ts
@@ -63,7 +63,7 @@
 		this.logPools(now)
 		if (!this.options.isRegistryFresh() || !this.context.mayOrderMachines()) return
 		const moves = this.options.policy.plan(this.poolStates, now)
-		if (moves.length > 0) void this.executeMoves(moves)
+		if (moves.length > 0) this.executeMoves(moves).catch(this.context.fail)
 	}
 
 	private logPools(now: number): void {
@@ -239,7 +239,7 @@
 		}
 		const machines = moves.map(({ machine }) => machine)
 		if (await this.options.orders.record(machines)) {
-			for (const move of moves) void this.executeMove(move)
+			for (const move of moves) this.executeMove(move).catch(this.context.fail)
 			return
 		}
 		events.warn('machine-moves-dropped', { machines, reason: 'not recorded in time' })
--- a/packages/jobs/src/lib/owner/BackendMonitor.ts
+++ b/packages/jobs/src/lib/owner/BackendMonitor.ts
@@ -58,7 +58,7 @@
 	) {}
 
 	start(): void {
-		void this.run()
+		this.run().catch(this.context.fail)
 	}
 
 	stop(): void {
@@ -75,9 +75,10 @@
 	requestListing(): void {
 		if (this.isExtraListingPending || this.stopped) return
 		this.isExtraListingPending = true
-		void this.renew(0).finally(() => {
+		const listing = this.renew(0).finally(() => {
 			this.isExtraListingPending = false
 		})
+		listing.catch(this.context.fail)
 	}
 
 	private async run(): Promise<void> {
@@ -248,7 +249,7 @@
 					options.taskUpdater.endRun(task, 'lost', '', `not listed, order ${task.orderState}`)
 					break
 				case 'unclear':
-					void options.dispatcher.stopTask(task)
+					options.dispatcher.stopTask(task).catch(this.context.fail)
 					break
 			}
 		}
@@ -267,7 +268,8 @@
 		if (this.unexpectedRunStops.size > 1_000) this.unexpectedRunStops.clear()
 		this.unexpectedRunStops.set(key, now)
 		this.context.events.warn('run-unwanted', { task, attempt, backend: this.row.id })
-		void this.options.dispatcher.sendStopOrder(this.row, task, attempt)
+		const order = this.options.dispatcher.sendStopOrder(this.row, task, attempt)
+		order.catch(this.context.fail)
 	}
 
 	private handleRenewalError(
--- a/packages/jobs/src/lib/owner/OwnerContext.ts
+++ b/packages/jobs/src/lib/owner/OwnerContext.ts
@@ -30,4 +30,6 @@
 	readonly mayOrderMachines: () => boolean
 	/** Ends the term because another owner has taken over or may have. */
 	readonly endTerm: (reason: string) => void
+	/** Ends the term after an unexpected error, so that it stops neither the process nor its other work. */
+	readonly fail: (error: unknown) => void
 }
--- a/packages/jobs/src/lib/owner/OwnerTerm.ts
+++ b/packages/jobs/src/lib/owner/OwnerTerm.ts
@@ -19,6 +19,7 @@
 	explainJob,
 	recordEarlierArrivals,
 } from '@mastichead/core'
+import { formatError } from '../logs/formatError.js'
 import { JobRecords } from '../log/JobRecords.js'
 import type { JobReplica } from '../log/JobReplica.js'
 import type { ReplicaRow } from '../log/ReplicaRow.js'
@@ -121,6 +122,9 @@
 			mayAct: () => this.mayAct(),
 			mayOrderMachines: () => this.mayAct() && options.isMember(),
 			endTerm,
+			fail: (error) => {
+				this.fail(error)
+			},
 		}
 		const replan = (): void => {
 			this.schedulePlan()
@@ -141,7 +145,9 @@
 		this.taskUpdater = new TaskUpdater(
 			this.context,
 			this.writer,
-			(task) => void this.dispatcher.stopTask(task),
+			(task) => {
+				this.dispatcher.stopTask(task).catch(this.context.fail)
+			},
 			replan,
 			this.health
 		)
@@ -172,7 +178,9 @@
 			taskUpdater: this.taskUpdater,
 			writer: this.writer,
 			demand: this.demand,
-			stopTask: (task) => void this.dispatcher.stopTask(task),
+			stopTask: (task) => {
+				this.dispatcher.stopTask(task).catch(this.context.fail)
+			},
 			isRegistryFresh: () => this.registry.isFresh(),
 			planner: this.planner,
 			getWaves: options.getWaves,
@@ -183,8 +191,13 @@
 		})
 	}
 
+	/** Starts the term. An unexpected error ends it. */
+	start(): void {
+		this.begin().catch(this.context.fail)
+	}
+
 	/** Raises the fence, reads the decisions of earlier owners, and starts planning. */
-	async start(): Promise<void> {
+	private async begin(): Promise<void> {
 		const { token, intake, progress, replica, timers, events } = this.options
 		if (!(await this.recovery.readEarlierTerms())) return
 		this.recordHeartbeat()
@@ -210,7 +223,7 @@
 			}),
 			timers.every(RETENTION_INTERVAL, () => {
 				this.removeDepartedBackends()
-				void this.retention.dropExpired()
+				this.retention.dropExpired().catch(this.context.fail)
 			})
 		)
 		this.started = true
@@ -255,6 +268,12 @@
 		return false
 	}
 
+	private fail(error: unknown): void {
+		this.context.metrics.count('unexpected_errors', 'term')
+		this.context.events.error('owner-failed', { error: formatError(error) })
+		this.abort('unexpected error')
+	}
+
 	/** Ends the term and reports the reason. */
 	private abort(reason: string): void {
 		if (this.ended) return
@@ -353,7 +372,11 @@
 		this.isPlanScheduled = true
 		this.context.timers.after(PLAN_DELAY, () => {
 			this.isPlanScheduled = false
-			this.plan()
+			try {
+				this.plan()
+			} catch (error) {
+				this.fail(error)
+			}
 		})
 	}
 
@@ -374,7 +397,9 @@
 		this.taskUpdater.updateJob(task.job)
 		this.monitors.get(backend.id)?.wakeUp()
 		const { id } = task.job.job
-		this.writer.whenRecordDurable(id, () => void this.dispatcher.startTask(placement, placedAt))
+		this.writer.whenRecordDurable(id, () => {
+			this.dispatcher.startTask(placement, placedAt).catch(this.context.fail)
+		})
 	}
 
 	private async reportWave(key: string, state: 'running' | 'completed'): Promise<boolean> {
--- a/packages/jobs/src/lib/owner/ProgressWriter.ts
+++ b/packages/jobs/src/lib/owner/ProgressWriter.ts
@@ -128,7 +128,9 @@
 	private flushSoon(): void {
 		if (this.isFlushing || this.stopped) return
 		this.isFlushing = true
-		queueMicrotask(() => void this.flush())
+		queueMicrotask(() => {
+			this.flush().catch(this.context.fail)
+		})
 	}
 
 	private async flush(): Promise<void> {
--- a/packages/jobs/src/lib/testing/createTestContext.ts
+++ b/packages/jobs/src/lib/testing/createTestContext.ts
@@ -26,5 +26,8 @@
 		mayAct: () => true,
 		mayOrderMachines: () => true,
 		endTerm: () => undefined,
+		fail: (error) => {
+			throw error
+		},
 	}
 }
