Let the run server stand-in report its runs, bar old attempts, and end leases on time

For the soak: a run whose lease ended before it would have ended by itself lapses, starts with an expired lease or a barred attempt are refused, calls for another incarnation get 421. Two fixtures of the platform's tests move beside the stand-ins.

--- a/packages/standins/src/lib/jobPlatform/CloudStandin.ts
+++ b/packages/standins/src/lib/jobPlatform/CloudStandin.ts
@@ -109,6 +109,7 @@
 	private startOperation(row: MachineRow, pool: string | undefined): void {
 		this.options.store.delete('keyed.servers', getBackendId(row))
 		row.server.restart()
+		row.server.instanceId = ''
 		row.registrationNumber += 1
 		row.state = pool === undefined ? 'upkeep' : 'moving'
 		row.pool = pool ?? row.pool
@@ -126,6 +127,7 @@
 		const { store, sparePool } = this.options
 		if (row.pool === sparePool) return
 		const registration = row.server.createRegistration(row.pool, row.address, row.machine)
+		row.server.instanceId = getBackendId(row)
 		store.put('keyed.servers', getBackendId(row), registration)
 	}
 }
--- /dev/null
+++ b/packages/standins/src/lib/jobPlatform/RunEvent.ts
@@ -0,0 +1,14 @@
+/**
+ * What a backend server saw of a run.
+ *
+ * @public
+ */
+export interface RunEvent {
+	readonly kind: 'started' | 'ended' | 'acknowledged'
+	readonly task: string
+	readonly attempt: number
+	/** How the run ended; empty for a start. */
+	readonly ending: string
+	/** Milliseconds since 1970. */
+	readonly at: number
+}
--- a/packages/standins/src/lib/jobPlatform/RunServerStandin.ts
+++ b/packages/standins/src/lib/jobPlatform/RunServerStandin.ts
@@ -1,8 +1,11 @@
 import { setTimeout as delay } from 'node:timers/promises'
+import type { RunEvent } from './RunEvent.js'
 import { JsonServer } from './JsonServer.js'
 
 /** Interval at which a waiting `hold` call checks for ended runs. */
 const POLL_INTERVAL_MILLISECONDS = 10
+/** Longest lease that a server grants. */
+const MAXIMUM_LEASE_MILLISECONDS = 6_000
 
 interface Run {
 	readonly task: string
@@ -28,6 +31,12 @@
 export class RunServerStandin {
 	/** Every accepted start, as `TASK/ATTEMPT`, in order. */
 	readonly starts: string[] = []
+	/** Id under which it is registered; calls for another one are refused. Undefined to accept all. */
+	instanceId: string | undefined
+	/** Called with everything that happens to runs. */
+	onEvent: (event: RunEvent) => void = () => undefined
+	/** Highest attempt of each task that has ended or was stopped here. */
+	private readonly barredAttempts = new Map<string, number>()
 	/** Start of the current incarnation, in milliseconds since 1970. */
 	private born = Date.now()
 	/** Origin of the server's own clock, which differs from the wall clock on purpose. */
@@ -40,9 +49,11 @@
 	private token = 0
 	/** Expiry of the lease on the server's own clock, in milliseconds. */
 	private leaseEnd = 0
-	private readonly server = new JsonServer(({ url, body }) =>
-		this.handle(url.pathname, JSON.parse(body.toString() || '{}') as RunCall)
-	)
+	private readonly server = new JsonServer(({ url, body, headers }) => {
+		if (this.instanceId !== undefined && headers['target-instance'] !== this.instanceId)
+			return Promise.resolve({ status: 421, body: {} })
+		return this.handle(url.pathname, JSON.parse(body.toString() || '{}') as RunCall)
+	})
 
 	/**
 	 * @param duration - milliseconds that a task runs; undefined lets it run until it is stopped
@@ -78,8 +89,11 @@
 
 	/** Drops all runs at once and starts a new incarnation. */
 	restart(): void {
+		for (const { task, attempt } of this.runs.values()) this.report('ended', task, attempt, 'lost')
 		this.runs.clear()
+		this.barredAttempts.clear()
 		this.ended = []
+		this.endCount = 0
 		this.token = 0
 		this.leaseEnd = 0
 		this.born = Date.now()
@@ -95,13 +109,12 @@
 		this.endDueRuns()
 		if (call.fencing_token < this.token) return this.refuse('fence')
 		this.token = call.fencing_token
-		if (call.deadline_ms !== undefined) this.leaseEnd = Math.max(this.leaseEnd, call.deadline_ms)
+		if (call.deadline_ms !== undefined) this.extendLease(call.deadline_ms)
 		switch (path) {
 			case '/api/run-start':
-				this.startRun(call)
-				return { status: 200, body: { clock_ms: this.clockMilliseconds } }
+				return this.startRun(call)
 			case '/api/run-stop':
-				this.endRun(call.task, 'stopped')
+				this.stopRun(call)
 				return { status: 200, body: { clock_ms: this.clockMilliseconds } }
 			case '/api/hold':
 				return { status: 200, body: await this.hold(call) }
@@ -110,14 +123,47 @@
 		}
 	}
 
-	private startRun({ task, attempt }: RunCall): void {
-		if (this.runs.get(task)?.attempt === attempt) return
+	private startRun({ task, attempt }: RunCall): { status: number; body: object } {
+		const accepted = { status: 200, body: { clock_ms: this.clockMilliseconds } }
+		if (this.runs.get(task)?.attempt === attempt) return accepted
+		if (this.clockMilliseconds > this.leaseEnd) return this.refuse('late')
+		if ((this.barredAttempts.get(task) ?? -1) >= attempt) return this.refuse('old')
 		const endsAt = this.duration === undefined ? undefined : Date.now() + this.duration
 		this.runs.set(task, { task, attempt, endsAt })
 		this.starts.push(`${task}/${attempt}`)
+		this.report('started', task, attempt, '')
+		return accepted
+	}
+
+	private extendLease(deadline: number): void {
+		const limit = this.clockMilliseconds + MAXIMUM_LEASE_MILLISECONDS
+		this.leaseEnd = Math.max(this.leaseEnd, Math.min(deadline, limit))
+	}
+
+	private stopRun({ task, attempt }: RunCall): void {
+		this.barAttempt(task, attempt)
+		if (this.runs.get(task)?.attempt === attempt) this.endRun(task, 'stopped', Date.now())
+	}
+
+	private barAttempt(task: string, attempt: number): void {
+		this.barredAttempts.set(task, Math.max(attempt, this.barredAttempts.get(task) ?? attempt))
+	}
+
+	private report(
+		kind: RunEvent['kind'],
+		task: string,
+		attempt: number,
+		ending: string,
+		at = Date.now()
+	): void {
+		this.onEvent({ kind, task, attempt, ending, at })
 	}
 
 	private async hold(call: RunCall): Promise<object> {
+		for (const [number, task, attempt, ending] of this.ended) {
+			if (Number(number) > call.acked_through) continue
+			this.report('acknowledged', String(task), Number(attempt), String(ending))
+		}
 		this.ended = this.ended.filter((runEnd) => Number(runEnd[0]) > call.acked_through)
 		const until = Date.now() + (call.wait_ms ?? 0)
 		while (Date.now() < until && this.ended.length === 0) {
@@ -129,19 +175,23 @@
 	}
 
 	private endDueRuns(): void {
-		const isLeaseExpired = this.clockMilliseconds > this.leaseEnd
-		for (const run of [...this.runs.values()]) {
-			if (run.endsAt !== undefined && run.endsAt <= Date.now()) this.endRun(run.task, 'done')
-			else if (isLeaseExpired) this.endRun(run.task, 'lapsed')
+		const leaseExpiresAt = this.leaseEnd + this.clockOrigin
+		const now = Date.now()
+		for (const { task, endsAt } of [...this.runs.values()]) {
+			if (endsAt !== undefined && endsAt <= Math.min(now, leaseExpiresAt))
+				this.endRun(task, 'done', endsAt)
+			else if (leaseExpiresAt < now) this.endRun(task, 'lapsed', leaseExpiresAt)
 		}
 	}
 
-	private endRun(task: string, reason: string): void {
+	private endRun(task: string, ending: string, at: number): void {
 		const run = this.runs.get(task)
 		if (!run) return
 		this.runs.delete(task)
+		this.barAttempt(task, run.attempt)
 		this.endCount += 1
-		this.ended.push([this.endCount, task, run.attempt, reason, ''])
+		this.report('ended', task, run.attempt, ending, at)
+		this.ended.push([this.endCount, task, run.attempt, ending, ''])
 	}
 
 	private refuse(reason: string): { status: number; body: object } {
--- a/platform/src/lib/testing/createSettingsFile.ts
+++ b/packages/standins/src/lib/jobPlatform/createJobSettingsFile.ts
@@ -3,18 +3,20 @@
 /**
  * Writes a settings file in the platform's format.
  *
- * @internal
+ * @public
  */
-export function createSettingsFile(
+export function createJobSettingsFile(
 	path: string,
 	options: {
 		readonly instance: string
 		readonly ip: string
 		readonly store: string
 		readonly cloud?: string
+		/** Capacity of the instance's network link, in megabits per second. */
+		readonly link?: number
 	}
 ): void {
-	const { instance, ip, store, cloud } = options
+	const { instance, ip, store, cloud, link } = options
 	const lines = [
 		`node = "${instance}"`,
 		'zone = "a"',
@@ -31,5 +33,6 @@
 		'parts = 24',
 	]
 	if (cloud !== undefined) lines.push('[cloud]', `address = "${cloud}"`)
+	if (link !== undefined) lines.push('[limits]', `link_mbps = ${link}`)
 	writeFileSync(path, `${lines.join('\n')}\n`)
 }
--- a/platform/src/lib/testing/createOperatorConfiguration.ts
+++ b/packages/standins/src/lib/jobPlatform/createOperatorConfiguration.ts
@@ -2,11 +2,18 @@
  * Creates a configuration in the operator's format, with the queue `quotes`, its service `desk` and
  * the spare service `shelf`.
  *
- * @internal
+ * @public
+ *
+ * @param options.keys - keys of the only team
+ * @param options.cpu - limit of the team, in thousandths of a core; 0 for none
  */
-export function createOperatorConfiguration(): object {
+export function createOperatorConfiguration({
+	version = 3,
+	keys = ['key-1'],
+	cpu = 0,
+}: { version?: number; keys?: readonly string[]; cpu?: number } = {}): object {
 	return {
-		version: 3,
+		version,
 		routes: [
 			{
 				name: 'quotes',
@@ -27,6 +34,6 @@
 			{ name: 'shelf', preconditions: true, spare: true },
 		],
 		limits: { max_body_bytes: 262_144, idle_timeout_ms: 15_000 },
-		tenants: [{ name: 'installers', api_keys: ['key-1'], weight: 1, cap: { cpu: 0 } }],
+		tenants: [{ name: 'installers', api_keys: keys, weight: 1, cap: { cpu } }],
 	}
 }
