--- a/packages/jobs/src/lib/machines/MachineManager.ts
+++ b/packages/jobs/src/lib/machines/MachineManager.ts
@@ -15,6 +15,11 @@
 
 /** Delay between two rounds, in milliseconds. */
 const ROUND_INTERVAL = 150
+/**
+ * Time from the start of a term in which nothing is interrupted, in milliseconds. Until then a task
+ * that an earlier owner has stopped may still run, and so seem available.
+ */
+const SETTLING_TIME = 2_500
 
 /**
  * Manages machines for the owner: maintenance waves, moves between pools, and evacuation.
@@ -28,6 +33,7 @@
 	private readonly evacuator: Evacuator
 	private stopped = false
 	private isAdvancingWaves = false
+	private readonly termStartedAt: number
 
 	constructor(
 		private readonly context: OwnerContext,
@@ -58,6 +64,7 @@
 			demand,
 			planner,
 		} = options
+		this.termStartedAt = context.timers.now()
 		this.inventory = new MachineInventory(context, controller)
 		const orders = new MachineOrderJournal(
 			context,
@@ -108,11 +115,10 @@
 		while (!this.isStopped()) {
 			const listed = await this.inventory.refresh()
 			if (this.isStopped()) return
-			this.evacuator.evacuate()
-			if (listed) {
-				this.pools.runRound()
-				this.advanceWaves()
-			}
+			const settled = this.context.timers.now() - this.termStartedAt >= SETTLING_TIME
+			if (settled) this.evacuator.evacuate()
+			if (listed) this.pools.runRound()
+			if (listed && settled) this.advanceWaves()
 			await this.sleep(ROUND_INTERVAL)
 		}
 	}
--- a/packages/jobs/src/lib/testing/MemoryBackend.ts
+++ b/packages/jobs/src/lib/testing/MemoryBackend.ts
@@ -9,9 +9,6 @@
 
 /** Maximum lease, in milliseconds. */
 const MAXIMUM_LEASE = 6_000
-/** Time that a stop takes, in milliseconds. */
-const STOP_TIME = 50
-
 interface Run {
 	readonly task: string
 	readonly attempt: number
@@ -29,6 +26,8 @@
 	incarnation = 1
 	/** While true, calls have no effect and get no answer. */
 	disconnected = false
+	/** Time that a stop takes, in milliseconds. */
+	stopTime = 50
 	/** Returns how long a task runs in milliseconds; undefined if it runs until it is stopped. */
 	getRunDuration: (task: string) => number | undefined = () => 300
 	private readonly runs = new Map<string, Run>()
@@ -71,7 +70,7 @@
 		this.barAttempt(order.task, order.attempt)
 		const run = this.runs.get(order.task)
 		if (run?.attempt === order.attempt) {
-			run.ending = { at: this.timers.now() + STOP_TIME, kind: 'stopped' }
+			run.ending = { at: this.timers.now() + this.stopTime, kind: 'stopped' }
 		}
 		return { kind: 'taken', clock: this.clock }
 	}
@@ -96,6 +95,11 @@
 		return this.unacknowledgedEnds.length > 0
 	}
 
+	/** Number of runs that are being stopped. */
+	get stoppingRuns(): number {
+		return [...this.runs.values()].filter(({ ending }) => ending?.kind === 'stopped').length
+	}
+
 	/** Simulates a crash of the process and its restart under the same id. */
 	restart(): void {
 		this.advance()
