Spread submissions over all intake streams while the log is slow

The log is 47 times slower then; a stream takes 47 ms for each append, 21 a second, and all 97 instances append to the first stream, and after 150 ms all alike to the next. Change: in a slow log, or after a failed append, each instance begins at another stream; hedges spread from the start. A fast log is written as before, to the first stream, so that the others are read seldom.

--- a/packages/jobs/src/lib/JobDaemon.ts
+++ b/packages/jobs/src/lib/JobDaemon.ts
@@ -1,5 +1,6 @@
 import type { TimerService, JobId, JobReport } from '@mastichead/core'
 import { IntakeWriter } from './callers/IntakeWriter.js'
+import { getInstanceNumber } from './callers/getInstanceNumber.js'
 import { JobIntake } from './callers/JobIntake.js'
 import { ConfigurationManager } from './configuration/ConfigurationManager.js'
 import { JobReplica } from './log/JobReplica.js'
@@ -83,7 +84,13 @@
 			},
 			{ maximumWait: MAXIMUM_PROGRESS_WAIT, getPollDelay: () => PROGRESS_POLL_DELAY }
 		)
-		const writer = new IntakeWriter(log, timers, events, this.intakeFollowers)
+		const writer = new IntakeWriter(
+			log,
+			timers,
+			events,
+			this.intakeFollowers,
+			getInstanceNumber(member)
+		)
 		const followers = [...this.intakeFollowers.values(), this.progressFollower]
 		this.intake = new JobIntake(
 			this.replica,
--- a/packages/jobs/src/lib/callers/IntakeWriter.ts
+++ b/packages/jobs/src/lib/callers/IntakeWriter.ts
@@ -8,6 +8,7 @@
 import { BatchWrite } from './BatchWrite.js'
 import { PendingWrite } from './PendingWrite.js'
 import type { WriteResult } from './WriteResult.js'
+import { orderStreams } from './orderStreams.js'
 
 /** Delay after which an unanswered append is also tried on the next stream, in milliseconds. */
 const HEDGE_DELAY = 150
@@ -22,6 +23,8 @@
 const WRITE_TIMEOUT_FACTOR = 2.5
 /** A stream is tried last for this long after a failed append, in milliseconds. */
 const FAILURE_COOLDOWN = 5_000
+/** Append latency from which the log counts as slow, in milliseconds. */
+const SLOW_APPEND_LATENCY = 80
 const MAXIMUM_APPENDS_IN_FLIGHT = 4
 const MAXIMUM_RECORDS_PER_APPEND = 100
 /** Size from which a batch takes no further record, in bytes: 0.2 s of a link of 10 Mbit/s. */
@@ -47,7 +50,9 @@
 		private readonly log: MetadataLog,
 		private readonly timers: TimerService,
 		private readonly events: EventLog,
-		private readonly followers: ReadonlyMap<IntakeStream, StreamFollower>
+		private readonly followers: ReadonlyMap<IntakeStream, StreamFollower>,
+		/** Number of this instance, by which the instances spread over the streams of a slow log. */
+		private readonly instanceNumber = 0
 	) {}
 
 	/**
@@ -144,7 +149,9 @@
 		const now = this.timers.now()
 		const isCoolingDown = (stream: IntakeStream): boolean =>
 			(this.cooldownUntil.get(stream) ?? 0) > now
-		const streams = [...this.followers.keys()]
+		const all = [...this.followers.keys()]
+		const isSlow = this.appendLatency > SLOW_APPEND_LATENCY || all.some(isCoolingDown)
+		const streams = orderStreams(all, this.instanceNumber, isSlow)
 		return streams.sort((a, b) => Number(isCoolingDown(a)) - Number(isCoolingDown(b)))
 	}
 }
