Let the soak keep logs, runs and the plan, and judge an end by the server's lease

An end that is acknowledged after its server's lease has expired may have been given up (allowed by the users' rules); before 4 s between the two were the mark. The folder of a soak holds each instance's output, what the servers saw, and the faults.

--- a/packages/soak/src/lib/SoakFleet.ts
+++ b/packages/soak/src/lib/SoakFleet.ts
@@ -1,4 +1,4 @@
-import { mkdirSync } from 'node:fs'
+import { createWriteStream, mkdirSync, type WriteStream } from 'node:fs'
 import path from 'node:path'
 import type { RunEvent } from '@mastichead/standins'
 import {
@@ -48,11 +48,16 @@
 	private readonly serverLinks: FaultProxy[] = []
 	private readonly servers: RunServerStandin[] = []
 	private configurationVersion = 0
+	/** Files with the output of each instance, in the folder of the soak. */
+	private readonly outputs = new Map<string, WriteStream>()
 
 	constructor(private readonly options: SoakOptions) {}
 
 	async start(): Promise<void> {
 		mkdirSync(this.options.folder, { recursive: true })
+		this.processes.onLine = (name, line) => {
+			this.getOutput(name).write(`${line}\n`)
+		}
 		await this.store.listen(this.getHost(1), STORE_PORT)
 		for (let number = 0; number < this.options.servers; number += 1) await this.startServer(number)
 		this.configure(['key-0'])
@@ -139,6 +144,7 @@
 		for (const link of [...this.storeLinks, ...this.serverLinks]) await link.close()
 		for (const server of this.servers) await server.close()
 		await this.store.close()
+		for (const output of this.outputs.values()) output.end()
 	}
 
 	private async startServer(number: number): Promise<void> {
@@ -154,6 +160,14 @@
 		this.register(number, 'ready')
 	}
 
+	private getOutput(name: string): WriteStream {
+		const existing = this.outputs.get(name)
+		if (existing) return existing
+		const output = createWriteStream(path.join(this.options.folder, `${name}.log`))
+		this.outputs.set(name, output)
+		return output
+	}
+
 	private getMegabits(instance: number): number {
 		return instance % NARROW_LINK_INTERVAL === 0 ? NARROW_MEGABITS : WIDE_MEGABITS
 	}
--- a/packages/soak/src/lib/checkRecord.test.ts
+++ b/packages/soak/src/lib/checkRecord.test.ts
@@ -49,6 +49,18 @@
 		expect(checkRecord(createRecord(change))).not.toEqual([])
 	})
 
+	it('allows another run after an end whose server had lost its lease before the acknowledgement', () => {
+		const acknowledged = { ...event('acknowledged', 1, 400, 'done'), leaseLapsed: true }
+		const runs = [
+			event('started', 1, 0),
+			event('ended', 1, 100, 'done'),
+			event('started', 2, 200),
+			event('ended', 2, 300, 'done'),
+			acknowledged,
+		]
+		expect(checkRecord(createRecord({ runs }))).toEqual([])
+	})
+
 	it('does not hold a call to an instance that was paused against it', () => {
 		const calls = [createCall({ endedAt: 4_000 })]
 		const disturbances = [{ instance: 0, from: 1_000, to: 3_500 }]
@@ -96,5 +108,5 @@
 }
 
 function event(kind: RunEvent['kind'], attempt: number, at: number, ending = ''): RunEvent {
-	return { kind, task: TASK, attempt, ending, at }
+	return { kind, task: TASK, attempt, ending, leaseLapsed: false, at }
 }
--- a/packages/soak/src/lib/checkRecord.ts
+++ b/packages/soak/src/lib/checkRecord.ts
@@ -10,8 +10,6 @@
 const KEY_BOUND = 5_000
 /** Time after a disturbance in which an instance may still be late or behind, in milliseconds. */
 const RECOVERY_TIME = 3_000
-/** Shortest lease of a run, in milliseconds; an end that is acknowledged within it counts. */
-const LEASE = 4_000
 /** Share by which a team may exceed its limit for a moment. */
 const LIMIT_BURST = 0.1
 
@@ -31,7 +29,10 @@
 	]
 }
 
-/** No two runs of a task at the same time, and none after its end was taken note of. */
+/**
+ * No two runs of a task at the same time, and none after its end was taken note of. An end whose
+ * server lost its lease before the acknowledgement may have been given up.
+ */
 function checkRuns(events: readonly RunEvent[]): string[] {
 	const problems: string[] = []
 	for (const [task, ofTask] of groupByTask(events)) {
@@ -52,8 +53,8 @@
 
 function isAcknowledged(end: RunEvent, events: readonly RunEvent[]): boolean {
 	return events.some(
-		({ kind, attempt, at }) =>
-			kind === 'acknowledged' && attempt === end.attempt && at - end.at < LEASE
+		({ kind, attempt, leaseLapsed }) =>
+			kind === 'acknowledged' && attempt === end.attempt && !leaseLapsed
 	)
 }
 
--- a/packages/soak/src/lib/runSoak.ts
+++ b/packages/soak/src/lib/runSoak.ts
@@ -1,3 +1,5 @@
+import { writeFileSync } from 'node:fs'
+import path from 'node:path'
 import { setTimeout as delay } from 'node:timers/promises'
 import { checkRecord } from './checkRecord.js'
 import { createFaultPlan } from './createFaultPlan.js'
@@ -49,6 +51,14 @@
 	const { taskCpu, cpuLimit } = SoakFleet
 	const { jobs: records, calls } = caller
 	const { runs } = fleet
+	writeFileSync(
+		path.join(options.folder, 'runs.json'),
+		runs.map((run) => JSON.stringify(run)).join('\n')
+	)
+	writeFileSync(
+		path.join(options.folder, 'plan.json'),
+		plan.map((fault) => JSON.stringify(fault)).join('\n')
+	)
 	const record = { jobs: records, calls, runs, disturbances, withdrawals, taskCpu, cpuLimit }
 	return {
 		problems: checkRecord(record),
--- a/packages/standins/src/lib/jobPlatform/RunEvent.ts
+++ b/packages/standins/src/lib/jobPlatform/RunEvent.ts
@@ -9,6 +9,8 @@
 	readonly attempt: number
 	/** How the run ended; empty for a start. */
 	readonly ending: string
+	/** Whether the server's lease expired between the end of the run and its acknowledgement. */
+	readonly leaseLapsed: boolean
 	/** Milliseconds since 1970. */
 	readonly at: number
 }
--- a/packages/standins/src/lib/jobPlatform/RunServerStandin.ts
+++ b/packages/standins/src/lib/jobPlatform/RunServerStandin.ts
@@ -44,6 +44,8 @@
 	private readonly runs = new Map<string, Run>()
 	/** Ended runs that are not acknowledged yet, as `[number, task, attempt, reason, '']`. */
 	private ended: unknown[][] = []
+	/** Number of the latest end before which the lease has expired since. */
+	private lapsedThrough = 0
 	private endCount = 0
 	/** Highest fencing token received. */
 	private token = 0
@@ -94,6 +96,7 @@
 		this.barredAttempts.clear()
 		this.ended = []
 		this.endCount = 0
+		this.lapsedThrough = 0
 		this.token = 0
 		this.leaseEnd = 0
 		this.born = Date.now()
@@ -154,15 +157,16 @@
 		task: string,
 		attempt: number,
 		ending: string,
-		at = Date.now()
+		{ at = Date.now(), leaseLapsed = false }: { at?: number; leaseLapsed?: boolean } = {}
 	): void {
-		this.onEvent({ kind, task, attempt, ending, at })
+		this.onEvent({ kind, task, attempt, ending, leaseLapsed, at })
 	}
 
 	private async hold(call: RunCall): Promise<object> {
 		for (const [number, task, attempt, ending] of this.ended) {
 			if (Number(number) > call.acked_through) continue
-			this.report('acknowledged', String(task), Number(attempt), String(ending))
+			const leaseLapsed = Number(number) <= this.lapsedThrough
+			this.report('acknowledged', String(task), Number(attempt), String(ending), { leaseLapsed })
 		}
 		this.ended = this.ended.filter((runEnd) => Number(runEnd[0]) > call.acked_through)
 		const until = Date.now() + (call.wait_ms ?? 0)
@@ -177,6 +181,11 @@
 	private endDueRuns(): void {
 		const leaseExpiresAt = this.leaseEnd + this.clockOrigin
 		const now = Date.now()
+		this.endRunsBefore(leaseExpiresAt, now)
+		if (leaseExpiresAt < now) this.lapsedThrough = this.endCount
+	}
+
+	private endRunsBefore(leaseExpiresAt: number, now: number): void {
 		for (const { task, endsAt } of [...this.runs.values()]) {
 			if (endsAt !== undefined && endsAt <= Math.min(now, leaseExpiresAt))
 				this.endRun(task, 'done', endsAt)
@@ -190,7 +199,7 @@
 		this.runs.delete(task)
 		this.barAttempt(task, run.attempt)
 		this.endCount += 1
-		this.report('ended', task, run.attempt, ending, at)
+		this.report('ended', task, run.attempt, ending, { at })
 		this.ended.push([this.endCount, task, run.attempt, ending, ''])
 	}
 
--- a/packages/standins/src/lib/processes/ProcessGroup.ts
+++ b/packages/standins/src/lib/processes/ProcessGroup.ts
@@ -20,6 +20,8 @@
  * @public
  */
 export class ProcessGroup {
+	/** Called with each line that a process writes. */
+	onLine: (name: string, line: string) => void = () => undefined
 	private readonly managedProcesses = new Map<string, ManagedProcess>()
 
 	/**
@@ -52,6 +54,7 @@
 				complete()
 			}
 			readLines(managedProcess, (line) => {
+				this.onLine(name, line)
 				if (line.includes(marker)) settle(resolve)
 			})
 			child.once('exit', (code) => {
