Do not give up tasks that were started on a server after it had started again under its id

Cause: a backend server that crashes while idle is back under its id before the owner asks it again. Tasks are started on the new process; the first listing shows another start of the process, and all runs on that server were given up, those of the new process too. Also: the owner named the ends up to which it had acknowledged those of the process before; the new one counts anew and drops its first ends unread. Change: runs that the first listing names are kept; ends are acknowledged only within 1 s of the listing before; an answer whose clock has jumped shows a restart at once (also instead of 0.8 s of starts refused as late).

--- a/packages/jobs/src/lib/owner/BackendMonitor.ts
+++ b/packages/jobs/src/lib/owner/BackendMonitor.ts
@@ -2,7 +2,7 @@
 import type { RenewalResult } from '../ports/RenewalResult.js'
 import type { RunListing } from '../ports/RunListing.js'
 import { LeaseTiming } from './LeaseTiming.js'
-import type { ListingQueue } from './ListingQueue.js'
+import type { ConcurrencyLimit } from '../ConcurrencyLimit.js'
 import type { OrderDispatcher } from './OrderDispatcher.js'
 import type { OwnerContext } from './OwnerContext.js'
 import type { TaskUpdater } from './TaskUpdater.js'
@@ -24,6 +24,11 @@
 const IDLE_FAILURE_PAUSE = 800
 /** Maximum time to wait for ends to become durable before the next renewal, in milliseconds. */
 const MAXIMUM_DURABILITY_WAIT = 1_500
+/**
+ * Time from an answer in which the server cannot have started again unnoticed, in milliseconds. Ends
+ * are only acknowledged within it.
+ */
+const CONTINUITY_TIME = 1_000
 /** Minimum time between two stop orders for the same unexpected run, in milliseconds. */
 const UNEXPECTED_RUN_STOP_PAUSE = 400
 
@@ -38,6 +43,8 @@
 	private endIdleSleep: (() => void) | undefined
 	/** Time of the latest stop order for each unexpected run, by `TASK/ATTEMPT`. */
 	private readonly unexpectedRunStops = new Map<string, number>()
+	/** Monotonic instant of the latest listing; undefined after a failure. */
+	private listedAt: number | undefined
 	/** Whether a listing from `requestListing` is in flight. */
 	private isExtraListingPending = false
 
@@ -49,8 +56,8 @@
 			readonly dispatcher: OrderDispatcher
 			readonly writer: ProgressWriter
 			/** Limits of the first listing of each server and of its repetitions, shared by all monitors. */
-			readonly firstListings: ListingQueue
-			readonly repeatedListings: ListingQueue
+			readonly firstListings: ConcurrencyLimit
+			readonly repeatedListings: ConcurrencyLimit
 			readonly replan: () => void
 			/** Whether every job that an earlier owner may have started has been read. */
 			readonly isIntakeRead: () => boolean
@@ -142,12 +149,13 @@
 			row.leasesExpireBy = Math.max(row.leasesExpireBy, LeaseTiming.getLatestExpiry(sentAt))
 		const result = await context.backendClient.renew(row, {
 			token: context.token,
-			acknowledgedThrough: row.lastAcknowledgedEnd,
+			acknowledgedThrough: this.getAcknowledgedThrough(sentAt),
 			leaseEnd: renewsLeases ? sentAt + row.clockOffset + LeaseTiming.duration : undefined,
 			wait,
 		})
 		context.metrics.count('listings', result.kind)
 		if (this.stopped) return false
+		this.listedAt = result.kind === 'listed' ? context.timers.now() : undefined
 		if (result.kind === 'listed') {
 			this.handleListing(result.listing, sentAt)
 			return true
@@ -156,6 +164,15 @@
 		return false
 	}
 
+	/**
+	 * Returns the number of the end up to which the server may drop ends. None for a server that was not
+	 * asked just before: it may have started again, and counts its ends anew then.
+	 */
+	private getAcknowledgedThrough(now: number): number {
+		if (this.listedAt === undefined || now - this.listedAt > CONTINUITY_TIME) return 0
+		return this.row.lastAcknowledgedEnd
+	}
+
 	private handleListing(listing: RunListing, sentAt: number): void {
 		const { row, context } = this
 		if (!row.reachable) {
@@ -176,6 +193,10 @@
 		this.options.replan()
 	}
 
+	/**
+	 * Handles a server that has started again under its id. Runs that the listing does not name have
+	 * ended with the process before; those that it names began after the restart.
+	 */
 	private handleIncarnationChange(incarnation: number): void {
 		const { row, context } = this
 		const previous = row.incarnation
@@ -184,7 +205,6 @@
 		row.lastAcknowledgedEnd = 0
 		if (previous === 0) return
 		context.events.warn('backend-restarted', { backend: row.id, before: previous, incarnation })
-		this.options.taskUpdater.endLostRuns(row, 'backend server restarted')
 	}
 
 	/** Updates the tasks that are listed as running and returns their ids. */
--- a/packages/jobs/src/lib/owner/LeaseTiming.ts
+++ b/packages/jobs/src/lib/owner/LeaseTiming.ts
@@ -4,8 +4,10 @@
 const MAXIMUM_CLOCK_DRIFT = 0.02
 /** Time for the last order to arrive and for a run to be killed after its lease, in milliseconds. */
 const EXPIRY_MARGIN = 300
-/** Longest lease that a backend server grants, in milliseconds. */
+/** Longest lease that an owner may have requested, its view of the clocks included, in milliseconds. */
 const MAXIMUM_DURATION = 6_000
+/** Longest lease that any backend server grants, in milliseconds. */
+const LONGEST_GRANT = 10_000
 
 /**
  * Durations and expiry times of the leases on runs, all in milliseconds.
@@ -27,6 +29,11 @@
 		return requestedAt + DURATION * (1 + MAXIMUM_CLOCK_DRIFT) + EXPIRY_MARGIN
 	},
 
+	/** Returns the time by which a lease of unknown length, granted before `now`, has expired. */
+	getLatestGrantedExpiry(now: number): number {
+		return now + LONGEST_GRANT * (1 + MAXIMUM_CLOCK_DRIFT) + EXPIRY_MARGIN
+	},
+
 	/** Returns the time by which all leases of an owner that was replaced at `now` have expired. */
 	getLatestInheritedExpiry(now: number): number {
 		return (
--- a/packages/jobs/src/lib/owner/OrderDispatcher.ts
+++ b/packages/jobs/src/lib/owner/OrderDispatcher.ts
@@ -2,6 +2,7 @@
 import type { BackendOrderResult } from '../ports/BackendOrderResult.js'
 import { LeaseTiming } from './LeaseTiming.js'
 import type { OwnerContext } from './OwnerContext.js'
+import { detectRestart } from './detectRestart.js'
 import type { TaskUpdater } from './TaskUpdater.js'
 
 /** Pause before an unanswered stop order is retried, in milliseconds. */
@@ -71,6 +72,8 @@
 		metrics.count('start_orders', result.kind === 'refused' ? result.reason : result.kind)
 		if (this.isStopped()) return
 		this.logStartResult(task, attempt, backend, result)
+		if (result.kind === 'taken' || result.kind === 'refused')
+			this.checkClock(backend, result.clock ?? 0)
 		if (isPlacedAt(task, backend, attempt)) this.handleStartResult(task, backend, result)
 	}
 
@@ -106,6 +109,13 @@
 		return result.kind === 'taken'
 	}
 
+	private checkClock(backend: BackendRow, clock: number): void {
+		const { timers, events } = this.context
+		if (!detectRestart(backend, clock, timers.now())) return
+		events.warn('backend-clock-restarted', { backend: backend.id, clock })
+		this.requestListing(backend)
+	}
+
 	private handleStartResult(task: TaskRow, backend: BackendRow, result: BackendOrderResult): void {
 		const { timers, endTerm } = this.context
 		switch (result.kind) {
--- a/packages/jobs/src/lib/owner/createListingQueues.ts
+++ b/packages/jobs/src/lib/owner/createListingQueues.ts
@@ -1,4 +1,4 @@
-import { ListingQueue } from './ListingQueue.js'
+import { ConcurrencyLimit } from '../ConcurrencyLimit.js'
 
 /**
  * Maximum numbers of backend servers that are listed at a time for the first time in a term, and
@@ -14,12 +14,12 @@
  */
 export function createListingQueues(): {
 	/** For the first listing of each server. */
-	readonly firstListings: ListingQueue
+	readonly firstListings: ConcurrencyLimit
 	/** For first listings that failed and are tried again. */
-	readonly repeatedListings: ListingQueue
+	readonly repeatedListings: ConcurrencyLimit
 } {
 	return {
-		firstListings: new ListingQueue(MAXIMUM_FIRST_LISTINGS),
-		repeatedListings: new ListingQueue(MAXIMUM_REPEATED_LISTINGS),
+		firstListings: new ConcurrencyLimit(MAXIMUM_FIRST_LISTINGS),
+		repeatedListings: new ConcurrencyLimit(MAXIMUM_REPEATED_LISTINGS),
 	}
 }
--- a/packages/jobs/src/lib/testing/MemoryBackend.ts
+++ b/packages/jobs/src/lib/testing/MemoryBackend.ts
@@ -172,7 +172,8 @@
 	}
 
 	private get clockOffset(): number {
-		return this.incarnation * 1_000_000
+		// The clock of a server that starts again is behind the one before.
+		return 1_000_000_000 - this.incarnation * 1_000_000
 	}
 
 	private get clock(): number {
--- a/packages/jobs/src/lib/testing/MemoryBackendServerClient.ts
+++ b/packages/jobs/src/lib/testing/MemoryBackendServerClient.ts
@@ -58,9 +58,13 @@
 			return { kind: 'unavailable', detail: 'no answer' }
 		}
 		const first = target.renew(renewal)
+		const { incarnation } = target
 		const deadline = this.timers.now() + renewal.wait
-		while (this.timers.now() < deadline && !target.hasEnds()) await this.sleep(POLL_INTERVAL)
-		if (!this.findReachable(backend)) return { kind: 'unavailable', detail: 'reset' }
+		const isWaiting = (): boolean =>
+			this.timers.now() < deadline && !target.hasEnds() && target.incarnation === incarnation
+		while (isWaiting()) await this.sleep(POLL_INTERVAL)
+		if (!this.findReachable(backend) || target.incarnation !== incarnation)
+			return { kind: 'unavailable', detail: 'reset' }
 		return first.kind === 'listed' ? target.renew({ ...renewal, leaseEnd: undefined }) : first
 	}
 
