Load the state in turn and with patience, so that all instances get it after a loss of power

Cause: the log reads 80 MB/s for all together. 43 instances asked for seven streams at once, 1 MB each, which takes 3.8 s; each gave up after 0.9 s and asked again, while the log still read what had been given up. Change: an instance loads one page at a time, the progress first; an answer to a load may begin after 1.8 s, then 3.6 s.

--- a/packages/jobs/src/lib/JobDaemon.ts
+++ b/packages/jobs/src/lib/JobDaemon.ts
@@ -1,4 +1,5 @@
 import type { TimerService, JobId, JobReport } from '@mastichead/core'
+import { ConcurrencyLimit } from './ConcurrencyLimit.js'
 import { IntakeWriter } from './callers/IntakeWriter.js'
 import { getInstanceNumber } from './callers/getInstanceNumber.js'
 import { JobIntake } from './callers/JobIntake.js'
@@ -25,6 +26,8 @@
 const MAXIMUM_PROGRESS_WAIT = 1_000
 /** Delay between two reads of the progress stream, in milliseconds. */
 const PROGRESS_POLL_DELAY = 120
+/** Maximum number of reads at a time by which an instance loads jobs and their progress. */
+const MAXIMUM_CONCURRENT_LOADS = 1
 /** An instance without an answer from the log for this long is not ready, in milliseconds. */
 const MAXIMUM_LOG_SILENCE = 2_500
 /** An instance whose reads of the log have failed for this long is not ready, in milliseconds. */
@@ -40,6 +43,7 @@
 	readonly configuration: ConfigurationManager
 	readonly intake: JobIntake
 	private readonly replica: JobReplica
+	private readonly loadLimit = new ConcurrencyLimit(MAXIMUM_CONCURRENT_LOADS)
 	private readonly intakeFollowers: ReadonlyMap<IntakeStream, StreamFollower>
 	private readonly progressFollower: StreamFollower
 	private readonly ownership: Ownership
@@ -82,7 +86,11 @@
 				this.ownerSeenAt = timers.now()
 				this.replica.applyProgress(entry)
 			},
-			{ maximumWait: MAXIMUM_PROGRESS_WAIT, getPollDelay: () => PROGRESS_POLL_DELAY }
+			{
+				maximumWait: MAXIMUM_PROGRESS_WAIT,
+				getPollDelay: () => PROGRESS_POLL_DELAY,
+				loadLimit: this.loadLimit,
+			}
 		)
 		const writer = new IntakeWriter(
 			log,
@@ -122,8 +130,9 @@
 
 	start(): void {
 		this.configuration.follower.start()
-		for (const follower of this.intakeFollowers.values()) follower.start()
+		// The progress comes first: it decides about ends of jobs, and the owner needs it.
 		this.progressFollower.start()
+		for (const follower of this.intakeFollowers.values()) follower.start()
 		this.ownership.start()
 	}
 
@@ -185,6 +194,7 @@
 			},
 			{
 				maximumWait: MAXIMUM_INTAKE_WAIT,
+				loadLimit: this.loadLimit,
 				getPollDelay: () => (this.ownership.isOwner ? OWNER_INTAKE_POLL_DELAY : INTAKE_POLL_DELAY),
 			}
 		)
--- a/packages/jobs/src/lib/log/StreamFollower.ts
+++ b/packages/jobs/src/lib/log/StreamFollower.ts
@@ -1,4 +1,5 @@
 import type { TimerService } from '@mastichead/core'
+import type { ConcurrencyLimit } from '../ConcurrencyLimit.js'
 import type { EventLog } from '../logs/EventLog.js'
 import { formatError } from '../logs/formatError.js'
 import type { LogEntry } from '../ports/LogEntry.js'
@@ -9,6 +10,12 @@
 
 /** Delay after a failed read, in milliseconds. */
 const RETRY_DELAY = 150
+/**
+ * Bounds of the time in which an answer to a load must begin, in milliseconds; it doubles with each
+ * failure. All instances load at the same time after a loss of power, and share what the log reads.
+ */
+const MINIMUM_LOAD_TIMEOUT = 1_800
+const MAXIMUM_LOAD_TIMEOUT = 3_600
 
 interface PendingPiece {
 	/** Offset from which the piece is read. */
@@ -44,6 +51,7 @@
 	/** The load that is going on or has failed midway; undefined if there is none. */
 	private load: StreamLoad | undefined
 	private pendingLoad: Promise<boolean> | undefined
+	private loadTimeout = MINIMUM_LOAD_TIMEOUT
 	/** Whether all pages of the newest records were read since the history last expired. */
 	private arePagesRead = false
 	/** End of the stream after the pages were read; undefined until the next answer tells it. */
@@ -69,6 +77,8 @@
 		private readonly options: {
 			readonly maximumWait: number
 			readonly getPollDelay: () => number
+			/** Limits the reads of all streams that are being loaded; none by default. */
+			readonly loadLimit?: ConcurrencyLimit
 			/** Called after the newest record of every key has been loaded. */
 			readonly onLoaded?: () => void
 		}
@@ -204,7 +214,9 @@
 
 	private async readNext(wait: number): Promise<boolean> {
 		const from = this.nextOffset
-		const result = await this.log.read(this.stream, from, wait)
+		const result = this.loaded
+			? await this.log.read(this.stream, from, wait)
+			: await this.runLoad(() => this.log.read(this.stream, from, wait, this.loadTimeout))
 		if (result.kind === 'expired') {
 			this.events.warn('log-history-expired', { stream: this.stream, from })
 			this.loaded = false
@@ -236,7 +248,7 @@
 		const { load } = this
 		load.tries += 1
 		while (!load.complete) {
-			const page = await load.readPage()
+			const page = await this.runLoad(() => load.readPage(this.loadTimeout))
 			if (page.kind === 'unavailable') return this.recordFailure(page.reason)
 			this.recordContact()
 			for (const entry of page.entries) this.apply(entry)
@@ -245,11 +257,17 @@
 		return true
 	}
 
+	private runLoad<T>(read: () => Promise<T>): Promise<T> {
+		const { loadLimit } = this.options
+		return loadLimit ? loadLimit.run(read) : read()
+	}
+
 	/** Ends the load once everything that the stream had after the last page has been read. */
 	private completeLoad(end: number): void {
 		this.loadedEnd ??= end
 		if (this.nextOffset < this.loadedEnd) return
 		this.loaded = true
+		this.loadTimeout = MINIMUM_LOAD_TIMEOUT
 		this.options.onLoaded?.()
 	}
 
@@ -303,6 +321,7 @@
 	private recordFailure(reason: string): boolean {
 		if (this.available) this.reportLoss(reason)
 		this.failedReads += 1
+		if (!this.loaded) this.loadTimeout = Math.min(this.loadTimeout * 2, MAXIMUM_LOAD_TIMEOUT)
 		this.available = false
 		return false
 	}
--- a/packages/jobs/src/lib/log/StreamLoad.ts
+++ b/packages/jobs/src/lib/log/StreamLoad.ts
@@ -32,9 +32,13 @@
 		readonly startedAt: number
 	) {}
 
-	/** Reads the page after the latest one that was read. */
-	async readPage(): Promise<ReadNewestResult> {
-		const page = await this.log.readNewest(this.stream, this.lastKey)
+	/**
+	 * Reads the page after the latest one that was read.
+	 *
+	 * @param answerTimeout - milliseconds in which the answer must begin
+	 */
+	async readPage(answerTimeout: number): Promise<ReadNewestResult> {
+		const page = await this.log.readNewest(this.stream, this.lastKey, answerTimeout)
 		if (page.kind === 'unavailable') return page
 		for (const { key } of page.entries) this.keys.add(key)
 		if (page.bytes !== undefined) this.bytes = (this.bytes ?? 0) + page.bytes
--- a/packages/jobs/src/lib/metrics/MeteredLog.ts
+++ b/packages/jobs/src/lib/metrics/MeteredLog.ts
@@ -35,9 +35,14 @@
 		return this.log.append(stream, records, timeout, fence)
 	}
 
-	override async read(stream: LogStream, from: number, wait: number): Promise<ReadResult> {
+	override async read(
+		stream: LogStream,
+		from: number,
+		wait: number,
+		answerTimeout?: number
+	): Promise<ReadResult> {
 		const startedAt = this.timers.now()
-		const result = await this.log.read(stream, from, wait)
+		const result = await this.log.read(stream, from, wait, answerTimeout)
 		const outcome = result.kind === 'entries' && result.entries.length === 0 ? 'empty' : result.kind
 		// A read that waits for records takes as long as there are none.
 		const family = wait > 0 ? 'log_wait' : 'log_read'
@@ -48,9 +53,13 @@
 		return result
 	}
 
-	override async readNewest(stream: LogStream, lastKey?: string): Promise<ReadNewestResult> {
+	override async readNewest(
+		stream: LogStream,
+		lastKey?: string,
+		answerTimeout?: number
+	): Promise<ReadNewestResult> {
 		const startedAt = this.timers.now()
-		const result = await this.log.readNewest(stream, lastKey)
+		const result = await this.log.readNewest(stream, lastKey, answerTimeout)
 		this.metrics.observe('log_load', this.timers.now() - startedAt, result.kind)
 		if (result.kind === 'entries') this.countBytes(stream, result.bytes)
 		return result
--- a/packages/jobs/src/lib/ports/MetadataLog.ts
+++ b/packages/jobs/src/lib/ports/MetadataLog.ts
@@ -28,15 +28,26 @@
 	 * Reads the records from an offset on.
 	 *
 	 * @param wait - milliseconds to wait for a record if there is none yet
+	 * @param answerTimeout - milliseconds after that in which the answer must begin
 	 */
-	abstract read(stream: LogStream, from: number, wait: number): Promise<ReadResult>
+	abstract read(
+		stream: LogStream,
+		from: number,
+		wait: number,
+		answerTimeout?: number
+	): Promise<ReadResult>
 
 	/**
 	 * Reads a page of the newest record of each key, in the order of the keys. Pages are no snapshot.
 	 *
 	 * @param lastKey - last key of the page before; undefined for the first page
+	 * @param answerTimeout - milliseconds in which the answer must begin
 	 */
-	abstract readNewest(stream: LogStream, lastKey?: string): Promise<ReadNewestResult>
+	abstract readNewest(
+		stream: LogStream,
+		lastKey?: string,
+		answerTimeout?: number
+	): Promise<ReadNewestResult>
 
 	/**
 	 * Joins the group of instances, or renews the membership.
