Give each start of an instance another name in the group, and so another fencing token

Cause: an owner that is killed and back before its membership of 1.2 s has expired is still the owner, in the same generation of the group, and so under the same fencing token. The log takes its first appends for repeated ones of the process before, answers them as stored and stores nothing; the next owner does not know what it did.

--- a/packages/jobs/src/lib/JobDaemon.ts
+++ b/packages/jobs/src/lib/JobDaemon.ts
@@ -54,7 +54,10 @@
 
 	constructor(
 		private readonly options: {
-			/** Name of this instance in the group of instances. */
+			/**
+			 * Name of this process in the group of instances. Each start of an instance needs another one:
+			 * under the same name it could become the owner under the fencing token of the process before.
+			 */
 			readonly member: string
 			/** Whether the owner should be this instance rather than one that is not preferred. */
 			readonly isPreferredOwner: boolean
--- a/packages/standins/src/lib/jobPlatform/StoreStandin.ts
+++ b/packages/standins/src/lib/jobPlatform/StoreStandin.ts
@@ -34,6 +34,8 @@
 export class StoreStandin {
 	/** While true, calls get no answer. */
 	isUnresponsive = false
+	/** Memberships last at least this many milliseconds, whatever their members ask for. */
+	minimumMembership = 0
 	private readonly partitions = new Map<string, Partition>()
 	private readonly members = new Map<string, Member>()
 	private owner: string | undefined
@@ -97,7 +99,10 @@
 		const now = Date.now()
 		for (const [name, { expiresAt }] of this.members) if (expiresAt < now) this.leave(name)
 		if (!this.members.has(member)) this.generation += 1
-		this.members.set(member, { expiresAt: now + ttl_ms, renewedAt: now })
+		this.members.set(member, {
+			expiresAt: now + Math.max(ttl_ms, this.minimumMembership),
+			renewedAt: now,
+		})
 		this.owner ??= member
 		const parts = this.owner === member ? [[topics[0], DEFAULT_PARTITIONS - 1, 0]] : []
 		return { generation: this.generation, ttl_ms, parts }
