Take no machine down whose ends are not durable when the order is sent

Change: availability and durable ends are checked together, when the order is decided and when it is sent. Test: WaveManager.test.ts, third case, fails before.

--- a/packages/jobs/src/lib/machines/WaveManager.test.ts
+++ b/packages/jobs/src/lib/machines/WaveManager.test.ts
@@ -1,4 +1,4 @@
-import type { TaskRow } from '@mastichead/core'
+import type { BackendRow, TaskRow } from '@mastichead/core'
 import { VirtualTimerService, createTestConfiguration } from '@mastichead/core'
 import { describe, expect, it } from 'vitest'
 import { StreamFollower } from '../log/StreamFollower.js'
@@ -44,6 +44,19 @@
 	})
 })
 
+// Guards against work that runs again because its machine was taken down while its end, listed only
+// there, was not in the log yet.
+it('takes no machine down whose ends are not durable', async () => {
+	const wave = await createTestWave()
+	await wave.advance(CALL_LATENCY / 2)
+	wave.backend.lastProcessedEnd = 3
+	await wave.advance(CALL_LATENCY * 2)
+	expect(wave.controller.orders).toEqual([])
+	wave.backend.lastAcknowledgedEnd = 3
+	await wave.advance(CALL_LATENCY * 3)
+	expect(wave.controller.orders).toHaveLength(1)
+})
+
 /** Creates a step of two lasting tasks, one of which may be unavailable, and a wave over one machine. */
 async function createTestWave(): Promise<TestWave> {
 	const timers = new VirtualTimerService()
@@ -92,7 +105,8 @@
 		row.draining = true
 		evacuator.evacuate()
 	}
-	return { controller, stoppedTasks, task, sibling, evacuate, advance }
+	const backend = context.backends.getOrCreate('b1')
+	return { controller, stoppedTasks, task, sibling, backend, evacuate, advance }
 }
 
 interface TestWave {
@@ -102,6 +116,8 @@
 	/** Task on the machine in the wave, and the other task of its step. */
 	readonly task: TaskRow
 	readonly sibling: TaskRow
+	/** Backend server on the machine in the wave. */
+	readonly backend: BackendRow
 	/** Drains the machine that is not in the wave. */
 	evacuate(): void
 	advance(duration: number): Promise<void>
--- a/packages/jobs/src/lib/machines/WaveManager.ts
+++ b/packages/jobs/src/lib/machines/WaveManager.ts
@@ -193,7 +193,7 @@
 			return
 		}
 		if (backend && !this.isEvacuated(backend, row.evacuating.get(machine) ?? 0)) return
-		if (backend && !canDisruptBackend(backend)) return
+		if (backend && !mayInterrupt(backend)) return
 		if (!(await this.recordOrder(row, machine, backend))) {
 			row.down.delete(machine)
 			if (backend) setInterrupting(backend, false)
@@ -228,7 +228,7 @@
 		row.ordered.add(machine)
 		this.recordProgress(row)
 		if (!(await this.options.orders.record([machine]))) return false
-		return backend === undefined || canDisruptBackend(backend)
+		return backend === undefined || mayInterrupt(backend)
 	}
 
 	private isEvacuated(backend: BackendRow, evacuatingSince: number): boolean {
@@ -290,3 +290,10 @@
 		return this.options.inventory.get(machine)
 	}
 }
+
+/** Whether everything on a backend server may end now. */
+function mayInterrupt(backend: BackendRow): boolean {
+	// Its listing is the only evidence of ends that are not durable.
+	if (backend.hasUnreadRuns || backend.lastProcessedEnd > backend.lastAcknowledgedEnd) return false
+	return canDisruptBackend(backend)
+}
