--- a/packages/soak/src/lib/runSoak.ts
+++ b/packages/soak/src/lib/runSoak.ts
@@ -51,14 +51,8 @@
 	const { taskCpu, cpuLimit } = SoakFleet
 	const { jobs: records, calls } = caller
 	const { runs } = fleet
-	writeFileSync(
-		path.join(options.folder, 'runs.json'),
-		runs.map((run) => JSON.stringify(run)).join('\n')
-	)
-	writeFileSync(
-		path.join(options.folder, 'plan.json'),
-		plan.map((fault) => JSON.stringify(fault)).join('\n')
-	)
+	writeLines(path.join(options.folder, 'runs.jsonl'), runs)
+	writeLines(path.join(options.folder, 'plan.jsonl'), plan)
 	const record = { jobs: records, calls, runs, disturbances, withdrawals, taskCpu, cpuLimit }
 	return {
 		problems: checkRecord(record),
@@ -77,3 +71,8 @@
 	readonly runs: number
 	readonly faults: number
 }
+
+/** Writes a file with one line of JSON for each item. */
+function writeLines(file: string, items: readonly object[]): void {
+	writeFileSync(file, items.map((item) => `${JSON.stringify(item)}\n`).join(''))
+}
