Take a machine for removed only if lists of three seconds lack it

Ruled out: a page of the list that was missed. Change: it must be missing for 3 s and in a list asked for after that, with no backend server on it.

--- a/packages/jobs/src/lib/machines/WaveManager.ts
+++ b/packages/jobs/src/lib/machines/WaveManager.ts
@@ -19,6 +19,8 @@
 const EVACUATION_TIMEOUT = 4_000
 /** Machines that are evacuated in advance, per machine that may be down at once. */
 const EVACUATED_AHEAD = 1
+/** Time after which a list must still lack a machine that counts as removed, in milliseconds. */
+const MISSING_TIME = 3_000
 /** Minimum time for which a machine counts as down after its order, in milliseconds. */
 const MINIMUM_DOWN_TIME = 1_500
 
@@ -84,6 +86,7 @@
 			done,
 			down: new Map(),
 			evacuating: new Map(),
+			missingSince: new Map(),
 			receivedAt: progress?.receivedAt ?? this.context.getWallTime(),
 			reported: progress?.reported ?? 'nothing',
 		}
@@ -128,10 +131,18 @@
 		}
 	}
 
-	/** Marks machines that the platform no longer lists as done. */
+	/** Marks machines that the platform has not listed for a while as done. */
 	private completeRemovedMachines(row: WaveRow): void {
+		const { inventory } = this.options
 		for (const machine of row.wave.machines) {
-			if (row.done.has(machine) || this.getMachine(machine)) continue
+			if (this.getMachine(machine) || inventory.getBackend(machine))
+				row.missingSince.delete(machine)
+			else if (!row.done.has(machine) && !row.missingSince.has(machine))
+				row.missingSince.set(machine, this.context.timers.now())
+		}
+		for (const [machine, missingSince] of row.missingSince) {
+			// A wave may name a machine that is newer than the current list.
+			if (row.done.has(machine) || inventory.listedAt < missingSince + MISSING_TIME) continue
 			row.done.add(machine)
 			row.evacuating.delete(machine)
 			row.down.delete(machine)
--- a/packages/jobs/src/lib/machines/WaveRow.ts
+++ b/packages/jobs/src/lib/machines/WaveRow.ts
@@ -18,6 +18,8 @@
 	readonly down: Map<string, number>
 	/** Machines that are being evacuated, with the instant at which that began. */
 	readonly evacuating: Map<string, number>
+	/** Machines that the platform does not list, with the instant at which that was noticed. */
+	readonly missingSince: Map<string, number>
 	/** When an owner first saw the wave, in milliseconds since 1970. */
 	readonly receivedAt: number
 	/** State that was reported to the operator. */
