--- a/packages/jobs/src/lib/owner/TermRecovery.fence.failure.test.ts
+++ b/packages/jobs/src/lib/owner/TermRecovery.fence.failure.test.ts
@@ -1,16 +1,12 @@
-import { BackendHealth, VirtualTimerService } from '@mastichead/core'
+import { VirtualTimerService } from '@mastichead/core'
 import { expect, it } from 'vitest'
-import { StreamFollower } from '../log/StreamFollower.js'
 import type { AppendResult } from '../ports/AppendResult.js'
 import type { LogFence } from '../ports/LogFence.js'
 import type { LogRecord } from '../ports/LogRecord.js'
 import type { LogStream } from '../ports/LogStream.js'
-import { createTestContext } from '../testing/createTestContext.js'
 import { MemoryLog } from '../testing/MemoryLog.js'
 import { MemoryStore } from '../testing/MemoryStore.js'
-import { TaskUpdater } from './TaskUpdater.js'
-import { ProgressWriter } from './ProgressWriter.js'
-import { TermRecovery } from './TermRecovery.js'
+import { createTestRecovery } from '../testing/createTestRecovery.js'
 
 /** Time that an append waits in the queue of its partition, in milliseconds. */
 const APPEND_DURATION = 1_500
@@ -41,17 +37,7 @@
 // Guards against a term that never begins while appends wait longer than a fixed timeout.
 it('raises the fence also if the log answers each append late', async () => {
 	const timers = new VirtualTimerService()
-	const context = createTestContext(timers)
-	const log = new QueueingLog(new MemoryStore(), timers)
-	const progress = new StreamFollower('progress', log, timers, context.events, () => undefined, {
-		maximumWait: 0,
-		getPollDelay: () => 0,
-	})
-	const writer = new ProgressWriter(context, log, progress)
-	const health = new BackendHealth(() => context.backends.all)
-	const ignore = (): void => undefined
-	const taskUpdater = new TaskUpdater(context, writer, ignore, ignore, health)
-	const recovery = new TermRecovery(context, { log, progress, taskUpdater, isEnded: () => false })
+	const { recovery } = createTestRecovery(timers, new QueueingLog(new MemoryStore(), timers))
 	let goesOn: boolean | undefined
 	void recovery.readEarlierTerms().then((result) => {
 		goesOn = result
--- a/packages/jobs/src/lib/owner/TermRecovery.slices.failure.test.ts
+++ b/packages/jobs/src/lib/owner/TermRecovery.slices.failure.test.ts
@@ -1,13 +1,9 @@
-import { BackendHealth, VirtualTimerService, createTestJob } from '@mastichead/core'
+import { VirtualTimerService, createTestJob } from '@mastichead/core'
 import { expect, it } from 'vitest'
 import type { ReplicaRow } from '../log/ReplicaRow.js'
-import { createTestContext } from '../testing/createTestContext.js'
 import { MemoryLog } from '../testing/MemoryLog.js'
 import { MemoryStore } from '../testing/MemoryStore.js'
-import { StreamFollower } from '../log/StreamFollower.js'
-import { ProgressWriter } from './ProgressWriter.js'
-import { TaskUpdater } from './TaskUpdater.js'
-import { TermRecovery } from './TermRecovery.js'
+import { createTestRecovery } from '../testing/createTestRecovery.js'
 
 const JOBS = 2_000
 /** Time that restoring one job takes on the virtual clock, in milliseconds. */
@@ -56,16 +52,6 @@
 
 function createRecovery() {
 	const timers = new VirtualTimerService()
-	const context = createTestContext(timers)
 	const log = new MemoryLog(new MemoryStore(), timers)
-	const progress = new StreamFollower('progress', log, timers, context.events, () => undefined, {
-		maximumWait: 0,
-		getPollDelay: () => 0,
-	})
-	const writer = new ProgressWriter(context, log, progress)
-	const health = new BackendHealth(() => context.backends.all)
-	const ignore = (): void => undefined
-	const taskUpdater = new TaskUpdater(context, writer, ignore, ignore, health)
-	const recovery = new TermRecovery(context, { log, progress, taskUpdater, isEnded: () => false })
-	return { recovery, timers, context }
+	return { timers, ...createTestRecovery(timers, log) }
 }
--- /dev/null
+++ b/packages/jobs/src/lib/testing/createTestRecovery.ts
@@ -0,0 +1,27 @@
+import type { VirtualTimerService } from '@mastichead/core'
+import { BackendHealth } from '@mastichead/core'
+import { StreamFollower } from '../log/StreamFollower.js'
+import { ProgressWriter } from '../owner/ProgressWriter.js'
+import { TaskUpdater } from '../owner/TaskUpdater.js'
+import { TermRecovery } from '../owner/TermRecovery.js'
+import type { MetadataLog } from '../ports/MetadataLog.js'
+import { createTestContext } from './createTestContext.js'
+
+/**
+ * Creates the recovery of a term that does not end, over a log in virtual time.
+ *
+ * @internal
+ */
+export function createTestRecovery(timers: VirtualTimerService, log: MetadataLog) {
+	const context = createTestContext(timers)
+	const progress = new StreamFollower('progress', log, timers, context.events, () => undefined, {
+		maximumWait: 0,
+		getPollDelay: () => 0,
+	})
+	const writer = new ProgressWriter(context, log, progress)
+	const health = new BackendHealth(() => context.backends.all)
+	const ignore = (): void => undefined
+	const taskUpdater = new TaskUpdater(context, writer, ignore, ignore, health)
+	const recovery = new TermRecovery(context, { log, progress, taskUpdater, isEnded: () => false })
+	return { recovery, context }
+}
