Acknowledge ends only over a connection to the process that has counted them

What callers could see: a task that had run to its end was started again. Cause: a backend server that starts again under its id counts the ends of its runs from 1. The owner sent it the number up to which it had read the ends of the process before, if the latest listing was no older than 1 s. A server can crash and be back within that second. The new process then drops its first ends unread, the next listing lacks the runs, and they are taken for lost. The number also came back after a restart that the clock of an answer had shown: a callback that waits for the log compares the incarnation, which only a listing changes. Ruled out: a shorter time. Whatever the time, the process may change between the answer and the arrival of the next renewal. Change: the renewal names the incarnation to which the number belongs, and the client sends the number only over a connection that has brought a listing of that incarnation; a connection does not outlive the process at its other end. Over another connection it sends 0, which drops nothing, and the ends are listed once more.

--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -1,5 +1,6 @@
 export { formatError } from './lib/logs/formatError.js'
 export { isPreferredOwner } from './lib/owner/isPreferredOwner.js'
+export { ConnectionIncarnations } from './lib/ConnectionIncarnations.js'
 export { JobDaemon } from './lib/JobDaemon.js'
 export { IntakeWriter } from './lib/callers/IntakeWriter.js'
 export type { JobAnswer } from './lib/callers/JobAnswer.js'
--- a/packages/jobs/src/lib/owner/BackendMonitor.ts
+++ b/packages/jobs/src/lib/owner/BackendMonitor.ts
@@ -24,11 +24,6 @@
 const IDLE_FAILURE_PAUSE = 800
 /** Maximum time to wait for ends to become durable before the next renewal, in milliseconds. */
 const MAXIMUM_DURABILITY_WAIT = 1_500
-/**
- * Time from an answer in which the server cannot have started again unnoticed, in milliseconds. Ends
- * are only acknowledged within it.
- */
-const CONTINUITY_TIME = 1_000
 /** Minimum time between two stop orders for the same unexpected run, in milliseconds. */
 const UNEXPECTED_RUN_STOP_PAUSE = 400
 
@@ -43,8 +38,6 @@
 	private endIdleSleep: (() => void) | undefined
 	/** Time of the latest stop order for each unexpected run, by `TASK/ATTEMPT`. */
 	private readonly unexpectedRunStops = new Map<string, number>()
-	/** Monotonic instant of the latest listing; undefined after a failure. */
-	private listedAt: number | undefined
 	/** Whether a listing from `requestListing` is in flight. */
 	private isExtraListingPending = false
 
@@ -149,13 +142,12 @@
 			row.leasesExpireBy = Math.max(row.leasesExpireBy, LeaseTiming.getLatestExpiry(sentAt))
 		const result = await context.backendClient.renew(row, {
 			token: context.token,
-			acknowledgedThrough: this.getAcknowledgedThrough(sentAt),
+			acknowledged: { incarnation: row.incarnation, through: row.lastAcknowledgedEnd },
 			leaseEnd: renewsLeases ? sentAt + row.clockOffset + LeaseTiming.duration : undefined,
 			wait,
 		})
 		context.metrics.count('listings', result.kind)
 		if (this.stopped) return false
-		this.listedAt = result.kind === 'listed' ? context.timers.now() : undefined
 		if (result.kind === 'listed') {
 			this.handleListing(result.listing, sentAt)
 			return true
@@ -164,15 +156,6 @@
 		return false
 	}
 
-	/**
-	 * Returns the number of the end up to which the server may drop ends. None for a server that was not
-	 * asked just before: it may have started again, and counts its ends anew then.
-	 */
-	private getAcknowledgedThrough(now: number): number {
-		if (this.listedAt === undefined || now - this.listedAt > CONTINUITY_TIME) return 0
-		return this.row.lastAcknowledgedEnd
-	}
-
 	private handleListing(listing: RunListing, sentAt: number): void {
 		const { row, context } = this
 		if (!row.reachable) {
--- a/packages/jobs/src/lib/ports/RenewalRequest.ts
+++ b/packages/jobs/src/lib/ports/RenewalRequest.ts
@@ -6,8 +6,12 @@
 export interface RenewalRequest {
 	/** Fencing token of the owner. */
 	readonly token: number
-	/** Ends up to this number are durable, so the server may forget them. */
-	readonly acknowledgedThrough: number
+	/**
+	 * Ends up to the number `through` of one start of the server's process are durable, so the server may
+	 * forget them. Another process counts its ends anew: it must not be sent the number, so the client
+	 * leaves it out on a connection over which that incarnation has not listed its runs.
+	 */
+	readonly acknowledged: { readonly incarnation: number; readonly through: number }
 	/** End of the leases on the server's clock, in milliseconds; undefined to renew no lease. */
 	readonly leaseEnd: number | undefined
 	/** Milliseconds for which the server waits for a run to end before it answers. */
--- a/packages/jobs/src/lib/testing/MemoryBackend.ts
+++ b/packages/jobs/src/lib/testing/MemoryBackend.ts
@@ -75,16 +75,17 @@
 		return { kind: 'taken', clock: this.clock }
 	}
 
-	renew(renewal: RenewalRequest): RenewalResult {
+	/** @param acknowledgedThrough - number of the latest end that is dropped */
+	renew(renewal: RenewalRequest, acknowledgedThrough: number): RenewalResult {
 		this.advance()
 		if (renewal.token < this.token) return { kind: 'fenced', detail: 'fence' }
 		this.token = renewal.token
 		if (renewal.leaseEnd !== undefined) this.extendLease(renewal.leaseEnd)
 		for (const end of this.unacknowledgedEnds) {
-			if (end.number <= renewal.acknowledgedThrough) this.journal.recordAcknowledgement(end)
+			if (end.number <= acknowledgedThrough) this.journal.recordAcknowledgement(end)
 		}
 		this.unacknowledgedEnds = this.unacknowledgedEnds.filter(
-			(end) => end.number > renewal.acknowledgedThrough
+			(end) => end.number > acknowledgedThrough
 		)
 		return { kind: 'listed', listing: this.createListing() }
 	}
--- a/packages/jobs/src/lib/testing/MemoryBackendServerClient.ts
+++ b/packages/jobs/src/lib/testing/MemoryBackendServerClient.ts
@@ -5,6 +5,7 @@
 import type { RenewalResult } from '../ports/RenewalResult.js'
 import type { StartOrder } from '../ports/StartOrder.js'
 import type { StopOrder } from '../ports/StopOrder.js'
+import { ConnectionIncarnations } from '../ConnectionIncarnations.js'
 import { BackendServerClient } from '../ports/BackendServerClient.js'
 import type { MemoryBackend } from './MemoryBackend.js'
 
@@ -27,6 +28,9 @@
 	startDelay: number | undefined
 	/** Number of start orders that were sent. */
 	startCount = 0
+	/** The connection to the process of each backend server, by `ID/INCARNATION`. */
+	private readonly connections = new Map<string, object>()
+	private readonly connectionIncarnations = new ConnectionIncarnations()
 
 	constructor(
 		private readonly backends: ReadonlyMap<string, MemoryBackend>,
@@ -57,15 +61,20 @@
 			await this.sleep(renewal.wait + CALL_TIMEOUT)
 			return { kind: 'unavailable', detail: 'no answer' }
 		}
-		const first = target.renew(renewal)
 		const { incarnation } = target
+		const connection = this.getConnection(target)
+		const { connectionIncarnations } = this
+		const through = connectionIncarnations.getAcknowledgedThrough(connection, renewal.acknowledged)
+		const first = target.renew(renewal, through)
 		const deadline = this.timers.now() + renewal.wait
 		const isWaiting = (): boolean =>
 			this.timers.now() < deadline && !target.hasEnds() && target.incarnation === incarnation
 		while (isWaiting()) await this.sleep(POLL_INTERVAL)
 		if (!this.findReachable(backend) || target.incarnation !== incarnation)
 			return { kind: 'unavailable', detail: 'reset' }
-		return first.kind === 'listed' ? target.renew({ ...renewal, leaseEnd: undefined }) : first
+		if (first.kind !== 'listed') return first
+		connectionIncarnations.recordListing(connection, incarnation)
+		return target.renew({ ...renewal, leaseEnd: undefined }, through)
 	}
 
 	override closeIdleConnections(): void {
@@ -87,6 +96,13 @@
 		return result
 	}
 
+	private getConnection({ id, incarnation }: MemoryBackend): object {
+		const key = `${id}/${incarnation}`
+		const connection = this.connections.get(key) ?? {}
+		this.connections.set(key, connection)
+		return connection
+	}
+
 	private findReachable(backend: BackendAddress): MemoryBackend | undefined {
 		const target = this.backends.get(backend.id)
 		return target && !target.disconnected && !this.unreachable.has(backend.id) ? target : undefined
