--- a/packages/jobs/src/lib/owner/BackendMonitor.limits.failure.test.ts
+++ b/packages/jobs/src/lib/owner/BackendMonitor.limits.failure.test.ts
@@ -50,8 +50,8 @@
 		const isComplete = await this.receive(bytes, renewal.wait + TIMEOUT)
 		if (!isComplete) return { kind: 'unavailable', detail: 'no answer' }
 		this.listed.add(backend.id)
-		const listing = { clock: this.timers.now(), incarnation: 1, running: [], ended: [] }
-		return { kind: 'listed', listing }
+		const runs = { running: [], hasAllEnds: true, ended: [] }
+		return { kind: 'listed', listing: { clock: this.timers.now(), incarnation: 1, ...runs } }
 	}
 
 	override closeIdleConnections(): void {
--- a/packages/jobs/src/lib/ports/RunListing.ts
+++ b/packages/jobs/src/lib/ports/RunListing.ts
@@ -19,6 +19,8 @@
 		/** Tail latency in milliseconds of a task that serves requests; CPU usage of other tasks. */
 		readonly load: number
 	}[]
+	/** Whether no end is missing from `ended` because the server lists a limited number at a time. */
+	readonly hasAllEnds: boolean
 	readonly ended: readonly {
 		/** Number of the end within this incarnation of the server, from 1. */
 		readonly number: number
--- a/packages/jobs/src/lib/testing/MemoryBackend.ts
+++ b/packages/jobs/src/lib/testing/MemoryBackend.ts
@@ -9,6 +9,9 @@
 
 /** Maximum lease, in milliseconds. */
 const MAXIMUM_LEASE = 6_000
+/** Maximum number of ends in one listing. */
+const MAXIMUM_LISTED_ENDS = 500
+
 interface Run {
 	readonly task: string
 	readonly attempt: number
@@ -152,7 +155,8 @@
 			clock: this.clock,
 			incarnation: this.incarnation,
 			running,
-			ended: [...this.unacknowledgedEnds],
+			hasAllEnds: this.unacknowledgedEnds.length <= MAXIMUM_LISTED_ENDS,
+			ended: this.unacknowledgedEnds.slice(0, MAXIMUM_LISTED_ENDS),
 		}
 	}
 
