--- a/packages/jobs/src/lib/testing/MemoryBackend.ts
+++ b/packages/jobs/src/lib/testing/MemoryBackend.ts
@@ -9,6 +9,9 @@
 
 /** Maximum lease, in milliseconds. */
 const MAXIMUM_LEASE = 6_000
+/** Maximum number of ends in one listing. */
+const MAXIMUM_LISTED_ENDS = 500
+
 interface Run {
 	readonly task: string
 	readonly attempt: number
@@ -75,16 +78,17 @@
 		return { kind: 'taken', clock: this.clock }
 	}
 
-	renew(renewal: RenewalRequest): RenewalResult {
+	/** @param acknowledgedThrough - number of the latest end that is dropped */
+	renew(renewal: RenewalRequest, acknowledgedThrough: number): RenewalResult {
 		this.advance()
 		if (renewal.token < this.token) return { kind: 'fenced', detail: 'fence' }
 		this.token = renewal.token
 		if (renewal.leaseEnd !== undefined) this.extendLease(renewal.leaseEnd)
 		for (const end of this.unacknowledgedEnds) {
-			if (end.number <= renewal.acknowledgedThrough) this.journal.recordAcknowledgement(end)
+			if (end.number <= acknowledgedThrough) this.journal.recordAcknowledgement(end)
 		}
 		this.unacknowledgedEnds = this.unacknowledgedEnds.filter(
-			(end) => end.number > renewal.acknowledgedThrough
+			(end) => end.number > acknowledgedThrough
 		)
 		return { kind: 'listed', listing: this.createListing() }
 	}
@@ -151,7 +155,8 @@
 			clock: this.clock,
 			incarnation: this.incarnation,
 			running,
-			ended: [...this.unacknowledgedEnds],
+			hasAllEnds: this.unacknowledgedEnds.length <= MAXIMUM_LISTED_ENDS,
+			ended: this.unacknowledgedEnds.slice(0, MAXIMUM_LISTED_ENDS),
 		}
 	}
 
