Date the confirmation of a start order by the listing that shows its run

What callers could see: a task was started again while it ran or after it had run to its end, 0.1 s or more after its start order had no answer. Cause: two listings of a server can be in flight, and the answer to the one that looked first can arrive last. A start order without an answer is carried out between the two looks. The later look shows the run, and the order counts as confirmed; then the earlier one arrives, does not name the run, and "confirmed but not listed" is taken for lost. What guards against older listings compares the time of the request with the time at which the order's state last changed, and that time was not set here. Its end is then listed for a task that is elsewhere, changes nothing, and is acknowledged: two runs by one owner, the first of them done and its end taken note of, as in the users' record. Evidence: listings that arrive after a later one are frequent where owners have narrow links. Change: the time is set. An older listing then decides nothing about the task; one that is requested later names its run or its end.

--- a/packages/jobs/src/lib/owner/BackendMonitor.ts
+++ b/packages/jobs/src/lib/owner/BackendMonitor.ts
@@ -203,11 +203,18 @@
 			listed.add(run.task)
 			if (run.checkpoint !== '') task.checkpoint = run.checkpoint
 			this.updateProgress(task, run.percent)
-			if (task.orderState !== 'barred') task.orderState = 'confirmed'
+			this.confirmOrder(task)
 		}
 		return listed
 	}
 
+	private confirmOrder(task: TaskRow): void {
+		if (task.orderState === 'confirmed' || task.orderState === 'barred') return
+		task.orderState = 'confirmed'
+		// A listing that was requested before may still arrive, without the run.
+		task.orderStateChangedAt = this.context.timers.now()
+	}
+
 	private updateProgress(task: TaskRow, percent: number): void {
 		task.percent = percent
 		if (!task.step.lasting) return
--- a/packages/jobs/src/lib/testing/MemoryBackendServerClient.ts
+++ b/packages/jobs/src/lib/testing/MemoryBackendServerClient.ts
@@ -26,6 +26,8 @@
 	readonly unreachable = new Set<string>()
 	/** If set, start orders get no answer and are carried out after this many milliseconds. */
 	startDelay: number | undefined
+	/** Returns how long the answer to a renewal with this wait is under way, in milliseconds. */
+	getAnswerDelay: (wait: number) => number = () => 0
 	/** Number of start orders that were sent. */
 	startCount = 0
 	/** The connection to the process of each backend server, by `ID/INCARNATION`. */
@@ -74,7 +76,10 @@
 			return { kind: 'unavailable', detail: 'reset' }
 		if (first.kind !== 'listed') return first
 		connectionIncarnations.recordListing(connection, incarnation)
-		return target.renew({ ...renewal, leaseEnd: undefined }, through)
+		const result = target.renew({ ...renewal, leaseEnd: undefined }, through)
+		const delay = this.getAnswerDelay(renewal.wait)
+		if (delay > 0) await this.sleep(delay)
+		return result
 	}
 
 	override closeIdleConnections(): void {
