Count a machine once while a server that left it is still registered

Cause: after a change of the owner each server that an earlier owner had moved away is registered beside its successor on the same machine, for 2.5 s and more. The new owner counted both, so that pools seemed to have up to three times their machines (14.5 s: 28 of 2, while the platform listed 9; 24.1 s: 11 of 2, listed 3). A pool that was short seemed covered, and donors were chosen by machines that did not exist. The same look-up chose the first registered row of a machine, also for maintenance: a server that had left runs nothing, so its machine seemed evacuated, and an order for it was not held back by the tasks of the server that is there.

Change: of the rows of a machine, the one that answers counts, then the one that the platform names, then any registered one.

Ruled out: orders held back after the takeover (MachineOrderJournal): no order was recorded in the 5 s before the terms of 23.6 s.

--- a/packages/jobs/src/lib/machines/MachineInventory.ts
+++ b/packages/jobs/src/lib/machines/MachineInventory.ts
@@ -71,17 +71,19 @@
 	}
 
 	/**
-	 * Returns the backend server on a machine: the registered one, or else one that still has tasks,
-	 * since a server can lose its registration and keep running.
+	 * Returns the backend server on a machine: a registered one, or else one that still has tasks, since
+	 * a server can lose its registration and keep running. A server that has left may stay registered
+	 * beside its successor for seconds; the one that answers is preferred, then the one that the
+	 * platform names.
 	 */
 	getBackend(machine: string): BackendRow | undefined {
-		let unregistered: BackendRow | undefined
-		for (const row of this.context.backends.all) {
-			if (row.machine !== machine) continue
-			if (row.registered) return row
-			if (row.tasks.size > 0) unregistered = row
-		}
-		return unregistered
+		const { all } = this.context.backends
+		return this.selectBackends([...all].filter((row) => row.machine === machine)).get(machine)
+	}
+
+	/** Returns the backend server on each machine, as `getBackend` does. */
+	getBackends(): ReadonlyMap<string, BackendRow> {
+		return this.selectBackends(this.context.backends.all)
 	}
 
 	/** Counts the machines that are on the way to a service's pool, according to the platform. */
@@ -103,6 +105,24 @@
 		this.recentChanges.set(id, { machine: changed, at: this.context.timers.now() })
 	}
 
+	/** Selects the backend server on each machine. */
+	private selectBackends(rows: Iterable<BackendRow>): Map<string, BackendRow> {
+		const selected = new Map<string, BackendRow>()
+		for (const row of rows) {
+			const current = selected.get(row.machine)
+			if (this.getEvidence(row) > (current ? this.getEvidence(current) : 0))
+				selected.set(row.machine, row)
+		}
+		return selected
+	}
+
+	/** Returns how much shows that a row is the backend server on its machine; 0 for nothing. */
+	private getEvidence(row: BackendRow): number {
+		if (!row.registered) return row.tasks.size > 0 ? 1 : 0
+		if (row.reconciled && row.reachable) return 4
+		return this.machines.get(row.machine)?.backend === row.id ? 3 : 2
+	}
+
 	/** Returns the state after an order that a list requested at `requestedAt` may still lack. */
 	private getRecentChange(id: string, requestedAt: number): Machine | undefined {
 		const change = this.recentChanges.get(id)
--- a/packages/jobs/src/lib/machines/PoolManager.ts
+++ b/packages/jobs/src/lib/machines/PoolManager.ts
@@ -134,6 +134,7 @@
 	private getPoolState(service: string, now: number): PoolState {
 		const machines: { id: string; idleSince: number | undefined }[] = []
 		const machineCores = this.options.inventory.getMedianCores()
+		const backendsByMachine = this.options.inventory.getBackends()
 		const { backlog, lateBacklog } = this.options.planner
 		let lastingCores = 0
 		let usedCores = 0
@@ -146,6 +147,8 @@
 			}
 			if (row.service !== service || !row.registered || row.draining || row.cordoned) continue
 			lastingCores += getLastingCores(row)
+			// A server that has left may stay registered beside its successor on the machine.
+			if (row.machine !== '' && backendsByMachine.get(row.machine) !== row) continue
 			machines.push({ id: row.machine, idleSince: this.getIdleSince(row, now) })
 		}
 		return {
