Take machines without lasting tasks down at once after a change of the owner

Cause: a new owner interrupted nothing for 2.5 s, since a lasting task that the earlier owner has stopped may still seem available. That holds for lasting tasks only, but the wave waited for machines on which none runs, too.

Change: until then the wave takes down machines whose server has listed no lasting task under this term's token, and machines that are off. Because it orders that early, an order that the earlier owner has just recorded for the wave counts as a machine that is down, so that the wave's limit holds though the list does not show it yet.

--- a/packages/jobs/src/lib/machines/MachineManager.ts
+++ b/packages/jobs/src/lib/machines/MachineManager.ts
@@ -16,8 +16,8 @@
 /** Delay between two rounds, in milliseconds. */
 const ROUND_INTERVAL = 150
 /**
- * Time from the start of a term in which nothing is interrupted, in milliseconds. Until then a task
- * that an earlier owner has stopped may still run, and so seem available.
+ * Time from the start of a term in which no lasting task is interrupted, in milliseconds. Until then a
+ * task that an earlier owner has stopped may still run, and so seem available.
  */
 const SETTLING_TIME = 2_500
 
@@ -118,16 +118,16 @@
 			const settled = this.context.timers.now() - this.termStartedAt >= SETTLING_TIME
 			if (settled) this.evacuator.evacuate()
 			if (listed) this.pools.runRound()
-			if (listed && settled) this.advanceWaves()
+			if (listed) this.advanceWaves(settled)
 			await this.sleep(ROUND_INTERVAL)
 		}
 	}
 
 	/** Advances the waves beside the rounds, unless an earlier call is still waiting for answers. */
-	private advanceWaves(): void {
+	private advanceWaves(mayInterruptTasks: boolean): void {
 		if (this.isAdvancingWaves) return
 		this.isAdvancingWaves = true
-		const advance = this.waves.advanceWaves().finally(() => {
+		const advance = this.waves.advanceWaves(mayInterruptTasks).finally(() => {
 			this.isAdvancingWaves = false
 		})
 		advance.catch(this.context.fail)
--- a/packages/jobs/src/lib/machines/WaveManager.test.ts
+++ b/packages/jobs/src/lib/machines/WaveManager.test.ts
@@ -95,7 +95,7 @@
 	await inventory.refresh()
 	const run = async (): Promise<void> => {
 		for (;;) {
-			await waves.advanceWaves()
+			await waves.advanceWaves(true)
 			await new Promise<void>((resolve) => timers.after(1, resolve))
 		}
 	}
--- a/packages/jobs/src/lib/machines/WaveManager.ts
+++ b/packages/jobs/src/lib/machines/WaveManager.ts
@@ -58,10 +58,15 @@
 		this.stopped = true
 	}
 
-	/** Advances every wave as far as possible now. */
-	async advanceWaves(): Promise<void> {
+	/**
+	 * Advances every wave as far as possible now.
+	 *
+	 * @param mayInterruptTasks - whether lasting tasks may be interrupted yet; until then only machines on
+	 * which none runs for certain are taken down
+	 */
+	async advanceWaves(mayInterruptTasks: boolean): Promise<void> {
 		for (const [key, wave] of this.options.getWaves())
-			await this.advanceWave(this.getOrCreateRow(key, wave))
+			await this.advanceWave(this.getOrCreateRow(key, wave), mayInterruptTasks)
 	}
 
 	/** Whether a wave is evacuating the machine or has taken it down. */
@@ -94,7 +99,7 @@
 		return row
 	}
 
-	private async advanceWave(row: WaveRow): Promise<void> {
+	private async advanceWave(row: WaveRow, mayInterruptTasks: boolean): Promise<void> {
 		if (row.reported === 'completed' || this.stopped) return
 		if (row.reported === 'nothing' && (await this.options.reportWave(row.key, 'running'))) {
 			row.reported = 'running'
@@ -108,7 +113,10 @@
 			return
 		}
 		this.cordonNextMachines(row, remainingMachines)
-		for (const machine of [...row.evacuating.keys()]) await this.tryStartMaintenance(row, machine)
+		for (const machine of [...row.evacuating.keys()]) {
+			if (mayInterruptTasks || this.hasNoLastingTasks(machine))
+				await this.tryStartMaintenance(row, machine)
+		}
 	}
 
 	private async completeWave(row: WaveRow): Promise<void> {
@@ -193,10 +201,27 @@
 		return elapsed > sparingTime || this.options.getSlack(service) > cordonedCount
 	}
 
+	/** Counts the machines that are down, and those for which an earlier owner's order may be under way. */
+	private countDownMachines(row: WaveRow): number {
+		const { orders } = this.options
+		const underWay = [...row.ordered].filter(
+			(machine) => !row.down.has(machine) && !orders.isSafeToOrder(machine)
+		)
+		return row.down.size + underWay.length
+	}
+
+	/** Whether no lasting task runs on a machine for certain: its server has listed none, or it has none. */
+	private hasNoLastingTasks(machine: string): boolean {
+		const backend = this.options.inventory.getBackend(machine)
+		if (!backend) return this.getMachine(machine)?.backend === ''
+		if (!backend.reconciled || !backend.reachable) return false
+		return [...backend.tasks.values()].every(({ step }) => !step.lasting)
+	}
+
 	private async tryStartMaintenance(row: WaveRow, machine: string): Promise<void> {
 		const { events, timers, token } = this.context
 		const backend = this.options.inventory.getBackend(machine)
-		if (row.down.size >= row.wave.parallelism || this.isStopped()) return
+		if (this.countDownMachines(row) >= row.wave.parallelism || this.isStopped()) return
 		if (!this.options.orders.isSafeToOrder(machine)) return
 		if (backend && !backend.cordoned) {
 			// The server registered after the machine was chosen, so it must be evacuated first.
