Check the permission to order machines each time an order is sent

A process that was paused or waited so could move a machine on which its successor had placed tasks by then: the platform compares tokens per machine, so it refuses the order only if the successor has already ordered that machine.

Change: at most two moves are in flight, as many as there are connections, and each send, first or repeated, asks for the permission when its turn comes.

Ruled out: maintenance orders are sent one by one, without repetition, after the check. What remains: a pause between the check and the write to the socket.

--- a/packages/jobs/src/lib/machines/PoolManager.ts
+++ b/packages/jobs/src/lib/machines/PoolManager.ts
@@ -6,8 +6,10 @@
 	PoolPolicy,
 	PoolState,
 } from '@mastichead/core'
+import { ConcurrencyLimit } from '../ConcurrencyLimit.js'
 import type { OwnerContext } from '../owner/OwnerContext.js'
 import type { MachineController } from '../ports/MachineController.js'
+import type { MachineOrderResult } from '../ports/MachineOrderResult.js'
 import type { MachineInventory } from './MachineInventory.js'
 import type { MachineOrderJournal } from './MachineOrderJournal.js'
 
@@ -19,6 +21,8 @@
 const ARRIVAL_WEIGHT = 0.1
 /** Maximum number of attempts of one order that gets no answer. */
 const MAXIMUM_ATTEMPTS = 3
+/** Maximum number of orders without an answer at a time, so that none waits after it was permitted. */
+const MAXIMUM_ORDERS_IN_FLIGHT = 2
 const MILLICORES_PER_CORE = 1_000
 /** Interval between two log lines about the pools, in milliseconds. */
 const LOG_INTERVAL = 1_000
@@ -37,6 +41,7 @@
 	private arrivalTime = 0
 	private poolStates: readonly PoolState[] = []
 	private loggedAt = -Infinity
+	private readonly orderLimit = new ConcurrencyLimit(MAXIMUM_ORDERS_IN_FLIGHT)
 
 	constructor(
 		private readonly context: OwnerContext,
@@ -250,11 +255,11 @@
 	}
 
 	private async executeMove(move: MachineMove): Promise<void> {
-		const { events, token } = this.context
+		const { events } = this.context
 		const backend = this.options.inventory.getBackend(move.machine)
-		let result = await this.options.controller.move(move.machine, move.to, token)
+		let result = await this.sendMove(move)
 		for (let attempt = 1; result.kind === 'unknown' && attempt < MAXIMUM_ATTEMPTS; attempt += 1) {
-			result = await this.options.controller.move(move.machine, move.to, token)
+			result = await this.sendMove(move)
 		}
 		events.info('machine-move', { ...move, backend: backend?.id, ...result })
 		if (result.kind === 'done') {
@@ -268,6 +273,15 @@
 		}
 	}
 
+	/** Sends an order if this owner may still order machines when its turn comes. */
+	private sendMove({ machine, to }: MachineMove): Promise<MachineOrderResult> {
+		const { mayOrderMachines, token } = this.context
+		return this.orderLimit.run(() => {
+			if (mayOrderMachines()) return this.options.controller.move(machine, to, token)
+			return Promise.resolve({ kind: 'limited', detail: 'ownership may have been lost' })
+		})
+	}
+
 	private cancelMove(machine: string): void {
 		this.arrivals.delete(machine)
 		this.pausedUntil.set(machine, this.context.timers.now() + FAILED_MOVE_COOLDOWN)
