Say which listing a run was given up by

The reason now names the start of the process that answered, how long ago the listing was requested, and the end up to which it had been read.

--- a/packages/jobs/src/lib/owner/BackendMonitor.ts
+++ b/packages/jobs/src/lib/owner/BackendMonitor.ts
@@ -260,6 +260,8 @@
 	/** Handles placed tasks that the server does not list. */
 	private handleUnlistedTasks(listed: ReadonlySet<string>, sentAt: number): void {
 		const { row, options } = this
+		const age = Math.round(this.context.timers.now() - sentAt)
+		const listing = `listing of ${row.incarnation} requested ${age} ms ago, ends read to ${row.lastProcessedEnd}`
 		for (const task of [...row.tasks.values()]) {
 			// The listing may be older than an order whose state changed after it was requested.
 			if (listed.has(task.id) || task.orderStateChangedAt >= sentAt) continue
@@ -271,7 +273,12 @@
 				case 'confirmed':
 				case 'barred':
 				case 'inherited':
-					options.taskUpdater.endRun(task, 'lost', '', `not listed, order ${task.orderState}`)
+					options.taskUpdater.endRun(
+						task,
+						'lost',
+						'',
+						`not listed, order ${task.orderState}, ${listing}`
+					)
 					break
 				case 'unclear':
 					options.dispatcher.stopTask(task).catch(this.context.fail)
