Record that a server has left also if it left before the term

Cause: each owner records the servers that it knows, for the next one, and deletes the record of one that leaves. One that left while there was no owner is missing when the registry is read, before the term records changes, so that its record stayed for good: each later owner took it for registered until it had read the registry, or as long as the registry is out of reach.

Change: when a term begins it also deletes the records of servers that are no longer registered.

Ruled out: tasks on such a server; nothing is placed before it has listed its runs.

--- a/packages/jobs/src/lib/owner/OwnerTerm.ts
+++ b/packages/jobs/src/lib/owner/OwnerTerm.ts
@@ -233,6 +233,8 @@
 			this.startMonitor(row)
 			if (!replica.backends.has(row.id)) this.recordBackend(row.id)
 		}
+		// Those that left before the start of this term are no longer in the registry.
+		for (const id of replica.backends.keys()) if (!this.registry.get(id)) this.recordBackend(id)
 		const jobs = this.context.jobs.active.size
 		events.info('owner-begun', { token, jobs, ...this.recovery.getReport() })
 		this.machines.start()
