Close machines with lasting tasks in a wave only when these may be interrupted

Cause: the wave chose the next machines before it was settled which may be taken down, so that they took no tasks while they waited.

The test fails without the change.

--- a/packages/jobs/src/lib/machines/WaveManager.test.ts
+++ b/packages/jobs/src/lib/machines/WaveManager.test.ts
@@ -57,8 +57,17 @@
 	expect(wave.controller.orders).toHaveLength(1)
 })
 
+// Guards against machines that take no tasks for seconds after a change of the owner, though their lasting
+// tasks keep the wave from taking them down.
+it('does not close a machine with lasting tasks before these may be interrupted', async () => {
+	const wave = await createTestWave(false)
+	await wave.advance(CALL_LATENCY * 3)
+	expect(wave.backend.cordoned).toBe(false)
+	expect(wave.controller.orders).toEqual([])
+})
+
 /** Creates a step of two lasting tasks, one of which may be unavailable, and a wave over one machine. */
-async function createTestWave(): Promise<TestWave> {
+async function createTestWave(mayInterruptTasks = true): Promise<TestWave> {
 	const timers = new VirtualTimerService()
 	const configuration = createTestConfiguration()
 	const context = { ...createTestContext(timers), getConfiguration: () => configuration }
@@ -95,7 +104,7 @@
 	await inventory.refresh()
 	const run = async (): Promise<void> => {
 		for (;;) {
-			await waves.advanceWaves(true)
+			await waves.advanceWaves(mayInterruptTasks)
 			await new Promise<void>((resolve) => timers.after(1, resolve))
 		}
 	}
--- a/packages/jobs/src/lib/machines/WaveManager.ts
+++ b/packages/jobs/src/lib/machines/WaveManager.ts
@@ -62,7 +62,7 @@
 	 * Advances every wave as far as possible now.
 	 *
 	 * @param mayInterruptTasks - whether lasting tasks may be interrupted yet; until then only machines on
-	 * which none runs for certain are taken down
+	 * which none runs for certain are closed and taken down
 	 */
 	async advanceWaves(mayInterruptTasks: boolean): Promise<void> {
 		for (const [key, wave] of this.options.getWaves())
@@ -112,11 +112,11 @@
 			await this.completeWave(row)
 			return
 		}
-		this.cordonNextMachines(row, remainingMachines)
-		for (const machine of [...row.evacuating.keys()]) {
-			if (mayInterruptTasks || this.hasNoLastingTasks(machine))
-				await this.tryStartMaintenance(row, machine)
-		}
+		const mayTakeDown = (machine: string): boolean =>
+			mayInterruptTasks || this.hasNoLastingTasks(machine)
+		this.cordonNextMachines(row, remainingMachines.filter(mayTakeDown))
+		for (const machine of [...row.evacuating.keys()])
+			if (mayTakeDown(machine)) await this.tryStartMaintenance(row, machine)
 	}
 
 	private async completeWave(row: WaveRow): Promise<void> {
