Close the callers' port of a shutdown once no caller opens a connection, not once none sends

Cause, now traced: every answer of a shutdown closed its connection, so that callers which ignore the readiness reconnected for each request. The shutdown waited for 1 s without any request, which such callers never give; it went on to the end of its 30 s, logged `shutdown-cut` with `requests: 0` (nothing was running), and closed the port. Closing a listening socket resets what the kernel has accepted and the process has not. Change: only connections that were in use before the shutdown are closed by their next answer. Those that callers open meanwhile stay, so that no caller needs another one; after 1 s without a new connection the port closes, with nothing waiting to be accepted, and then each answer closes its connection. Who reconnects then is refused the connection and has sent nothing. This runs beside the wait for running requests. The restart under a new incarnation closed the port at once, which by reading resets in the same way; it now takes this way too. Refusals also closed their connection whenever the body was not read yet, which is nearly always; the rest of a body within the limit is now read and dropped. Remaining: callers that open a connection for each request still hold the shutdown up to its grace, and may be reset then.

--- a/packages/daemon/src/lib/Daemon.ts
+++ b/packages/daemon/src/lib/Daemon.ts
@@ -232,12 +232,8 @@
 		})
 	}
 
-	/**
-	 * Shuts down gracefully within `shutdown.graceMilliseconds`.
-	 *
-	 * @param afterStop - `rejoin` if the process then starts a new incarnation
-	 */
-	async stop(afterStop: 'end' | 'rejoin' = 'end'): Promise<void> {
+	/** Shuts down gracefully within `shutdown.graceMilliseconds`. */
+	async stop(): Promise<void> {
 		const { logger, settings, timers } = this.options
 		this.isLeaving = true
 		this.maintenance.stop()
@@ -249,7 +245,7 @@
 				resolve('expired')
 			})
 		})
-		const result = await Promise.race([this.waitUntilIdle(afterStop), expired])
+		const result = await Promise.race([this.waitUntilIdle(), expired])
 		if (result === 'expired') logger.warn('shutdown-cut', { requests: this.requests.size })
 		this.allowances.leave()
 		this.peers.exchangeWithAllPeers()
@@ -317,9 +313,8 @@
 		}
 	}
 
-	private async waitUntilIdle(afterStop: 'end' | 'rejoin'): Promise<void> {
-		await this.requests.waitUntilIdle()
-		await this.callers.waitForQuietPeriod(afterStop === 'rejoin' ? 'closes' : 'stays-open')
+	private async waitUntilIdle(): Promise<void> {
+		await Promise.all([this.requests.waitUntilIdle(), this.callers.waitForQuietPeriod()])
 	}
 
 	private getPeerAddress(): string {
--- a/packages/daemon/src/lib/callers/CallerConnections.ts
+++ b/packages/daemon/src/lib/callers/CallerConnections.ts
@@ -5,14 +5,20 @@
 
 /**
  * Tracks the connections of an HTTP server. Responds to malformed requests and to connections over
- * the limit, and during a shutdown closes each connection after its pending response.
+ * the limit, and during a shutdown closes connections after their responses.
  *
  * @internal
  */
 export class CallerConnections {
 	/** The pending response of each connection. */
 	private readonly responses = new Map<Duplex, ServerResponse>()
-	private isClosing = false
+	/** Connections to close after their next response. */
+	private closing: 'none' | 'opened-before' | 'all' = 'none'
+	private usedConnections = new WeakSet<Duplex>()
+	/** Connections on which a caller had sent a request before the shutdown. */
+	private earlierConnections = new WeakSet<Duplex>()
+	private recordedRequestCount = 0
+	private recordedConnectionCount = 0
 
 	constructor(server: Server) {
 		server.prependListener('request', (request, response) => {
@@ -23,12 +29,38 @@
 		})
 	}
 
-	/** Closes every connection after its pending response, or after its next one. */
-	closeAfterResponses(): void {
-		this.isClosing = true
+	/**
+	 * Closes each connection after its pending response, or after its next one. With `opened-before`,
+	 * connections whose first request comes later stay open: their callers would come back here, and
+	 * the port cannot be closed while connections wait to be accepted.
+	 */
+	closeAfterResponses(connections: 'opened-before' | 'all'): void {
+		if (this.closing === 'none') {
+			this.earlierConnections = this.usedConnections
+			this.usedConnections = new WeakSet()
+		}
+		this.closing = connections
 		for (const response of this.responses.values()) closeAfterResponse(response)
 	}
 
+	/** Counts a request and its connection; not called for health probes. */
+	recordRequest({ socket }: IncomingMessage): void {
+		this.recordedRequestCount++
+		if (this.usedConnections.has(socket)) return
+		this.usedConnections.add(socket)
+		this.recordedConnectionCount++
+	}
+
+	/** Number of recorded requests. */
+	get requestCount(): number {
+		return this.recordedRequestCount
+	}
+
+	/** Number of connections with a recorded request; the start of a shutdown counts them anew. */
+	get usedConnectionCount(): number {
+		return this.recordedConnectionCount
+	}
+
 	/** Number of pending responses. */
 	get pendingResponseCount(): number {
 		return this.responses.size
@@ -42,7 +74,7 @@
 	private handleRequest(request: IncomingMessage, response: ServerResponse): void {
 		const { socket } = request
 		this.responses.set(socket, response)
-		if (this.isClosing) closeAfterResponse(response)
+		if (this.closing === 'all' || this.earlierConnections.has(socket)) closeAfterResponse(response)
 		response.once('close', () => {
 			if (this.responses.get(socket) === response) this.responses.delete(socket)
 		})
--- a/packages/daemon/src/lib/callers/CallerServer.ts
+++ b/packages/daemon/src/lib/callers/CallerServer.ts
@@ -16,10 +16,10 @@
 const QUEUE_PATH_PATTERN = /^\/v1\/queues\/([^/]+)\/requests$/
 const SHORT_RETRY_AFTER_MILLISECONDS = 1000
 
-/** Interval between checks for requests during a shutdown. */
+/** Interval between checks for requests and connections during a shutdown. */
 const QUIET_POLL_MILLISECONDS = 20
 
-/** Consecutive checks without requests after which a shutdown stops accepting connections: 1 s. */
+/** Consecutive checks without requests, or without new connections, that count as quiet: 1 s. */
 const QUIET_CHECK_COUNT = 50
 
 interface Options {
@@ -41,8 +41,6 @@
 	private readonly listener: HttpListener
 	private readonly connections: CallerConnections
 	private isShuttingDown = false
-	/** Requests received, excluding health probes, which load balancers keep sending. */
-	private requestCount = 0
 
 	constructor(private readonly options: Options) {
 		const { settings, logger, timers } = options
@@ -72,40 +70,44 @@
 
 	/**
 	 * Stops admitting requests: readiness fails, new requests are refused as not run, and each
-	 * connection closes after its response. Idle connections stay open because a request may already
-	 * be in flight on them.
+	 * connection that a caller has used closes after its response. Idle connections stay open because
+	 * a request may already be in flight on them.
 	 */
 	startShutdown(): void {
 		this.isShuttingDown = true
-		this.connections.closeAfterResponses()
+		this.connections.closeAfterResponses('opened-before')
 	}
 
 	/**
 	 * Waits until every response was sent and no request arrived for a quiet period, then stops
-	 * accepting connections. The port stays open until then because closing it resets the connections
-	 * that the kernel has accepted and this process has not, together with their requests. Idle
-	 * connections stay open as well: closing one would lose a request that its caller has just sent.
+	 * accepting connections.
+	 *
+	 * Closing the port resets the connections that the kernel has accepted and this process has not,
+	 * together with their requests. Callers that keep sending are therefore left on the connections
+	 * that they open during the shutdown. Once no caller has opened one for a quiet period, the port
+	 * closes, and each connection closes after its next response. Idle connections stay open: closing
+	 * one would lose a request that its caller has just sent.
 	 *
 	 * Counts checks instead of time. The event loop reads what has arrived between two checks, whereas
 	 * after a stall of the process time has passed without anything being read.
-	 *
-	 * @param portMode - `closes` stops accepting connections before the wait, for a process that
-	 *   reopens the port afterwards; on an open port, callers that keep sending requests would be
-	 *   refused and the quiet period would not begin
 	 */
-	async waitForQuietPeriod(portMode: 'stays-open' | 'closes' = 'stays-open'): Promise<void> {
+	async waitForQuietPeriod(): Promise<void> {
 		const { timers } = this.options
-		if (portMode === 'closes') this.listener.stopAccepting()
-		let lastCount = this.requestCount
-		let quietChecks = 0
-		while (quietChecks < QUIET_CHECK_COUNT) {
-			if (portMode === 'closes' && this.listener.connectionCount === 0) return
+		let { requestCount, usedConnectionCount } = this.connections
+		let requestChecks = 0
+		let connectionChecks = 0
+		while (requestChecks < QUIET_CHECK_COUNT) {
 			await new Promise<void>((resolve) => {
 				timers.after(QUIET_POLL_MILLISECONDS, resolve)
 			})
-			const isQuiet = this.requestCount === lastCount && this.connections.pendingResponseCount === 0
-			quietChecks = isQuiet ? quietChecks + 1 : 0
-			lastCount = this.requestCount
+			const { connections } = this
+			const isQuiet =
+				connections.requestCount === requestCount && connections.pendingResponseCount === 0
+			requestChecks = isQuiet ? requestChecks + 1 : 0
+			const hasNewConnection = connections.usedConnectionCount > usedConnectionCount
+			connectionChecks = hasNewConnection ? 0 : connectionChecks + 1
+			;({ requestCount, usedConnectionCount } = connections)
+			if (connectionChecks === QUIET_CHECK_COUNT) this.closePort()
 		}
 		this.listener.stopAccepting()
 	}
@@ -115,13 +117,18 @@
 		this.listener.destroy()
 	}
 
+	private closePort(): void {
+		this.listener.stopAccepting()
+		this.connections.closeAfterResponses('all')
+	}
+
 	private async route(request: IncomingMessage, response: ServerResponse): Promise<void> {
 		const pathname = getPathname(request)
 		if (pathname === '/healthz' || pathname === '/readyz') {
 			this.sendHealth(response)
 			return
 		}
-		this.requestCount++
+		this.connections.recordRequest(request)
 		if (pathname === '/v1/request-ids') {
 			this.issueRequestId(request, response)
 			return
@@ -208,7 +215,9 @@
 		refusal: Refusal,
 		requestId = ''
 	): void {
-		if (!request.complete) response.setHeader('connection', 'close')
+		const { bodyBytes } = this.options.settings.limits
+		// The rest of the body is read and dropped, which keeps the connection usable.
+		if (!(getDeclaredLength(request) <= bodyBytes)) response.setHeader('connection', 'close')
 		request.resume()
 		sendErrorResponse(response, refusal, requestId)
 		const { logger } = this.options
@@ -222,6 +231,12 @@
 	}
 }
 
+/** Returns the length of the body in bytes, or NaN if the headers do not declare it. */
+function getDeclaredLength({ headers }: IncomingMessage): number {
+	if (headers['transfer-encoding'] !== undefined) return NaN
+	return Number(headers['content-length'] ?? 0)
+}
+
 /** Returns the decoded path without the query, or an empty string if an escape is malformed. */
 function getPathname(request: IncomingMessage): string {
 	const path = (request.url ?? '').split('?', 1)[0] ?? ''
--- a/packages/daemon/src/lib/runDaemon.ts
+++ b/packages/daemon/src/lib/runDaemon.ts
@@ -56,7 +56,7 @@
 			return 0
 		case 'dropped':
 			logger.warn('member-rejoining', { instance: daemon.instance })
-			await daemon.stop('rejoin')
+			await daemon.stop()
 			return 'dropped'
 	}
 }
