Let the soak set wall clocks off, refuse instances by status, and run lasting tasks

Added, in the smallest way that is whole: the wall clock of an instance is 3 s ahead or behind for a while (a module that is loaded before the program, SIGUSR2), the store answers one instance with 503, and every twentieth job has lasting tasks that its caller cancels after 6 s. New check: no task of a cancelled job runs at the end; checkRecord.test.ts has the mistake.

--- a/packages/soak/src/lib/FaultInjector.ts
+++ b/packages/soak/src/lib/FaultInjector.ts
@@ -2,6 +2,7 @@
 import type { LinkFault } from './LinkFault.js'
 import type { PlannedFault } from './PlannedFault.js'
 import type { SoakCaller } from './SoakCaller.js'
+import type { SoakFault } from './SoakFault.js'
 import type { SoakFleet } from './SoakFleet.js'
 import type { SoakOptions } from './SoakOptions.js'
 import type { SoakRecord } from './SoakRecord.js'
@@ -10,6 +11,8 @@
 const DRAIN_MILLISECONDS = 2_000
 /** Time in which the old key and the new one are both in force. */
 const KEY_OVERLAP_MILLISECONDS = 1_000
+/** Faults of which an instance suffers only one at a time. */
+const SIGNALS: ReadonlySet<SoakFault> = new Set(['kill', 'terminate', 'pause', 'clock-step'])
 const STORE_PREFIX = 'store-'
 const SERVER_PREFIX = 'server-'
 
@@ -44,7 +47,7 @@
 
 	private async inject(fault: PlannedFault): Promise<void> {
 		const { kind } = fault
-		if (kind === 'kill' || kind === 'terminate' || kind === 'pause') return this.signal(fault)
+		if (SIGNALS.has(kind)) return this.signal(fault)
 		if (kind === 'key-withdrawal') return this.withdrawKey()
 		if (kind === 'store-outage') return this.cutStore(fault)
 		if (kind === 'server-leaves') return this.removeServer(fault)
@@ -73,6 +76,12 @@
 		this.signalled.add(instance)
 		await this.disturb(instance, async () => {
 			const name = this.fleet.getInstanceName(instance)
+			if (fault.kind === 'clock-step') {
+				this.fleet.processes.signal(name, 'SIGUSR2')
+				await delay(fault.duration)
+				this.fleet.processes.signal(name, 'SIGUSR2')
+				return
+			}
 			if (fault.kind === 'pause') {
 				this.fleet.processes.signal(name, 'SIGSTOP')
 				await delay(fault.duration)
--- a/packages/soak/src/lib/FaultProxy.ts
+++ b/packages/soak/src/lib/FaultProxy.ts
@@ -3,6 +3,7 @@
 
 const DELAY_MILLISECONDS = 300
 const MILLISECONDS_PER_SECOND = 1_000
+const REFUSAL = 'HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n'
 
 /** One direction of a connection. */
 interface Direction {
@@ -87,6 +88,10 @@
 		direction.from.on('data', (chunk: Buffer) => {
 			if (this.fault === 'silent' || this.fault === direction.lossFault) direction.broken = true
 			if (direction.broken) return
+			if (this.fault === 'refused') {
+				refuse(direction)
+				return
+			}
 			const wait = this.getWait(direction, chunk.length)
 			if (wait <= 0) direction.to.write(chunk)
 			else setTimeout(() => direction.to.write(chunk), wait)
@@ -107,3 +112,9 @@
 		return passAt - now
 	}
 }
+
+/** Refuses a request that arrives, and drops an answer that was on its way. */
+function refuse(direction: Direction): void {
+	direction.broken = true
+	if (direction.lossFault === 'requests-lost') direction.from.end(REFUSAL)
+}
--- a/packages/soak/src/lib/SoakCaller.ts
+++ b/packages/soak/src/lib/SoakCaller.ts
@@ -3,6 +3,7 @@
 import type { CallRecord } from './CallRecord.js'
 import type { JobRecord } from './JobRecord.js'
 import type { Random } from './Random.js'
+import { RunServerStandin } from '@mastichead/standins'
 import { SoakFleet } from './SoakFleet.js'
 
 const CALLERS_PORT = 8_340
@@ -14,6 +15,9 @@
 const MAXIMUM_SUBMISSIONS = 12
 /** One job of this many is cancelled soon after its acceptance. */
 const CANCEL_INTERVAL = 7
+/** One job of this many has lasting tasks, and is cancelled this time after its acceptance. */
+const LASTING_INTERVAL = 20
+const LASTING_MILLISECONDS = 6_000
 const MAXIMUM_STEP_WIDTH = 4
 
 /**
@@ -38,7 +42,9 @@
 
 	/** Submits a job and follows it until it has ended. Resolves then, or when callers are stopped. */
 	async runJob(number: number): Promise<void> {
-		const widths = [1, 2].map(() => this.random.integer(1, MAXIMUM_STEP_WIDTH))
+		const isLasting = number % LASTING_INTERVAL === 0
+		const drawn = [1, 2].map(() => this.random.integer(1, MAXIMUM_STEP_WIDTH))
+		const widths = isLasting ? drawn.slice(1) : drawn
 		const job: JobRecord = {
 			id: number.toString(16).padStart(16, '0'),
 			tasks: widths.reduce((sum, width) => sum + width, 0),
@@ -49,10 +55,12 @@
 			state: undefined,
 		}
 		this.jobs.push(job)
-		await this.submit(job, createBody(widths))
+		await this.submit(job, isLasting ? createLastingBody(widths) : createBody(widths))
 		if (job.acceptedAt === undefined) return
-		if (number % CANCEL_INTERVAL === 0) await this.cancel(job)
+		if (isLasting) await delay(LASTING_MILLISECONDS)
+		else if (number % CANCEL_INTERVAL === 0) await this.cancel(job)
 		while (!this.stopped && !isFinal(job.state)) {
+			if (isLasting) await this.cancel(job)
 			await delay(QUERY_PAUSE_MILLISECONDS)
 			await this.query(job)
 		}
@@ -159,6 +167,12 @@
 	return state === 'completed' || state === 'cancelled' || state === 'failed'
 }
 
+function createLastingBody([count = 1]: readonly number[]): string {
+	const step = { cpu: SoakFleet.taskCpu, mem_mb: 100, estimate_ms: 0, long_running: true }
+	const spec = RunServerStandin.lastingSpecification
+	return JSON.stringify({ spec, steps: [{ ...step, count }] })
+}
+
 function createBody([first = 1, second = 1]: readonly number[]): string {
 	const step = { cpu: SoakFleet.taskCpu, mem_mb: 100, estimate_ms: 400 }
 	const steps = [
--- a/packages/soak/src/lib/SoakFault.ts
+++ b/packages/soak/src/lib/SoakFault.ts
@@ -3,6 +3,7 @@
  *
  * - `kill`, `terminate`: an instance gets SIGKILL or SIGTERM and is started again
  * - `pause`: an instance is stopped by SIGSTOP and goes on later
+ * - `clock-step`: the wall clock of an instance is wrong for a while
  * - `store-*`: the link of an instance to the store is disturbed
  * - `store-outage`: the links of all instances to the store are silent
  * - `server-*`: the link to a backend server is disturbed
@@ -16,11 +17,13 @@
 	| 'kill'
 	| 'terminate'
 	| 'pause'
+	| 'clock-step'
 	| 'store-silent'
 	| 'store-requests-lost'
 	| 'store-answers-lost'
 	| 'store-delayed'
 	| 'store-reset'
+	| 'store-refused'
 	| 'store-outage'
 	| 'server-silent'
 	| 'server-requests-lost'
--- a/packages/soak/src/lib/SoakFleet.ts
+++ b/packages/soak/src/lib/SoakFleet.ts
@@ -1,5 +1,6 @@
 import { createWriteStream, mkdirSync, type WriteStream } from 'node:fs'
 import path from 'node:path'
+import { pathToFileURL } from 'node:url'
 import type { RunEvent } from '@mastichead/standins'
 import {
 	ProcessGroup,
@@ -27,6 +28,9 @@
 const BYTES_PER_MEGABIT = 125_000
 /** Duration of a run. */
 const RUN_MILLISECONDS = 400
+/** Module by which the wall clock of an instance is set off, and by how many milliseconds. */
+const CLOCK_MODULE = pathToFileURL(path.resolve('packages/soak/dist/stepWallClock.js')).href
+const CLOCK_STEP_MILLISECONDS = 3_000
 const OWNER_METRIC = 'mastichead_owner 1'
 const METRICS_TIMEOUT_MILLISECONDS = 300
 
@@ -81,8 +85,10 @@
 			store: `${this.getHost(FIRST_LINK + number)}:${STORE_PORT}`,
 			link: this.getMegabits(number),
 		})
-		const environment = { MASTICHEAD_CONFIG: settings }
-		await this.processes.start(name, [this.options.program], '"started"', environment)
+		const step = number % 2 === 0 ? CLOCK_STEP_MILLISECONDS : -CLOCK_STEP_MILLISECONDS
+		const environment = { MASTICHEAD_CONFIG: settings, SOAK_CLOCK_STEP: `${step}` }
+		const args = ['--import', CLOCK_MODULE, this.options.program]
+		await this.processes.start(name, args, '"started"', environment)
 	}
 
 	getInstanceName(number: number): string {
--- a/packages/soak/src/lib/checkRecord.test.ts
+++ b/packages/soak/src/lib/checkRecord.test.ts
@@ -31,6 +31,10 @@
 		'an accepted job that is not known at the end': { jobs: [createJob({ state: undefined })] },
 		'an accepted job that never ends': { jobs: [createJob({ state: 'running' })] },
 		'a job that is cancelled without a reason': { jobs: [createJob({ state: 'cancelled' })] },
+		'a cancelled job with a task that still runs': {
+			jobs: [createJob({ state: 'cancelled', cancelledAt: 50, completedAt: undefined })],
+			runs: [event('started', 1, 0)],
+		},
 		'a job that is shown as completed too early': { jobs: [createJob({ completedAt: 50 })] },
 		'a refused job that ran': {
 			jobs: [createJob({ acceptedAt: undefined, refused: true, completedAt: undefined })],
--- a/packages/soak/src/lib/checkRecord.ts
+++ b/packages/soak/src/lib/checkRecord.ts
@@ -58,6 +58,11 @@
 	)
 }
 
+function isStillRunning(events: readonly RunEvent[]): boolean {
+	const count = (kind: RunEvent['kind']) => events.filter((event) => event.kind === kind).length
+	return count('started') > count('ended')
+}
+
 function groupByTask(events: readonly RunEvent[]): Map<string, RunEvent[]> {
 	const groups = new Map<string, RunEvent[]>()
 	// An end is noticed later than it happens, so that it may follow a later start in the list.
@@ -86,6 +91,8 @@
 			problems.push(`${job.id}: accepted, but at the end it is ${job.state ?? 'unknown'}`)
 		if (job.state === 'cancelled' && job.cancelledAt === undefined)
 			problems.push(`${job.id}: cancelled, but nobody asked for it`)
+		if (job.state === 'cancelled' && ofJob.some(([, events]) => isStillRunning(events)))
+			problems.push(`${job.id}: cancelled, but a task still runs at the end`)
 		const { completedAt } = job
 		if (completedAt === undefined) continue
 		const done = ofJob.filter(([, events]) =>
--- a/packages/standins/src/lib/jobPlatform/RunServerStandin.ts
+++ b/packages/standins/src/lib/jobPlatform/RunServerStandin.ts
@@ -21,6 +21,7 @@
 	readonly acked_through: number
 	readonly deadline_ms?: number
 	readonly wait_ms?: number
+	readonly spec?: string
 }
 
 /**
@@ -29,6 +30,8 @@
  * @public
  */
 export class RunServerStandin {
+	/** Specification of tasks that run until they are stopped. */
+	static readonly lastingSpecification = 'lasting'
 	/** Every accepted start, as `TASK/ATTEMPT`, in order. */
 	readonly starts: string[] = []
 	/** Id under which it is registered; calls for another one are refused. Undefined to accept all. */
@@ -126,12 +129,13 @@
 		}
 	}
 
-	private startRun({ task, attempt }: RunCall): { status: number; body: object } {
+	private startRun({ task, attempt, spec }: RunCall): { status: number; body: object } {
 		const accepted = { status: 200, body: { clock_ms: this.clockMilliseconds } }
 		if (this.runs.get(task)?.attempt === attempt) return accepted
 		if (this.clockMilliseconds > this.leaseEnd) return this.refuse('late')
 		if ((this.barredAttempts.get(task) ?? -1) >= attempt) return this.refuse('old')
-		const endsAt = this.duration === undefined ? undefined : Date.now() + this.duration
+		const isLasting = this.duration === undefined || spec === RunServerStandin.lastingSpecification
+		const endsAt = isLasting ? undefined : Date.now() + this.duration
 		this.runs.set(task, { task, attempt, endsAt })
 		this.starts.push(`${task}/${attempt}`)
 		this.report('started', task, attempt, '')
