Ask a server that did not answer again at once, without letting it wait

Cause: a listing of a server with lasting tasks waits 1.5 s and fails 0.4 s after that; the next one waited for 1.5 s too and renewed no lease, since the server counted as unreachable; the leases of 4 s ended before the third one. Change: the first failure is followed by another request at once, and a request to an unreachable server does not wait there. Ruled out: to renew the leases of an unreachable server, since its runs could then not be given up.

--- a/packages/jobs/src/lib/owner/BackendMonitor.ts
+++ b/packages/jobs/src/lib/owner/BackendMonitor.ts
@@ -88,8 +88,12 @@
 				await this.sleep(undefined)
 				continue
 			}
+			const wasReachable = this.row.reachable
 			const listed = await this.readListing()
-			await this.sleep(listed ? LISTING_PAUSE : this.getFailurePause())
+			const isFirstFailure = wasReachable && !this.row.reachable
+			// A single lost answer is followed by another request at once, before the leases expire.
+			if (listed) await this.sleep(LISTING_PAUSE)
+			else if (!isFirstFailure) await this.sleep(this.getFailurePause())
 			if (listed && this.row.tasks.size === 0) await this.sleep(IDLE_ACKNOWLEDGEMENT_PAUSE)
 			await this.waitForDurability()
 		}
@@ -108,8 +112,9 @@
 	}
 
 	private getListingWait(): number {
-		const { reconciled, tasks } = this.row
-		if (!reconciled || tasks.size === 0) return 0
+		const { reconciled, reachable, tasks } = this.row
+		// Until an unreachable server has answered, its leases are not renewed.
+		if (!reconciled || !reachable || tasks.size === 0) return 0
 		for (const task of tasks.values()) if (!task.step.lasting) return LISTING_WAIT
 		return LASTING_LISTING_WAIT
 	}
