Expect the longest lease of a server that a listing shows to have started again

What callers could see: a task was started elsewhere while it ran. Cause: a renewal names the end of the leases on the clock of the server's process before. A process that started between two listings takes that for a time far ahead and grants its longest lease, to the runs that are started on it too. The owner had put that down only if the answer to an order showed the restart, not if a listing did: it gave the runs of a server that was then cut off up after 4.4 s, while they ran on for up to 10 s. Change: a listing of another process extends the expected expiry in the same way. Not mended: an order whose answer is lost, to a process that no listing has shown yet, followed by a cut (same class).

--- a/packages/jobs/src/lib/owner/BackendMonitor.ts
+++ b/packages/jobs/src/lib/owner/BackendMonitor.ts
@@ -193,6 +193,9 @@
 		row.lastProcessedEnd = 0
 		row.lastAcknowledgedEnd = 0
 		if (previous === 0) return
+		// The request that shows the restart may have asked for a lease on the clock before.
+		const latestExpiry = LeaseTiming.getLatestGrantedExpiry(context.timers.now())
+		row.leasesExpireBy = Math.max(row.leasesExpireBy, latestExpiry)
 		context.events.warn('backend-restarted', { backend: row.id, before: previous, incarnation })
 	}
 
--- a/packages/jobs/src/lib/testing/MemoryBackend.ts
+++ b/packages/jobs/src/lib/testing/MemoryBackend.ts
@@ -7,8 +7,6 @@
 import type { StopOrder } from '../ports/StopOrder.js'
 import type { RunJournal } from './RunJournal.js'
 
-/** Maximum lease, in milliseconds. */
-const MAXIMUM_LEASE = 6_000
 /** Maximum number of ends in one listing. */
 const MAXIMUM_LISTED_ENDS = 500
 
@@ -29,6 +27,8 @@
 	incarnation = 1
 	/** While true, calls have no effect and get no answer. */
 	disconnected = false
+	/** Longest lease that it grants, in milliseconds. */
+	maximumLease = 6_000
 	/** Time that a stop takes, in milliseconds. */
 	stopTime = 50
 	/** Returns how long a task runs in milliseconds; undefined if it runs until it is stopped. */
@@ -161,7 +161,7 @@
 	}
 
 	private extendLease(leaseEnd: number): void {
-		this.leaseEnd = Math.max(this.leaseEnd, Math.min(leaseEnd, this.clock + MAXIMUM_LEASE))
+		this.leaseEnd = Math.max(this.leaseEnd, Math.min(leaseEnd, this.clock + this.maximumLease))
 	}
 
 	private barAttempt(task: string, attempt: number): void {
