--- a/packages/jobs/src/lib/owner/BackendMonitor.limits.failure.test.ts
+++ b/packages/jobs/src/lib/owner/BackendMonitor.limits.failure.test.ts
@@ -50,7 +50,7 @@
 		const isComplete = await this.receive(bytes, renewal.wait + TIMEOUT)
 		if (!isComplete) return { kind: 'unavailable', detail: 'no answer' }
 		this.listed.add(backend.id)
-		const runs = { running: [], hasAllEnds: true, ended: [] }
+		const runs = { running: [], isComplete: true, ended: [] }
 		return { kind: 'listed', listing: { clock: this.timers.now(), incarnation: 1, ...runs } }
 	}
 
--- a/packages/jobs/src/lib/owner/BackendMonitor.ts
+++ b/packages/jobs/src/lib/owner/BackendMonitor.ts
@@ -175,7 +175,7 @@
 		)
 		const listed = this.updateRunningTasks(listing)
 		this.processEnds(listing, listed)
-		if (listing.hasAllEnds) this.handleUnlistedTasks(listed, sentAt)
+		if (listing.isComplete) this.handleUnlistedTasks(listed, sentAt)
 		if (row.reconciled) return
 		row.reconciled = true
 		context.events.info('backend-reconciled', { backend: row.id, running: row.tasks.size })
--- a/packages/jobs/src/lib/ports/RunListing.ts
+++ b/packages/jobs/src/lib/ports/RunListing.ts
@@ -19,8 +19,11 @@
 		/** Tail latency in milliseconds of a task that serves requests; CPU usage of other tasks. */
 		readonly load: number
 	}[]
-	/** Whether no end is missing from `ended` because the server lists a limited number at a time. */
-	readonly hasAllEnds: boolean
+	/**
+	 * Whether it names every run and end: a server lists a limited number of ends at a time, and rows may
+	 * be unreadable. Otherwise a task that it does not name may run, or have ended, there.
+	 */
+	readonly isComplete: boolean
 	readonly ended: readonly {
 		/** Number of the end within this incarnation of the server, from 1. */
 		readonly number: number
--- a/packages/jobs/src/lib/testing/MemoryBackend.ts
+++ b/packages/jobs/src/lib/testing/MemoryBackend.ts
@@ -155,7 +155,7 @@
 			clock: this.clock,
 			incarnation: this.incarnation,
 			running,
-			hasAllEnds: this.unacknowledgedEnds.length <= MAXIMUM_LISTED_ENDS,
+			isComplete: this.unacknowledgedEnds.length <= MAXIMUM_LISTED_ENDS,
 			ended: this.unacknowledgedEnds.slice(0, MAXIMUM_LISTED_ENDS),
 		}
 	}
