Read the registry soon after an outage in which a term began

Cause, from the logs: the owner of that time began its term during the outage, and its load of the registry got no answer. The timeout of a load doubles from 1.8 to 3.6 s, since all instances may load at the same time. No machine is moved before the registry is read.

Now the registry, which only the owner loads, has a fixed load timeout of 0.9 s, the limit of the other reads.

Not done: other streams keep the doubling, as their loads come together. StreamFollower gets an option only.

--- a/packages/jobs/src/lib/log/StreamFollower.ts
+++ b/packages/jobs/src/lib/log/StreamFollower.ts
@@ -51,7 +51,7 @@
 	/** The load that is going on or has failed midway; undefined if there is none. */
 	private load: StreamLoad | undefined
 	private pendingLoad: Promise<boolean> | undefined
-	private loadTimeout = MINIMUM_LOAD_TIMEOUT
+	private loadTimeout: number
 	/** Whether all pages of the newest records were read since the history last expired. */
 	private arePagesRead = false
 	/** End of the stream after the pages were read; undefined until the next answer tells it. */
@@ -79,10 +79,17 @@
 			readonly getPollDelay: () => number
 			/** Limits the reads of all streams that are being loaded; none by default. */
 			readonly loadLimit?: ConcurrencyLimit
+			/**
+			 * Milliseconds in which an answer to a load must begin. By default it grows with each failure,
+			 * because all instances may load the stream at the same time.
+			 */
+			readonly loadTimeout?: number
 			/** Called after the newest record of every key has been loaded. */
 			readonly onLoaded?: () => void
 		}
-	) {}
+	) {
+		this.loadTimeout = options.loadTimeout ?? MINIMUM_LOAD_TIMEOUT
+	}
 
 	/** Starts reading; continues until `stop` is called. */
 	start(): void {
@@ -267,7 +274,7 @@
 		this.loadedEnd ??= end
 		if (this.nextOffset < this.loadedEnd) return
 		this.loaded = true
-		this.loadTimeout = MINIMUM_LOAD_TIMEOUT
+		this.loadTimeout = this.options.loadTimeout ?? MINIMUM_LOAD_TIMEOUT
 		this.options.onLoaded?.()
 	}
 
@@ -321,11 +328,16 @@
 	private recordFailure(reason: string): boolean {
 		if (this.available) this.reportLoss(reason)
 		this.failedReads += 1
-		if (!this.loaded) this.loadTimeout = Math.min(this.loadTimeout * 2, MAXIMUM_LOAD_TIMEOUT)
+		if (!this.loaded) this.extendLoadTimeout()
 		this.available = false
 		return false
 	}
 
+	private extendLoadTimeout(): void {
+		if (this.options.loadTimeout !== undefined) return
+		this.loadTimeout = Math.min(this.loadTimeout * 2, MAXIMUM_LOAD_TIMEOUT)
+	}
+
 	private reportLoss(reason: string): void {
 		this.lostAt = this.timers.now()
 		this.failedReads = 0
--- a/packages/jobs/src/lib/owner/BackendRegistry.ts
+++ b/packages/jobs/src/lib/owner/BackendRegistry.ts
@@ -9,6 +9,11 @@
 /** How long a read waits for a changed registration, and the pause after it, in milliseconds. */
 const READ_WAIT = 500
 const READ_PAUSE = 250
+/**
+ * Time in which the answer to a load must begin, in milliseconds. Only the owner loads the registry, and
+ * a request that the log has lost must not keep it from asking again.
+ */
+const LOAD_TIMEOUT = 900
 /** Maximum time since the log's latest answer for the registry to count as fresh, in milliseconds. */
 const MAXIMUM_FRESH_AGE = 1_100
 /**
@@ -44,6 +49,7 @@
 			{
 				maximumWait: READ_WAIT,
 				getPollDelay: () => READ_PAUSE,
+				loadTimeout: LOAD_TIMEOUT,
 				onLoaded: () => {
 					this.deregisterUnlisted()
 				},
