--- a/packages/jobs/src/lib/owner/silentServer.failure.test.ts
+++ b/packages/jobs/src/lib/owner/silentServer.failure.test.ts
@@ -9,6 +9,7 @@
 const TASKS = 6
 /** Number of tasks of a job that is submitted while listings are late. */
 const LATER_TASKS = 2
+const LAST_JOB = 20
 
 // Guards against running work that is started elsewhere, or given up, because its server was only silent
 // or slow to report for a while.
@@ -41,14 +42,14 @@
 	it.each(LISTING_DELAYS)(
 		'whose listings arrive %i ms late keeps tasks that were started meanwhile',
 		async (delay) => {
-			const { fleet, getRuns, submit } = await createRunningFleet(undefined)
+			const { fleet, getRuns, submit } = await createRunningFleet(1_000)
 			for (const { backendClient } of fleet.instances) backendClient.listingDelay = delay
-			for (let number = 2; number <= 9; number += 1) {
+			for (let number = 2; number <= LAST_JOB; number += 1) {
 				submit(number, LATER_TASKS)
-				await fleet.advance(170)
+				await fleet.advance(130)
 			}
-			await fleet.advance(3_000)
-			for (let number = 2; number <= 9; number += 1)
+			await fleet.advance(8_000)
+			for (let number = 2; number <= LAST_JOB; number += 1)
 				expect(getRuns(number, LATER_TASKS).map((runs) => runs.length)).toEqual([1, 1])
 			expect(fleet.journal.violations).toEqual([])
 		}
