Part the comparison of listings with tasks from the renewal of leases

BackendMonitor had 360 lines and two jobs: when to ask a server, and what its listing means for the tasks placed there. The second one is RunReconciler now; the methods moved as they were. 83 tests of packages/jobs/src/lib/owner pass; no test changed.

--- a/packages/jobs/src/lib/owner/BackendMonitor.ts
+++ b/packages/jobs/src/lib/owner/BackendMonitor.ts
@@ -1,4 +1,4 @@
-import type { BackendRow, TaskRow } from '@mastichead/core'
+import type { BackendRow } from '@mastichead/core'
 import type { RenewalResult } from '../ports/RenewalResult.js'
 import type { RunListing } from '../ports/RunListing.js'
 import { LeaseTiming } from './LeaseTiming.js'
@@ -7,8 +7,7 @@
 import type { OwnerContext } from './OwnerContext.js'
 import type { TaskUpdater } from './TaskUpdater.js'
 import type { ProgressWriter } from './ProgressWriter.js'
-import { completesTask } from './completesTask.js'
-import { selectNewEnds } from './selectNewEnds.js'
+import { RunReconciler } from './RunReconciler.js'
 
 /**
  * How long the backend server may hold a listing until a run ends, in milliseconds: while tasks that
@@ -25,8 +24,6 @@
 const IDLE_FAILURE_PAUSE = 800
 /** Maximum time to wait for ends to become durable before the next renewal, in milliseconds. */
 const MAXIMUM_DURABILITY_WAIT = 1_500
-/** Minimum time between two stop orders for the same unexpected run, in milliseconds. */
-const UNEXPECTED_RUN_STOP_PAUSE = 400
 
 /**
  * Renews the leases on one backend server, reads which runs are active or have ended, and updates the
@@ -37,10 +34,9 @@
 export class BackendMonitor {
 	private stopped = false
 	private endIdleSleep: (() => void) | undefined
-	/** Time of the latest stop order for each unexpected run, by `TASK/ATTEMPT`. */
-	private readonly unexpectedRunStops = new Map<string, number>()
 	/** Whether a listing from `requestListing` is in flight. */
 	private isExtraListingPending = false
+	private readonly reconciler: RunReconciler
 
 	constructor(
 		private readonly context: OwnerContext,
@@ -56,7 +52,9 @@
 			/** Whether every job that an earlier owner may have started has been read. */
 			readonly isIntakeRead: () => boolean
 		}
-	) {}
+	) {
+		this.reconciler = new RunReconciler(context, row, options)
+	}
 
 	start(): void {
 		this.run().catch(this.context.fail)
@@ -168,150 +166,13 @@
 			row.reachable = true
 			context.events.info('backend-regained', { backend: row.id })
 		}
-		if (row.incarnation !== listing.incarnation) this.handleIncarnationChange(listing.incarnation)
-		row.clockOffset = listing.clock - context.timers.now()
-		row.hasUnreadRuns = [...listing.running, ...listing.ended].some(({ task }) =>
-			this.mayBeUnread(task)
-		)
-		const listed = this.updateRunningTasks(listing)
-		this.processEnds(listing, listed)
-		if (listing.isComplete) this.handleUnlistedTasks(listed, sentAt)
+		this.reconciler.apply(listing, sentAt)
 		if (row.reconciled) return
 		row.reconciled = true
 		context.events.info('backend-reconciled', { backend: row.id, running: row.tasks.size })
 		this.options.replan()
 	}
 
-	/**
-	 * Handles a server that has started again under its id. Runs that the listing does not name have
-	 * ended with the process before; those that it names began after the restart.
-	 */
-	private handleIncarnationChange(incarnation: number): void {
-		const { row, context } = this
-		const previous = row.incarnation
-		row.incarnation = incarnation
-		row.lastProcessedEnd = 0
-		row.lastAcknowledgedEnd = 0
-		if (previous === 0) return
-		// The request that shows the restart may have asked for a lease on the clock before.
-		const latestExpiry = LeaseTiming.getLatestGrantedExpiry(context.timers.now())
-		row.leasesExpireBy = Math.max(row.leasesExpireBy, latestExpiry)
-		context.events.warn('backend-restarted', { backend: row.id, before: previous, incarnation })
-	}
-
-	/** Updates the tasks that are listed as running and returns their ids. */
-	private updateRunningTasks(listing: RunListing): Set<string> {
-		const { row } = this
-		const listed = new Set<string>()
-		for (const run of listing.running) {
-			const task = row.tasks.get(run.task)
-			if (task?.attempt !== run.attempt) {
-				this.stopUnexpectedRun(run.task, run.attempt)
-				continue
-			}
-			listed.add(run.task)
-			if (run.checkpoint !== '') task.checkpoint = run.checkpoint
-			this.updateProgress(task, run.percent)
-			this.confirmOrder(task)
-		}
-		return listed
-	}
-
-	private confirmOrder(task: TaskRow): void {
-		if (task.orderState === 'confirmed' || task.orderState === 'barred') return
-		task.orderState = 'confirmed'
-		// A listing that was requested before may still arrive, without the run.
-		task.orderStateChangedAt = this.context.timers.now()
-	}
-
-	private updateProgress(task: TaskRow, percent: number): void {
-		task.percent = percent
-		if (!task.step.lasting) return
-		if (percent < 100) task.availableSince = undefined
-		else task.availableSince ??= this.context.timers.now()
-	}
-
-	private processEnds(listing: RunListing, listed: Set<string>): void {
-		const { row, options } = this
-		const newEnds = selectNewEnds(listing.ended, row.lastProcessedEnd, (task) =>
-			this.mayBeUnread(task)
-		)
-		row.lastProcessedEnd = newEnds.lastProcessedEnd
-		for (const end of newEnds.ends) {
-			const task = row.tasks.get(end.task)
-			if (task?.attempt === end.attempt) {
-				listed.delete(end.task)
-				options.taskUpdater.endRun(task, end.ending, end.checkpoint, 'listed')
-			} else this.processEarlierEnd(end)
-		}
-		const { lastProcessedEnd, incarnation } = row
-		if (lastProcessedEnd <= row.lastAcknowledgedEnd) return
-		options.writer.whenWritten(() => {
-			if (row.incarnation !== incarnation) return
-			row.lastAcknowledgedEnd = Math.max(row.lastAcknowledgedEnd, lastProcessedEnd)
-		})
-	}
-
-	/** Handles the end of a run that is not the current one of its task. */
-	private processEarlierEnd(end: RunListing['ended'][number]): void {
-		const { context, row, options } = this
-		const task = context.jobs.getTask(end.task)
-		if (!task || task.phase === 'done') return
-		const completes = completesTask(task, end)
-		const { attempt, ending } = end
-		const { phase, attempt: currentAttempt } = task
-		const details = { task: task.id, attempt, backend: row.id, ending, phase, currentAttempt }
-		context.events.info('earlier-run-ended', { ...details, completes })
-		if (completes) options.taskUpdater.endRun(task, 'done', end.checkpoint, 'listed late')
-	}
-
-	/** Handles placed tasks that the server does not list. */
-	private handleUnlistedTasks(listed: ReadonlySet<string>, sentAt: number): void {
-		const { row, options } = this
-		const age = Math.round(this.context.timers.now() - sentAt)
-		const listing = `listing of ${row.incarnation} requested ${age} ms ago, ends read to ${row.lastProcessedEnd}`
-		for (const task of [...row.tasks.values()]) {
-			// The listing may be older than an order whose state changed after it was requested.
-			if (listed.has(task.id) || task.orderStateChangedAt >= sentAt) continue
-			switch (task.orderState) {
-				case 'recorded':
-				case 'sent':
-					// The answer to the start order decides.
-					break
-				case 'confirmed':
-				case 'barred':
-				case 'inherited':
-					options.taskUpdater.endRun(
-						task,
-						'lost',
-						'',
-						`not listed, order ${task.orderState}, ${listing}`
-					)
-					break
-				case 'unclear':
-					options.dispatcher.stopTask(task).catch(this.context.fail)
-					break
-			}
-		}
-	}
-
-	/** Whether the task may belong to a job that earlier owners have read, but this one has not yet. */
-	private mayBeUnread(task: string): boolean {
-		return this.context.jobs.getTask(task) === undefined && !this.options.isIntakeRead()
-	}
-
-	private stopUnexpectedRun(task: string, attempt: number): void {
-		if (this.mayBeUnread(task)) return
-		const now = this.context.timers.now()
-		const key = `${task}/${attempt}`
-		if ((this.unexpectedRunStops.get(key) ?? -Infinity) > now - UNEXPECTED_RUN_STOP_PAUSE) return
-		if (this.unexpectedRunStops.size > 1_000) this.unexpectedRunStops.clear()
-		this.unexpectedRunStops.set(key, now)
-		this.context.events.warn('run-unwanted', { task, attempt, backend: this.row.id })
-		const order = this.options.dispatcher.sendStopOrder(this.row, task, attempt)
-		order.catch(this.context.fail)
-	}
-
 	private handleRenewalError(
 		result: Exclude<RenewalResult, { kind: 'listed' }>,
 		sentAt: number
