--- a/packages/jobs/src/lib/owner/acknowledgementAfterRestart.test.ts
+++ b/packages/jobs/src/lib/owner/acknowledgementAfterRestart.test.ts
@@ -1,7 +1,6 @@
 import { describe, expect, it } from 'vitest'
-import { createTestFleet } from '../testing/createTestFleet.js'
+import { createSingleServerFleet } from '../testing/createSingleServerFleet.js'
 
-const { createJob } = createTestFleet
 /** Time from the start of the first runs to the crash of the idle server, in milliseconds. */
 const CRASH_TIMES = [520, 600, 700, 900, 1_000, 1_100, 1_200]
 /** Time from the crash to the submission of the next tasks, in milliseconds. */
@@ -14,7 +13,7 @@
 	it.each(CRASH_TIMES.flatMap((crash) => PAUSES.map((pause) => [crash, pause] as const)))(
 		'drops no end of the new process, crash after %i ms, tasks %i ms later',
 		async (crash, pause) => {
-			const { fleet, backend, submit, getRuns } = await createRunningFleet()
+			const { fleet, backend, submit, getRuns } = await createSingleServerFleet()
 			submit(1, 8)
 			await fleet.advance(crash)
 			backend.restart()
@@ -27,19 +26,3 @@
 		}
 	)
 })
-
-/** Creates a fleet of one server, whose tasks run for 400 ms. */
-async function createRunningFleet() {
-	const fleet = createTestFleet({ instances: 1, backends: 1 })
-	const backend = fleet.backends.get('b1')
-	if (!backend) throw new Error('no backend server')
-	backend.getRunDuration = () => 400
-	await fleet.advance(500)
-	const submit = (number: number, count: number): void => {
-		const job = createJob(number, [{ count }])
-		void fleet.instances[0]?.daemon.intake.submit(job, fleet.timers.now() + 2_000)
-	}
-	const getRuns = (number: number, index: number) =>
-		fleet.journal.getRuns(`${createJob(number, []).id}.0.0.${index}`)
-	return { fleet, backend, submit, getRuns }
-}
--- a/packages/jobs/src/lib/owner/serverRestart.test.ts
+++ b/packages/jobs/src/lib/owner/serverRestart.test.ts
@@ -1,7 +1,6 @@
 import { describe, expect, it } from 'vitest'
-import { createTestFleet } from '../testing/createTestFleet.js'
+import { createSingleServerFleet } from '../testing/createSingleServerFleet.js'
 
-const { createJob } = createTestFleet
 /** Time from the restart of an idle server to the next submission, in milliseconds. */
 const DELAYS = [0, 40, 300, 900]
 const SHORT_RUN = 60
@@ -10,10 +9,10 @@
 // right after a restart of its server that the owner had not seen yet.
 describe('a backend server that starts again under its id', () => {
 	it.each(DELAYS)('runs a task once that is started %i ms later', async (delay) => {
-		const { fleet, submit, getRuns } = await createRunningFleet()
+		const { fleet, backend, submit, getRuns } = await createSingleServerFleet()
 		submit(1, 4)
 		await fleet.advance(2_000)
-		fleet.backends.get('b1')?.restart()
+		backend.restart()
 		await fleet.advance(delay)
 		submit(3, 3)
 		await fleet.advance(5_000)
@@ -24,14 +23,13 @@
 	it.each(DELAYS)(
 		'and its ends are read that came before its first listing, %i ms',
 		async (delay) => {
-			const { fleet, submit, getRuns } = await createRunningFleet()
+			const { fleet, backend, submit, getRuns } = await createSingleServerFleet()
 			submit(1, 4)
 			await fleet.advance(2_000)
 			submit(2, 1)
 			await fleet.advance(200)
-			const backend = fleet.backends.get('b1')
-			backend?.restart()
-			if (backend) backend.getRunDuration = () => SHORT_RUN
+			backend.restart()
+			backend.getRunDuration = () => SHORT_RUN
 			await fleet.advance(delay)
 			submit(3, 3)
 			await fleet.advance(5_000)
@@ -40,17 +38,3 @@
 		}
 	)
 })
-
-/** Creates a fleet of one server, whose tasks run for 400 ms. */
-async function createRunningFleet() {
-	const fleet = createTestFleet({ instances: 1, backends: 1 })
-	for (const backend of fleet.backends.values()) backend.getRunDuration = () => 400
-	await fleet.advance(500)
-	const submit = (number: number, count: number): void => {
-		const job = createJob(number, [{ count }])
-		void fleet.instances[0]?.daemon.intake.submit(job, fleet.timers.now() + 2_000)
-	}
-	const getRuns = (number: number, index: number) =>
-		fleet.journal.getRuns(`${createJob(number, []).id}.0.0.${index}`)
-	return { fleet, submit, getRuns }
-}
