--- a/packages/core/src/lib/jobs/overloadedPool.test.ts
+++ b/packages/core/src/lib/jobs/overloadedPool.test.ts
@@ -12,8 +12,8 @@
 const STRETCH = 1.6
 const LATENCY_ALLOWANCE = 600
 
-// Guards against a pool that begins all jobs of a peak and finishes almost none on time: with three
-// times more work than it could do, 31% were on time, as tasks in progress and later steps were not counted.
+// Guards against a pool that begins more jobs of a peak than it can finish on time, because tasks in
+// progress and the later steps of begun jobs do not count.
 it('a pool with a third of the cores that a peak needs finishes every second job on time', () => {
 	const shares = SEEDS.map((seed) => getShareOnTime(3, seed))
 	expect(shares.reduce((sum, share) => sum + share, 0) / shares.length).toBeGreaterThan(0.5)
