Let each owner go on with the wait for the leases on a lost server

Cause: until when leases on a server may hold belonged to one term. A new owner expected 11.4 s from its own start (5 s in which an earlier owner may renew, a lease of up to 6 s, a margin), whatever the terms before it knew, and the next one again.

Change: the conclusion is a record. An owner whose server did not answer twice records that its leases are not renewed and how long they may still hold (lease/ID); the next one counts that from when it received the record, on its own clock. Before the server gets a lease again, the log says so. An owner records its term (term/TOKEN) before it sends an order and may act only for 5 s from the first attempt of its latest confirmed record; so its successor counts from when it received the latest record, not from its own start. The end of a term is recorded by the process that held it, by the next process of the same instance, or by a later owner once the time has passed. Leases of a server's earlier clock, which may be longer, are recorded too.

Ruled out: a shorter silence of owners (tasks would lapse in an outage of the log that they survive now); trusting a refused connection or a missing registration (a cut network shows both).

Why it works: every wait is bounded by what was recorded or received before the change of the owner, so that a change adds nothing to it.

--- a/packages/core/src/lib/jobs/BackendRow.ts
+++ b/packages/core/src/lib/jobs/BackendRow.ts
@@ -34,7 +34,7 @@
 	avoidedUntil: number
 	/** Its clock minus the owner's monotonic clock, in milliseconds. */
 	clockOffset: number
-	/** Time by which every lease it can hold has expired. */
+	/** Time by which every lease that this owner has requested has expired. */
 	leasesExpireBy: number
 	/** Number of the latest end of a run that was processed. */
 	lastProcessedEnd: number
--- a/packages/jobs/src/lib/JobDaemon.ts
+++ b/packages/jobs/src/lib/JobDaemon.ts
@@ -12,6 +12,7 @@
 import type { JobMetrics } from './metrics/JobMetrics.js'
 import { OwnerTerm } from './owner/OwnerTerm.js'
 import { Ownership } from './owner/Ownership.js'
+import { TermReporter } from './owner/TermReporter.js'
 import type { BackendServerClient } from './ports/BackendServerClient.js'
 import type { MachineController } from './ports/MachineController.js'
 import type { MetadataLog } from './ports/MetadataLog.js'
@@ -47,8 +48,9 @@
 	private readonly intakeFollowers: ReadonlyMap<IntakeStream, StreamFollower>
 	private readonly progressFollower: StreamFollower
 	private readonly ownership: Ownership
-	/** Monotonic instant at which the latest record of an owner was read. */
-	private ownerSeenAt: number
+	private readonly termReporter: TermReporter
+	/** Monotonic instant of the start. */
+	private readonly startedAt: number
 	private term: OwnerTerm | undefined
 	private stopping = false
 
@@ -59,6 +61,8 @@
 			 * under the same name it could become the owner under the fencing token of the process before.
 			 */
 			readonly member: string
+			/** Name of this instance; the same for each of its processes, of which one runs at a time. */
+			readonly instance: string
 			/** Whether the owner should be this instance rather than one that is not preferred. */
 			readonly isPreferredOwner: boolean
 			readonly log: MetadataLog
@@ -74,8 +78,15 @@
 		}
 	) {
 		const { log, timers, events, metrics, format, member, getWallTime } = options
-		this.ownerSeenAt = timers.now()
-		this.replica = new JobReplica(events)
+		this.startedAt = timers.now()
+		this.replica = new JobReplica(events, timers)
+		this.termReporter = new TermReporter({
+			instance: options.instance,
+			terms: this.replica.terms,
+			log,
+			timers,
+			events,
+		})
 		this.configuration = new ConfigurationManager({ log, timers, events, format })
 		this.intakeFollowers = new Map(
 			intakeStreams.map((stream) => [stream, this.createIntakeFollower(stream)])
@@ -86,13 +97,15 @@
 			timers,
 			events,
 			(entry) => {
-				this.ownerSeenAt = timers.now()
 				this.replica.applyProgress(entry)
 			},
 			{
 				maximumWait: MAXIMUM_PROGRESS_WAIT,
 				getPollDelay: () => PROGRESS_POLL_DELAY,
 				loadLimit: this.loadLimit,
+				onLoaded: () => {
+					this.handleProgressLoaded()
+				},
 			}
 		)
 		const writer = new IntakeWriter(
@@ -182,7 +195,9 @@
 	private getOwnerSilence(): number | undefined {
 		const { loaded, available, recoveredAt } = this.progressFollower
 		if (!loaded || !available) return undefined
-		return this.options.timers.now() - Math.max(this.ownerSeenAt, recoveredAt ?? -Infinity)
+		const { ownerSeenAt } = this.replica.terms
+		const since = Math.max(this.startedAt, ownerSeenAt, recoveredAt ?? -Infinity)
+		return this.options.timers.now() - since
 	}
 
 	private createIntakeFollower(stream: IntakeStream): StreamFollower {
@@ -209,6 +224,7 @@
 		this.endTerm()
 		const term = new OwnerTerm({
 			token,
+			instance: this.options.instance,
 			log,
 			backendClient,
 			format,
@@ -229,6 +245,7 @@
 				events.warn('owner-abandoned', { token, reason })
 				this.term = undefined
 				this.ownership.clearTerm()
+				this.reportTermEnd(token)
 			},
 		})
 		this.term = term
@@ -236,7 +253,19 @@
 	}
 
 	private endTerm(): void {
-		this.term?.end()
+		const { term } = this
+		if (!term) return
+		term.end()
 		this.term = undefined
+		this.reportTermEnd(term.token)
+	}
+
+	private reportTermEnd(token: number): void {
+		void this.termReporter.reportEnd(token)
+	}
+
+	private handleProgressLoaded(): void {
+		this.replica.terms.recordLoad(this.options.timers.now())
+		if (!this.term) void this.termReporter.reportEarlierProcesses()
 	}
 }
--- a/packages/jobs/src/lib/callers/JobIntake.lines.test.ts
+++ b/packages/jobs/src/lib/callers/JobIntake.lines.test.ts
@@ -60,7 +60,7 @@
 	if (!progress) throw new Error('no follower of progress')
 	const followers = [...intakeFollowers, progress]
 	const writer = new IntakeWriter(log, timers, events, new Map())
-	const replica = new JobReplica(events)
+	const replica = new JobReplica(events, timers)
 	const intake = new JobIntake(replica, writer, followers, progress, events, timers)
 	const advance = async (duration: number): Promise<void> => {
 		for (let step = 0; step < duration; step += 1) {
--- a/packages/jobs/src/lib/log/JobRecords.ts
+++ b/packages/jobs/src/lib/log/JobRecords.ts
@@ -3,6 +3,8 @@
 import type { WaveProgress } from '../machines/WaveProgress.js'
 import type { BackendRegistration } from '../ports/BackendRegistration.js'
 import type { LogRecord } from '../ports/LogRecord.js'
+import type { LeaseRecord } from './LeaseRecord.js'
+import type { OwnerHeartbeat } from './OwnerHeartbeat.js'
 import { createProgressValue } from './createProgressValue.js'
 import { parseProgressValue } from './parseProgressValue.js'
 
@@ -11,6 +13,8 @@
 const WAVE_PREFIX = 'wave/'
 const BACKEND_PREFIX = 'backend/'
 const MACHINE_PREFIX = 'machine/'
+const LEASE_PREFIX = 'lease/'
+const TERM_PREFIX = 'term/'
 const OWNER_KEY = 'owner/heartbeat'
 
 /**
@@ -78,7 +82,66 @@
 	 * @param heartbeat.writtenAt - milliseconds since 1970
 	 */
 	createOwnerRecord(heartbeat: { readonly token: number; readonly writtenAt: number }): LogRecord {
-		return { key: OWNER_KEY, value: JSON.stringify(heartbeat) }
+		return { key: OWNER_KEY, value: JSON.stringify({ ...heartbeat, isTermRecorded: true }) }
+	},
+
+	/** Throws if the value is not a heartbeat. */
+	parseOwner(value: string): OwnerHeartbeat {
+		const heartbeat = JSON.parse(value) as Partial<OwnerHeartbeat> | null
+		if (typeof heartbeat?.token !== 'number') throw new Error('heartbeat has no token')
+		return { token: heartbeat.token, isTermRecorded: heartbeat.isTermRecorded === true }
+	},
+
+	getTermKey(token: number): string {
+		return TERM_PREFIX + String(token)
+	},
+
+	/** Creates the record of a term of ownership, which is deleted once nothing is sent in it any more. */
+	createTermRecord(token: number, instance: string): LogRecord {
+		return { key: JobRecords.getTermKey(token), value: JSON.stringify({ instance }) }
+	},
+
+	createTermTombstone(token: number): LogRecord {
+		return { key: JobRecords.getTermKey(token), value: undefined }
+	},
+
+	/** Returns the fencing token of the term that a progress record belongs to, if any. */
+	parseTermKey(key: string): number | undefined {
+		if (!key.startsWith(TERM_PREFIX)) return undefined
+		const token = Number(key.slice(TERM_PREFIX.length))
+		return Number.isSafeInteger(token) ? token : undefined
+	},
+
+	/** Returns the instance that holds a term. Throws if the value names none. */
+	parseTerm(value: string): string {
+		const term = JSON.parse(value) as { readonly instance?: unknown } | null
+		if (typeof term?.instance !== 'string') throw new Error('term has no instance')
+		return term.instance
+	},
+
+	getLeaseKey(id: BackendId): string {
+		return LEASE_PREFIX + id
+	},
+
+	createLeaseRecord(id: BackendId, lease: LeaseRecord): LogRecord {
+		return { key: JobRecords.getLeaseKey(id), value: JSON.stringify(lease) }
+	},
+
+	createLeaseTombstone(id: BackendId): LogRecord {
+		return { key: JobRecords.getLeaseKey(id), value: undefined }
+	},
+
+	/** Returns the id of the backend server whose leases a progress record describes, if any. */
+	parseLeaseKey(key: string): BackendId | undefined {
+		return key.startsWith(LEASE_PREFIX) ? key.slice(LEASE_PREFIX.length) : undefined
+	},
+
+	/** Throws if the value does not describe leases. */
+	parseLease(value: string): LeaseRecord {
+		const lease = JSON.parse(value) as Partial<LeaseRecord> | null
+		if (typeof lease?.renewed !== 'boolean') throw new Error('lease record lacks renewed')
+		if (typeof lease.remaining !== 'number') throw new Error('lease record lacks remaining')
+		return { renewed: lease.renewed, remaining: lease.remaining }
 	},
 
 	/** Returns the id of the backend server that a progress record belongs to, if any. */
--- a/packages/jobs/src/lib/log/JobReplica.ts
+++ b/packages/jobs/src/lib/log/JobReplica.ts
@@ -1,12 +1,15 @@
-import type { BackendId, Job, JobId, JobSnapshot, JobState } from '@mastichead/core'
+import type { BackendId, JobId, JobState, TimerService } from '@mastichead/core'
 import { isFinalState } from '@mastichead/core'
 import type { EventLog } from '../logs/EventLog.js'
 import type { MachineOrder } from '../machines/MachineOrder.js'
 import type { WaveProgress } from '../machines/WaveProgress.js'
 import type { BackendRegistration } from '../ports/BackendRegistration.js'
 import type { LogEntry } from '../ports/LogEntry.js'
+import { LeaseTiming } from '../owner/LeaseTiming.js'
 import { JobRecords } from './JobRecords.js'
+import type { RecordedLease } from './RecordedLease.js'
 import type { ReplicaRow } from './ReplicaRow.js'
+import { TermHistory } from './TermHistory.js'
 
 /**
  * In-memory replica of all jobs, built from the log on every instance. It contains only durable
@@ -22,11 +25,17 @@
 	readonly backends = new Map<BackendId, BackendRegistration>()
 	/** Latest order for each machine by an owner that records its orders. */
 	readonly machineOrders = new Map<string, MachineOrder>()
+	/** What owners recorded about the leases on backend servers. */
+	readonly leases = new Map<BackendId, RecordedLease>()
+	readonly terms = new TermHistory()
 	/** Whether an owner was seen that records its orders for machines; earlier versions do not. */
 	recordsMachineOrders = false
 	private readonly jobListeners = new Set<(row: ReplicaRow) => void>()
 
-	constructor(private readonly events: EventLog) {}
+	constructor(
+		private readonly events: EventLog,
+		private readonly timers: Pick<TimerService, 'now'>
+	) {}
 
 	/** Calls `listener` when a job is submitted or cancelled. */
 	subscribe(listener: (row: ReplicaRow) => void): { cancel(): void } {
@@ -85,8 +94,19 @@
 
 	/** Applies a record that was written by an owner. */
 	applyProgress(entry: LogEntry): void {
+		const term = JobRecords.parseTermKey(entry.key)
+		if (term !== undefined) {
+			this.applyTerm(term, entry)
+			return
+		}
+		this.terms.recordSign(this.timers.now())
 		if (entry.key === JobRecords.ownerKey) {
-			this.recordsMachineOrders = true
+			this.applyHeartbeat(entry)
+			return
+		}
+		const lease = JobRecords.parseLeaseKey(entry.key)
+		if (lease !== undefined) {
+			this.applyLease(lease, entry)
 			return
 		}
 		const machine = JobRecords.parseMachineKey(entry.key)
@@ -112,6 +132,37 @@
 		row.snapshot = this.parse(entry, (value) => JobRecords.parseProgress(value)) ?? row.snapshot
 	}
 
+	private applyHeartbeat(entry: LogEntry): void {
+		this.recordsMachineOrders = true
+		const heartbeat = this.parse(entry, (value) => JobRecords.parseOwner(value))
+		if (!heartbeat) return
+		const { token, isTermRecorded } = heartbeat
+		this.terms.recordHeartbeat(token, isTermRecorded, this.timers.now())
+	}
+
+	private applyTerm(token: number, entry: LogEntry): void {
+		if (entry.value === undefined) {
+			this.terms.recordEnd(token, this.timers.now())
+			return
+		}
+		const instance = this.parse(entry, (value) => JobRecords.parseTerm(value)) ?? ''
+		this.terms.recordBegin(token, instance, this.timers.now())
+	}
+
+	private applyLease(id: BackendId, entry: LogEntry): void {
+		const lease =
+			entry.value === undefined
+				? undefined
+				: this.parse(entry, (value) => JobRecords.parseLease(value))
+		if (!lease) {
+			this.leases.delete(id)
+			return
+		}
+		const { renewed, remaining } = lease
+		const expiresBy = LeaseTiming.getLatestArrival(this.timers.now(), remaining)
+		this.leases.set(id, { renewed, expiresBy })
+	}
+
 	private applyBackend(id: BackendId, entry: LogEntry): void {
 		if (entry.value === undefined) {
 			this.backends.delete(id)
@@ -139,10 +190,7 @@
 		return row
 	}
 
-	private parse<T extends Job | JobSnapshot | WaveProgress | BackendRegistration | MachineOrder>(
-		entry: LogEntry,
-		parse: (value: string) => T
-	): T | undefined {
+	private parse<T>(entry: LogEntry, parse: (value: string) => T): T | undefined {
 		try {
 			return parse(entry.value ?? '')
 		} catch (error) {
--- a/packages/jobs/src/lib/owner/BackendMonitor.limits.failure.test.ts
+++ b/packages/jobs/src/lib/owner/BackendMonitor.limits.failure.test.ts
@@ -7,7 +7,9 @@
 import type { RenewalResult } from '../ports/RenewalResult.js'
 import { createTestContext } from '../testing/createTestContext.js'
 import { BackendMonitor } from './BackendMonitor.js'
+import { JobReplica } from '../log/JobReplica.js'
 import { createListingQueues } from './createListingQueues.js'
+import { LeaseLedger } from './LeaseLedger.js'
 import type { OrderDispatcher } from './OrderDispatcher.js'
 import type { ProgressWriter } from './ProgressWriter.js'
 import type { TaskUpdater } from './TaskUpdater.js'
@@ -85,10 +87,12 @@
 	const timers = new VirtualTimerService()
 	const context = { ...createTestContext(timers), backendClient: new NarrowClient(timers) }
 	const ignore = (): void => undefined
+	const writer = { whenDurable: ignore } as unknown as ProgressWriter
 	const options = {
 		taskUpdater: { endLostRuns: ignore } as unknown as TaskUpdater,
 		dispatcher: {} as unknown as OrderDispatcher,
-		writer: { whenDurable: ignore } as unknown as ProgressWriter,
+		writer,
+		leases: new LeaseLedger(context, writer, new JobReplica(context.events, timers)),
 		...createListingQueues(),
 		replan: ignore,
 		isIntakeRead: () => true,
--- a/packages/jobs/src/lib/owner/BackendMonitor.ts
+++ b/packages/jobs/src/lib/owner/BackendMonitor.ts
@@ -1,6 +1,7 @@
 import type { BackendRow } from '@mastichead/core'
 import type { RenewalResult } from '../ports/RenewalResult.js'
 import type { RunListing } from '../ports/RunListing.js'
+import type { LeaseLedger } from './LeaseLedger.js'
 import { LeaseTiming } from './LeaseTiming.js'
 import type { ConcurrencyLimit } from '../ConcurrencyLimit.js'
 import type { OrderDispatcher } from './OrderDispatcher.js'
@@ -45,6 +46,7 @@
 			readonly taskUpdater: TaskUpdater
 			readonly dispatcher: OrderDispatcher
 			readonly writer: ProgressWriter
+			readonly leases: LeaseLedger
 			/** Limits of the first listing of each server and of its repetitions, shared by all monitors. */
 			readonly firstListings: ConcurrencyLimit
 			readonly repeatedListings: ConcurrencyLimit
@@ -141,13 +143,13 @@
 			return false
 		}
 		// An unreachable server gets no new leases, so that the leases of its runs can expire.
-		const renewsLeases = row.reconciled && row.reachable
+		const renewsLeases = row.reconciled && row.reachable && this.options.leases.mayRenew(row)
 		if (renewsLeases)
 			row.leasesExpireBy = Math.max(row.leasesExpireBy, LeaseTiming.getLatestExpiry(sentAt))
 		const result = await context.backendClient.renew(row, {
 			token: context.token,
 			acknowledged: { incarnation: row.incarnation, through: row.lastAcknowledgedEnd },
-			leaseEnd: renewsLeases ? sentAt + row.clockOffset + LeaseTiming.duration : undefined,
+			leaseEnd: renewsLeases ? LeaseTiming.getLeaseEnd(sentAt, row.clockOffset) : undefined,
 			wait,
 		})
 		context.metrics.count('listings', result.kind)
@@ -161,16 +163,25 @@
 	}
 
 	private handleListing(listing: RunListing, sentAt: number): void {
-		const { row, context } = this
-		if (!row.reachable) {
+		const { row, context, options } = this
+		this.reconciler.apply(listing, sentAt)
+		if (!row.reconciled) {
+			row.reconciled = true
+			options.leases.handleReconciled(row)
+			context.events.info('backend-reconciled', { backend: row.id, running: row.tasks.size })
+			options.replan()
+		}
+		if (!row.reachable) this.regain()
+	}
+
+	/** Uses the server again once its leases may be renewed. */
+	private regain(): void {
+		const { row, context, options } = this
+		options.leases.resume(row, () => {
 			row.reachable = true
 			context.events.info('backend-regained', { backend: row.id })
-		}
-		this.reconciler.apply(listing, sentAt)
-		if (row.reconciled) return
-		row.reconciled = true
-		context.events.info('backend-reconciled', { backend: row.id, running: row.tasks.size })
-		this.options.replan()
+			options.replan()
+		})
 	}
 
 	private handleRenewalError(
@@ -195,9 +206,11 @@
 	private handleUnreachable(reason: string, sentAt: number, isGone = false): void {
 		const { row, context, options } = this
 		if (row.reachable) context.events.warn('backend-lost', { backend: row.id, reason })
+		// A single lost answer is no reason to give up the leases.
+		else if (row.tasks.size > 0) options.leases.suspend(row)
 		row.reachable = false
 		for (const task of row.tasks.values()) task.availableSince = undefined
-		if (!isGone && sentAt < row.leasesExpireBy) return
+		if (!isGone && sentAt < options.leases.getExpiry(row)) return
 		if (row.tasks.size === 0) return
 		for (const task of row.tasks.values()) {
 			if (task.orderState === 'unclear') task.orderState = 'barred'
--- a/packages/jobs/src/lib/owner/JobRetention.failure.test.ts
+++ b/packages/jobs/src/lib/owner/JobRetention.failure.test.ts
@@ -73,7 +73,7 @@
 	if (unread) store.unavailableStreams.add(unread)
 	const log = new MemoryLog(store, timers)
 	const context = { ...createTestContext(timers), getWallTime: () => NOW }
-	const replica = new JobReplica(context.events)
+	const replica = new JobReplica(context.events, timers)
 	const options = { maximumWait: 0, getPollDelay: () => 50 }
 	const createFollower = (stream: 'progress' | IntakeStream): StreamFollower =>
 		new StreamFollower(
--- a/packages/jobs/src/lib/owner/LeaseTiming.ts
+++ b/packages/jobs/src/lib/owner/LeaseTiming.ts
@@ -1,13 +1,13 @@
 /** Duration of the leases that the owner requests, in milliseconds. */
 const DURATION = 4_000
-/** Fraction by which a backend server's clock may run slower than the owner's. */
+/** Fraction by which one clock may run slower than another. */
 const MAXIMUM_CLOCK_DRIFT = 0.02
 /** Time for the last order to arrive and for a run to be killed after its lease, in milliseconds. */
 const EXPIRY_MARGIN = 300
-/** Longest lease that an owner may have requested, its view of the clocks included, in milliseconds. */
-const MAXIMUM_DURATION = 6_000
 /** Longest lease that any backend server grants, in milliseconds. */
 const LONGEST_GRANT = 10_000
+/** How long an owner that the log does not answer may renew leases, in milliseconds. */
+const MAXIMUM_OWNER_SILENCE = 5_000
 
 /**
  * Durations and expiry times of the leases on runs, all in milliseconds.
@@ -15,14 +15,20 @@
  * @public
  */
 export const LeaseTiming = {
-	/** Duration of the leases that the owner requests. */
-	duration: DURATION,
+	/**
+	 * How long an owner that the log does not answer may renew leases, on its own clock. After this time
+	 * another owner may rely on them to expire.
+	 */
+	maximumOwnerSilence: MAXIMUM_OWNER_SILENCE,
 
 	/**
-	 * How long an owner that cannot reach the log may renew leases. After this time another owner may
-	 * rely on them to expire.
+	 * Returns the end of a lease on the backend server's clock.
+	 *
+	 * @param clockOffset - the server's clock minus the owner's
 	 */
-	maximumOwnerSilence: 5_000,
+	getLeaseEnd(now: number, clockOffset: number): number {
+		return now + clockOffset + DURATION
+	},
 
 	/** Returns the time by which a lease requested at `requestedAt` has expired. */
 	getLatestExpiry(requestedAt: number): number {
@@ -34,13 +40,16 @@
 		return now + LONGEST_GRANT * (1 + MAXIMUM_CLOCK_DRIFT) + EXPIRY_MARGIN
 	},
 
-	/** Returns the time by which all leases of an owner that was replaced at `now` have expired. */
-	getLatestInheritedExpiry(now: number): number {
-		return (
-			now +
-			LeaseTiming.maximumOwnerSilence +
-			MAXIMUM_DURATION * (1 + MAXIMUM_CLOCK_DRIFT) +
-			EXPIRY_MARGIN
-		)
+	/**
+	 * Returns the time by which an owner has stopped renewing leases that had contact with the log at
+	 * `contactAt` or before, on the clock of another instance.
+	 */
+	getLatestOrder(contactAt: number): number {
+		return contactAt + MAXIMUM_OWNER_SILENCE * (1 + MAXIMUM_CLOCK_DRIFT)
+	},
+
+	/** Returns the time by which something has passed that another instance's clock measured. */
+	getLatestArrival(now: number, remaining: number): number {
+		return now + remaining * (1 + MAXIMUM_CLOCK_DRIFT)
 	},
 } as const
--- /dev/null
+++ b/packages/jobs/src/lib/owner/MonitorTable.ts
@@ -0,0 +1,63 @@
+import type { BackendId, BackendRow } from '@mastichead/core'
+import { BackendMonitor } from './BackendMonitor.js'
+import { createListingQueues } from './createListingQueues.js'
+import type { LeaseLedger } from './LeaseLedger.js'
+import type { OrderDispatcher } from './OrderDispatcher.js'
+import type { OwnerContext } from './OwnerContext.js'
+import type { ProgressWriter } from './ProgressWriter.js'
+import type { TaskUpdater } from './TaskUpdater.js'
+
+/**
+ * The monitors of all backend servers in a term.
+ *
+ * @internal
+ */
+export class MonitorTable {
+	private readonly monitors = new Map<BackendId, BackendMonitor>()
+	private readonly listingQueues = createListingQueues()
+
+	constructor(
+		private readonly context: OwnerContext,
+		private readonly options: {
+			readonly taskUpdater: TaskUpdater
+			readonly dispatcher: OrderDispatcher
+			readonly writer: ProgressWriter
+			readonly leases: LeaseLedger
+			readonly replan: () => void
+			/** Whether every job that an earlier owner may have started has been read. */
+			readonly isIntakeRead: () => boolean
+		}
+	) {}
+
+	/** Starts the monitor of a backend server unless it runs already. */
+	start(row: BackendRow): void {
+		if (this.monitors.has(row.id)) return
+		// Its leases are only renewed once the log says so.
+		if (!this.options.leases.mayRenew(row)) row.reachable = false
+		const monitor = new BackendMonitor(this.context, row, {
+			...this.options,
+			...this.listingQueues,
+		})
+		this.monitors.set(row.id, monitor)
+		monitor.start()
+	}
+
+	/** Makes the monitor look at its server now if it is idle. */
+	wakeUp(id: BackendId): void {
+		this.monitors.get(id)?.wakeUp()
+	}
+
+	/** Requests a listing of a backend server's runs immediately. */
+	requestListing(id: BackendId): void {
+		this.monitors.get(id)?.requestListing()
+	}
+
+	remove(id: BackendId): void {
+		this.monitors.get(id)?.stop()
+		this.monitors.delete(id)
+	}
+
+	stop(): void {
+		for (const monitor of this.monitors.values()) monitor.stop()
+	}
+}
--- a/packages/jobs/src/lib/owner/OrderDispatcher.ts
+++ b/packages/jobs/src/lib/owner/OrderDispatcher.ts
@@ -1,5 +1,6 @@
 import type { BackendRow, TaskPlacement, TaskRow } from '@mastichead/core'
 import type { BackendOrderResult } from '../ports/BackendOrderResult.js'
+import type { LeaseLedger } from './LeaseLedger.js'
 import { LeaseTiming } from './LeaseTiming.js'
 import type { OwnerContext } from './OwnerContext.js'
 import { detectRestart } from './detectRestart.js'
@@ -26,6 +27,7 @@
 	 */
 	constructor(
 		private readonly context: OwnerContext,
+		private readonly leases: LeaseLedger,
 		private readonly getTaskUpdater: () => TaskUpdater,
 		private readonly requestListing: (backend: BackendRow) => void,
 		private readonly onOrderFailure: (backend: BackendRow, reason: string) => void,
@@ -50,9 +52,18 @@
 			this.getTaskUpdater().endRun(task, 'stopped', '', 'stopped before its start order was sent')
 			return
 		}
+		if (!this.leases.mayRenew(backend)) {
+			this.getTaskUpdater().endRun(
+				task,
+				'stopped',
+				'',
+				'server lost before its start order was sent'
+			)
+			return
+		}
 		const { backendClient, timers, token, metrics } = this.context
 		setOrderState(task, 'sent', timers.now())
-		const leaseEnd = timers.now() + backend.clockOffset + LeaseTiming.duration
+		const leaseEnd = LeaseTiming.getLeaseEnd(timers.now(), backend.clockOffset)
 		backend.leasesExpireBy = Math.max(
 			backend.leasesExpireBy,
 			LeaseTiming.getLatestExpiry(timers.now())
@@ -112,6 +123,7 @@
 	private checkClock(backend: BackendRow, clock: number): void {
 		const { timers, events } = this.context
 		if (!detectRestart(backend, clock, timers.now())) return
+		this.leases.recordLongLease(backend)
 		events.warn('backend-clock-restarted', { backend: backend.id, clock })
 		this.requestListing(backend)
 	}
--- a/packages/jobs/src/lib/owner/OwnerTerm.ts
+++ b/packages/jobs/src/lib/owner/OwnerTerm.ts
@@ -32,9 +32,11 @@
 import type { OperatorFormat } from '../ports/OperatorFormat.js'
 import type { MaintenanceWave } from '../ports/MaintenanceWave.js'
 import { MachineManager } from '../machines/MachineManager.js'
-import { BackendMonitor } from './BackendMonitor.js'
 import { BackendRegistry } from './BackendRegistry.js'
-import { createListingQueues } from './createListingQueues.js'
+import { EarlierTerms } from './EarlierTerms.js'
+import { LeaseLedger } from './LeaseLedger.js'
+import { LeaseTiming } from './LeaseTiming.js'
+import { MonitorTable } from './MonitorTable.js'
 import { OrderDispatcher } from './OrderDispatcher.js'
 import type { OwnerContext } from './OwnerContext.js'
 import { OwnerTiming } from './OwnerTiming.js'
@@ -70,8 +72,9 @@
 	private readonly retention: JobRetention
 	private readonly recovery: TermRecovery
 	private readonly demand = new DemandMeter()
-	private readonly listingQueues = createListingQueues()
-	private readonly monitors = new Map<BackendId, BackendMonitor>()
+	private readonly leases: LeaseLedger
+	private readonly earlierTerms: EarlierTerms
+	private readonly monitors: MonitorTable
 	private readonly subscriptions: { cancel(): void }[] = []
 	private isPlanScheduled = false
 	private started = false
@@ -80,6 +83,8 @@
 	constructor(
 		private readonly options: {
 			readonly token: number
+			/** Name of this instance, also of its next process. */
+			readonly instance: string
 			readonly log: MetadataLog
 			readonly backendClient: BackendServerClient
 			readonly format: OperatorFormat
@@ -131,10 +136,19 @@
 		}
 		this.health = new BackendHealth(() => backends.all)
 		this.writer = new ProgressWriter(this.context, options.log, options.progress)
+		this.leases = new LeaseLedger(this.context, this.writer, options.replica)
+		this.earlierTerms = new EarlierTerms(this.context, {
+			terms: options.replica.terms,
+			progress: options.progress,
+			writer: this.writer,
+		})
 		this.dispatcher = new OrderDispatcher(
 			this.context,
+			this.leases,
 			() => this.taskUpdater,
-			(backend) => this.monitors.get(backend.id)?.requestListing(),
+			(backend) => {
+				this.monitors.requestListing(backend.id)
+			},
 			(backend, reason) => {
 				this.handleOrderFailure(backend, reason)
 			},
@@ -164,8 +178,17 @@
 			log: options.log,
 			progress: options.progress,
 			taskUpdater: this.taskUpdater,
+			leases: this.leases,
 			isEnded: () => this.ended,
 		})
+		this.monitors = new MonitorTable(this.context, {
+			taskUpdater: this.taskUpdater,
+			dispatcher: this.dispatcher,
+			writer: this.writer,
+			leases: this.leases,
+			replan,
+			isIntakeRead: () => options.intake.every((follower) => this.recovery.isRead(follower)),
+		})
 		this.retention = new JobRetention(this.context, {
 			log: options.log,
 			writer: this.writer,
@@ -191,6 +214,11 @@
 		})
 	}
 
+	/** Fencing token of the term. */
+	get token(): number {
+		return this.options.token
+	}
+
 	/** Starts the term. An unexpected error ends it. */
 	start(): void {
 		this.begin().catch(this.context.fail)
@@ -200,14 +228,11 @@
 	private async begin(): Promise<void> {
 		const { token, intake, progress, replica, timers, events } = this.options
 		if (!(await this.recovery.readEarlierTerms())) return
-		this.recordHeartbeat()
-		this.subscriptions.push(
-			timers.every(OwnerTiming.heartbeatInterval, () => {
-				this.recordHeartbeat()
-			})
-		)
+		this.leases.begin()
+		const termRecorded = this.recordTerm()
 		this.registry.preload(replica.backends.values())
 		await this.recovery.readStreams([...intake, this.registry.follower])
+		await termRecorded
 		if (this.ended) return
 		progress.pause()
 		this.subscriptions.push(
@@ -229,8 +254,9 @@
 		this.started = true
 		this.registry.follower.start()
 		for (const follower of intake) follower.wakeUp()
+		this.earlierTerms.start()
 		for (const row of this.context.backends.all) {
-			this.startMonitor(row)
+			this.monitors.start(row)
 			if (!replica.backends.has(row.id)) this.recordBackend(row.id)
 		}
 		// Those that left before the start of this term are no longer in the registry.
@@ -258,14 +284,16 @@
 		this.writer.stop()
 		this.registry.follower.stop()
 		this.machines.stop()
-		for (const monitor of this.monitors.values()) monitor.stop()
+		this.monitors.stop()
+		this.earlierTerms.stop()
 		for (const subscription of this.subscriptions) subscription.cancel()
 		this.options.progress.resume()
 	}
 
 	private mayAct(): boolean {
 		if (this.ended) return false
-		if (this.options.isCurrent()) return true
+		const isLogSilent = this.writer.silence >= LeaseTiming.maximumOwnerSilence
+		if (this.options.isCurrent() && !isLogSilent) return true
 		this.abort('no answer from the log for too long')
 		return false
 	}
@@ -302,8 +330,8 @@
 	private handleBackendChange(row: BackendRow): void {
 		if (!this.started) return
 		this.recordBackend(row.id)
-		this.startMonitor(row)
-		this.monitors.get(row.id)?.wakeUp()
+		this.monitors.start(row)
+		this.monitors.wakeUp(row.id)
 		this.schedulePlan()
 	}
 
@@ -313,6 +341,25 @@
 		recordEarlierArrivals(this.demand, jobs, getConfiguration(), timers.now(), getWallTime())
 	}
 
+	/**
+	 * Records the term, and from then on at intervals that it goes on. Resolves once that is durable; no
+	 * order may be sent before, since the next owner would not know of it.
+	 */
+	private async recordTerm(): Promise<void> {
+		const { token, instance, timers } = this.options
+		const key = JobRecords.getTermKey(token)
+		this.writer.markRecordChanged(key, () => JobRecords.createTermRecord(token, instance))
+		this.recordHeartbeat()
+		this.subscriptions.push(
+			timers.every(OwnerTiming.heartbeatInterval, () => {
+				this.recordHeartbeat()
+			})
+		)
+		await new Promise<void>((resolve) => {
+			this.writer.whenRecordDurable(key, resolve)
+		})
+	}
+
 	/** Shows the other instances that there is an owner. */
 	private recordHeartbeat(): void {
 		const { token, getWallTime } = this.context
@@ -329,34 +376,17 @@
 		})
 	}
 
-	private startMonitor(row: BackendRow): void {
-		if (this.monitors.has(row.id)) return
-		const { taskUpdater, dispatcher, writer } = this
-		const monitor = new BackendMonitor(this.context, row, {
-			taskUpdater,
-			dispatcher,
-			writer,
-			...this.listingQueues,
-			replan: () => {
-				this.schedulePlan()
-			},
-			isIntakeRead: () => this.options.intake.every((follower) => this.recovery.isRead(follower)),
-		})
-		this.monitors.set(row.id, monitor)
-		monitor.start()
-	}
-
 	/** Removes backend servers that have left and run no tasks. */
 	private removeDepartedBackends(): void {
 		const { backends, backendClient } = this.context
 		for (const row of [...backends.all]) {
 			if (row.registered || row.tasks.size > 0 || this.registry.get(row.id)) continue
-			this.monitors.get(row.id)?.stop()
-			this.monitors.delete(row.id)
+			this.monitors.remove(row.id)
 			backends.remove(row.id)
 			this.health.remove(row.id)
 			backendClient.closeIdleConnections(row)
 		}
+		this.leases.dropUnused((id) => backends.get(id) !== undefined)
 	}
 
 	private handleOrderFailure(backend: BackendRow, reason: string): void {
@@ -401,7 +431,7 @@
 		const { task, backend } = placement
 		const placedAt = this.context.timers.now()
 		this.taskUpdater.updateJob(task.job)
-		this.monitors.get(backend.id)?.wakeUp()
+		this.monitors.wakeUp(backend.id)
 		const { id } = task.job.job
 		this.writer.whenRecordDurable(id, () => {
 			this.dispatcher.startTask(placement, placedAt).catch(this.context.fail)
--- a/packages/jobs/src/lib/owner/Ownership.ts
+++ b/packages/jobs/src/lib/owner/Ownership.ts
@@ -3,7 +3,9 @@
 import type { JoinResult } from '../ports/JoinResult.js'
 import type { MetadataLog } from '../ports/MetadataLog.js'
 import { LeaseTiming } from './LeaseTiming.js'
+import type { Instant } from './Instant.js'
 import { OwnerTiming } from './OwnerTiming.js'
+import { SuspendAwareClock } from './SuspendAwareClock.js'
 
 /**
  * Interval of the joins, which also serve as heartbeats, in milliseconds. A join does not wait for
@@ -15,14 +17,6 @@
 /** Tokens reserved per group generation, because one member may start several terms in it. */
 const TOKENS_PER_GENERATION = 1_000
 
-/** Instants at which something happened, in milliseconds. */
-interface Instant {
-	/** On the monotonic clock, which may stand still while the machine is suspended. */
-	readonly monotonic: number
-	/** Since 1970, on a clock that operators may set. */
-	readonly wall: number
-}
-
 /**
  * Keeps this instance a member of the group and reports when it acquires or loses ownership, and
  * under which fencing token. An instance that is not preferred as the owner only joins while there
@@ -37,6 +31,7 @@
 	/** Time at which the latest answered join was sent. */
 	private lastContact: Instant | undefined
 	private readonly pendingJoins = new Set<Promise<void>>()
+	private readonly clock: SuspendAwareClock
 	private stopped = false
 
 	/**
@@ -60,7 +55,9 @@
 			readonly onAcquire: (token: number) => void
 			readonly onLose: (reason: string) => void
 		}
-	) {}
+	) {
+		this.clock = new SuspendAwareClock(options.timers, options.getWallTime)
+	}
 
 	start(): void {
 		void this.run()
@@ -119,7 +116,7 @@
 
 	private async join(): Promise<void> {
 		const { log, member } = this.options
-		const sentAt = this.now()
+		const sentAt = this.clock.now()
 		const result = await log.join(member, OwnerTiming.membershipTimeout, this.generation)
 		if (this.stopped) return
 		if (result.kind === 'unavailable') this.handleUnavailableLog(result.reason)
@@ -153,18 +150,9 @@
 		if (!this.isCurrent) this.loseOwnership(`no answer from the log: ${reason}`)
 	}
 
-	/**
-	 * Milliseconds since the latest answered join was sent. The larger one of two clocks counts: the
-	 * monotonic clock misses the time in which the machine was suspended, the wall clock may be set back.
-	 */
+	/** Milliseconds since the latest answered join was sent. */
 	private get silence(): number {
-		const now = this.now()
-		const { monotonic, wall } = this.lastContact ?? now
-		return Math.max(now.monotonic - monotonic, now.wall - wall)
-	}
-
-	private now(): Instant {
-		return { monotonic: this.options.timers.now(), wall: this.options.getWallTime() }
+		return this.lastContact ? this.clock.getElapsed(this.lastContact) : 0
 	}
 
 	private loseOwnership(reason: string): void {
--- a/packages/jobs/src/lib/owner/ProgressWriter.ts
+++ b/packages/jobs/src/lib/owner/ProgressWriter.ts
@@ -4,7 +4,9 @@
 import type { StreamFollower } from '../log/StreamFollower.js'
 import type { LogRecord } from '../ports/LogRecord.js'
 import type { MetadataLog } from '../ports/MetadataLog.js'
+import type { Instant } from './Instant.js'
 import type { OwnerContext } from './OwnerContext.js'
+import { SuspendAwareClock } from './SuspendAwareClock.js'
 
 /** Timeout of one append, in milliseconds. */
 const APPEND_TIMEOUT = 700
@@ -47,8 +49,11 @@
 	private sequence = 0
 	private isFlushing = false
 	private stopped = false
-	/** Start of the append in flight, in milliseconds; undefined if there is none. */
-	private appendingSince: number | undefined
+	private readonly clock: SuspendAwareClock
+	/** Start of the append in flight, its first attempt; undefined if there is none. */
+	private appendingSince: Instant | undefined
+	/** Start of the latest append that is known to be in the log, its first attempt. */
+	private latestContact: Instant | undefined
 	/** Timer of the next flush of delayed records. */
 	private flushTimer: { cancel(): void } | undefined
 
@@ -56,7 +61,9 @@
 		private readonly context: OwnerContext,
 		private readonly log: MetadataLog,
 		private readonly follower: StreamFollower
-	) {}
+	) {
+		this.clock = new SuspendAwareClock(context.timers, context.getWallTime)
+	}
 
 	stop(): void {
 		this.stopped = true
@@ -65,7 +72,15 @@
 
 	/** Milliseconds since the append in flight was started; 0 if there is none. */
 	get appendDelay(): number {
-		return this.appendingSince === undefined ? 0 : this.context.timers.now() - this.appendingSince
+		return this.appendingSince ? this.context.timers.now() - this.appendingSince.monotonic : 0
+	}
+
+	/**
+	 * Milliseconds since the first attempt of the latest append that is known to be in the log.
+	 * Every instance that reads the log has received its records no earlier.
+	 */
+	get silence(): number {
+		return this.latestContact ? this.clock.getElapsed(this.latestContact) : Infinity
 	}
 
 	/**
@@ -186,7 +201,7 @@
 	 */
 	private async appendWithRetries(records: readonly LogRecord[]): Promise<boolean> {
 		const { token, timers, events } = this.context
-		this.appendingSince = timers.now()
+		this.appendingSince = this.clock.now()
 		let pause = MINIMUM_RETRY_PAUSE
 		while (!this.stopped) {
 			const fence = { term: token, sequence: this.sequence }
@@ -207,9 +222,10 @@
 	}
 
 	private handleAppended(records: readonly LogRecord[], offset: number): void {
-		const { metrics, timers } = this.context
-		metrics.observe('progress_append', timers.now() - (this.appendingSince ?? timers.now()))
+		const { metrics } = this.context
+		metrics.observe('progress_append', this.appendDelay)
 		this.sequence += 1
+		this.latestContact = this.appendingSince
 		this.appendingSince = undefined
 		const entries = records.map((record, index) => ({ ...record, offset: offset + index }))
 		this.follower.applyAppended(entries)
--- a/packages/jobs/src/lib/owner/RunReconciler.ts
+++ b/packages/jobs/src/lib/owner/RunReconciler.ts
@@ -1,6 +1,7 @@
 import type { BackendRow, TaskRow } from '@mastichead/core'
 import type { RunListing } from '../ports/RunListing.js'
 import { completesTask } from './completesTask.js'
+import type { LeaseLedger } from './LeaseLedger.js'
 import { LeaseTiming } from './LeaseTiming.js'
 import type { OrderDispatcher } from './OrderDispatcher.js'
 import type { OwnerContext } from './OwnerContext.js'
@@ -28,6 +29,7 @@
 			readonly taskUpdater: TaskUpdater
 			readonly dispatcher: OrderDispatcher
 			readonly writer: ProgressWriter
+			readonly leases: LeaseLedger
 			/** Whether every job that an earlier owner may have started has been read. */
 			readonly isIntakeRead: () => boolean
 		}
@@ -64,6 +66,7 @@
 		// The request that shows the restart may have asked for a lease on the clock before.
 		const latestExpiry = LeaseTiming.getLatestGrantedExpiry(context.timers.now())
 		row.leasesExpireBy = Math.max(row.leasesExpireBy, latestExpiry)
+		this.options.leases.recordLongLease(row)
 		context.events.warn('backend-restarted', { backend: row.id, before: previous, incarnation })
 	}
 
--- a/packages/jobs/src/lib/owner/TermRecovery.ts
+++ b/packages/jobs/src/lib/owner/TermRecovery.ts
@@ -1,7 +1,7 @@
 import type { StreamFollower } from '../log/StreamFollower.js'
 import type { ReplicaRow } from '../log/ReplicaRow.js'
 import type { MetadataLog } from '../ports/MetadataLog.js'
-import { LeaseTiming } from './LeaseTiming.js'
+import type { LeaseLedger } from './LeaseLedger.js'
 import type { OwnerContext } from './OwnerContext.js'
 import type { TaskUpdater } from './TaskUpdater.js'
 
@@ -42,6 +42,7 @@
 			readonly log: MetadataLog
 			readonly progress: StreamFollower
 			readonly taskUpdater: TaskUpdater
+			readonly leases: LeaseLedger
 			readonly isEnded: () => boolean
 		}
 	) {
@@ -111,15 +112,14 @@
 
 	/** Restores a job in the state in which earlier owners left it. */
 	restoreJob(replicaRow: ReplicaRow): void {
-		const { jobs, backends, timers } = this.context
+		const { jobs, backends } = this.context
 		const { job, snapshot, cancelled } = replicaRow
 		// A job that was submitted or cancelled meanwhile has been restored by then.
 		if (!job || jobs.get(job.id)) return
 		const row = jobs.add(job, snapshot)
 		for (const task of row.tasks) {
 			if (task.phase !== 'placed' || task.backend === undefined) continue
-			const backend = backends.getOrCreate(task.backend)
-			backend.leasesExpireBy = LeaseTiming.getLatestInheritedExpiry(timers.now())
+			this.options.leases.inherit(backends.getOrCreate(task.backend))
 			backends.assign(task)
 		}
 		if (row.finishedAt !== undefined) this.options.taskUpdater.settleJob(row)
--- a/packages/jobs/src/lib/testing/createTestFleet.ts
+++ b/packages/jobs/src/lib/testing/createTestFleet.ts
@@ -59,6 +59,7 @@
 		const backendClient = new MemoryBackendServerClient(backends, instanceTimers)
 		const daemon = new JobDaemon({
 			member: `m${number}`,
+			instance: `i${number}`,
 			isPreferredOwner: number > (options.standbys ?? 0),
 			log,
 			backendClient,
--- a/packages/jobs/src/lib/testing/createTestIntake.ts
+++ b/packages/jobs/src/lib/testing/createTestIntake.ts
@@ -25,7 +25,7 @@
 	const store = new MemoryStore()
 	const log = new CountingLog(store, timers)
 	const events = new SilentEventLog()
-	const replica = new JobReplica(events)
+	const replica = new JobReplica(events, timers)
 	const applyIntake = (entry: LogEntry): void => {
 		replica.applyIntake(entry)
 	}
--- a/packages/jobs/src/lib/testing/createTestRecovery.ts
+++ b/packages/jobs/src/lib/testing/createTestRecovery.ts
@@ -1,6 +1,8 @@
 import type { VirtualTimerService } from '@mastichead/core'
 import { BackendHealth } from '@mastichead/core'
+import { JobReplica } from '../log/JobReplica.js'
 import { StreamFollower } from '../log/StreamFollower.js'
+import { LeaseLedger } from '../owner/LeaseLedger.js'
 import { ProgressWriter } from '../owner/ProgressWriter.js'
 import { TaskUpdater } from '../owner/TaskUpdater.js'
 import { TermRecovery } from '../owner/TermRecovery.js'
@@ -22,6 +24,8 @@
 	const health = new BackendHealth(() => context.backends.all)
 	const ignore = (): void => undefined
 	const taskUpdater = new TaskUpdater(context, writer, ignore, ignore, health)
-	const recovery = new TermRecovery(context, { log, progress, taskUpdater, isEnded: () => false })
+	const leases = new LeaseLedger(context, writer, new JobReplica(context.events, timers))
+	const isEnded = (): boolean => false
+	const recovery = new TermRecovery(context, { log, progress, taskUpdater, leases, isEnded })
 	return { recovery, context }
 }
