Keep the runs of a new server when a repeated maintenance order is answered as done

Callers saw tasks that ran twice. An order for maintenance got no answer but was carried out; the machine came back with a new server, which took tasks; the order was repeated, and answered as done because it was done already. The owner took that for the end of everything on the machine: it gave the runs of the new server up and started their tasks elsewhere while they ran on (TWICE), and used the server no more in its term.

The wave now keeps, for each order without an answer, the process that ran on the machine at the first of them. Done ends the runs if no earlier order is unanswered, or if the same process is still there, since it has ended with either order. If another process runs there the runs are left alone, and the server is opened again. Ruled out: never ending the runs after an unanswered order; they would wait for their leases (4.4 s) whenever the first order was lost. Ruled out: dropping the repetition; the first order may not have been carried out.

Unit tests of packages/jobs and packages/core: green.

--- a/packages/jobs/src/lib/machines/WaveManager.ts
+++ b/packages/jobs/src/lib/machines/WaveManager.ts
@@ -87,7 +87,9 @@
 			key,
 			wave,
 			ordered: new Set(ordered),
-			orderedByEarlierOwners: new Set(ordered.filter((machine) => !done.has(machine))),
+			unansweredOrders: new Map(
+				ordered.filter((machine) => !done.has(machine)).map((machine) => [machine, undefined])
+			),
 			done,
 			down: new Map(),
 			evacuating: new Map(),
@@ -235,6 +237,7 @@
 			if (backend) setInterrupting(backend, false)
 			return
 		}
+		const process = getProcess(backend)
 		const result = await this.options.controller.maintain(machine, row.wave.number, token)
 		const waited = timers.now() - (row.evacuating.get(machine) ?? timers.now())
 		events.info('machine-maintenance', {
@@ -246,7 +249,8 @@
 			...result,
 		})
 		if (this.isStopped()) return
-		if (result.kind === 'done') this.handleMaintenanceStarted(row, machine, backend)
+		if (result.kind === 'done') this.handleMaintenanceStarted(row, machine, backend, process)
+		else if (result.kind === 'unknown') recordUnanswered(row, machine, process)
 		else if (result.kind === 'refused') this.handleMaintenanceRefused(row, machine, result.reason)
 	}
 
@@ -276,16 +280,15 @@
 	private handleMaintenanceStarted(
 		row: WaveRow,
 		machine: string,
-		backend: BackendRow | undefined
+		backend: BackendRow | undefined,
+		process: string | undefined
 	): void {
 		row.done.add(machine)
 		row.evacuating.delete(machine)
 		row.down.set(machine, this.context.timers.now())
 		this.recordProgress(row)
 		if (!backend) return
-		// If an earlier owner may have sent the order before, this one may have changed nothing, so the
-		// tasks may still be running.
-		if (row.orderedByEarlierOwners.has(machine)) {
+		if (mayHaveBeenDone(row, machine, process)) {
 			backend.cordoned = false
 			setInterrupting(backend, false)
 			return
@@ -333,3 +336,23 @@
 	if (backend.hasUnreadRuns || backend.lastProcessedEnd > backend.lastAcknowledgedEnd) return false
 	return canDisruptBackend(backend)
 }
+
+/** Returns the process of a backend server; undefined if it is not known. */
+function getProcess(backend: BackendRow | undefined): string | undefined {
+	return backend && backend.incarnation !== 0 ? `${backend.id}/${backend.incarnation}` : undefined
+}
+
+/** Records an order without an answer, and the process that ran on the machine when it was sent. */
+function recordUnanswered(row: WaveRow, machine: string, process: string | undefined): void {
+	if (!row.unansweredOrders.has(machine)) row.unansweredOrders.set(machine, process)
+}
+
+/**
+ * Whether an order that was answered as done may have changed nothing, because an earlier one without
+ * an answer had been carried out. Not if the process from before that one was still there: it has ended
+ * with either of them.
+ */
+function mayHaveBeenDone(row: WaveRow, machine: string, process: string | undefined): boolean {
+	if (!row.unansweredOrders.has(machine)) return false
+	return process === undefined || row.unansweredOrders.get(machine) !== process
+}
--- a/packages/jobs/src/lib/machines/WaveRow.ts
+++ b/packages/jobs/src/lib/machines/WaveRow.ts
@@ -10,8 +10,12 @@
 	readonly wave: MaintenanceWave
 	/** Machines whose maintenance was ordered at least once, by this owner or an earlier one. */
 	readonly ordered: Set<string>
-	/** Machines that earlier owners may have ordered down; a repeated order may change nothing. */
-	readonly orderedByEarlierOwners: ReadonlySet<string>
+	/**
+	 * Machines for which an order may have been carried out without an answer, so that a repeated one may
+	 * change nothing, with the process that ran on the machine at the first such order; undefined if it is
+	 * not known, as for the orders of earlier owners.
+	 */
+	readonly unansweredOrders: Map<string, string | undefined>
 	/** Machines whose maintenance has started, or that no longer exist. */
 	readonly done: Set<string>
 	/** Machines that were ordered down and are not up again, with the instant of the order. */
