Order a machine instead of a server that is out of reach, and decide in one place which servers take work

What callers saw: a lasting task waited, with free machines at the platform. Cause: PoolManager.getPoolState counted every registered server that was neither draining nor cordoned, the planner only those that are reachable and listed. With a pool at its lowest and one server out of reach but registered, a step limited to one task per server had too few servers, its pool had the size that it wanted, and nothing was ordered for as long as the registration stood.

Now getBackendAvailability says which servers can take work; the planner, explainJob, the size of a pool and the slack of the waves use it. A server that was not listed yet counts, unless it counts as arriving: otherwise a new owner would order a machine for each server before it has asked them. Waves get no such respite: while a server is silent, a pool has one machine less to spare.

Ruled out: counting only servers that are usable at this moment, which orders machines at each change of the owner.

--- /dev/null
+++ b/packages/core/src/lib/jobs/BackendAvailability.ts
@@ -0,0 +1,14 @@
+/**
+ * Whether a backend server can take work, and otherwise why it cannot.
+ *
+ * - `usable`: it can take tasks now
+ * - `unregistered`: the registry does not list it as ready
+ * - `closing`: it is draining, or its machine is being drained for maintenance or a move
+ * - `unreachable`: calls to it fail
+ * - `unlisted`: the owner has not yet read which tasks it runs
+ * - `avoided`: it gets no tasks for a time, because runs or orders failed
+ *
+ * @public
+ */
+export type BackendAvailability =
+	'usable' | 'unregistered' | 'closing' | 'unreachable' | 'unlisted' | 'avoided'
--- a/packages/core/src/lib/jobs/DemandPoolPolicy.test.ts
+++ b/packages/core/src/lib/jobs/DemandPoolPolicy.test.ts
@@ -100,6 +100,7 @@
 		service,
 		spare: false,
 		machineCores: 16,
+		usableMachines: machines,
 		arrivingMachines: 0,
 		arrivalTime: 0,
 		demandCores: 0,
--- a/packages/core/src/lib/jobs/PlacementPlanner.ts
+++ b/packages/core/src/lib/jobs/PlacementPlanner.ts
@@ -14,6 +14,7 @@
 import type { TaskRow } from './TaskRow.js'
 import { exceedsTeamLimit } from './exceedsTeamLimit.js'
 import { fitsWithin } from './fitsWithin.js'
+import { getBackendAvailability } from './getBackendAvailability.js'
 import { getReservedResources } from './getReservedResources.js'
 import { getPendingCores } from './getPendingCores.js'
 import { getReadySteps } from './getReadySteps.js'
@@ -105,8 +106,7 @@
 	private getUsableBackends(now: number): Map<string, readonly BackendRow[]> {
 		const usableByService = new Map<string, BackendRow[]>()
 		for (const backend of this.backends.all) {
-			if (!backend.registered || backend.draining || backend.cordoned) continue
-			if (!backend.reconciled || !backend.reachable || backend.avoidedUntil > now) continue
+			if (getBackendAvailability(backend, now) !== 'usable') continue
 			const rows = usableByService.get(backend.service)
 			if (rows) rows.push(backend)
 			else usableByService.set(backend.service, [backend])
--- a/packages/core/src/lib/jobs/PoolState.ts
+++ b/packages/core/src/lib/jobs/PoolState.ts
@@ -11,7 +11,10 @@
 	readonly spare: boolean
 	/** Number of cores of one machine. */
 	readonly machineCores: number
+	/** Machines whose servers can take work, or are expected to within a moment. */
 	readonly machines: readonly PoolMachine[]
+	/** Number of machines whose servers can take work at this moment. */
+	readonly usableMachines: number
 	/** Number of machines that are moving into the pool. */
 	readonly arrivingMachines: number
 	/** Time from the order for a machine until it can run tasks, in milliseconds; 0 until known. */
--- a/packages/core/src/lib/jobs/arrivalBurst.test.ts
+++ b/packages/core/src/lib/jobs/arrivalBurst.test.ts
@@ -18,6 +18,7 @@
 		spare: false,
 		machineCores: MACHINE_CORES,
 		machines: [],
+		usableMachines: 0,
 		arrivingMachines: 0,
 		arrivalTime: ARRIVAL_TIME,
 		demandCores: demand.getCores('desk', 0),
--- a/packages/core/src/lib/jobs/explainJob.ts
+++ b/packages/core/src/lib/jobs/explainJob.ts
@@ -1,4 +1,3 @@
-import type { BackendRow } from './BackendRow.js'
 import type { BackendTable } from './BackendTable.js'
 import type { FleetConfiguration } from './FleetConfiguration.js'
 import type { JobRow } from './JobRow.js'
@@ -7,6 +6,7 @@
 import type { TaskRow } from './TaskRow.js'
 import { exceedsTeamLimit } from './exceedsTeamLimit.js'
 import { fitsWithin } from './fitsWithin.js'
+import { getBackendAvailability } from './getBackendAvailability.js'
 import { getReservedResources } from './getReservedResources.js'
 import { getReadySteps } from './getReadySteps.js'
 import { noResources } from './noResources.js'
@@ -100,7 +100,7 @@
 	if (exceedsTeamLimit(configuration.teams.get(job.team), used, step.needs)) return 'team-limit'
 	const service = configuration.queues.get(job.queue)?.service
 	const usable = [...backends.all].filter(
-		(backend) => backend.service === service && isUsable(backend, now)
+		(backend) => backend.service === service && getBackendAvailability(backend, now) === 'usable'
 	)
 	if (usable.length === 0) return 'no-backend'
 	const needs = getReservedResources(step)
@@ -114,8 +114,3 @@
 		? 'order'
 		: 'no-room'
 }
-
-function isUsable(backend: BackendRow, now: number): boolean {
-	const { registered, draining, cordoned, reconciled, reachable, avoidedUntil } = backend
-	return registered && !draining && !cordoned && reconciled && reachable && avoidedUntil <= now
-}
--- a/packages/jobs/src/lib/machines/PoolManager.ts
+++ b/packages/jobs/src/lib/machines/PoolManager.ts
@@ -1,5 +1,6 @@
 import type {
 	ArrivingMachines,
+	BackendId,
 	BackendRow,
 	DemandMeter,
 	MachineMove,
@@ -7,6 +8,7 @@
 	PoolPolicy,
 	PoolState,
 } from '@mastichead/core'
+import { getBackendAvailability } from '@mastichead/core'
 import { ConcurrencyLimit } from '../ConcurrencyLimit.js'
 import type { OwnerContext } from '../owner/OwnerContext.js'
 import type { MachineController } from '../ports/MachineController.js'
@@ -24,6 +26,11 @@
 const MAXIMUM_ATTEMPTS = 3
 /** Maximum number of orders without an answer at a time, so that none waits after it was permitted. */
 const MAXIMUM_ORDERS_IN_FLIGHT = 2
+/**
+ * How long a server may be out of reach or avoided until its machine no longer counts, in milliseconds.
+ * Shorter than a lease, so that a machine ordered instead is there when the server's tasks have ended.
+ */
+const TOLERATED_SILENCE = 2_000
 const MILLICORES_PER_CORE = 1_000
 /** Interval between two log lines about the pools, in milliseconds. */
 const LOG_INTERVAL = 1_000
@@ -38,6 +45,8 @@
 	private readonly arrivals = new Map<string, { readonly service: string; readonly at: number }>()
 	/** Time until which no order is sent for a machine whose move failed, by machine. */
 	private readonly pausedUntil = new Map<string, number>()
+	/** Time since which each server that is out of reach or avoided has been so. */
+	private silentSince: ReadonlyMap<BackendId, number> = new Map()
 	/** Average time from an order until the machine could run tasks; 0 until a machine has arrived. */
 	private arrivalTime = 0
 	private poolStates: readonly PoolState[] = []
@@ -65,6 +74,7 @@
 	runRound(): void {
 		const now = this.context.timers.now()
 		this.removeEndedArrivals(now)
+		this.updateSilences(now)
 		this.poolStates = this.getPoolStates(now)
 		this.logPools(now)
 		if (!this.options.isRegistryFresh() || !this.context.mayOrderMachines()) return
@@ -104,7 +114,7 @@
 	/** Returns how many machines the pool has beyond its need; negative if it is short. */
 	getSlack(service: string): number {
 		const pool = this.poolStates.find((candidate) => candidate.service === service)
-		return pool ? pool.machines.length - this.options.policy.getTargetSize(pool) : 0
+		return pool ? pool.usableMachines - this.options.policy.getTargetSize(pool) : 0
 	}
 
 	/** Returns how many machines of a service's pool late work may use; undefined for all. */
@@ -136,6 +146,33 @@
 		}
 	}
 
+	private updateSilences(now: number): void {
+		const silentSince = new Map<BackendId, number>()
+		for (const row of this.context.backends.all) {
+			const availability = getBackendAvailability(row, now)
+			if (availability !== 'unreachable' && availability !== 'avoided') continue
+			silentSince.set(row.id, this.silentSince.get(row.id) ?? now)
+		}
+		this.silentSince = silentSince
+	}
+
+	/** Whether a server's machine counts as one of its pool. */
+	private isPoolMember(row: BackendRow, now: number): boolean {
+		switch (getBackendAvailability(row, now)) {
+			case 'usable':
+				return true
+			case 'unlisted':
+				// Its first listing is under way. Until then it counts as arriving, if it was ordered.
+				return !this.arrivals.has(row.machine)
+			case 'unreachable':
+			case 'avoided':
+				return now - (this.silentSince.get(row.id) ?? now) < TOLERATED_SILENCE
+			case 'unregistered':
+			case 'closing':
+				return false
+		}
+	}
+
 	private recordArrivalTime(duration: number): void {
 		if (this.arrivalTime === 0) this.arrivalTime = duration
 		else this.arrivalTime += (duration - this.arrivalTime) * ARRIVAL_WEIGHT
@@ -156,6 +193,7 @@
 		const machineCores = this.options.inventory.getMedianCores()
 		const backendsByMachine = this.options.inventory.getBackends()
 		const { backlog, lateBacklog } = this.options.planner
+		let usableMachines = 0
 		let lastingCores = 0
 		let usedCores = 0
 		let lateCores = 0
@@ -169,13 +207,16 @@
 			lastingCores += getLastingCores(row)
 			// A server that has left may stay registered beside its successor on the machine.
 			if (row.machine !== '' && backendsByMachine.get(row.machine) !== row) continue
+			if (!this.isPoolMember(row, now)) continue
 			machines.push({ id: row.machine, idleSince: this.getIdleSince(row, now) })
+			if (getBackendAvailability(row, now) === 'usable') usableMachines += 1
 		}
 		return {
 			service,
 			spare: false,
 			machineCores,
 			machines,
+			usableMachines,
 			arrivingMachines: this.countArrivingMachines(service),
 			arrivalTime: this.arrivalTime,
 			demandCores: this.options.demand.getCores(service, now),
@@ -206,6 +247,7 @@
 			machines.push({ id: machine.id, idleSince: paused || reserved ? undefined : 0 })
 		}
 		const empty = {
+			usableMachines: 0,
 			arrivingMachines: 0,
 			arrivalTime: 0,
 			demandCores: 0,
--- a/packages/jobs/src/lib/testing/createTestPool.ts
+++ b/packages/jobs/src/lib/testing/createTestPool.ts
@@ -1,4 +1,4 @@
-import type { Job, TaskPlacement } from '@mastichead/core'
+import type { BackendTable, Job, JobTable, TaskPlacement } from '@mastichead/core'
 import {
 	BinPackingScorer,
 	DemandMeter,
@@ -24,8 +24,8 @@
 
 /**
  * Creates the pool `desk` and a spare pool on a virtual clock, with the owner's planner and pool
- * manager but without log, orders and listings. Tasks start when they are placed and take their
- * estimate.
+ * manager but without log, orders and listings. Tasks start when they are placed; those that do not
+ * last take their estimate.
  *
  * @internal
  */
@@ -71,6 +71,7 @@
 	const delays: number[] = []
 	const start = ({ task }: TaskPlacement): void => {
 		delays.push(timers.now() - task.job.job.acceptedAt)
+		if (task.step.lasting) return
 		timers.after(task.step.estimate, () => {
 			applyRunEnding(task, 'done', '', 1, backends)
 			if (task.job.tasks.every(({ phase }) => phase === 'done')) jobs.markFinished(task.job)
@@ -100,7 +101,7 @@
 		}
 	}
 	await run(LEAD_TIME, () => [])
-	return { run, delays }
+	return { run, delays, jobs, backends, pools }
 }
 
 interface TestPool {
@@ -112,4 +113,7 @@
 	run(duration: number, getJobs: (elapsed: number) => readonly Job[]): Promise<void>
 	/** Milliseconds from acceptance to start of each task that was placed. */
 	readonly delays: readonly number[]
+	readonly jobs: JobTable
+	readonly backends: BackendTable
+	readonly pools: PoolManager
 }
