Expect a machine that moves for 4 s at most, whoever ordered it

What callers saw: a task waited for a machine that did not come, and no other was ordered. Cause: PoolManager gives an order up after ARRIVAL_TIMEOUT, but then the same machine counted through MachineInventory.countMoving, for as long as the platform's list called it moving, or could not be read. Moves of earlier owners never had a limit.

The inventory now notes when each move became known to the term, and countMoving takes the age up to which it counts: the same 4 s. Ruled out: counting by the order alone, since a new owner does not know the time of earlier orders.

Evidence: in virtual time, a pool whose ordered machine never registers ordered no other within 7 s (seen: 1 machine moving, expected 2), and the inventory counted the machine at 4.001 s; both pass now.

--- a/packages/jobs/src/lib/machines/MachineInventory.test.ts
+++ b/packages/jobs/src/lib/machines/MachineInventory.test.ts
@@ -49,6 +49,26 @@
 	expect(inventory.getBackend('m1')?.id).toBe('b2')
 })
 
+// Guards against a pool that waits for ever for a machine whose move has failed at the platform.
+it('counts a machine as moving for a limited time from when its move became known', async () => {
+	const timers = new VirtualTimerService()
+	const context = createTestContext(timers)
+	const moving = { ...createMachine('m1', ''), state: 'moving' as const }
+	const inventory = new MachineInventory(context, new MemoryMachineController([moving]))
+	const countMoving = (): number => inventory.countMoving('desk', 4_000, () => true)
+	await inventory.refresh()
+	expect(countMoving()).toBe(1)
+	timers.advance(3_000)
+	await inventory.refresh()
+	expect(countMoving()).toBe(1)
+	timers.advance(1_001)
+	await inventory.refresh()
+	expect(countMoving()).toBe(0)
+	inventory.recordStateChange('m1', { service: 'desk', state: 'up' })
+	inventory.recordStateChange('m1', { service: 'desk', state: 'moving' })
+	expect(countMoving()).toBe(1)
+})
+
 function createMachine(id: string, backend: string): Machine {
 	const capacity = { cpu: 16_000, memory: 64_000, gpu: 0 }
 	return { id, service: 'desk', state: 'up', zone: 'a', labels: [], capacity, backend }
--- a/packages/jobs/src/lib/machines/MachineInventory.ts
+++ b/packages/jobs/src/lib/machines/MachineInventory.ts
@@ -16,6 +16,8 @@
  */
 export class MachineInventory {
 	private machines = new Map<string, Machine>()
+	/** Moves that are under way, by machine, and when each became known to this term. */
+	private readonly moves = new Map<string, { readonly service: string; readonly since: number }>()
 	/** Monotonic instant at which the current list was requested; -Infinity before the first one. */
 	listedAt = -Infinity
 
@@ -48,6 +50,8 @@
 			])
 		)
 		this.listedAt = requestedAt
+		for (const id of [...this.moves.keys()]) if (!this.machines.has(id)) this.moves.delete(id)
+		for (const machine of this.machines.values()) this.trackMove(machine, requestedAt)
 		if (machines.length !== previousCount)
 			events.info('machines-listed', countByServiceAndState(machines))
 		return true
@@ -86,11 +90,22 @@
 		return this.selectBackends(this.context.backends.all)
 	}
 
-	/** Counts the machines that are on the way to a service's pool, according to the platform. */
-	countMoving(service: string, isCounted: (machine: string) => boolean): number {
+	/**
+	 * Counts the machines that are on the way to a service's pool, according to the platform.
+	 *
+	 * @param maximumAge - time since the move became known after which it is no longer expected to
+	 * succeed, in milliseconds
+	 */
+	countMoving(
+		service: string,
+		maximumAge: number,
+		isCounted: (machine: string) => boolean
+	): number {
+		const now = this.context.timers.now()
 		let count = 0
 		for (const machine of this.machines.values()) {
 			if (machine.service !== service || machine.state !== 'moving') continue
+			if (now - (this.moves.get(machine.id)?.since ?? now) > maximumAge) continue
 			if (isCounted(machine.id) && !this.getBackend(machine.id)?.registered) count += 1
 		}
 		return count
@@ -103,6 +118,12 @@
 		const changed = { ...machine, ...change }
 		this.machines.set(id, changed)
 		this.recentChanges.set(id, { machine: changed, at: this.context.timers.now() })
+		this.trackMove(changed, this.context.timers.now())
+	}
+
+	private trackMove({ id, service, state }: Machine, now: number): void {
+		if (state !== 'moving') this.moves.delete(id)
+		else if (this.moves.get(id)?.service !== service) this.moves.set(id, { service, since: now })
 	}
 
 	/** Selects the backend server on each machine. */
--- a/packages/jobs/src/lib/machines/PoolManager.ts
+++ b/packages/jobs/src/lib/machines/PoolManager.ts
@@ -231,7 +231,8 @@
 	/** Counts the machines on the way to a pool, also those that an earlier owner has ordered. */
 	private countArrivingMachines(service: string): number {
 		const own = [...this.arrivals.values()].filter((entry) => entry.service === service).length
-		return own + this.options.inventory.countMoving(service, (id) => !this.arrivals.has(id))
+		const isOther = (machine: string): boolean => !this.arrivals.has(machine)
+		return own + this.options.inventory.countMoving(service, ARRIVAL_TIMEOUT, isOther)
 	}
 
 	/** Uses the platform's list, because the machines in a spare pool are off and not registered. */
--- a/packages/jobs/src/lib/machines/unreachableServerInPool.test.ts
+++ b/packages/jobs/src/lib/machines/unreachableServerInPool.test.ts
@@ -50,6 +50,17 @@
 	expect(countRegistered(pool.backends)).toBe(MACHINES)
 })
 
+// Guards against a pool that waits for ever for a machine whose move has failed at the platform.
+it('a machine that does not arrive is replaced by another', async () => {
+	const { pool, lost } = await createPoolOfLastingTasks()
+	pool.setMoveTime(60_000)
+	lost.reachable = false
+	await pool.run(5_000, () => [])
+	expect(await pool.countMoving()).toBe(1)
+	await pool.run(2_000, () => [])
+	expect(await pool.countMoving()).toBe(2)
+})
+
 /** Creates a pool at its lowest, with one lasting task on each of its servers. */
 async function createPoolOfLastingTasks(): Promise<{
 	readonly pool: Awaited<ReturnType<typeof createTestPool>>
--- a/packages/jobs/src/lib/testing/ArrivingMachineController.ts
+++ b/packages/jobs/src/lib/testing/ArrivingMachineController.ts
@@ -10,14 +10,15 @@
  * @internal
  */
 export class ArrivingMachineController extends MachineController {
+	/** Time from an order until the backend server is ready, in milliseconds. */
+	moveTime = 0
 	private readonly machines = new Map<string, Machine>()
 	private serverCount = 0
 
-	/** @param moveTime - time from an order until the backend server is ready, in milliseconds */
 	constructor(
 		private readonly timers: TimerService,
 		private readonly backends: BackendTable,
-		private readonly options: { readonly sparePool: string; readonly moveTime: number }
+		private readonly sparePool: string
 	) {
 		super()
 	}
@@ -35,7 +36,7 @@
 			backend: '',
 		}
 		this.machines.set(id, machine)
-		if (service !== this.options.sparePool) this.startServer(machine)
+		if (service !== this.sparePool) this.startServer(machine)
 	}
 
 	override list(): Promise<readonly Machine[] | undefined> {
@@ -50,7 +51,7 @@
 		const machine = this.machines.get(id)
 		if (machine?.state !== 'up') return Promise.resolve({ kind: 'refused', reason: 'busy' })
 		this.machines.set(id, { ...machine, service, state: 'moving' })
-		this.timers.after(this.options.moveTime, () => {
+		this.timers.after(this.moveTime, () => {
 			this.add(id, service)
 		})
 		return Promise.resolve({ kind: 'done' })
--- a/packages/jobs/src/lib/testing/createTestPool.ts
+++ b/packages/jobs/src/lib/testing/createTestPool.ts
@@ -44,10 +44,8 @@
 	}
 	const context = { ...createTestContext(timers), getConfiguration: () => configuration }
 	const { jobs, backends } = context
-	const controller = new ArrivingMachineController(timers, backends, {
-		sparePool: SPARE_POOL,
-		moveTime: options.moveTime,
-	})
+	const controller = new ArrivingMachineController(timers, backends, SPARE_POOL)
+	controller.moveTime = options.moveTime
 	for (let number = 1; number <= options.machines + options.spareMachines; number += 1)
 		controller.add(`m${number}`, number <= options.machines ? 'desk' : SPARE_POOL)
 	const inventory = new MachineInventory(context, controller)
@@ -101,7 +99,12 @@
 		}
 	}
 	await run(LEAD_TIME, () => [])
-	return { run, delays, jobs, backends, pools }
+	const countMoving = async (): Promise<number> =>
+		(await controller.list())?.filter(({ state }) => state === 'moving').length ?? 0
+	const setMoveTime = (moveTime: number): void => {
+		controller.moveTime = moveTime
+	}
+	return { run, delays, jobs, backends, pools, countMoving, setMoveTime }
 }
 
 interface TestPool {
@@ -116,4 +119,8 @@
 	readonly jobs: JobTable
 	readonly backends: BackendTable
 	readonly pools: PoolManager
+	/** Returns how many machines are on their way, according to the platform. */
+	countMoving(): Promise<number>
+	/** Sets the time from an order until the machine's backend server is ready, in milliseconds. */
+	setMoveTime(moveTime: number): void
 }
