Check in the soak how long lasting tasks stand without a run

What callers saw: LOST, a lasting task without a run although servers with room were there; the soak had lasting tasks, but asked only that they do not run twice, and ended them after 6 s, before the bound could be reached.

Every other job with lasting tasks now stays until 10 s after the last fault. The check takes the bound from the users' rule: 3 s without a run, from 6 s after the last run, after 4 s without a fault, while the team uses less than half of its limit. It sees what the stand-ins of the backend servers saw, and the times of the faults.

Evidence: `checkRecord.test.ts` has two mistakes that it finds (a task that starts again 9.1 s after the loss of its server, one that never starts) and four absences that it allows. The soak has not been run with it in this commit.

--- a/packages/soak/src/lib/FaultInjector.ts
+++ b/packages/soak/src/lib/FaultInjector.ts
@@ -22,6 +22,7 @@
  * @public
  */
 export class FaultInjector {
+	readonly faults: SoakRecord['faults'][number][] = []
 	readonly disturbances: SoakRecord['disturbances'][number][] = []
 	readonly withdrawals: SoakRecord['withdrawals'][number][] = []
 	private readonly pending: Promise<void>[] = []
@@ -40,11 +41,17 @@
 		const startedAt = Date.now()
 		for (const fault of plan) {
 			await delay(Math.max(0, startedAt + fault.at - Date.now()))
-			this.pending.push(this.inject(fault))
+			this.pending.push(this.record(fault))
 		}
 		await Promise.all(this.pending)
 	}
 
+	private async record(fault: PlannedFault): Promise<void> {
+		const from = Date.now()
+		await this.inject(fault)
+		this.faults.push({ from, to: Date.now() })
+	}
+
 	private async inject(fault: PlannedFault): Promise<void> {
 		const { kind } = fault
 		if (SIGNALS.has(kind)) return this.signal(fault)
--- a/packages/soak/src/lib/JobRecord.ts
+++ b/packages/soak/src/lib/JobRecord.ts
@@ -7,10 +7,14 @@
 	readonly id: string
 	/** Number of its tasks. */
 	readonly tasks: number
+	/** Whether its tasks run until they are stopped. */
+	readonly lasting: boolean
 	/** When it was accepted; undefined if no answer said so. */
 	acceptedAt: number | undefined
 	/** Whether every attempt to submit it was refused as not run. */
 	refused: boolean
+	/** When its cancellation was first requested; undefined if it was not. */
+	cancelSentAt: number | undefined
 	/** When its cancellation was accepted; undefined if it was not cancelled. */
 	cancelledAt: number | undefined
 	/** When it was first shown as `completed`; undefined if it never was. */
--- a/packages/soak/src/lib/SoakCaller.ts
+++ b/packages/soak/src/lib/SoakCaller.ts
@@ -15,8 +15,9 @@
 const MAXIMUM_SUBMISSIONS = 12
 /** One job of this many is cancelled soon after its acceptance. */
 const CANCEL_INTERVAL = 7
-/** One job of this many has lasting tasks, and is cancelled this time after its acceptance. */
+/** One job of this many has lasting tasks. */
 const LASTING_INTERVAL = 20
+/** Every other one of them is cancelled this time after its acceptance, the others at the end. */
 const LASTING_MILLISECONDS = 6_000
 const MAXIMUM_STEP_WIDTH = 4
 
@@ -32,6 +33,10 @@
 	/** Key that new calls show. */
 	key = 'key-0'
 	private readonly agent = new Agent({ keepAlive: true })
+	private resolveLastingJobsEnd: () => void = () => undefined
+	private readonly lastingJobsEnd = new Promise<void>((resolve) => {
+		this.resolveLastingJobsEnd = resolve
+	})
 	private stopped = false
 
 	constructor(
@@ -49,7 +54,9 @@
 			id: number.toString(16).padStart(16, '0'),
 			tasks: widths.reduce((sum, width) => sum + width, 0),
 			acceptedAt: undefined,
+			lasting: isLasting,
 			refused: false,
+			cancelSentAt: undefined,
 			cancelledAt: undefined,
 			completedAt: undefined,
 			state: undefined,
@@ -57,7 +64,8 @@
 		this.jobs.push(job)
 		await this.submit(job, isLasting ? createLastingBody(widths) : createBody(widths))
 		if (job.acceptedAt === undefined) return
-		if (isLasting) await delay(LASTING_MILLISECONDS)
+		if (number % (2 * LASTING_INTERVAL) === 0) await this.lastingJobsEnd
+		else if (isLasting) await delay(LASTING_MILLISECONDS)
 		else if (number % CANCEL_INTERVAL === 0) await this.cancel(job)
 		while (!this.stopped && !isFinal(job.state)) {
 			if (isLasting) await this.cancel(job)
@@ -71,6 +79,11 @@
 		for (const job of this.jobs) if (job.acceptedAt !== undefined) await this.query(job)
 	}
 
+	/** Lets the callers cancel the jobs whose tasks last until the end. */
+	endLastingJobs(): void {
+		this.resolveLastingJobsEnd()
+	}
+
 	stop(): void {
 		this.stopped = true
 	}
@@ -95,6 +108,7 @@
 	}
 
 	private async cancel(job: JobRecord): Promise<void> {
+		job.cancelSentAt ??= Date.now()
 		const { status } = await this.call('DELETE', job.id)
 		// Without an answer it is unclear, so that both ends of the job are allowed.
 		if (status === 200 || status === 0 || status === 504) job.cancelledAt = Date.now()
--- a/packages/soak/src/lib/SoakRecord.ts
+++ b/packages/soak/src/lib/SoakRecord.ts
@@ -11,6 +11,8 @@
 	readonly jobs: readonly JobRecord[]
 	readonly calls: readonly CallRecord[]
 	readonly runs: readonly RunEvent[]
+	/** Times in which faults were active. */
+	readonly faults: readonly { readonly from: number; readonly to: number }[]
 	/** Times in which each instance was paused, ended or cut off, by its number. */
 	readonly disturbances: readonly {
 		readonly instance: number
--- a/packages/soak/src/lib/checkRecord.test.ts
+++ b/packages/soak/src/lib/checkRecord.test.ts
@@ -43,6 +43,16 @@
 			cpuLimit: 1_000,
 			runs: [1, 2, 3, 4, 5].map((number) => ({ ...event('started', 1, 0), task: `t${number}` })),
 		},
+		'a lasting task that stands after its server was lost': {
+			jobs: [createLastingJob({})],
+			runs: [
+				event('started', 1, 0),
+				event('ended', 1, 1_000, 'lapsed'),
+				event('started', 2, 10_100),
+			],
+			faults: [{ from: 1_000, to: 1_000 }],
+		},
+		'a lasting task that never runs': { jobs: [createLastingJob({})], runs: [] },
 		'an answer after the timeout': { calls: [createCall({ endedAt: 4_000 })] },
 		'a withdrawn key in force': {
 			calls: [createCall({ sentAt: 9_000, endedAt: 9_010 })],
@@ -65,6 +75,24 @@
 		expect(checkRecord(createRecord({ runs }))).toEqual([])
 	})
 
+	const lost = [event('started', 1, 0), event('ended', 1, 1_000, 'lapsed')]
+	const startAgain = (at: number) => [event('started', 2, at), event('ended', 2, 50_000, 'stopped')]
+	const allowed: Readonly<Record<string, Partial<SoakRecord>>> = {
+		'stands for 9 s': { runs: [...lost, ...startAgain(10_000)] },
+		'stands while faults are active or have just been': {
+			runs: [...lost, ...startAgain(30_000)],
+			faults: [10, 16, 22, 24].map((second) => ({ from: second * 1_000, to: second * 1_000 })),
+		},
+		'stands while its team uses half of its limit': {
+			runs: [...lost, { ...event('started', 1, 500), task: 'bb.0.0.0' }],
+			cpuLimit: 1_000,
+		},
+		'has been cancelled': { jobs: [createLastingJob({ cancelSentAt: 9_000 })], runs: lost },
+	}
+	it.each(Object.entries(allowed))('allows that a lasting task %s', (_name, change) => {
+		expect(checkRecord(createRecord({ jobs: [createLastingJob({})], ...change }))).toEqual([])
+	})
+
 	it('does not hold a call to an instance that was paused against it', () => {
 		const calls = [createCall({ endedAt: 4_000 })]
 		const disturbances = [{ instance: 0, from: 1_000, to: 3_500 }]
@@ -77,6 +105,7 @@
 		jobs: [createJob({})],
 		calls: [createCall({})],
 		runs: createRuns(),
+		faults: [],
 		disturbances: [],
 		withdrawals: [],
 		taskCpu: 500,
@@ -90,7 +119,9 @@
 		id: 'aa',
 		tasks: 1,
 		acceptedAt: 10,
+		lasting: false,
 		refused: false,
+		cancelSentAt: undefined,
 		cancelledAt: undefined,
 		completedAt: 500,
 		state: 'completed',
@@ -98,6 +129,11 @@
 	}
 }
 
+function createLastingJob(change: Partial<JobRecord>): JobRecord {
+	const cancelled = { state: 'cancelled', cancelSentAt: 50_000, cancelledAt: 50_000 }
+	return createJob({ lasting: true, completedAt: undefined, ...cancelled, ...change })
+}
+
 function createCall(change: object) {
 	const call = { method: 'GET', instance: 0, key: 'key-1', sentAt: 0, endedAt: 20, status: 200 }
 	return { ...call, ...change }
--- a/packages/soak/src/lib/checkRecord.ts
+++ b/packages/soak/src/lib/checkRecord.ts
@@ -1,5 +1,6 @@
 import type { RunEvent } from '@mastichead/standins'
 import type { CallRecord } from './CallRecord.js'
+import { checkLastingTasks } from './checkLastingTasks.js'
 import type { SoakRecord } from './SoakRecord.js'
 
 /** Time that callers wait for an answer, in milliseconds. */
@@ -24,6 +25,7 @@
 	return [
 		...checkRuns(record.runs),
 		...checkJobs(record),
+		...checkLastingTasks(record),
 		...checkLimit(record),
 		...checkCalls(record),
 	]
--- a/packages/soak/src/lib/runSoak.ts
+++ b/packages/soak/src/lib/runSoak.ts
@@ -12,6 +12,8 @@
 
 /** Time after the last fault for jobs to end: leases of a lost owner, and retries of callers. */
 const SETTLE_MILLISECONDS = 25_000
+/** Time after the last fault in which lasting tasks must have come back, in milliseconds. */
+const CALM_MILLISECONDS = 10_000
 /** Time for an instance to see the newest state once it reaches the store again. */
 const RECOVERY_MILLISECONDS = 4_000
 
@@ -38,6 +40,8 @@
 			await delay(options.submissionInterval)
 		}
 		await faults
+		await delay(CALM_MILLISECONDS)
+		caller.endLastingJobs()
 		await Promise.race([Promise.all(jobs), delay(SETTLE_MILLISECONDS)])
 		caller.stop()
 		await Promise.all(jobs)
@@ -47,13 +51,14 @@
 		caller.close()
 		await fleet.stop()
 	}
-	const { disturbances, withdrawals } = injector
+	const { faults, disturbances, withdrawals } = injector
 	const { taskCpu, cpuLimit } = SoakFleet
 	const { jobs: records, calls } = caller
 	const { runs } = fleet
 	writeLines(path.join(options.folder, 'runs.jsonl'), runs)
 	writeLines(path.join(options.folder, 'plan.jsonl'), plan)
-	const record = { jobs: records, calls, runs, disturbances, withdrawals, taskCpu, cpuLimit }
+	const seen = { jobs: records, calls, runs, faults, disturbances, withdrawals }
+	const record = { ...seen, taskCpu, cpuLimit }
 	return {
 		problems: checkRecord(record),
 		jobs: records.length,
