Let the soak lose backend servers for good around changes of the owner

A third series of faults draws `server-gone`, `kill` and `pause`, 0.5 to 8 s apart; the first two series of a seed stay as they were. At most half of the servers go.

--- a/packages/soak/src/lib/FaultInjector.ts
+++ b/packages/soak/src/lib/FaultInjector.ts
@@ -9,6 +9,10 @@
 
 /** Time that a backend server goes on after it has reported that it is draining. */
 const DRAIN_MILLISECONDS = 2_000
+/** Time after which the registration of a server that is gone is removed. */
+const REGISTRATION_MILLISECONDS = 3_000
+/** Share of the servers that may be gone for good. */
+const GONE_SHARE = 0.5
 /** Time in which the old key and the new one are both in force. */
 const KEY_OVERLAP_MILLISECONDS = 1_000
 /** Faults of which an instance suffers only one at a time. */
@@ -28,6 +32,8 @@
 	private readonly pending: Promise<void>[] = []
 	/** Instances that a signal has hit and that are not back yet. */
 	private readonly signalled = new Set<number>()
+	/** Backend servers that are gone for good. */
+	private readonly gone = new Set<number>()
 	private keyCount = 1
 
 	constructor(
@@ -57,8 +63,13 @@
 		if (SIGNALS.has(kind)) return this.signal(fault)
 		if (kind === 'key-withdrawal') return this.withdrawKey()
 		if (kind === 'store-outage') return this.cutStore(fault)
-		if (kind === 'server-leaves') return this.removeServer(fault)
 		const server = fault.target % this.options.servers
+		if (kind.startsWith(SERVER_PREFIX) && this.gone.has(server)) return
+		if (kind === 'server-leaves') return this.removeServer(fault)
+		if (kind === 'server-gone') {
+			this.loseServer(server)
+			return
+		}
 		if (kind === 'server-restart') {
 			this.fleet.restartServer(server)
 			return
@@ -66,7 +77,7 @@
 		if (kind.startsWith(SERVER_PREFIX)) {
 			this.fleet.setServerFault(server, kind.slice(SERVER_PREFIX.length) as LinkFault)
 			await delay(fault.duration)
-			this.fleet.setServerFault(server, 'none')
+			if (!this.gone.has(server)) this.fleet.setServerFault(server, 'none')
 			return
 		}
 		const instance = await this.selectInstance(fault)
@@ -121,10 +132,24 @@
 		this.fleet.register(server, undefined)
 		this.fleet.setServerFault(server, 'reset')
 		await delay(duration)
+		if (this.gone.has(server)) return
 		this.fleet.setServerFault(server, 'none')
 		this.fleet.restartServer(server)
 	}
 
+	/** Lets a backend server crash for good, unless half of them have. */
+	private loseServer(server: number): void {
+		if (this.gone.size + 1 > this.options.servers * GONE_SHARE) return
+		this.gone.add(server)
+		this.fleet.setServerFault(server, 'reset')
+		this.fleet.crashServer(server)
+		this.pending.push(
+			delay(REGISTRATION_MILLISECONDS).then(() => {
+				this.fleet.register(server, undefined)
+			})
+		)
+	}
+
 	private async withdrawKey(): Promise<void> {
 		const old = this.caller.key
 		const key = `key-${this.keyCount}`
--- a/packages/soak/src/lib/SoakFault.ts
+++ b/packages/soak/src/lib/SoakFault.ts
@@ -8,6 +8,7 @@
  * - `store-outage`: the links of all instances to the store are silent
  * - `server-*`: the link to a backend server is disturbed
  * - `server-restart`: a backend server starts again under its id and knows nothing
+ * - `server-gone`: a backend server crashes and does not come back
  * - `server-leaves`: a backend server reports that it is draining, and leaves
  * - `key-withdrawal`: the callers' key is replaced by another one
  *
@@ -31,5 +32,6 @@
 	| 'server-delayed'
 	| 'server-reset'
 	| 'server-restart'
+	| 'server-gone'
 	| 'server-leaves'
 	| 'key-withdrawal'
--- a/packages/soak/src/lib/SoakFleet.ts
+++ b/packages/soak/src/lib/SoakFleet.ts
@@ -127,6 +127,11 @@
 		this.register(number, 'ready')
 	}
 
+	/** Ends all runs of a backend server, as its crash does. */
+	crashServer(number: number): void {
+		this.servers[number]?.restart()
+	}
+
 	/** Writes the state of a backend server to the registry; undefined removes it. */
 	register(number: number, state: 'ready' | 'draining' | undefined): void {
 		const id = `i-${number}`
--- a/packages/soak/src/lib/createFaultPlan.ts
+++ b/packages/soak/src/lib/createFaultPlan.ts
@@ -28,6 +28,11 @@
 const FURTHER_SEED = 1_000_000
 const MINIMUM_FURTHER_PAUSE = 1_000
 const MAXIMUM_FURTHER_PAUSE = 8_000
+/** Kinds of a third series, of which two that follow each other lose a server and its owner. */
+const LOSS_KINDS: readonly SoakFault[] = ['server-gone', 'kill', 'pause']
+const LOSS_SEED = 2_000_000
+const MINIMUM_LOSS_PAUSE = 500
+const MAXIMUM_LOSS_PAUSE = 8_000
 const MINIMUM_PAUSE = 200
 const MAXIMUM_PAUSE = 2_500
 const MINIMUM_DURATION = 300
@@ -36,7 +41,7 @@
 const MAXIMUM_TARGET = 1_000
 
 /**
- * Creates two series of faults, which may overlap. Times are in milliseconds.
+ * Creates three series of faults, which may overlap. Times are in milliseconds.
  *
  * @param length - time in which faults begin
  * @public
@@ -45,7 +50,9 @@
 	const first = createSeries(seed, length, KINDS, [MINIMUM_PAUSE, MAXIMUM_PAUSE])
 	const pauses = [MINIMUM_FURTHER_PAUSE, MAXIMUM_FURTHER_PAUSE] as const
 	const second = createSeries(seed + FURTHER_SEED, length, FURTHER_KINDS, pauses)
-	return [...first, ...second].sort((a, b) => a.at - b.at)
+	const lossPauses = [MINIMUM_LOSS_PAUSE, MAXIMUM_LOSS_PAUSE] as const
+	const third = createSeries(seed + LOSS_SEED, length, LOSS_KINDS, lossPauses)
+	return [...first, ...second, ...third].sort((a, b) => a.at - b.at)
 }
 
 /** @param pauses - minimum and maximum time between two faults */
