Record the time that is left for the leases on a lost server again while it does not answer

An instance that starts meanwhile counts that whole time from its own load of the log; with restarts in series the wait could go on. And a new owner that cannot reach a server recorded that only after the second failure, although it has not renewed anything there.

Change: the record is written anew each second until nothing is left, and at the first failure where this owner has not renewed.

Ruled out: records for all inherited servers with the record of the term; each takeover would have to write and delete hundreds of them before its first renewal.

--- a/packages/jobs/src/lib/owner/BackendMonitor.ts
+++ b/packages/jobs/src/lib/owner/BackendMonitor.ts
@@ -206,8 +206,8 @@
 	private handleUnreachable(reason: string, sentAt: number, isGone = false): void {
 		const { row, context, options } = this
 		if (row.reachable) context.events.warn('backend-lost', { backend: row.id, reason })
-		// A single lost answer is no reason to give up the leases.
-		else if (row.tasks.size > 0) options.leases.suspend(row)
+		// A single lost answer is no reason to give up the leases of this term.
+		if (row.tasks.size > 0 && !(row.reconciled && row.reachable)) options.leases.suspend(row)
 		row.reachable = false
 		for (const task of row.tasks.values()) task.availableSince = undefined
 		if (!isGone && sentAt < options.leases.getExpiry(row)) return
--- a/packages/jobs/src/lib/owner/LeaseLedger.test.ts
+++ b/packages/jobs/src/lib/owner/LeaseLedger.test.ts
@@ -109,4 +109,21 @@
 		expect(replica.leases.has(row.id)).toBe(false)
 		expect(ledger.mayRenew(row)).toBe(true)
 	})
+
+	// Guards against a process that starts while a server is lost, and waits as long as its first record says.
+	it('is recorded again with the time that is left while it does not answer', async () => {
+		const { ledger, replica, row, timers, advance } = createTestLedger()
+		row.leasesExpireBy = LEASE
+		for (let waited = 0; waited < 3_000; waited += 100) {
+			ledger.suspend(row)
+			await advance(100)
+		}
+		const recorded = replica.leases.get(row.id)
+		expect(recorded?.expiresBy).toBeLessThan(LEASE + 60)
+		expect(recorded?.expiresBy).toBeGreaterThanOrEqual(LEASE)
+		await advance(2_000)
+		ledger.suspend(row)
+		await advance(100)
+		expect(replica.leases.get(row.id)?.expiresBy).toBeLessThan(timers.now())
+	})
 })
--- a/packages/jobs/src/lib/owner/LeaseLedger.ts
+++ b/packages/jobs/src/lib/owner/LeaseLedger.ts
@@ -7,9 +7,16 @@
 import type { OwnerContext } from './OwnerContext.js'
 import type { ProgressWriter } from './ProgressWriter.js'
 
+/** Minimum time between two records of the time that is left, in milliseconds. */
+const RECORD_INTERVAL = 1_000
+
 interface Suspension {
 	/** Whether the record that allows renewals again is on its way to the log. */
 	isEnding: boolean
+	/** Time at which the time that is left was last recorded in this term. */
+	recordedAt: number
+	/** Time that was left then, in milliseconds. */
+	recordedRemaining: number
 }
 
 /**
@@ -38,7 +45,7 @@
 		this.replica.terms.recordTakeover(this.context.timers.now())
 		this.recorded = new Map(this.replica.leases)
 		for (const [id, { renewed }] of this.recorded) {
-			if (!renewed) this.suspensions.set(id, { isEnding: false })
+			if (!renewed) this.suspensions.set(id, createSuspension())
 		}
 	}
 
@@ -65,13 +72,20 @@
 		row.leasesExpireBy = Math.max(row.leasesExpireBy, latestExpiry)
 	}
 
-	/** Records that leases on the server are not renewed. Nothing may be sent there that extends them. */
+	/**
+	 * Records that leases on the server are not renewed; nothing may be sent there that extends them. A
+	 * further call records the time that is left now, for instances that start meanwhile.
+	 */
 	suspend(row: BackendRow): void {
-		const suspension = this.suspensions.get(row.id)
-		if (suspension && !suspension.isEnding) return
-		this.suspensions.set(row.id, { isEnding: false })
-		this.record(row)
-		const remaining = Math.round(this.getExpiry(row) - this.context.timers.now())
+		const existing = this.suspensions.get(row.id)
+		if (existing && !existing.isEnding) {
+			this.recordRemaining(row, existing)
+			return
+		}
+		const suspension = createSuspension()
+		this.suspensions.set(row.id, suspension)
+		this.recordRemaining(row, suspension)
+		const remaining = suspension.recordedRemaining
 		this.context.events.info('leases-suspended', { backend: row.id, remaining })
 	}
 
@@ -124,6 +138,20 @@
 		return Math.min(expiry, recorded.expiresBy)
 	}
 
+	private recordRemaining(row: BackendRow, suspension: Suspension): void {
+		const now = this.context.timers.now()
+		if (suspension.recordedRemaining === 0) return
+		if (now - suspension.recordedAt < RECORD_INTERVAL) return
+		suspension.recordedAt = now
+		suspension.recordedRemaining = this.getRemaining(row)
+		this.record(row)
+	}
+
+	/** Returns for how many milliseconds leases on the server may still hold. */
+	private getRemaining(row: BackendRow): number {
+		return Math.max(0, Math.ceil(this.getExpiry(row) - this.context.timers.now()))
+	}
+
 	private record(row: BackendRow): void {
 		const key = JobRecords.getLeaseKey(row.id)
 		this.writer.markRecordChanged(key, () => this.createRecord(row))
@@ -133,9 +161,13 @@
 		const suspension = this.suspensions.get(row.id)
 		const renewed = suspension?.isEnding ?? true
 		const now = this.context.timers.now()
-		const remaining = Math.max(0, Math.ceil(this.getExpiry(row) - now))
+		const remaining = this.getRemaining(row)
 		const isUsual = renewed && now + remaining <= LeaseTiming.getLatestExpiry(now)
 		if (isUsual) return JobRecords.createLeaseTombstone(row.id)
 		return JobRecords.createLeaseRecord(row.id, { renewed, remaining })
 	}
 }
+
+function createSuspension(): Suspension {
+	return { isEnding: false, recordedAt: -Infinity, recordedRemaining: Infinity }
+}
--- a/packages/jobs/src/lib/testing/createTestLedger.ts
+++ b/packages/jobs/src/lib/testing/createTestLedger.ts
@@ -15,6 +15,7 @@
 interface TestLedger {
 	readonly ledger: LeaseLedger
 	readonly replica: JobReplica
+	readonly timers: VirtualTimerService
 	readonly store: MemoryStore
 	/** A backend server of the ledger's term. */
 	readonly row: BackendRow
@@ -50,6 +51,7 @@
 	return {
 		ledger,
 		replica,
+		timers,
 		store,
 		row,
 		applyLease: (lease) => {
