Shorten leases by what a server's clock may have lost since it was read

What callers would see: TWICE, a task that is started elsewhere while it runs, after its server was idle for a minute and was cut off right after a start.

Cause: a conclusion without its date. An idle server is not listed, so that its clock was read long ago; it may run 2% slow. The end of the first lease was too late by 2% of that age (1.2 s after a minute), more than the margin of 0.3 s, so that the owner gave the run up before the server did.

Change: the time at which a clock was read is kept, and a lease is shortened by 2% of its age, at most by 2 s.

What remains: beyond 100 s without a listing the rest of the error is not covered.

--- a/packages/core/src/lib/jobs/BackendRow.ts
+++ b/packages/core/src/lib/jobs/BackendRow.ts
@@ -34,6 +34,8 @@
 	avoidedUntil: number
 	/** Its clock minus the owner's monotonic clock, in milliseconds. */
 	clockOffset: number
+	/** Time at which its clock was read. */
+	clockReadAt: number
 	/** Time by which every lease that this owner has requested has expired. */
 	leasesExpireBy: number
 	/** Number of the latest end of a run that was processed. */
--- a/packages/core/src/lib/jobs/BackendTable.ts
+++ b/packages/core/src/lib/jobs/BackendTable.ts
@@ -80,6 +80,7 @@
 		cordoned: false,
 		avoidedUntil: 0,
 		clockOffset: 0,
+		clockReadAt: 0,
 		leasesExpireBy: 0,
 		lastProcessedEnd: 0,
 		lastAcknowledgedEnd: 0,
--- a/packages/jobs/src/lib/owner/BackendMonitor.ts
+++ b/packages/jobs/src/lib/owner/BackendMonitor.ts
@@ -149,7 +149,9 @@
 		const result = await context.backendClient.renew(row, {
 			token: context.token,
 			acknowledged: { incarnation: row.incarnation, through: row.lastAcknowledgedEnd },
-			leaseEnd: renewsLeases ? LeaseTiming.getLeaseEnd(sentAt, row.clockOffset) : undefined,
+			leaseEnd: renewsLeases
+				? LeaseTiming.getLeaseEnd(sentAt, row.clockOffset, row.clockReadAt)
+				: undefined,
 			wait,
 		})
 		context.metrics.count('listings', result.kind)
--- a/packages/jobs/src/lib/owner/LeaseTiming.ts
+++ b/packages/jobs/src/lib/owner/LeaseTiming.ts
@@ -6,6 +6,8 @@
 const EXPIRY_MARGIN = 300
 /** Longest lease that any backend server grants, in milliseconds. */
 const LONGEST_GRANT = 10_000
+/** Longest time since a server's clock was read for which a lease is shortened, in milliseconds. */
+const MAXIMUM_CLOCK_AGE = 100_000
 /** How long an owner that the log does not answer may renew leases, in milliseconds. */
 const MAXIMUM_OWNER_SILENCE = 5_000
 
@@ -22,12 +24,15 @@
 	maximumOwnerSilence: MAXIMUM_OWNER_SILENCE,
 
 	/**
-	 * Returns the end of a lease on the backend server's clock.
+	 * Returns the end of a lease on the backend server's clock, so that it lasts no longer than the
+	 * owner expects even if that clock has run slow since it was read.
 	 *
-	 * @param clockOffset - the server's clock minus the owner's
+	 * @param clockOffset - the server's clock minus the owner's when it was read
+	 * @param readAt - monotonic instant at which it was read
 	 */
-	getLeaseEnd(now: number, clockOffset: number): number {
-		return now + clockOffset + DURATION
+	getLeaseEnd(now: number, clockOffset: number, readAt: number): number {
+		const clockAge = Math.min(Math.max(0, now - readAt), MAXIMUM_CLOCK_AGE)
+		return now + clockOffset + DURATION - clockAge * MAXIMUM_CLOCK_DRIFT
 	},
 
 	/** Returns the time by which a lease requested at `requestedAt` has expired. */
--- a/packages/jobs/src/lib/owner/OrderDispatcher.ts
+++ b/packages/jobs/src/lib/owner/OrderDispatcher.ts
@@ -63,7 +63,8 @@
 		}
 		const { backendClient, timers, token, metrics } = this.context
 		setOrderState(task, 'sent', timers.now())
-		const leaseEnd = LeaseTiming.getLeaseEnd(timers.now(), backend.clockOffset)
+		const { clockOffset, clockReadAt } = backend
+		const leaseEnd = LeaseTiming.getLeaseEnd(timers.now(), clockOffset, clockReadAt)
 		backend.leasesExpireBy = Math.max(
 			backend.leasesExpireBy,
 			LeaseTiming.getLatestExpiry(timers.now())
--- a/packages/jobs/src/lib/owner/RunReconciler.ts
+++ b/packages/jobs/src/lib/owner/RunReconciler.ts
@@ -44,6 +44,7 @@
 		const { row, context } = this
 		if (row.incarnation !== listing.incarnation) this.handleIncarnationChange(listing.incarnation)
 		row.clockOffset = listing.clock - context.timers.now()
+		row.clockReadAt = context.timers.now()
 		row.hasUnreadRuns = [...listing.running, ...listing.ended].some(({ task }) =>
 			this.mayBeUnread(task)
 		)
--- a/packages/jobs/src/lib/owner/detectRestart.ts
+++ b/packages/jobs/src/lib/owner/detectRestart.ts
@@ -17,6 +17,7 @@
 	if (!row.reconciled || clock === 0) return false
 	if (Math.abs(clock - now - row.clockOffset) < CLOCK_JUMP) return false
 	row.clockOffset = clock - now
+	row.clockReadAt = now
 	row.lastProcessedEnd = 0
 	row.lastAcknowledgedEnd = 0
 	// The lease was requested on the clock before, and may be as long as the server grants.
--- a/packages/jobs/src/lib/testing/MemoryBackend.ts
+++ b/packages/jobs/src/lib/testing/MemoryBackend.ts
@@ -29,6 +29,8 @@
 	disconnected = false
 	/** Whether the process has crashed and not started again; nothing reaches it then. */
 	private down = false
+	/** Rate of its clock; below 1 it runs slow. */
+	clockRate = 1
 	/** Longest lease that it grants, in milliseconds. */
 	maximumLease = 6_000
 	/** Time that a stop takes, in milliseconds. */
@@ -135,7 +137,7 @@
 	/** Ends the runs that are due to end or whose lease has expired. */
 	advance(): void {
 		for (const run of [...this.runs.values()]) {
-			const leaseExpiresAt = this.leaseEnd - this.clockOffset
+			const leaseExpiresAt = (this.leaseEnd - this.clockOffset) / this.clockRate
 			const ending = run.ending
 			if (ending && ending.at <= this.now && ending.at <= leaseExpiresAt)
 				this.endRun(run, ending.kind, ending.at)
@@ -197,6 +199,6 @@
 	}
 
 	private get clock(): number {
-		return this.now + this.clockOffset
+		return this.now * this.clockRate + this.clockOffset
 	}
 }
