Part the planning and the records of a term from OwnerTerm

PlanningLoop places tasks and orders their starts, TermRecords writes what the next owner needs; no logic changes. The unit tests of packages/jobs pass as before.

--- a/packages/jobs/src/lib/owner/OwnerTerm.ts
+++ b/packages/jobs/src/lib/owner/OwnerTerm.ts
@@ -1,10 +1,8 @@
 import type {
-	BackendId,
 	BackendRow,
 	FleetConfiguration,
 	JobId,
 	StepExplanation,
-	TaskPlacement,
 	TimerService,
 } from '@mastichead/core'
 import {
@@ -20,7 +18,6 @@
 	recordEarlierArrivals,
 } from '@mastichead/core'
 import { formatError } from '../logs/formatError.js'
-import { JobRecords } from '../log/JobRecords.js'
 import type { JobReplica } from '../log/JobReplica.js'
 import type { ReplicaRow } from '../log/ReplicaRow.js'
 import type { StreamFollower } from '../log/StreamFollower.js'
@@ -39,21 +36,15 @@
 import { MonitorTable } from './MonitorTable.js'
 import { OrderDispatcher } from './OrderDispatcher.js'
 import type { OwnerContext } from './OwnerContext.js'
-import { OwnerTiming } from './OwnerTiming.js'
+import { PlanningLoop } from './PlanningLoop.js'
 import { ProgressWriter } from './ProgressWriter.js'
 import { JobRetention } from './JobRetention.js'
+import { TermRecords } from './TermRecords.js'
 import { TermRecovery } from './TermRecovery.js'
 import { TaskUpdater } from './TaskUpdater.js'
 
-/** Delay from a change to the next plan, in milliseconds, so that one plan covers several changes. */
-const PLAN_DELAY = 4
-/** Interval of periodic plans for tasks that become due, in milliseconds. */
-const PLAN_INTERVAL = 200
 /** Interval at which expired jobs and departed backend servers are removed, in milliseconds. */
 const RETENTION_INTERVAL = 10_000
-/** Time without an answer to an append after which nothing is placed, in milliseconds. */
-const MAXIMUM_APPEND_DELAY = 1_000
-
 /**
  * One term of ownership, from raising the fence in the log until ownership is lost. Tracks all runs,
  * places pending tasks, and records every decision in the log before it acts on it.
@@ -66,6 +57,8 @@
 	private readonly dispatcher: OrderDispatcher
 	private readonly taskUpdater: TaskUpdater
 	private readonly planner: PlacementPlanner
+	private readonly planning: PlanningLoop
+	private readonly records: TermRecords
 	private readonly registry: BackendRegistry
 	private readonly health: BackendHealth
 	private readonly machines: MachineManager
@@ -76,7 +69,6 @@
 	private readonly earlierTerms: EarlierTerms
 	private readonly monitors: MonitorTable
 	private readonly subscriptions: { cancel(): void }[] = []
-	private isPlanScheduled = false
 	private started = false
 	private ended = false
 
@@ -132,7 +124,7 @@
 			},
 		}
 		const replan = (): void => {
-			this.schedulePlan()
+			this.planning.schedule()
 		}
 		this.health = new BackendHealth(() => backends.all)
 		this.writer = new ProgressWriter(this.context, options.log, options.progress)
@@ -174,6 +166,11 @@
 		this.registry = new BackendRegistry(this.context, options.log, options.format, (row) => {
 			this.handleBackendChange(row)
 		})
+		this.records = new TermRecords(this.context, {
+			instance: options.instance,
+			writer: this.writer,
+			getRegistration: (id) => this.registry.get(id),
+		})
 		this.recovery = new TermRecovery(this.context, {
 			log: options.log,
 			progress: options.progress,
@@ -189,6 +186,17 @@
 			replan,
 			isIntakeRead: () => options.intake.every((follower) => this.recovery.isRead(follower)),
 		})
+		this.planning = new PlanningLoop(this.context, {
+			planner: this.planner,
+			writer: this.writer,
+			taskUpdater: this.taskUpdater,
+			dispatcher: this.dispatcher,
+			getLateMachineLimit: (service) => this.machines.getLateMachineLimit(service),
+			getArrivingMachines: (service) => this.machines.getArrivingMachines(service),
+			wakeUpMonitor: (id) => {
+				this.monitors.wakeUp(id)
+			},
+		})
 		this.retention = new JobRetention(this.context, {
 			log: options.log,
 			writer: this.writer,
@@ -229,7 +237,7 @@
 		const { token, intake, progress, replica, timers, events } = this.options
 		if (!(await this.recovery.readEarlierTerms())) return
 		this.leases.begin()
-		const termRecorded = this.recordTerm()
+		const termRecorded = this.records.begin()
 		this.registry.preload(replica.backends.values())
 		await this.recovery.readStreams([...intake, this.registry.follower])
 		await termRecorded
@@ -243,28 +251,26 @@
 		if (!(await this.recovery.restoreJobs(replica.all))) return
 		this.restoreDemand()
 		this.subscriptions.push(
-			timers.every(PLAN_INTERVAL, () => {
-				this.schedulePlan()
-			}),
 			timers.every(RETENTION_INTERVAL, () => {
 				this.removeDepartedBackends()
 				this.retention.dropExpired().catch(this.context.fail)
 			})
 		)
 		this.started = true
+		this.planning.start()
 		this.registry.follower.start()
 		for (const follower of intake) follower.wakeUp()
 		this.earlierTerms.start()
 		for (const row of this.context.backends.all) {
 			this.monitors.start(row)
-			if (!replica.backends.has(row.id)) this.recordBackend(row.id)
+			if (!replica.backends.has(row.id)) this.records.recordBackend(row.id)
 		}
 		// Those that left before the start of this term are no longer in the registry.
-		for (const id of replica.backends.keys()) if (!this.registry.get(id)) this.recordBackend(id)
+		for (const id of replica.backends.keys())
+			if (!this.registry.get(id)) this.records.recordBackend(id)
 		const jobs = this.context.jobs.active.size
 		events.info('owner-begun', { token, jobs, ...this.recovery.getReport() })
 		this.machines.start()
-		this.schedulePlan()
 	}
 
 	/** Explains the state of a job's steps. Returns undefined if this term does not know the job. */
@@ -282,6 +288,8 @@
 		this.ended = true
 		this.dispatcher.stop()
 		this.writer.stop()
+		this.records.stop()
+		this.planning.stop()
 		this.registry.follower.stop()
 		this.machines.stop()
 		this.monitors.stop()
@@ -324,15 +332,15 @@
 		} else if (cancelled) {
 			this.taskUpdater.cancelJob(existing)
 		}
-		this.schedulePlan()
+		this.planning.schedule()
 	}
 
 	private handleBackendChange(row: BackendRow): void {
 		if (!this.started) return
-		this.recordBackend(row.id)
+		this.records.recordBackend(row.id)
 		this.monitors.start(row)
 		this.monitors.wakeUp(row.id)
-		this.schedulePlan()
+		this.planning.schedule()
 	}
 
 	private restoreDemand(): void {
@@ -341,41 +349,6 @@
 		recordEarlierArrivals(this.demand, jobs, getConfiguration(), timers.now(), getWallTime())
 	}
 
-	/**
-	 * Records the term, and from then on at intervals that it goes on. Resolves once that is durable; no
-	 * order may be sent before, since the next owner would not know of it.
-	 */
-	private async recordTerm(): Promise<void> {
-		const { token, instance, timers } = this.options
-		const key = JobRecords.getTermKey(token)
-		this.writer.markRecordChanged(key, () => JobRecords.createTermRecord(token, instance))
-		this.recordHeartbeat()
-		this.subscriptions.push(
-			timers.every(OwnerTiming.heartbeatInterval, () => {
-				this.recordHeartbeat()
-			})
-		)
-		await new Promise<void>((resolve) => {
-			this.writer.whenRecordDurable(key, resolve)
-		})
-	}
-
-	/** Shows the other instances that there is an owner. */
-	private recordHeartbeat(): void {
-		const { token, getWallTime } = this.context
-		this.writer.markRecordChanged(JobRecords.ownerKey, () =>
-			JobRecords.createOwnerRecord({ token, writtenAt: getWallTime() })
-		)
-	}
-
-	private recordBackend(id: BackendId): void {
-		this.writer.markRecordChanged(`backend/${id}`, () => {
-			const registration = this.registry.get(id)
-			if (!registration) return JobRecords.createBackendTombstone(id)
-			return JobRecords.createBackendRecord(registration)
-		})
-	}
-
 	/** Removes backend servers that have left and run no tasks. */
 	private removeDepartedBackends(): void {
 		const { backends, backendClient } = this.context
@@ -399,45 +372,6 @@
 		})
 	}
 
-	private schedulePlan(): void {
-		if (this.isPlanScheduled || this.ended || !this.started) return
-		this.isPlanScheduled = true
-		this.context.timers.after(PLAN_DELAY, () => {
-			this.isPlanScheduled = false
-			try {
-				this.plan()
-			} catch (error) {
-				this.fail(error)
-			}
-		})
-	}
-
-	private plan(): void {
-		if (this.ended || this.writer.appendDelay > MAXIMUM_APPEND_DELAY) return
-		const { timers, getWallTime, getConfiguration } = this.context
-		const startedAt = timers.now()
-		const placements = this.planner.plan(
-			getConfiguration(),
-			startedAt,
-			getWallTime(),
-			(service) => this.machines.getLateMachineLimit(service),
-			(service) => this.machines.getArrivingMachines(service)
-		)
-		this.context.metrics.observe('plan', timers.now() - startedAt)
-		for (const placement of placements) this.recordPlacement(placement)
-	}
-
-	private recordPlacement(placement: TaskPlacement): void {
-		const { task, backend } = placement
-		const placedAt = this.context.timers.now()
-		this.taskUpdater.updateJob(task.job)
-		this.monitors.wakeUp(backend.id)
-		const { id } = task.job.job
-		this.writer.whenRecordDurable(id, () => {
-			this.dispatcher.startTask(placement, placedAt).catch(this.context.fail)
-		})
-	}
-
 	private async reportWave(key: string, state: 'running' | 'completed'): Promise<boolean> {
 		const { log, format, events } = this.options
 		const result = await log.append('reports', [format.encodeWaveReport(key, state)], 700)
--- /dev/null
+++ b/packages/jobs/src/lib/owner/TermRecords.ts
@@ -0,0 +1,65 @@
+import type { BackendId } from '@mastichead/core'
+import { JobRecords } from '../log/JobRecords.js'
+import type { BackendRegistration } from '../ports/BackendRegistration.js'
+import type { OwnerContext } from './OwnerContext.js'
+import { OwnerTiming } from './OwnerTiming.js'
+import type { ProgressWriter } from './ProgressWriter.js'
+
+/**
+ * Records the term itself, that it goes on, and the backend servers that it knows, for the next owner.
+ *
+ * @internal
+ */
+export class TermRecords {
+	private heartbeats: { cancel(): void } | undefined
+
+	constructor(
+		private readonly context: OwnerContext,
+		private readonly options: {
+			/** Name of this instance, also of its next process. */
+			readonly instance: string
+			readonly writer: ProgressWriter
+			readonly getRegistration: (id: BackendId) => BackendRegistration | undefined
+		}
+	) {}
+
+	/**
+	 * Records the term, and from then on at intervals that it goes on. Resolves once that is durable; no
+	 * order may be sent before, since the next owner would not know of it.
+	 */
+	async begin(): Promise<void> {
+		const { token, timers } = this.context
+		const { instance, writer } = this.options
+		const key = JobRecords.getTermKey(token)
+		writer.markRecordChanged(key, () => JobRecords.createTermRecord(token, instance))
+		this.recordHeartbeat()
+		this.heartbeats = timers.every(OwnerTiming.heartbeatInterval, () => {
+			this.recordHeartbeat()
+		})
+		await new Promise<void>((resolve) => {
+			writer.whenRecordDurable(key, resolve)
+		})
+	}
+
+	stop(): void {
+		this.heartbeats?.cancel()
+	}
+
+	/** Records the registration of a backend server, or that it has left. */
+	recordBackend(id: BackendId): void {
+		const { writer, getRegistration } = this.options
+		writer.markRecordChanged(`backend/${id}`, () => {
+			const registration = getRegistration(id)
+			if (!registration) return JobRecords.createBackendTombstone(id)
+			return JobRecords.createBackendRecord(registration)
+		})
+	}
+
+	/** Shows the other instances that there is an owner. */
+	private recordHeartbeat(): void {
+		const { token, getWallTime } = this.context
+		this.options.writer.markRecordChanged(JobRecords.ownerKey, () =>
+			JobRecords.createOwnerRecord({ token, writtenAt: getWallTime() })
+		)
+	}
+}
