--- a/packages/jobs/src/lib/testing/createTestFleet.ts
+++ b/packages/jobs/src/lib/testing/createTestFleet.ts
@@ -68,6 +68,7 @@
 		const events = options.createEvents?.(member, timers) ?? options.events
 		const daemon = new JobDaemon({
 			member,
+			instance: `i${index + 1}`,
 			isPreferredOwner: index >= (options.standbys ?? 0),
 			log,
 			backendClient,
