Keep the longer lease of a restarted server over a change of the owner, until it has passed

What callers would see: TWICE, a task on a restarted server runs beside its next run; and LOST, a task that waits for such a lease although it passed long ago.

Change: the next owner keeps the recorded time; a first listing that names another start of the process than the earlier owner recorded counts as a restart; a registration that shows a restart records the longer lease with it; the record is written again once the time has passed.

--- a/packages/jobs/src/lib/owner/LeaseLedger.ts
+++ b/packages/jobs/src/lib/owner/LeaseLedger.ts
@@ -31,6 +31,8 @@
 	private readonly suspensions = new Map<BackendId, Suspension>()
 	/** Servers that earlier owners may have sent orders to, unless they were listed in this term. */
 	private readonly inherited = new Set<BackendId>()
+	/** Starts of the servers' processes that earlier owners have recorded. */
+	private readonly incarnations = new Map<BackendId, number>()
 	/** What the log said when the term began. */
 	private recorded: ReadonlyMap<BackendId, RecordedLease> = new Map()
 
@@ -47,6 +49,8 @@
 		for (const [id, { renewed }] of this.recorded) {
 			if (!renewed) this.suspensions.set(id, createSuspension())
 		}
+		for (const [id, { incarnation }] of this.replica.backends)
+			this.incarnations.set(id, incarnation)
 	}
 
 	/** Marks a server on which an earlier owner has placed tasks. */
@@ -65,11 +69,32 @@
 		return !this.suspensions.has(id)
 	}
 
-	/** Handles the first listing of a term, after which the server refuses orders of earlier owners. */
+	/**
+	 * Handles the first listing of a term, after which the server refuses orders of earlier owners. They
+	 * may have asked a process that has started since for a lease on the clock of the one before.
+	 */
 	handleReconciled(row: BackendRow): void {
 		if (!this.inherited.delete(row.id)) return
-		const latestExpiry = LeaseTiming.getLatestExpiry(this.context.timers.now())
-		row.leasesExpireBy = Math.max(row.leasesExpireBy, latestExpiry)
+		const now = this.context.timers.now()
+		const knownIncarnation = this.incarnations.get(row.id) ?? row.incarnation
+		if (knownIncarnation !== row.incarnation) {
+			this.recordLongLease(row)
+			return
+		}
+		const recorded = this.recorded.get(row.id)
+		const recordedExpiry = recorded?.renewed === true ? recorded.expiresBy : 0
+		const expiry = Math.max(LeaseTiming.getLatestExpiry(now), recordedExpiry)
+		row.leasesExpireBy = Math.max(row.leasesExpireBy, expiry)
+		if (recordedExpiry > 0) this.recordUntilExpiry(row)
+	}
+
+	/**
+	 * Handles a changed registration. It may show a restart before a listing does, and the next owner
+	 * must not learn of the restart without the longer lease.
+	 */
+	handleRegistration(row: BackendRow, incarnation: number | undefined): void {
+		if (!row.reconciled || row.tasks.size === 0) return
+		if (incarnation !== undefined && incarnation !== row.incarnation) this.recordLongLease(row)
 	}
 
 	/**
@@ -107,9 +132,14 @@
 		})
 	}
 
-	/** Records a lease that may be longer than those that owners request. */
+	/**
+	 * Records that the server has started again and may have granted its longest lease, since an order
+	 * named an expiry on its earlier clock.
+	 */
 	recordLongLease(row: BackendRow): void {
-		this.record(row)
+		const latestExpiry = LeaseTiming.getLatestGrantedExpiry(this.context.timers.now())
+		row.leasesExpireBy = Math.max(row.leasesExpireBy, latestExpiry)
+		this.recordUntilExpiry(row)
 	}
 
 	/** Drops the records about servers that have left and run nothing. */
@@ -138,6 +168,14 @@
 		return Math.min(expiry, recorded.expiresBy)
 	}
 
+	/** Records how long leases may hold, and again once that time has passed. */
+	private recordUntilExpiry(row: BackendRow): void {
+		this.record(row)
+		this.context.timers.after(this.getRemaining(row) + 1, () => {
+			this.record(row)
+		})
+	}
+
 	private recordRemaining(row: BackendRow, suspension: Suspension): void {
 		const now = this.context.timers.now()
 		if (suspension.recordedRemaining === 0) return
@@ -169,5 +207,9 @@
 }
 
 function createSuspension(): Suspension {
-	return { isEnding: false, recordedAt: -Infinity, recordedRemaining: Infinity }
+	return {
+		isEnding: false,
+		recordedAt: -Infinity,
+		recordedRemaining: Infinity,
+	}
 }
--- a/packages/jobs/src/lib/owner/OwnerTerm.ts
+++ b/packages/jobs/src/lib/owner/OwnerTerm.ts
@@ -338,6 +338,7 @@
 	private handleBackendChange(row: BackendRow): void {
 		if (!this.started) return
 		this.records.recordBackend(row.id)
+		this.leases.handleRegistration(row, this.registry.get(row.id)?.incarnation)
 		this.monitors.start(row)
 		this.monitors.wakeUp(row.id)
 		this.planning.schedule()
--- a/packages/jobs/src/lib/owner/RunReconciler.ts
+++ b/packages/jobs/src/lib/owner/RunReconciler.ts
@@ -2,7 +2,6 @@
 import type { RunListing } from '../ports/RunListing.js'
 import { completesTask } from './completesTask.js'
 import type { LeaseLedger } from './LeaseLedger.js'
-import { LeaseTiming } from './LeaseTiming.js'
 import type { OrderDispatcher } from './OrderDispatcher.js'
 import type { OwnerContext } from './OwnerContext.js'
 import type { ProgressWriter } from './ProgressWriter.js'
@@ -65,8 +64,6 @@
 		row.lastAcknowledgedEnd = 0
 		if (previous === 0) return
 		// The request that shows the restart may have asked for a lease on the clock before.
-		const latestExpiry = LeaseTiming.getLatestGrantedExpiry(context.timers.now())
-		row.leasesExpireBy = Math.max(row.leasesExpireBy, latestExpiry)
 		this.options.leases.recordLongLease(row)
 		context.events.warn('backend-restarted', { backend: row.id, before: previous, incarnation })
 	}
--- a/packages/jobs/src/lib/owner/detectRestart.ts
+++ b/packages/jobs/src/lib/owner/detectRestart.ts
@@ -1,5 +1,4 @@
 import type { BackendRow } from '@mastichead/core'
-import { LeaseTiming } from './LeaseTiming.js'
 
 /** Difference from the expected clock from which a server must have started again, in milliseconds. */
 const CLOCK_JUMP = 2_000
@@ -20,7 +19,5 @@
 	row.clockReadAt = now
 	row.lastProcessedEnd = 0
 	row.lastAcknowledgedEnd = 0
-	// The lease was requested on the clock before, and may be as long as the server grants.
-	row.leasesExpireBy = Math.max(row.leasesExpireBy, LeaseTiming.getLatestGrantedExpiry(now))
 	return true
 }
