Renew the leases of a regained server at once if their suspension was never written

What callers saw: a lasting task that lapsed on a server that answered.

Cause: renewals waited for the record that allows them again, also when the record of the suspension had not been handed to the log yet, so that no owner could rely on it.

Change: a suspension remembers whether its record was taken for an append; if not, it ends at once, and the record that is still queued says so when it is written. The new test of LeaseLedger.test.ts failed before.

--- a/packages/jobs/src/lib/owner/LeaseLedger.test.ts
+++ b/packages/jobs/src/lib/owner/LeaseLedger.test.ts
@@ -80,6 +80,23 @@
 		expect(replica.leases.has(row.id)).toBe(false)
 	})
 
+	// Guards against tasks that lapse although their server answers, while the log does not.
+	it('gets renewals again at once if the log cannot say yet that they ended', async () => {
+		const { ledger, row, store, advance } = createTestLedger()
+		store.unavailableStreams.add('progress')
+		const other = { ...row, id: 'b2' }
+		ledger.suspend(other)
+		await advance(100)
+		ledger.suspend(row)
+		await advance(300)
+		let isResumed = false
+		ledger.resume(row, () => {
+			isResumed = true
+		})
+		expect([isResumed, ledger.mayRenew(row)]).toEqual([true, true])
+		expect(ledger.mayRenew(other)).toBe(false)
+	})
+
 	it('stays suspended if it is lost again before the log allows renewals', async () => {
 		const { ledger, replica, row, store, advance } = createTestLedger()
 		row.leasesExpireBy = LEASE
@@ -92,6 +109,11 @@
 		})
 		await advance(500)
 		ledger.suspend(row)
+		ledger.resume(row, () => {
+			isResumed = true
+		})
+		expect(ledger.mayRenew(row)).toBe(false)
+		ledger.suspend(row)
 		store.unavailableStreams.delete('progress')
 		await advance(2_000)
 		expect([isResumed, ledger.mayRenew(row)]).toEqual([false, false])
--- a/packages/jobs/src/lib/owner/LeaseLedger.ts
+++ b/packages/jobs/src/lib/owner/LeaseLedger.ts
@@ -17,6 +17,8 @@
 	recordedAt: number
 	/** Time that was left then, in milliseconds. */
 	recordedRemaining: number
+	/** Whether the log may say that the leases are not renewed. */
+	isWritten: boolean
 }
 
 /**
@@ -47,7 +49,7 @@
 		this.replica.terms.recordTakeover(this.context.timers.now())
 		this.recorded = new Map(this.replica.leases)
 		for (const [id, { renewed }] of this.recorded) {
-			if (!renewed) this.suspensions.set(id, createSuspension())
+			if (!renewed) this.suspensions.set(id, { ...createSuspension(), isWritten: true })
 		}
 		for (const [id, { incarnation }] of this.replica.backends)
 			this.incarnations.set(id, incarnation)
@@ -107,7 +109,7 @@
 			this.recordRemaining(row, existing)
 			return
 		}
-		const suspension = createSuspension()
+		const suspension = { ...createSuspension(), isWritten: existing?.isWritten ?? false }
 		this.suspensions.set(row.id, suspension)
 		this.recordRemaining(row, suspension)
 		const remaining = suspension.recordedRemaining
@@ -117,7 +119,8 @@
 	/** Records that leases on the server may be renewed, and calls `onResumed` once that is durable. */
 	resume(row: BackendRow, onResumed: () => void): void {
 		const suspension = this.suspensions.get(row.id)
-		if (!suspension) {
+		if (!suspension?.isWritten) {
+			this.suspensions.delete(row.id)
 			onResumed()
 			return
 		}
@@ -198,6 +201,7 @@
 	private createRecord(row: BackendRow): LogRecord {
 		const suspension = this.suspensions.get(row.id)
 		const renewed = suspension?.isEnding ?? true
+		if (suspension) suspension.isWritten = true
 		const now = this.context.timers.now()
 		const remaining = this.getRemaining(row)
 		const isUsual = renewed && now + remaining <= LeaseTiming.getLatestExpiry(now)
@@ -211,5 +215,6 @@
 		isEnding: false,
 		recordedAt: -Infinity,
 		recordedRemaining: Infinity,
+		isWritten: false,
 	}
 }
