Record for how long a machine of a wave has been missing from the platform's lists

Callers saw nothing; the operator's wave was never reported as completed while the owner changed every 2 or 3 s. A machine that the platform no longer lists counts as removed once lists have lacked it for 3 s, since a wave may name a machine that is newer than the list. The time was kept in the term and started over with each owner; a list is read every 1.5 s, so that it took up to 4.5 s of one term.

The wave's progress now holds the time for which lists have lacked a machine, written with each list (at most two or three records for each removed machine), and the next owner goes on from it on its own clock. A term of less than a list (1.5 s) adds nothing.

waveTakeovers.failure.test.ts, virtual time, the owner changes every 2, 3, 5 and 8 s. Before: 2 and 3 s fail, the last report after 40 s is 'running'; 5 and 8 s pass. After: all pass.

--- a/packages/jobs/src/lib/machines/WaveManager.ts
+++ b/packages/jobs/src/lib/machines/WaveManager.ts
@@ -94,6 +94,7 @@
 			down: new Map(),
 			evacuating: new Map(),
 			missingSince: new Map(),
+			missingTimes: new Map(Object.entries(progress?.missingTimes ?? {})),
 			receivedAt: progress?.receivedAt ?? this.context.getWallTime(),
 			reported: progress?.reported ?? 'nothing',
 		}
@@ -141,25 +142,42 @@
 		}
 	}
 
-	/** Marks machines that the platform has not listed for a while as done. */
+	/**
+	 * Marks machines that the platform has not listed for a while as done. The time that has passed is
+	 * recorded with each list, so that the next owner goes on from it.
+	 */
 	private completeRemovedMachines(row: WaveRow): void {
 		const { inventory } = this.options
 		for (const machine of row.wave.machines) {
-			if (this.getMachine(machine) || inventory.getBackend(machine))
+			if (this.getMachine(machine) || inventory.getBackend(machine)) {
 				row.missingSince.delete(machine)
-			else if (!row.done.has(machine) && !row.missingSince.has(machine))
-				row.missingSince.set(machine, this.context.timers.now())
+				row.missingTimes.delete(machine)
+			} else if (!row.done.has(machine) && !row.missingSince.has(machine)) {
+				const earlier = row.missingTimes.get(machine) ?? 0
+				row.missingSince.set(machine, this.context.timers.now() - earlier)
+			}
 		}
 		for (const [machine, missingSince] of row.missingSince) {
+			if (row.done.has(machine)) continue
+			const missingTime = inventory.listedAt - missingSince
 			// A wave may name a machine that is newer than the current list.
-			if (row.done.has(machine) || inventory.listedAt < missingSince + MISSING_TIME) continue
-			row.done.add(machine)
-			row.evacuating.delete(machine)
-			row.down.delete(machine)
-			this.context.events.info('wave-machine-gone', { wave: row.wave.number, machine })
+			if (missingTime >= MISSING_TIME) this.completeRemovedMachine(row, machine)
+			else if (missingTime > (row.missingTimes.get(machine) ?? 0)) {
+				row.missingTimes.set(machine, missingTime)
+				this.recordProgress(row)
+			}
 		}
 	}
 
+	private completeRemovedMachine(row: WaveRow, machine: string): void {
+		row.done.add(machine)
+		row.evacuating.delete(machine)
+		row.down.delete(machine)
+		row.missingTimes.delete(machine)
+		this.recordProgress(row)
+		this.context.events.info('wave-machine-gone', { wave: row.wave.number, machine })
+	}
+
 	/** Starts to evacuate the machines that are next in line. */
 	private cordonNextMachines(row: WaveRow, remainingMachines: readonly string[]): void {
 		const limit = row.wave.parallelism * (1 + EVACUATED_AHEAD)
@@ -309,7 +327,7 @@
 	}
 
 	private recordProgress(row: WaveRow): void {
-		const { key, ordered, done, receivedAt } = row
+		const { key, ordered, done, receivedAt, missingTimes } = row
 		this.options.writer.markRecordChanged(key, () => {
 			const { reported } = row
 			return JobRecords.createWaveProgressRecord(key, {
@@ -317,6 +335,7 @@
 				done: [...done],
 				receivedAt,
 				reported,
+				missingTimes: Object.fromEntries(missingTimes),
 			})
 		})
 	}
--- a/packages/jobs/src/lib/machines/WaveProgress.ts
+++ b/packages/jobs/src/lib/machines/WaveProgress.ts
@@ -12,4 +12,9 @@
 	readonly receivedAt: number
 	/** State that was reported to the operator. */
 	readonly reported: 'nothing' | 'running' | 'completed'
+	/**
+	 * Milliseconds for which the platform's lists have lacked a machine, by machine. Earlier versions do
+	 * not record it.
+	 */
+	readonly missingTimes?: Readonly<Record<string, number>>
 }
--- a/packages/jobs/src/lib/machines/WaveRow.ts
+++ b/packages/jobs/src/lib/machines/WaveRow.ts
@@ -22,8 +22,13 @@
 	readonly down: Map<string, number>
 	/** Machines that are being evacuated, with the instant at which that began. */
 	readonly evacuating: Map<string, number>
-	/** Machines that the platform does not list, with the instant at which that was noticed. */
+	/**
+	 * Machines that the platform does not list, with the instant since which they have been missing, the
+	 * time under earlier owners included.
+	 */
 	readonly missingSince: Map<string, number>
+	/** Time for which lists have lacked these machines, as recorded for the next owner, in milliseconds. */
+	readonly missingTimes: Map<string, number>
 	/** When an owner first saw the wave, in milliseconds since 1970. */
 	readonly receivedAt: number
 	/** State that was reported to the operator. */
--- /dev/null
+++ b/packages/jobs/src/lib/machines/waveTakeovers.failure.test.ts
@@ -0,0 +1,51 @@
+import { expect, it } from 'vitest'
+import type { Machine } from '../ports/Machine.js'
+import { createTestFleet } from '../testing/createTestFleet.js'
+import { simulateMaintenance } from '../testing/simulateMaintenance.js'
+
+const BACKENDS = 4
+/** Intervals between two changes of the owner, in milliseconds. */
+const INTERVALS = [2_000, 3_000, 5_000, 8_000]
+/** Time in which the wave ends, in milliseconds. */
+const WAVE_TIME = 40_000
+
+// Guards against a wave that is never reported as completed, because the time for which a machine must be
+// missing starts over with each change of the owner.
+it.each(INTERVALS)(
+	'a wave with a machine that was removed ends although the owner changes every %i ms',
+	async (interval) => {
+		const { fleet, simulation } = await createTestWave()
+		startWave(fleet, [...simulation.machines.keys(), 'removed'])
+		const end = fleet.timers.now() + WAVE_TIME
+		while (fleet.timers.now() < end) {
+			fleet.store.rebalance()
+			await fleet.advance(interval)
+		}
+		expect(simulation.done.size).toBe(BACKENDS)
+		expect(getReports(fleet).at(-1)).toBe('completed')
+	}
+)
+
+async function createTestWave() {
+	const machines = Array.from({ length: BACKENDS }, (_, index) => createMachine(`b${index + 1}`))
+	const fleet = createTestFleet({ instances: 3, backends: BACKENDS, machines })
+	for (const backend of fleet.backends.values()) backend.getRunDuration = () => undefined
+	const simulation = simulateMaintenance(fleet, { machines })
+	await fleet.advance(500)
+	return { fleet, simulation }
+}
+
+function startWave(fleet: ReturnType<typeof createTestFleet>, machines: readonly string[]): void {
+	const wave = { number: 1, machines, deadlineSeconds: 1, parallelism: 1 }
+	fleet.store.append('operator', [{ key: 'wave/1', value: JSON.stringify(wave) }])
+}
+
+function getReports(fleet: ReturnType<typeof createTestFleet>): (string | undefined)[] {
+	return fleet.store.getEntries('reports').map(({ value }) => value)
+}
+
+function createMachine(backend: string): Machine {
+	const capacity = { cpu: 16_000, memory: 64_000, gpu: 0 }
+	const id = `machine-${backend}`
+	return { id, service: 'desk', state: 'up', zone: 'a', labels: [], capacity, backend }
+}
