Record since when a wave has been evacuating a machine

Callers saw nothing; a wave did not end while the owner changed every 2 or 3 s and its pool was full of tasks that take longer than that. A wave gives tasks 4 s to end by themselves before their machine is taken down. The time was kept in the term, so that each owner began it anew, often with another machine.

The wave's progress now holds when the evacuation of a machine began; the next owner goes on with these machines first, and counts from then. It is a time on the wall clock: a clock that jumps cuts some tasks short or lets them end, and breaks no rule. One record for each machine that has tasks to wait for. Ruled out: the elapsed time, as for missing machines, since a wave would be written every second on links of 10 Mbit/s. Not changed: the new owner opens the machine until it has read the list, so that tasks may be placed on it in between.

waveTakeovers.failure.test.ts, virtual time, tasks of 9 s, demand above capacity.

--- a/packages/jobs/src/lib/machines/WaveManager.ts
+++ b/packages/jobs/src/lib/machines/WaveManager.ts
@@ -93,6 +93,7 @@
 			done,
 			down: new Map(),
 			evacuating: new Map(),
+			earlierEvacuations: new Map(Object.entries(progress?.evacuatingSince ?? {})),
 			missingSince: new Map(),
 			missingTimes: new Map(Object.entries(progress?.missingTimes ?? {})),
 			receivedAt: progress?.receivedAt ?? this.context.getWallTime(),
@@ -174,6 +175,7 @@
 		row.evacuating.delete(machine)
 		row.down.delete(machine)
 		row.missingTimes.delete(machine)
+		row.earlierEvacuations.delete(machine)
 		this.recordProgress(row)
 		this.context.events.info('wave-machine-gone', { wave: row.wave.number, machine })
 	}
@@ -191,7 +193,11 @@
 			else if (row.evacuating.size < limit) this.cordonMachine(row, machine, undefined)
 		}
 		const cordonedCounts = new Map<string, number>()
-		for (const backend of sortByDisruptionCost([...backends.keys()])) {
+		const isStarted = (backend: BackendRow): boolean =>
+			row.earlierEvacuations.has(backends.get(backend) ?? '')
+		const sorted = sortByDisruptionCost([...backends.keys()])
+		const started = sorted.filter(isStarted)
+		for (const backend of [...started, ...sorted.filter((other) => !isStarted(other))]) {
 			if (row.evacuating.size >= limit) return
 			const { service } = backend
 			const cordonedCount = cordonedCounts.get(service) ?? 0
@@ -202,10 +208,14 @@
 	}
 
 	private cordonMachine(row: WaveRow, machine: string, backend: BackendRow | undefined): void {
-		const { timers, events } = this.context
-		row.evacuating.set(machine, timers.now())
+		const { timers, events, getWallTime } = this.context
+		const earlierSince = row.earlierEvacuations.get(machine)
+		row.earlierEvacuations.delete(machine)
+		const elapsed = earlierSince === undefined ? 0 : Math.max(0, getWallTime() - earlierSince)
+		row.evacuating.set(machine, timers.now() - elapsed)
 		if (!backend) return
 		backend.cordoned = true
+		if (elapsed === 0 && !hasOnlyLastingTasks(backend)) this.recordProgress(row)
 		events.info('backend-closing', { backend: backend.id, machine, tasks: backend.tasks.size })
 	}
 
@@ -291,8 +301,7 @@
 
 	private isEvacuated(backend: BackendRow, evacuatingSince: number): boolean {
 		if (this.context.timers.now() - evacuatingSince > EVACUATION_TIMEOUT) return true
-		for (const task of backend.tasks.values()) if (!task.step.lasting) return false
-		return true
+		return hasOnlyLastingTasks(backend)
 	}
 
 	private handleMaintenanceStarted(
@@ -336,10 +345,19 @@
 				receivedAt,
 				reported,
 				missingTimes: Object.fromEntries(missingTimes),
+				evacuatingSince: this.getEvacuatingSince(row),
 			})
 		})
 	}
 
+	/** Returns when the evacuation of each machine began, in milliseconds since 1970. */
+	private getEvacuatingSince(row: WaveRow): Record<string, number> {
+		const { timers, getWallTime } = this.context
+		const offset = getWallTime() - timers.now()
+		const own = [...row.evacuating].map(([machine, since]) => [machine, since + offset] as const)
+		return Object.fromEntries([...row.earlierEvacuations, ...own])
+	}
+
 	private isStopped(): boolean {
 		return this.stopped
 	}
@@ -356,6 +374,10 @@
 	return canDisruptBackend(backend)
 }
 
+function hasOnlyLastingTasks(backend: BackendRow): boolean {
+	return [...backend.tasks.values()].every(({ step }) => step.lasting)
+}
+
 /** Returns the process of a backend server; undefined if it is not known. */
 function getProcess(backend: BackendRow | undefined): string | undefined {
 	return backend && backend.incarnation !== 0 ? `${backend.id}/${backend.incarnation}` : undefined
--- a/packages/jobs/src/lib/machines/WaveProgress.ts
+++ b/packages/jobs/src/lib/machines/WaveProgress.ts
@@ -17,4 +17,9 @@
 	 * not record it.
 	 */
 	readonly missingTimes?: Readonly<Record<string, number>>
+	/**
+	 * When the evacuation of a machine began, in milliseconds since 1970, by machine. Earlier versions do
+	 * not record it.
+	 */
+	readonly evacuatingSince?: Readonly<Record<string, number>>
 }
--- a/packages/jobs/src/lib/machines/WaveRow.ts
+++ b/packages/jobs/src/lib/machines/WaveRow.ts
@@ -22,6 +22,11 @@
 	readonly down: Map<string, number>
 	/** Machines that are being evacuated, with the instant at which that began. */
 	readonly evacuating: Map<string, number>
+	/**
+	 * Machines that an earlier owner was evacuating and this one is not yet, with the beginning in
+	 * milliseconds since 1970.
+	 */
+	readonly earlierEvacuations: Map<string, number>
 	/**
 	 * Machines that the platform does not list, with the instant since which they have been missing, the
 	 * time under earlier owners included.
--- a/packages/jobs/src/lib/machines/waveTakeovers.failure.test.ts
+++ b/packages/jobs/src/lib/machines/waveTakeovers.failure.test.ts
@@ -3,11 +3,14 @@
 import { createTestFleet } from '../testing/createTestFleet.js'
 import { simulateMaintenance } from '../testing/simulateMaintenance.js'
 
+const { createJob } = createTestFleet
 const BACKENDS = 4
 /** Intervals between two changes of the owner, in milliseconds. */
 const INTERVALS = [2_000, 3_000, 5_000, 8_000]
 /** Time in which the wave ends, in milliseconds. */
 const WAVE_TIME = 40_000
+/** Duration of a task, in milliseconds; longer than a wave waits for tasks to end by themselves. */
+const RUN_DURATION = 9_000
 
 // Guards against a wave that is never reported as completed, because the time for which a machine must be
 // missing starts over with each change of the owner.
@@ -26,6 +29,32 @@
 	}
 )
 
+// Guards against a wave that waits for ever for a busy machine, because the time for tasks to end by
+// themselves starts over with each change of the owner.
+it.each(INTERVALS)(
+	'a wave over busy machines ends although the owner changes every %i ms',
+	async (interval) => {
+		const { fleet, simulation } = await createTestWave()
+		for (const backend of fleet.backends.values()) backend.getRunDuration = () => RUN_DURATION
+		startWave(fleet, [...simulation.machines.keys()])
+		const end = fleet.timers.now() + WAVE_TIME
+		let changedAt = 0
+		for (let number = 1; fleet.timers.now() < end; number += 1) {
+			const job = createJob(number, [{ count: 6, estimate: RUN_DURATION }])
+			void fleet.instances[0]?.daemon.intake.submit(job, fleet.timers.now() + 2_000)
+			if (fleet.timers.now() >= changedAt + interval) {
+				fleet.store.rebalance()
+				changedAt = fleet.timers.now()
+			}
+			await fleet.advance(500)
+		}
+		expect(simulation.done.size).toBe(BACKENDS)
+		expect(getReports(fleet).at(-1)).toBe('completed')
+		expect(simulation.maximumDown).toBe(1)
+		expect(fleet.journal.violations).toEqual([])
+	}
+)
+
 async function createTestWave() {
 	const machines = Array.from({ length: BACKENDS }, (_, index) => createMachine(`b${index + 1}`))
 	const fleet = createTestFleet({ instances: 3, backends: BACKENDS, machines })
