Count the time in which the log answers before a missing server counts as gone

Callers saw work placed late: a server that had left stayed registered, and counted in its pool, for as long as the log was lost again and again. A registration that is missing after an outage is kept for 2.5 s, since it may only have expired. Each new recovery of the log began this wait anew; and if the wait ended in the next outage, the server was deregistered while it could not have registered again.

The wait now counts the time in which the log answers, once for each missing registration: later outages neither start it over nor count. Ruled out: 2.5 s by the clock from the first recovery, which takes servers for gone that had no time to register. Between two losses at least two reads must be answered for the time to count; where the log answers for less than about 1.5 s at a time nothing is known about a missing server, and it is kept, as before.

BackendRegistry.test.ts, virtual time, the log lost for 0.6 s every 1.5, 1.8 and 2.4 s. Before: 1.5 s fails (still registered after 12 s), and a server that was missing after an outage is deregistered in the next one, after 0.8 s of answers. After: all pass. A trial of the test with a loss every 1.0 s fails before and after, for the reason above, and was not kept. Unit tests of packages/jobs: 190 of 190.

--- a/packages/jobs/src/lib/owner/BackendRegistry.ts
+++ b/packages/jobs/src/lib/owner/BackendRegistry.ts
@@ -17,10 +17,12 @@
 /** Maximum time since the log's latest answer for the registry to count as fresh, in milliseconds. */
 const MAXIMUM_FRESH_AGE = 1_100
 /**
- * How long a missing registration is kept after the log has become reachable again, in milliseconds,
- * because it may only have expired during the outage.
+ * How long the log must answer, after it has become reachable again, until a registration that is missing
+ * counts as gone, in milliseconds, because it may only have expired during the outage.
  */
 const DEREGISTRATION_GRACE = 2_500
+/** Interval at which the time in which the log answered is counted, in milliseconds. */
+const GRACE_INTERVAL = 250
 
 /**
  * Follows the registrations of backend servers in the log and updates their rows.
@@ -125,17 +127,36 @@
 	private deregister(id: string): void {
 		const row = this.context.backends.get(id)
 		if (!row || !this.registrations.has(id)) return
-		const { timers, events } = this.context
-		const delay = (this.follower.recoveredAt ?? -Infinity) + DEREGISTRATION_GRACE - timers.now()
-		if (delay > 0) {
-			timers.after(delay, () => {
-				if (!this.follower.has(id)) this.deregister(id)
-			})
-			return
-		}
+		const { timers } = this.context
+		const { recoveredAt = -Infinity } = this.follower
+		const grace = recoveredAt + DEREGISTRATION_GRACE - timers.now()
+		if (grace > 0) this.awaitReturn(row, grace, timers.now())
+		else this.removeRegistration(row)
+	}
+
+	/**
+	 * Deregisters a backend server unless it registers anew while the log answers. Time in which the log
+	 * is lost again does not count, and does not start the wait over.
+	 *
+	 * @param remaining - milliseconds for which the log must still answer
+	 * @param countedTo - monotonic instant up to which its answers have been counted
+	 */
+	private awaitReturn(row: BackendRow, remaining: number, countedTo: number): void {
+		this.context.timers.after(GRACE_INTERVAL, () => {
+			if (this.follower.has(row.id) || !this.context.mayAct()) return
+			const { lastContactAt = -Infinity, recoveredAt = -Infinity } = this.follower
+			const answered = Math.max(0, lastContactAt - Math.max(countedTo, recoveredAt))
+			const stillRemaining = remaining - answered
+			if (stillRemaining > 0)
+				this.awaitReturn(row, stillRemaining, Math.max(countedTo, lastContactAt))
+			else this.removeRegistration(row)
+		})
+	}
+
+	private removeRegistration(row: BackendRow): void {
+		if (!this.registrations.delete(row.id)) return
 		row.registered = false
-		this.registrations.delete(id)
-		events.info('backend-deregistered', { backend: id, service: row.service })
+		this.context.events.info('backend-deregistered', { backend: row.id, service: row.service })
 		this.onChange(row)
 	}
 }
