Record for how long a registration has been missing after an outage

Operators saw that a server that had left was in use again after a change of the owner. If the registry cannot be read when a term begins, the owner takes the servers from the records of the one before, and a missing one is kept for 2.5 s once the registry answers. If the owner changed again by then, the next one had the server in its records too, and began the wait anew: with changes every 2 or 3 s the server never went.

The owner's copy of a registration, which is in the log already, now has the time for which the log answered without it; the next owner goes on from that, on its own clock. Ruled out: a record of its own, which the replica would have to learn; dropping the wait in a new term, which takes servers for gone whose registration expired in the outage that changed the owner.

Remains: if the server is back and a term reads that before it has started, the record keeps the time until the registration changes, so that after a later outage the server has less than 2.5 s.

--- a/packages/jobs/src/lib/owner/BackendRegistry.ts
+++ b/packages/jobs/src/lib/owner/BackendRegistry.ts
@@ -100,7 +100,8 @@
 			!row.registered ||
 			previous?.service !== service ||
 			previous.draining !== draining ||
-			previous.incarnation !== incarnation
+			previous.incarnation !== incarnation ||
+			previous.absentTime !== registration.absentTime
 		this.registrations.set(id, registration)
 		if (!isChanged) return
 		if (previous && previous.incarnation !== incarnation) row.cordoned = false
@@ -127,29 +128,35 @@
 	private deregister(id: string): void {
 		const row = this.context.backends.get(id)
 		if (!row || !this.registrations.has(id)) return
-		const { timers } = this.context
 		const { recoveredAt = -Infinity } = this.follower
-		const grace = recoveredAt + DEREGISTRATION_GRACE - timers.now()
-		if (grace > 0) this.awaitReturn(row, grace, timers.now())
+		const now = this.context.timers.now()
+		if (recoveredAt + DEREGISTRATION_GRACE > now) this.awaitReturn(row, recoveredAt)
 		else this.removeRegistration(row)
 	}
 
 	/**
 	 * Deregisters a backend server unless it registers anew while the log answers. Time in which the log
-	 * is lost again does not count, and does not start the wait over.
+	 * is lost again does not count, and does not start the wait over; nor does a change of the owner, since
+	 * the time is recorded.
 	 *
-	 * @param remaining - milliseconds for which the log must still answer
-	 * @param countedTo - monotonic instant up to which its answers have been counted
+	 * @param countedTo - monotonic instant up to which the log's answers have been counted
 	 */
-	private awaitReturn(row: BackendRow, remaining: number, countedTo: number): void {
+	private awaitReturn(row: BackendRow, countedTo: number): void {
 		this.context.timers.after(GRACE_INTERVAL, () => {
-			if (this.follower.has(row.id) || !this.context.mayAct()) return
+			const registration = this.registrations.get(row.id)
+			if (!registration || this.follower.has(row.id) || !this.context.mayAct()) return
 			const { lastContactAt = -Infinity, recoveredAt = -Infinity } = this.follower
 			const answered = Math.max(0, lastContactAt - Math.max(countedTo, recoveredAt))
-			const stillRemaining = remaining - answered
-			if (stillRemaining > 0)
-				this.awaitReturn(row, stillRemaining, Math.max(countedTo, lastContactAt))
-			else this.removeRegistration(row)
+			const absentTime = (registration.absentTime ?? 0) + answered
+			if (absentTime >= DEREGISTRATION_GRACE) {
+				this.removeRegistration(row)
+				return
+			}
+			if (answered > 0) {
+				this.registrations.set(row.id, { ...registration, absentTime })
+				this.onChange(row)
+			}
+			this.awaitReturn(row, Math.max(countedTo, lastContactAt))
 		})
 	}
 
--- a/packages/jobs/src/lib/ports/BackendRegistration.ts
+++ b/packages/jobs/src/lib/ports/BackendRegistration.ts
@@ -18,4 +18,9 @@
 	readonly draining: boolean
 	/** Start of the server's process, in milliseconds since 1970. */
 	readonly incarnation: number
+	/**
+	 * Milliseconds for which the log answered without the registration, after an outage in which it may
+	 * have expired; only in an owner's copy.
+	 */
+	readonly absentTime?: number
 }
