--- a/packages/jobs/src/lib/machines/waveTakeovers.failure.test.ts
+++ b/packages/jobs/src/lib/machines/waveTakeovers.failure.test.ts
@@ -5,6 +5,7 @@
 
 const { createJob } = createTestFleet
 const BACKENDS = 4
+const TASKS = 3
 /** Intervals between two changes of the owner, in milliseconds. */
 const INTERVALS = [2_000, 3_000, 5_000, 8_000]
 /** Time in which the wave ends, in milliseconds. */
@@ -12,6 +13,29 @@
 /** Duration of a task, in milliseconds; longer than a wave waits for tasks to end by themselves. */
 const RUN_DURATION = 9_000
 
+// Guards against a wave that never ends, because the time in which a new owner interrupts nothing
+// starts over with each change of the owner.
+it.each(INTERVALS)(
+	'a wave over machines with lasting tasks ends although the owner changes every %i ms',
+	async (interval) => {
+		const { fleet, simulation } = await createTestWave()
+		const job = createJob(1, [{ count: TASKS, lasting: true, mayMiss: 1, maximumPerBackend: 1 }])
+		void fleet.instances[0]?.daemon.intake.submit(job, fleet.timers.now() + 2_000)
+		await fleet.advance(3_000)
+		expect(fleet.journal.running).toHaveLength(TASKS)
+		startWave(fleet, [...simulation.machines.keys()])
+		const end = fleet.timers.now() + WAVE_TIME
+		while (fleet.timers.now() < end) {
+			fleet.store.rebalance()
+			await fleet.advance(interval)
+		}
+		expect(simulation.done.size).toBe(BACKENDS)
+		expect(getReports(fleet).at(-1)).toBe('completed')
+		expect(simulation.maximumDown).toBe(1)
+		expect(fleet.journal.violations).toEqual([])
+	}
+)
+
 // Guards against a wave that is never reported as completed, because the time for which a machine must be
 // missing starts over with each change of the owner.
 it.each(INTERVALS)(
