--- a/packages/jobs/src/lib/owner/BackendRegistry.ts
+++ b/packages/jobs/src/lib/owner/BackendRegistry.ts
@@ -17,10 +17,12 @@
 /** Maximum time since the log's latest answer for the registry to count as fresh, in milliseconds. */
 const MAXIMUM_FRESH_AGE = 1_100
 /**
- * How long a missing registration is kept after the log has become reachable again, in milliseconds,
- * because it may only have expired during the outage.
+ * How long the log must answer, after it has become reachable again, until a registration that is missing
+ * counts as gone, in milliseconds, because it may only have expired during the outage.
  */
 const DEREGISTRATION_GRACE = 2_500
+/** Interval at which the time in which the log answered is counted, in milliseconds. */
+const GRACE_INTERVAL = 250
 
 /**
  * Follows the registrations of backend servers in the log and updates their rows.
@@ -98,7 +100,8 @@
 			!row.registered ||
 			previous?.service !== service ||
 			previous.draining !== draining ||
-			previous.incarnation !== incarnation
+			previous.incarnation !== incarnation ||
+			previous.absentTime !== registration.absentTime
 		this.registrations.set(id, registration)
 		if (!isChanged) return
 		if (previous && previous.incarnation !== incarnation) row.cordoned = false
@@ -125,17 +128,42 @@
 	private deregister(id: string): void {
 		const row = this.context.backends.get(id)
 		if (!row || !this.registrations.has(id)) return
-		const { timers, events } = this.context
-		const delay = (this.follower.recoveredAt ?? -Infinity) + DEREGISTRATION_GRACE - timers.now()
-		if (delay > 0) {
-			timers.after(delay, () => {
-				if (!this.follower.has(id)) this.deregister(id)
-			})
-			return
-		}
+		const { recoveredAt = -Infinity } = this.follower
+		const now = this.context.timers.now()
+		if (recoveredAt + DEREGISTRATION_GRACE > now) this.awaitReturn(row, recoveredAt)
+		else this.removeRegistration(row)
+	}
+
+	/**
+	 * Deregisters a backend server unless it registers anew while the log answers. Time in which the log
+	 * is lost again does not count, and does not start the wait over; nor does a change of the owner, since
+	 * the time is recorded.
+	 *
+	 * @param countedTo - monotonic instant up to which the log's answers have been counted
+	 */
+	private awaitReturn(row: BackendRow, countedTo: number): void {
+		this.context.timers.after(GRACE_INTERVAL, () => {
+			const registration = this.registrations.get(row.id)
+			if (!registration || this.follower.has(row.id) || !this.context.mayAct()) return
+			const { lastContactAt = -Infinity, recoveredAt = -Infinity } = this.follower
+			const answered = Math.max(0, lastContactAt - Math.max(countedTo, recoveredAt))
+			const absentTime = (registration.absentTime ?? 0) + answered
+			if (absentTime >= DEREGISTRATION_GRACE) {
+				this.removeRegistration(row)
+				return
+			}
+			if (answered > 0) {
+				this.registrations.set(row.id, { ...registration, absentTime })
+				this.onChange(row)
+			}
+			this.awaitReturn(row, Math.max(countedTo, lastContactAt))
+		})
+	}
+
+	private removeRegistration(row: BackendRow): void {
+		if (!this.registrations.delete(row.id)) return
 		row.registered = false
-		this.registrations.delete(id)
-		events.info('backend-deregistered', { backend: id, service: row.service })
+		this.context.events.info('backend-deregistered', { backend: row.id, service: row.service })
 		this.onChange(row)
 	}
 }
