Explain a task whose siblings are on every server with room as waiting for room

What operators saw: `explain` said `order` (there is room, other work goes first) for a lasting task that no server could take, since each had as many tasks of the step as the step allows. Cause: explainJob had its own copy of the planner's rule without maximumPerBackend. Now getHostRefusal says why a usable server cannot host a task; planner and explainJob both use it.

Evidence: explainJob.test.ts, a step of three with one task per server on two servers: `order` on the code before, `no-room` now. The command line's words for `no-room` say "full"; the code of that text is not part of this change.

--- a/packages/core/src/lib/jobs/PlacementPlanner.ts
+++ b/packages/core/src/lib/jobs/PlacementPlanner.ts
@@ -13,9 +13,8 @@
 import type { ReadyStep } from './ReadyStep.js'
 import type { TaskRow } from './TaskRow.js'
 import { exceedsTeamLimit } from './exceedsTeamLimit.js'
-import { fitsWithin } from './fitsWithin.js'
 import { getBackendAvailability } from './getBackendAvailability.js'
-import { getReservedResources } from './getReservedResources.js'
+import { getHostRefusal } from './getHostRefusal.js'
 import { getPendingCores } from './getPendingCores.js'
 import { getReadySteps } from './getReadySteps.js'
 import { getRemainingWork } from './getRemainingWork.js'
@@ -164,7 +163,7 @@
 		let best: BackendRow | undefined
 		let bestScore = -Infinity
 		for (const backend of usable) {
-			if (!canHost(readyStep, backend)) continue
+			if (getHostRefusal(readyStep, backend)) continue
 			const baseScore = this.scorer.getScore(readyStep, backend)
 			const score = backend.id === task.failedOn ? baseScore - FAILED_BACKEND_PENALTY : baseScore
 			if (score <= bestScore) continue
@@ -201,12 +200,3 @@
 	if (limit === undefined || limit >= backends.length) return backends
 	return backends.toSorted((a, b) => b.used.cpu - a.used.cpu).slice(0, limit)
 }
-
-function canHost(readyStep: ReadyStep, backend: BackendRow): boolean {
-	const { step } = readyStep
-	if (step.requiredLabel !== '' && !backend.labels.includes(step.requiredLabel)) return false
-	if (!fitsWithin(getReservedResources(step), backend.used, backend.capacity)) return false
-	if (step.maximumPerBackend === 0) return true
-	const placedHere = readyStep.members.filter((member) => member.backend === backend.id)
-	return placedHere.length < step.maximumPerBackend
-}
--- a/packages/core/src/lib/jobs/StepExplanation.ts
+++ b/packages/core/src/lib/jobs/StepExplanation.ts
@@ -7,7 +7,7 @@
  * - `team-limit`: the team has reached its limit
  * - `no-backend`: the pool has no usable backend server
  * - `too-large`: no usable server could host a task even if it were empty
- * - `no-room`: every server that could host a task is full
+ * - `no-room`: every server that could host a task is full, or has as many of the step as it may
  * - `order`: there is room, but other work is placed first or the next plan is pending
  *
  * @public
--- a/packages/core/src/lib/jobs/explainJob.test.ts
+++ b/packages/core/src/lib/jobs/explainJob.test.ts
@@ -29,6 +29,13 @@
 	expect(reasons()[0]).toMatchObject({ reason })
 })
 
+// Guards against an explanation that there is room while no server may take a further task of the step.
+it('gives the reason no-room for a task that wants a server without another task of its step', () => {
+	const { reasons, plan } = explain([{ count: 3, needs, maximumPerBackend: 1 }])
+	plan()
+	expect(reasons()[0]).toMatchObject({ waiting: 1, reason: 'no-room' })
+})
+
 it('gives the reason order for a task that fits and waits for the next plan', () => {
 	const { reasons } = explain([{ count: 1, needs }])
 	expect(reasons()[0]).toMatchObject({ waiting: 1, reason: 'order' })
--- a/packages/core/src/lib/jobs/explainJob.ts
+++ b/packages/core/src/lib/jobs/explainJob.ts
@@ -1,12 +1,13 @@
 import type { BackendTable } from './BackendTable.js'
 import type { FleetConfiguration } from './FleetConfiguration.js'
 import type { JobRow } from './JobRow.js'
-import type { JobStep } from './JobStep.js'
+import type { ReadyStep } from './ReadyStep.js'
 import type { StepExplanation } from './StepExplanation.js'
 import type { TaskRow } from './TaskRow.js'
 import { exceedsTeamLimit } from './exceedsTeamLimit.js'
 import { fitsWithin } from './fitsWithin.js'
 import { getBackendAvailability } from './getBackendAvailability.js'
+import { getHostRefusal } from './getHostRefusal.js'
 import { getReservedResources } from './getReservedResources.js'
 import { getReadySteps } from './getReadySteps.js'
 import { noResources } from './noResources.js'
@@ -43,7 +44,7 @@
 		const waiting = countInPhase('pending')
 		const getReason = (): StepExplanation['reason'] =>
 			readyKeys.has(key)
-				? explainNotPlaced(row, first.step, options)
+				? explainNotPlaced(row, { step: first.step, members: tasks }, options)
 				: explainNotReady(row, first, options)
 		explanations.push({
 			step: first.stepNumber,
@@ -88,7 +89,7 @@
 /** Explains why a ready step is not placed. */
 function explainNotPlaced(
 	{ job }: JobRow,
-	step: JobStep,
+	readyStep: Pick<ReadyStep, 'step' | 'members'>,
 	options: {
 		readonly backends: BackendTable
 		readonly configuration: FleetConfiguration
@@ -96,6 +97,7 @@
 	}
 ): 'team-limit' | 'no-backend' | 'too-large' | 'no-room' | 'order' {
 	const { backends, configuration, now } = options
+	const { step } = readyStep
 	const used = backends.getTeamUsage(job.team)
 	if (exceedsTeamLimit(configuration.teams.get(job.team), used, step.needs)) return 'team-limit'
 	const service = configuration.queues.get(job.queue)?.service
@@ -110,7 +112,6 @@
 			fitsWithin(needs, noResources, capacity)
 	)
 	if (suitable.length === 0) return 'too-large'
-	return suitable.some((backend) => fitsWithin(needs, backend.used, backend.capacity))
-		? 'order'
-		: 'no-room'
+	const isOpen = suitable.some((backend) => getHostRefusal(readyStep, backend) === undefined)
+	return isOpen ? 'order' : 'no-room'
 }
