--- a/packages/jobs/src/lib/machines/PoolManager.ts
+++ b/packages/jobs/src/lib/machines/PoolManager.ts
@@ -111,15 +111,20 @@
 		return this.arrivals.has(machine)
 	}
 
+	/** Returns the pool of a service as the latest round saw it. */
+	getPool(service: string): PoolState | undefined {
+		return this.poolStates.find((pool) => pool.service === service)
+	}
+
 	/** Returns how many machines the pool has beyond its need; negative if it is short. */
 	getSlack(service: string): number {
-		const pool = this.poolStates.find((candidate) => candidate.service === service)
+		const pool = this.getPool(service)
 		return pool ? pool.usableMachines - this.options.policy.getTargetSize(pool) : 0
 	}
 
 	/** Returns how many machines of a service's pool late work may use; undefined for all. */
 	getLateMachineLimit(service: string): number | undefined {
-		const pool = this.poolStates.find((candidate) => candidate.service === service)
+		const pool = this.getPool(service)
 		return pool && this.options.policy.getLateMachineLimit(pool)
 	}
 
