Hold room for a lasting task that fits on no server

What callers saw: a lasting task waits in a pool that is busy with short tasks, the longer the more cores it wants. Cause: lasting tasks are placed first in each plan, but only where they fit at that moment. Each place that a short task left was taken by the next one, so that room for a larger task never gathered; with a limit per server only one server may be open to it.

Now the planner picks one server for each lasting step with tasks that no server can take: the one that lacks least, of those with room once their other tasks have ended. No task that ends by itself is placed there until the task fits. What stands empty is less than the task needs. Nothing is held for a gang, for a team at its limit, or where the lasting tasks alone leave no room. The choice is made anew in each plan, so nothing has to be released.

--- a/packages/core/src/lib/jobs/PlacementPlanner.ts
+++ b/packages/core/src/lib/jobs/PlacementPlanner.ts
@@ -19,6 +19,7 @@
 import { getReadySteps } from './getReadySteps.js'
 import { getRemainingWork } from './getRemainingWork.js'
 import { getServiceLoad } from './getServiceLoad.js'
+import { selectHeldBackend } from './selectHeldBackend.js'
 
 const noArrivingMachines: ArrivingMachines = { cores: 0, delay: 0 }
 /** Penalty for the server on which the task last failed; outweighs all terms of a scorer. */
@@ -37,6 +38,11 @@
 	readonly lateBacklog = new Map<string, number>()
 	/** Jobs with pending tasks that can no longer finish on time. */
 	readonly lateJobs = new Set<JobId>()
+	/**
+	 * Servers that the latest plan gave no tasks that end by themselves, because a lasting task that fits
+	 * on no server waits for room there.
+	 */
+	private readonly heldBackends = new Set<BackendRow>()
 
 	constructor(
 		private readonly jobs: JobTable,
@@ -76,14 +82,18 @@
 		this.backlog.clear()
 		this.lateBacklog.clear()
 		this.lateJobs.clear()
+		this.heldBackends.clear()
 		const loads = new Map<string, ServiceLoad>()
 		for (const [service, usable] of usableByService)
 			loads.set(service, getServiceLoad(usable, getArrivingMachines(service)))
 		for (const candidate of this.rankReadySteps(configuration, loads, now, wallTime)) {
 			const { readyStep, isLate } = candidate
 			if (isLate) this.lateJobs.add(readyStep.row.job.id)
-			const placed = this.placeStep(readyStep, getBackendsFor(candidate), configuration)
+			const candidates = getBackendsFor(candidate)
+			const placed = this.placeStep(readyStep, candidates, configuration)
 			placements.push(...placed)
+			if (placed.length < readyStep.pending.length)
+				this.holdRoom(readyStep, candidates, configuration)
 			if (placed.length < readyStep.pending.length) this.addToBacklog(candidate, configuration)
 		}
 		return placements
@@ -149,6 +159,21 @@
 		return []
 	}
 
+	/** Holds room on one server for a lasting step with unplaced tasks, which no server can take. */
+	private holdRoom(
+		readyStep: ReadyStep,
+		usable: readonly BackendRow[],
+		configuration: FleetConfiguration
+	): void {
+		const { step, row } = readyStep
+		if (!step.lasting || step.gang) return
+		const { team } = row.job
+		const used = this.backends.getTeamUsage(team)
+		if (exceedsTeamLimit(configuration.teams.get(team), used, step.needs)) return
+		const held = selectHeldBackend(readyStep, usable)
+		if (held) this.heldBackends.add(held)
+	}
+
 	/** Prefers any other backend server to the one where the task last failed. */
 	private selectBackend(
 		readyStep: ReadyStep,
@@ -164,6 +189,7 @@
 		let bestScore = -Infinity
 		for (const backend of usable) {
 			if (getHostRefusal(readyStep, backend)) continue
+			if (!step.lasting && this.heldBackends.has(backend)) continue
 			const baseScore = this.scorer.getScore(readyStep, backend)
 			const score = backend.id === task.failedOn ? baseScore - FAILED_BACKEND_PENALTY : baseScore
 			if (score <= bestScore) continue
