Order a machine for a lasting task that no server of its pool will have room for

What callers saw: a lasting task that never runs, in a pool that has the cores for it but on no one server, since the other tasks there last too; or each server has a task of its step, and the pool counts as large enough. Cause: the size of a pool comes from the sum of cores, with 1.1 for what does not fill, and from the widest step; that no server takes the task entered nowhere.

The planner now tells how many machines like those in use would take the lasting tasks for which it found neither a place nor a server to hold room on; the target of the pool is at least the usable machines and these, so that the arriving ones count against them and none is ordered twice.

--- a/packages/core/src/lib/jobs/DemandPoolPolicy.test.ts
+++ b/packages/core/src/lib/jobs/DemandPoolPolicy.test.ts
@@ -109,6 +109,7 @@
 		lateCores: 0,
 		lastingCores: 0,
 		minimumLastingMachines: 0,
+		missingLastingMachines: 0,
 		...rest,
 		machines: Array.from({ length: machines }, (_, index) => ({
 			id: `${service}-${index}`,
--- a/packages/core/src/lib/jobs/DemandPoolPolicy.ts
+++ b/packages/core/src/lib/jobs/DemandPoolPolicy.ts
@@ -77,9 +77,11 @@
 		const neededCores = pool.usedCores + pool.pendingCores + getBacklogGrowth(pool)
 		const batchCores = Math.max(pool.demandCores, neededCores)
 		const cores = batchCores * HEADROOM + pool.lastingCores
+		const { usableMachines, missingLastingMachines } = pool
 		return Math.max(
 			MINIMUM_MACHINES,
 			pool.minimumLastingMachines,
+			missingLastingMachines > 0 ? usableMachines + missingLastingMachines : 0,
 			Math.ceil(cores / pool.machineCores)
 		)
 	}
--- a/packages/core/src/lib/jobs/PlacementPlanner.ts
+++ b/packages/core/src/lib/jobs/PlacementPlanner.ts
@@ -12,6 +12,7 @@
 import type { TaskPlacement } from './TaskPlacement.js'
 import type { ReadyStep } from './ReadyStep.js'
 import type { TaskRow } from './TaskRow.js'
+import { countMissingMachines } from './countMissingMachines.js'
 import { exceedsTeamLimit } from './exceedsTeamLimit.js'
 import { getBackendAvailability } from './getBackendAvailability.js'
 import { getHostRefusal } from './getHostRefusal.js'
@@ -36,6 +37,8 @@
 	readonly backlog = new Map<string, number>()
 	/** Cores that the latest plan could not place, by service, for late jobs. */
 	readonly lateBacklog = new Map<string, number>()
+	/** Further machines that lasting tasks need, which no usable server will have room for, by service. */
+	readonly missingMachines = new Map<string, number>()
 	/** Jobs with pending tasks that can no longer finish on time. */
 	readonly lateJobs = new Set<JobId>()
 	/**
@@ -81,6 +84,7 @@
 		}
 		this.backlog.clear()
 		this.lateBacklog.clear()
+		this.missingMachines.clear()
 		this.lateJobs.clear()
 		this.heldBackends.clear()
 		const loads = new Map<string, ServiceLoad>()
@@ -93,7 +97,7 @@
 			const placed = this.placeStep(readyStep, candidates, configuration)
 			placements.push(...placed)
 			if (placed.length < readyStep.pending.length)
-				this.holdRoom(readyStep, candidates, configuration)
+				this.holdRoom(candidate, candidates, configuration)
 			if (placed.length < readyStep.pending.length) this.addToBacklog(candidate, configuration)
 		}
 		return placements
@@ -159,9 +163,12 @@
 		return []
 	}
 
-	/** Holds room on one server for a lasting step with unplaced tasks, which no server can take. */
+	/**
+	 * Holds room on one server for a lasting step with unplaced tasks, which no server can take now. If
+	 * none will have room, the pool is to get machines for them.
+	 */
 	private holdRoom(
-		readyStep: ReadyStep,
+		{ readyStep, queue }: RankedCandidate,
 		usable: readonly BackendRow[],
 		configuration: FleetConfiguration
 	): void {
@@ -171,7 +178,13 @@
 		const used = this.backends.getTeamUsage(team)
 		if (exceedsTeamLimit(configuration.teams.get(team), used, step.needs)) return
 		const held = selectHeldBackend(readyStep, usable)
-		if (held) this.heldBackends.add(held)
+		if (held) {
+			this.heldBackends.add(held)
+			return
+		}
+		const missing = countMissingMachines(readyStep, usable)
+		const most = Math.max(missing, this.missingMachines.get(queue.service) ?? 0)
+		this.missingMachines.set(queue.service, most)
 	}
 
 	/** Prefers any other backend server to the one where the task last failed. */
--- a/packages/core/src/lib/jobs/PoolState.ts
+++ b/packages/core/src/lib/jobs/PoolState.ts
@@ -31,4 +31,6 @@
 	readonly lastingCores: number
 	/** Minimum machines that satisfy the `maximumPerBackend` of every lasting step. */
 	readonly minimumLastingMachines: number
+	/** Machines beyond the usable ones that unplaced lasting tasks need, which none of those will take. */
+	readonly missingLastingMachines: number
 }
--- a/packages/core/src/lib/jobs/arrivalBurst.test.ts
+++ b/packages/core/src/lib/jobs/arrivalBurst.test.ts
@@ -27,6 +27,7 @@
 		lateCores: 0,
 		lastingCores: 0,
 		minimumLastingMachines: 0,
+		missingLastingMachines: 0,
 	}
 	const usable = BURST_CORES / MACHINE_CORES
 	// A tenth more, because tasks do not fill machines evenly.
--- a/packages/jobs/src/lib/machines/PoolManager.ts
+++ b/packages/jobs/src/lib/machines/PoolManager.ts
@@ -62,7 +62,10 @@
 			readonly policy: PoolPolicy
 			readonly demand: DemandMeter
 			/** Work that the latest plan could not place, and jobs that can no longer finish in time. */
-			readonly planner: Pick<PlacementPlanner, 'backlog' | 'lateBacklog' | 'lateJobs'>
+			readonly planner: Pick<
+				PlacementPlanner,
+				'backlog' | 'lateBacklog' | 'lateJobs' | 'missingMachines'
+			>
 			/** Whether the registry is up to date, so that a machine joining a pool would be noticed. */
 			readonly isRegistryFresh: () => boolean
 			/** Whether a maintenance wave is evacuating the machine or has taken it down. */
@@ -197,7 +200,7 @@
 		const machines: { id: string; idleSince: number | undefined }[] = []
 		const machineCores = this.options.inventory.getMedianCores()
 		const backendsByMachine = this.options.inventory.getBackends()
-		const { backlog, lateBacklog } = this.options.planner
+		const { backlog, lateBacklog, missingMachines } = this.options.planner
 		let usableMachines = 0
 		let lastingCores = 0
 		let usedCores = 0
@@ -230,6 +233,7 @@
 			lateCores: lateCores + (lateBacklog.get(service) ?? 0),
 			lastingCores,
 			minimumLastingMachines: this.getMinimumLastingMachines(service),
+			missingLastingMachines: missingMachines.get(service) ?? 0,
 		}
 	}
 
@@ -262,6 +266,7 @@
 			lateCores: 0,
 			lastingCores: 0,
 			minimumLastingMachines: 0,
+			missingLastingMachines: 0,
 		}
 		return { service, spare: true, machineCores: 0, machines, ...empty }
 	}
--- a/packages/jobs/src/lib/machines/unreachableServerInPool.test.ts
+++ b/packages/jobs/src/lib/machines/unreachableServerInPool.test.ts
@@ -1,4 +1,4 @@
-import type { BackendRow, BackendTable, TaskRow } from '@mastichead/core'
+import type { BackendRow, TaskRow } from '@mastichead/core'
 import { applyRunEnding, createTestJob } from '@mastichead/core'
 import { describe, expect, it } from 'vitest'
 import { createTestPool } from '../testing/createTestPool.js'
@@ -39,7 +39,7 @@
 	await pool.run(1_500, () => [])
 	lost.reachable = true
 	await pool.run(6_000, () => [])
-	expect(countRegistered(pool.backends)).toBe(MACHINES)
+	expect(pool.countRegistered()).toBe(MACHINES)
 })
 
 // Guards against a new owner that orders a machine for each server before it has asked them.
@@ -47,7 +47,7 @@
 	const { pool } = await createPoolOfLastingTasks()
 	for (const row of pool.backends.all) row.reconciled = false
 	await pool.run(6_000, () => [])
-	expect(countRegistered(pool.backends)).toBe(MACHINES)
+	expect(pool.countRegistered()).toBe(MACHINES)
 })
 
 // Guards against a pool that waits for ever for a machine whose move has failed at the platform.
@@ -78,7 +78,3 @@
 	if (!task || !lost) throw new Error('the task is placed')
 	return { pool, lost, task }
 }
-
-function countRegistered(backends: BackendTable): number {
-	return [...backends.all].filter(({ registered }) => registered).length
-}
--- a/packages/jobs/src/lib/testing/createTestPool.ts
+++ b/packages/jobs/src/lib/testing/createTestPool.ts
@@ -104,7 +104,9 @@
 	const setMoveTime = (moveTime: number): void => {
 		controller.moveTime = moveTime
 	}
-	return { run, delays, jobs, backends, pools, countMoving, setMoveTime }
+	const countRegistered = (): number =>
+		[...backends.all].filter(({ registered }) => registered).length
+	return { run, delays, jobs, backends, pools, countRegistered, countMoving, setMoveTime }
 }
 
 interface TestPool {
@@ -119,6 +121,7 @@
 	readonly jobs: JobTable
 	readonly backends: BackendTable
 	readonly pools: PoolManager
+	countRegistered(): number
 	/** Returns how many machines are on their way, according to the platform. */
 	countMoving(): Promise<number>
 	/** Sets the time from an order until the machine's backend server is ready, in milliseconds. */
