Count the silence of each attempt by itself, and name the log's delay beside a task that waits

The first was a fault: watches were kept by task alone. The second is how a term behaves whose append has no answer for 1 s, but the line did not say so; it has `appendDelay` now.

Evidence: the new test of two attempts and the field fail on the code before.

--- a/packages/jobs/src/lib/owner/WaitingTaskReporter.test.ts
+++ b/packages/jobs/src/lib/owner/WaitingTaskReporter.test.ts
@@ -38,6 +38,7 @@
 		teamLimited: false,
 		machines: 3,
 		arriving: 1,
+		appendDelay: 40,
 	})
 	expect(lines[0]?.waited).toBeGreaterThan(1_000)
 	expect(lines[0]?.waited).toBeLessThan(1_500)
@@ -76,6 +77,17 @@
 	expect(lines[0]?.leasesExpireIn).toBeLessThan(7_000)
 })
 
+// Guards against a silence that goes on counting after the task was placed again.
+it('counts the silence of each attempt by itself', () => {
+	const { events, advance, tasks } = createReporter({ step: {}, servers: 1 })
+	const [task] = tasks
+	if (!task) throw new Error('there is a task')
+	advance(2_500)
+	task.attempt += 1
+	advance(2_000)
+	expect(events.lines).toEqual([])
+})
+
 it('names a placed task whose start order has no answer', () => {
 	const { events, advance, tasks } = createReporter({ step: {}, servers: 1 })
 	if (tasks[0]) tasks[0].orderState = 'unclear'
@@ -147,7 +159,11 @@
 	)
 	planner.plan(configuration, 0, 0)
 	const pool = { machines: [{}, {}, {}], arrivingMachines: 1 } as unknown as PoolState
-	const reporter = new WaitingTaskReporter(context, () => pool)
+	const reporter = new WaitingTaskReporter(
+		context,
+		() => pool,
+		() => 40
+	)
 	reporter.start()
 	const advance = (duration: number): void => {
 		timers.advance(duration)
--- a/packages/jobs/src/lib/owner/WaitingTaskReporter.ts
+++ b/packages/jobs/src/lib/owner/WaitingTaskReporter.ts
@@ -1,4 +1,4 @@
-import type { JobRow, PoolState, ReadyStep, TaskId, TaskRow } from '@mastichead/core'
+import type { JobRow, PoolState, ReadyStep, TaskRow } from '@mastichead/core'
 import {
 	exceedsTeamLimit,
 	explainJob,
@@ -32,17 +32,23 @@
  * @public
  */
 export class WaitingTaskReporter {
-	private waiting: ReadonlyMap<TaskId, Watch> = new Map()
-	private silent: ReadonlyMap<TaskId, Watch> = new Map()
+	/** Lasting tasks that wait or that no listing names, by task and attempt. */
+	private waiting: ReadonlyMap<string, Watch> = new Map()
+	private silent: ReadonlyMap<string, Watch> = new Map()
 	private subscription: { cancel(): void } | undefined
 
-	/** @param getPool - returns the pool of a service as the latest round of the machines saw it */
+	/**
+	 * @param getPool - returns the pool of a service as the latest round of the machines saw it
+	 * @param getAppendDelay - returns for how long the log has not answered an append, in milliseconds;
+	 * nothing is placed while it is long
+	 */
 	constructor(
 		private readonly context: Pick<
 			OwnerContext,
 			'jobs' | 'backends' | 'timers' | 'events' | 'getConfiguration' | 'getWallTime'
 		>,
-		private readonly getPool: (service: string) => PoolState | undefined
+		private readonly getPool: (service: string) => PoolState | undefined,
+		private readonly getAppendDelay: () => number
 	) {}
 
 	/** Starts to look at the tables at an interval. */
@@ -60,17 +66,17 @@
 	/** Looks at the tables once, and writes the lines that are due. */
 	look(): void {
 		const now = this.context.timers.now()
-		const waiting = new Map<TaskId, Watch>()
-		const silent = new Map<TaskId, Watch>()
+		const waiting = new Map<string, Watch>()
+		const silent = new Map<string, Watch>()
 		const dueSteps = new Map<string, TaskRow[]>()
 		const dueTasks: TaskRow[] = []
 		const watch = (
-			watches: Map<TaskId, Watch>,
-			earlier: ReadonlyMap<TaskId, Watch>,
-			{ id }: TaskRow
+			watches: Map<string, Watch>,
+			earlier: ReadonlyMap<string, Watch>,
+			task: TaskRow
 		): Watch => {
-			const entry = earlier.get(id) ?? { since: now, reportedAt: -Infinity }
-			watches.set(id, entry)
+			const entry = earlier.get(getKey(task)) ?? { since: now, reportedAt: -Infinity }
+			watches.set(getKey(task), entry)
 			return entry
 		}
 		for (const task of this.getLastingTasks()) {
@@ -110,7 +116,7 @@
 		if (!first) return
 		const { job, step } = first
 		const reason = this.explain(first, now)
-		for (const { id } of tasks) this.recordReport(this.waiting, id, now)
+		for (const task of tasks) this.recordReport(this.waiting, task, now)
 		if (reason === 'not-due' || reason === 'dependency') return
 		const service = getConfiguration().queues.get(job.job.queue)?.service
 		const pool = service === undefined ? undefined : this.getPool(service)
@@ -120,7 +126,7 @@
 			step: key,
 			tasks: tasks.slice(0, MAXIMUM_NAMED_TASKS).map(({ id }) => id),
 			waiting: tasks.length,
-			waited: Math.round(now - Math.min(...tasks.map(({ id }) => this.getSince(id, now)))),
+			waited: Math.round(now - Math.min(...tasks.map((task) => this.getSince(task, now)))),
 			reason,
 			service,
 			cores: step.needs.cpu / 1_000,
@@ -129,11 +135,12 @@
 			teamLimited: exceedsTeamLimit(rules, this.context.backends.getTeamUsage(team), step.needs),
 			machines: pool?.machines.length,
 			arriving: pool?.arrivingMachines,
+			appendDelay: Math.round(this.getAppendDelay()),
 		})
 	}
 
-	private getSince(id: TaskId, now: number): number {
-		return this.waiting.get(id)?.since ?? now
+	private getSince(task: TaskRow, now: number): number {
+		return this.waiting.get(getKey(task))?.since ?? now
 	}
 
 	private explain({ job, stepNumber, occurrence }: TaskRow, now: number): string | undefined {
@@ -168,8 +175,8 @@
 	private reportSilent(task: TaskRow, now: number): void {
 		const { id, attempt, backend, orderState, orderStateChangedAt, stopping, percent } = task
 		const row = backend === undefined ? undefined : this.context.backends.get(backend)
-		const since = this.silent.get(id)?.since ?? now
-		this.recordReport(this.silent, id, now)
+		const since = this.silent.get(getKey(task))?.since ?? now
+		this.recordReport(this.silent, task, now)
 		this.context.events.warn('lasting-task-unlisted', {
 			task: id,
 			attempt,
@@ -184,12 +191,16 @@
 		})
 	}
 
-	private recordReport(watches: ReadonlyMap<TaskId, Watch>, id: TaskId, now: number): void {
-		const entry = watches.get(id)
+	private recordReport(watches: ReadonlyMap<string, Watch>, task: TaskRow, now: number): void {
+		const entry = watches.get(getKey(task))
 		if (entry) entry.reportedAt = now
 	}
 }
 
+function getKey({ id, attempt }: TaskRow): string {
+	return `${id}/${attempt}`
+}
+
 function isDue({ since, reportedAt }: Watch, minimum: number, now: number): boolean {
 	return now - since > minimum && now - reportedAt >= REPEAT_INTERVAL
 }
