--- a/packages/core/src/lib/jobs/PlacementPlanner.ts
+++ b/packages/core/src/lib/jobs/PlacementPlanner.ts
@@ -12,14 +12,15 @@
 import type { TaskPlacement } from './TaskPlacement.js'
 import type { ReadyStep } from './ReadyStep.js'
 import type { TaskRow } from './TaskRow.js'
+import { countMissingMachines } from './countMissingMachines.js'
 import { exceedsTeamLimit } from './exceedsTeamLimit.js'
-import { fitsWithin } from './fitsWithin.js'
 import { getBackendAvailability } from './getBackendAvailability.js'
-import { getReservedResources } from './getReservedResources.js'
+import { getHostRefusal } from './getHostRefusal.js'
 import { getPendingCores } from './getPendingCores.js'
 import { getReadySteps } from './getReadySteps.js'
 import { getRemainingWork } from './getRemainingWork.js'
 import { getServiceLoad } from './getServiceLoad.js'
+import { selectHeldBackend } from './selectHeldBackend.js'
 
 const noArrivingMachines: ArrivingMachines = { cores: 0, delay: 0 }
 /** Penalty for the server on which the task last failed; outweighs all terms of a scorer. */
@@ -36,8 +37,15 @@
 	readonly backlog = new Map<string, number>()
 	/** Cores that the latest plan could not place, by service, for late jobs. */
 	readonly lateBacklog = new Map<string, number>()
+	/** Further machines that lasting tasks need, which no usable server will have room for, by service. */
+	readonly missingMachines = new Map<string, number>()
 	/** Jobs with pending tasks that can no longer finish on time. */
 	readonly lateJobs = new Set<JobId>()
+	/**
+	 * Servers that the latest plan gave no tasks that end by themselves, because a lasting task that fits
+	 * on no server waits for room there.
+	 */
+	private readonly heldBackends = new Set<BackendRow>()
 
 	constructor(
 		private readonly jobs: JobTable,
@@ -76,15 +84,20 @@
 		}
 		this.backlog.clear()
 		this.lateBacklog.clear()
+		this.missingMachines.clear()
 		this.lateJobs.clear()
+		this.heldBackends.clear()
 		const loads = new Map<string, ServiceLoad>()
 		for (const [service, usable] of usableByService)
 			loads.set(service, getServiceLoad(usable, getArrivingMachines(service)))
 		for (const candidate of this.rankReadySteps(configuration, loads, now, wallTime)) {
 			const { readyStep, isLate } = candidate
 			if (isLate) this.lateJobs.add(readyStep.row.job.id)
-			const placed = this.placeStep(readyStep, getBackendsFor(candidate), configuration)
+			const candidates = getBackendsFor(candidate)
+			const placed = this.placeStep(readyStep, candidates, configuration)
 			placements.push(...placed)
+			if (placed.length < readyStep.pending.length)
+				this.holdRoom(candidate, candidates, configuration)
 			if (placed.length < readyStep.pending.length) this.addToBacklog(candidate, configuration)
 		}
 		return placements
@@ -150,6 +163,30 @@
 		return []
 	}
 
+	/**
+	 * Holds room on one server for a lasting step with unplaced tasks, which no server can take now. If
+	 * none will have room, the pool is to get machines for them.
+	 */
+	private holdRoom(
+		{ readyStep, queue }: RankedCandidate,
+		usable: readonly BackendRow[],
+		configuration: FleetConfiguration
+	): void {
+		const { step, row } = readyStep
+		if (!step.lasting || step.gang) return
+		const { team } = row.job
+		const used = this.backends.getTeamUsage(team)
+		if (exceedsTeamLimit(configuration.teams.get(team), used, step.needs)) return
+		const held = selectHeldBackend(readyStep, usable)
+		if (held) {
+			this.heldBackends.add(held)
+			return
+		}
+		const missing = countMissingMachines(readyStep, usable)
+		const most = Math.max(missing, this.missingMachines.get(queue.service) ?? 0)
+		this.missingMachines.set(queue.service, most)
+	}
+
 	/** Prefers any other backend server to the one where the task last failed. */
 	private selectBackend(
 		readyStep: ReadyStep,
@@ -164,7 +201,8 @@
 		let best: BackendRow | undefined
 		let bestScore = -Infinity
 		for (const backend of usable) {
-			if (!canHost(readyStep, backend)) continue
+			if (getHostRefusal(readyStep, backend)) continue
+			if (!step.lasting && this.heldBackends.has(backend)) continue
 			const baseScore = this.scorer.getScore(readyStep, backend)
 			const score = backend.id === task.failedOn ? baseScore - FAILED_BACKEND_PENALTY : baseScore
 			if (score <= bestScore) continue
@@ -201,12 +239,3 @@
 	if (limit === undefined || limit >= backends.length) return backends
 	return backends.toSorted((a, b) => b.used.cpu - a.used.cpu).slice(0, limit)
 }
-
-function canHost(readyStep: ReadyStep, backend: BackendRow): boolean {
-	const { step } = readyStep
-	if (step.requiredLabel !== '' && !backend.labels.includes(step.requiredLabel)) return false
-	if (!fitsWithin(getReservedResources(step), backend.used, backend.capacity)) return false
-	if (step.maximumPerBackend === 0) return true
-	const placedHere = readyStep.members.filter((member) => member.backend === backend.id)
-	return placedHere.length < step.maximumPerBackend
-}
