Show a wait for leases that starts over with each process, and list it as failing

Cause: a lease record says how much time is left when it is written, and a process counts it from when it read the record. A process that starts later begins with the full time again, and no owner writes the smaller rest: LeaseLedger.suspend returns at once for a server that the log already calls suspended.

--- /dev/null
+++ b/packages/jobs/src/lib/owner/lostServerRestarts.failure.test.ts
@@ -0,0 +1,40 @@
+import { expect, it } from 'vitest'
+import { createTestFleet } from '../testing/createTestFleet.js'
+
+const { createJob } = createTestFleet
+const INSTANCES = 3
+/** Time from the loss of the server to the first restart, in milliseconds, in which an owner records the loss. */
+const FIRST_RESTART = 1_000
+/** Intervals between two restarts of all instances, in milliseconds; shorter than a lease holds. */
+const INTERVALS = [2_500, 3_000, 4_000]
+/**
+ * Time from the loss of a server after which its tasks run elsewhere, in milliseconds: the silence in which an
+ * owner may still renew leases, a lease, and a restart with its takeover.
+ */
+const MAXIMUM_ABSENCE = 13_000
+
+// Guards against a lasting task that stands without a run after its server was lost, because each new process
+// counts the time that the leases may still hold from when it read the record.
+it.each(INTERVALS)(
+	'a task of a lost server runs again although all instances restart every %i ms',
+	async (interval) => {
+		const fleet = createTestFleet({ instances: INSTANCES, backends: 3 })
+		for (const backend of fleet.backends.values()) backend.getRunDuration = () => undefined
+		await fleet.advance(500)
+		const job = createJob(1, [{ count: 2, lasting: true, maximumPerBackend: 1 }])
+		void fleet.instances[0]?.daemon.intake.submit(job, fleet.timers.now() + 2_000)
+		await fleet.advance(1_000)
+		const lost = fleet.journal.getRuns(`${job.id}.0.0.0`)[0]?.backend ?? ''
+		const server = fleet.backends.get(lost)
+		if (server) server.disconnected = true
+		const lostAt = fleet.timers.now()
+		await fleet.advance(FIRST_RESTART)
+		while (fleet.timers.now() - lostAt < MAXIMUM_ABSENCE) {
+			for (let index = 0; index < INSTANCES; index += 1) fleet.restartInstance(index)
+			const left = MAXIMUM_ABSENCE - (fleet.timers.now() - lostAt)
+			await fleet.advance(Math.min(interval, left))
+		}
+		expect(fleet.journal.getRuns(`${job.id}.0.0.0`)).toHaveLength(2)
+		expect(fleet.journal.violations).toEqual([])
+	}
+)
