--- a/spec/src/ownership/OwnershipModel.ts
+++ b/spec/src/ownership/OwnershipModel.ts
@@ -9,7 +9,7 @@
 import { orderSteps } from './orderSteps.js'
 import { stateSteps } from './stateSteps.js'
 import { ownerSteps } from './ownerSteps.js'
-import { replaceAt } from './replaceAt.js'
+import { replaceAt } from '../replaceAt.js'
 import { serverSteps } from './serverSteps.js'
 import { ticks } from './ticks.js'
 
--- a/spec/src/ownership/orderSteps.ts
+++ b/spec/src/ownership/orderSteps.ts
@@ -2,7 +2,7 @@
 import type { OwnerState } from './OwnerState.js'
 import type { OwnershipState } from './OwnershipState.js'
 import { ownerSteps } from './ownerSteps.js'
-import { replaceAt } from './replaceAt.js'
+import { replaceAt } from '../replaceAt.js'
 import { stateSteps } from './stateSteps.js'
 
 /**
--- a/spec/src/ownership/serverSteps.ts
+++ b/spec/src/ownership/serverSteps.ts
@@ -1,6 +1,6 @@
 import type { RunEnd } from './RunEnd.js'
 import type { ServerMessage } from './ServerMessage.js'
-import { replaceAt } from './replaceAt.js'
+import { replaceAt } from '../replaceAt.js'
 import type { ServerState } from './ServerState.js'
 import { ticks } from './ticks.js'
 
--- a/spec/src/ownership/stateSteps.ts
+++ b/spec/src/ownership/stateSteps.ts
@@ -1,7 +1,7 @@
 import type { OwnerState } from './OwnerState.js'
 import type { OwnershipState } from './OwnershipState.js'
 import { ownerSteps } from './ownerSteps.js'
-import { replaceAt } from './replaceAt.js'
+import { replaceAt } from '../replaceAt.js'
 import { serverSteps } from './serverSteps.js'
 
 /**
