Add a model of leases over several owners, and one of hand-overs

Question: is the redesigned rule for leases on a server that an owner cannot reach safe (no task runs twice), and does each of its conditions matter?

LeaseModel counts all times from now, so that a search bounds neither ticks nor heartbeats nor orders.

Conditions that are easy to miss: a process that loads the log counts terms whose record is gone as ended at the load; an earlier receipt counts for an ended term only if the log was followed without a gap; what extends the sending of an owner must be what readers date its term by; only an owner that has read to its fence records the end of another's term.

--- a/spec/src/runSearches.ts
+++ b/spec/src/runSearches.ts
@@ -2,6 +2,9 @@
 import { ledgerSearches } from './allowances/ledgerSearches.js'
 import { ConfigurationModel } from './configuration/ConfigurationModel.js'
 import { configurationSearches } from './configuration/configurationSearches.js'
+import { HandoverModel } from './leases/HandoverModel.js'
+import { LeaseModel } from './leases/LeaseModel.js'
+import { leaseSearches } from './leases/leaseSearches.js'
 import { LoanModel } from './loans/LoanModel.js'
 import { loanSearches } from './loans/loanSearches.js'
 import type { Model } from './Model.js'
@@ -36,5 +39,8 @@
 	for (const [name, bounds] of Object.entries(ownershipSearches)) {
 		run(name, new OwnershipModel(bounds))
 	}
+	for (const [name, bounds] of Object.entries(leaseSearches)) run(name, new LeaseModel(bounds))
+	const { maximumLostTicks } = HandoverModel
+	run(`${maximumLostTicks} ticks`, new HandoverModel(maximumLostTicks))
 	return hasPassed
 }
