--- a/packages/jobs/src/lib/testing/createTestPool.ts
+++ b/packages/jobs/src/lib/testing/createTestPool.ts
@@ -1,4 +1,4 @@
-import type { Job, TaskPlacement } from '@mastichead/core'
+import type { BackendTable, Job, JobTable, TaskPlacement } from '@mastichead/core'
 import {
 	BinPackingScorer,
 	DemandMeter,
@@ -24,8 +24,8 @@
 
 /**
  * Creates the pool `desk` and a spare pool on a virtual clock, with the owner's planner and pool
- * manager but without log, orders and listings. Tasks start when they are placed and take their
- * estimate.
+ * manager but without log, orders and listings. Tasks start when they are placed; those that do not
+ * last take their estimate.
  *
  * @internal
  */
@@ -44,10 +44,8 @@
 	}
 	const context = { ...createTestContext(timers), getConfiguration: () => configuration }
 	const { jobs, backends } = context
-	const controller = new ArrivingMachineController(timers, backends, {
-		sparePool: SPARE_POOL,
-		moveTime: options.moveTime,
-	})
+	const controller = new ArrivingMachineController(timers, backends, SPARE_POOL)
+	controller.moveTime = options.moveTime
 	for (let number = 1; number <= options.machines + options.spareMachines; number += 1)
 		controller.add(`m${number}`, number <= options.machines ? 'desk' : SPARE_POOL)
 	const inventory = new MachineInventory(context, controller)
@@ -71,6 +69,7 @@
 	const delays: number[] = []
 	const start = ({ task }: TaskPlacement): void => {
 		delays.push(timers.now() - task.job.job.acceptedAt)
+		if (task.step.lasting) return
 		timers.after(task.step.estimate, () => {
 			applyRunEnding(task, 'done', '', 1, backends)
 			if (task.job.tasks.every(({ phase }) => phase === 'done')) jobs.markFinished(task.job)
@@ -100,7 +99,12 @@
 		}
 	}
 	await run(LEAD_TIME, () => [])
-	return { run, delays }
+	const countMoving = async (): Promise<number> =>
+		(await controller.list())?.filter(({ state }) => state === 'moving').length ?? 0
+	const setMoveTime = (moveTime: number): void => {
+		controller.moveTime = moveTime
+	}
+	return { run, delays, jobs, backends, pools, countMoving, setMoveTime }
 }
 
 interface TestPool {
@@ -112,4 +116,11 @@
 	run(duration: number, getJobs: (elapsed: number) => readonly Job[]): Promise<void>
 	/** Milliseconds from acceptance to start of each task that was placed. */
 	readonly delays: readonly number[]
+	readonly jobs: JobTable
+	readonly backends: BackendTable
+	readonly pools: PoolManager
+	/** Returns how many machines are on their way, according to the platform. */
+	countMoving(): Promise<number>
+	/** Sets the time from an order until the machine's backend server is ready, in milliseconds. */
+	setMoveTime(moveTime: number): void
 }
