Keep waiting for a recorded long lease after the first listing

Cause: an owner that takes over replaces what it inherited about a server with 4.4 s from the first listing (LeaseLedger.handleReconciled). A lease that an earlier owner recorded as longer, of a server that had started again, was dropped with it; if the server is lost after that listing, its task starts elsewhere while the lease may still hold.

Change: the recorded expiry of a long lease stays. A record that leases are not renewed still ends with the first listing.

Ruled out: keeping the server inherited; its expiry would not follow the renewals of the present owner.

--- a/packages/jobs/src/lib/owner/LeaseLedger.ts
+++ b/packages/jobs/src/lib/owner/LeaseLedger.ts
@@ -62,7 +62,9 @@
 	handleReconciled(row: BackendRow): void {
 		if (!this.inherited.delete(row.id)) return
 		const latestExpiry = LeaseTiming.getLatestExpiry(this.context.timers.now())
-		row.leasesExpireBy = Math.max(row.leasesExpireBy, latestExpiry)
+		const recorded = this.recorded.get(row.id)
+		const longExpiry = recorded?.renewed ? recorded.expiresBy : -Infinity
+		row.leasesExpireBy = Math.max(row.leasesExpireBy, latestExpiry, longExpiry)
 	}
 
 	/** Records that leases on the server are not renewed. Nothing may be sent there that extends them. */
