--- a/packages/jobs/src/lib/machines/MachineManager.ts
+++ b/packages/jobs/src/lib/machines/MachineManager.ts
@@ -1,4 +1,10 @@
-import type { ArrivingMachines, DemandMeter, PlacementPlanner, TaskRow } from '@mastichead/core'
+import type {
+	ArrivingMachines,
+	DemandMeter,
+	PlacementPlanner,
+	PoolState,
+	TaskRow,
+} from '@mastichead/core'
 import { DemandPoolPolicy } from '@mastichead/core'
 import type { OwnerContext } from '../owner/OwnerContext.js'
 import type { ProgressWriter } from '../owner/ProgressWriter.js'
@@ -97,6 +103,11 @@
 		})
 	}
 
+	/** Returns the pool of a service as the latest round saw it. */
+	getPool(service: string): PoolState | undefined {
+		return this.pools.getPool(service)
+	}
+
 	/** Returns how many machines of a service's pool late work may use; undefined for all. */
 	getLateMachineLimit(service: string): number | undefined {
 		return this.pools.getLateMachineLimit(service)
--- a/packages/jobs/src/lib/owner/OwnerTerm.ts
+++ b/packages/jobs/src/lib/owner/OwnerTerm.ts
@@ -42,6 +42,7 @@
 import { TermRecords } from './TermRecords.js'
 import { TermRecovery } from './TermRecovery.js'
 import { TaskUpdater } from './TaskUpdater.js'
+import { WaitingTaskReporter } from './WaitingTaskReporter.js'
 
 /** Interval at which expired jobs and departed backend servers are removed, in milliseconds. */
 const RETENTION_INTERVAL = 10_000
@@ -59,6 +60,7 @@
 	private readonly planner: PlacementPlanner
 	private readonly planning: PlanningLoop
 	private readonly records: TermRecords
+	private readonly waitingTasks: WaitingTaskReporter
 	private readonly registry: BackendRegistry
 	private readonly health: BackendHealth
 	private readonly machines: MachineManager
@@ -186,6 +188,12 @@
 			replan,
 			isIntakeRead: () => options.intake.every((follower) => this.recovery.isRead(follower)),
 		})
+		this.waitingTasks = new WaitingTaskReporter(
+			this.context,
+			(service) => this.machines.getPool(service),
+			(row) => this.leases.getExpiry(row),
+			() => this.writer.appendDelay
+		)
 		this.planning = new PlanningLoop(this.context, {
 			planner: this.planner,
 			writer: this.writer,
@@ -258,6 +266,7 @@
 		)
 		this.started = true
 		this.planning.start()
+		this.waitingTasks.start()
 		this.registry.follower.start()
 		for (const follower of intake) follower.wakeUp()
 		this.earlierTerms.start()
@@ -290,6 +299,7 @@
 		this.writer.stop()
 		this.records.stop()
 		this.planning.stop()
+		this.waitingTasks.stop()
 		this.registry.follower.stop()
 		this.machines.stop()
 		this.monitors.stop()
--- a/packages/jobs/src/lib/owner/WaitingTaskReporter.test.ts
+++ b/packages/jobs/src/lib/owner/WaitingTaskReporter.test.ts
@@ -162,6 +162,7 @@
 	const reporter = new WaitingTaskReporter(
 		context,
 		() => pool,
+		({ leasesExpireBy }) => leasesExpireBy,
 		() => 40
 	)
 	reporter.start()
--- a/packages/jobs/src/lib/owner/WaitingTaskReporter.ts
+++ b/packages/jobs/src/lib/owner/WaitingTaskReporter.ts
@@ -1,4 +1,4 @@
-import type { JobRow, PoolState, ReadyStep, TaskRow } from '@mastichead/core'
+import type { BackendRow, JobRow, PoolState, ReadyStep, TaskRow } from '@mastichead/core'
 import {
 	exceedsTeamLimit,
 	explainJob,
@@ -39,6 +39,7 @@
 
 	/**
 	 * @param getPool - returns the pool of a service as the latest round of the machines saw it
+	 * @param getLeaseExpiry - returns the time by which all leases on a server have expired
 	 * @param getAppendDelay - returns for how long the log has not answered an append, in milliseconds;
 	 * nothing is placed while it is long
 	 */
@@ -48,6 +49,7 @@
 			'jobs' | 'backends' | 'timers' | 'events' | 'getConfiguration' | 'getWallTime'
 		>,
 		private readonly getPool: (service: string) => PoolState | undefined,
+		private readonly getLeaseExpiry: (row: BackendRow) => number,
 		private readonly getAppendDelay: () => number
 	) {}
 
@@ -187,7 +189,7 @@
 			orderStateAge: Math.round(now - orderStateChangedAt),
 			stopping,
 			percent,
-			leasesExpireIn: row ? Math.round(row.leasesExpireBy - now) : undefined,
+			leasesExpireIn: row ? Math.round(this.getLeaseExpiry(row) - now) : undefined,
 		})
 	}
 
