Let an owner read past records that others have written to its stream

What it would cost: an owner whose follower stops at a foreign record stays there until its term ends; by then the log may have dropped the history, and the instance loads all progress again.

Cause: an owner applies its own records without reading them, and moves on only while they follow what it has read. Since the end of a term is a record of another instance, a repeated one can stand between them.

--- a/packages/jobs/src/lib/owner/OwnerTerm.ts
+++ b/packages/jobs/src/lib/owner/OwnerTerm.ts
@@ -261,6 +261,8 @@
 		this.subscriptions.push(
 			timers.every(RETENTION_INTERVAL, () => {
 				this.removeDepartedBackends()
+				// Others have written to the stream if an end of a term was recorded more than once.
+				progress.readToEnd().catch(this.context.fail)
 				this.retention.dropExpired().catch(this.context.fail)
 			})
 		)
