Rely on no record about leases or terms across an owner of the version before

What callers would see: TWICE in a rolling update that is halted or reverted.

Cause: an owner of the version before renews leases without a record, so that a record from before it, which says that they are not renewed, is stale; and it has no record of its term, so that an instance that loads the log after the next owner's heartbeat does not know of it.

Change: a heartbeat of such an owner voids the lease records that were read before, and the next owner of this version writes them anew, and records that term.

--- a/packages/jobs/src/lib/log/JobReplica.ts
+++ b/packages/jobs/src/lib/log/JobReplica.ts
@@ -137,9 +137,15 @@
 		const heartbeat = this.parse(entry, (value) => JobRecords.parseOwner(value))
 		if (!heartbeat) return
 		const { token, isTermRecorded } = heartbeat
+		if (!isTermRecorded) this.distrustLeases()
 		this.terms.recordHeartbeat(token, isTermRecorded, this.timers.now())
 	}
 
+	/** An owner of an earlier version renews leases without a record. */
+	private distrustLeases(): void {
+		for (const [id, lease] of this.leases) this.leases.set(id, { ...lease, renewed: true })
+	}
+
 	private applyTerm(token: number, entry: LogEntry): void {
 		if (entry.value === undefined) {
 			this.terms.recordEnd(token, this.timers.now())
--- a/packages/jobs/src/lib/log/TermHistory.ts
+++ b/packages/jobs/src/lib/log/TermHistory.ts
@@ -61,14 +61,17 @@
 
 	/**
 	 * Records that this instance takes over. An owner that has not recorded its term relies on its
-	 * membership of the group, which may have been confirmed until now.
+	 * membership of the group, which may have been confirmed until now. Returns the tokens of such terms.
 	 */
-	recordTakeover(now: number): void {
-		for (const term of this.open.values()) {
+	recordTakeover(now: number): number[] {
+		const tokens: number[] = []
+		for (const [token, term] of this.open) {
 			if (term.instance !== undefined) continue
 			term.instance = ''
 			term.seenAt = now
+			tokens.push(token)
 		}
+		return tokens
 	}
 
 	/** Returns the time by which the owners of all terms but one have sent their last order. */
--- a/packages/jobs/src/lib/owner/LeaseLedger.ts
+++ b/packages/jobs/src/lib/owner/LeaseLedger.ts
@@ -46,10 +46,12 @@
 
 	/** Takes over what earlier owners have recorded. Called once all their records have been read. */
 	begin(): void {
-		this.replica.terms.recordTakeover(this.context.timers.now())
+		const unrecordedTerms = this.replica.terms.recordTakeover(this.context.timers.now())
+		for (const token of unrecordedTerms) this.recordTerm(token)
 		this.recorded = new Map(this.replica.leases)
-		for (const [id, { renewed }] of this.recorded) {
-			if (!renewed) this.suspensions.set(id, { ...createSuspension(), isWritten: true })
+		for (const [id, lease] of this.recorded) {
+			if (lease.renewed) this.recordAgain(id, lease)
+			else this.suspensions.set(id, { ...createSuspension(), isWritten: true })
 		}
 		for (const [id, { incarnation }] of this.replica.backends)
 			this.incarnations.set(id, incarnation)
@@ -150,6 +152,21 @@
 		for (const id of this.replica.leases.keys()) if (!isUsed(id)) this.drop(id)
 	}
 
+	/** Records the term of an owner of an earlier version, for instances that do not read its heartbeats. */
+	private recordTerm(token: number): void {
+		const key = JobRecords.getTermKey(token)
+		this.writer.markRecordChanged(key, () => JobRecords.createTermRecord(token, ''))
+	}
+
+	/** The log may still say that the leases are not renewed, although an owner of an earlier version did. */
+	private recordAgain(id: BackendId, { expiresBy }: RecordedLease): void {
+		this.writer.markRecordChanged(JobRecords.getLeaseKey(id), () => {
+			const remaining = Math.ceil(expiresBy - this.context.timers.now())
+			if (remaining <= 0) return JobRecords.createLeaseTombstone(id)
+			return JobRecords.createLeaseRecord(id, { renewed: true, remaining })
+		})
+	}
+
 	private drop(id: BackendId): void {
 		const suspension = this.suspensions.get(id)
 		if (suspension?.isEnding) return
