End runs whose leases have expired according to the log without waiting for a listing

Cause: a run ended only after a listing had failed in the same term; lost servers are listed 8 at a time, and each owner began with the same ones. So a wait that had passed, according to the log, started over with each owner.

Change: before a server that no term could list is listed again, its runs end if the log says that their leases have expired.

--- a/packages/jobs/src/lib/owner/BackendMonitor.ts
+++ b/packages/jobs/src/lib/owner/BackendMonitor.ts
@@ -108,9 +108,17 @@
 		const { row, options } = this
 		const renew = (): Promise<boolean> => this.renew(this.getListingWait())
 		if (row.reconciled) return renew()
+		this.endExpiredRuns()
 		return (row.reachable ? options.firstListings : options.repeatedListings).run(renew)
 	}
 
+	/** Ends runs whose leases have expired according to the log, without waiting for a listing to fail. */
+	private endExpiredRuns(): void {
+		const { row, context, options } = this
+		if (options.leases.mayRenew(row) || context.timers.now() < options.leases.getExpiry(row)) return
+		if (row.tasks.size > 0) options.taskUpdater.endLostRuns(row, 'all leases have expired')
+	}
+
 	private getListingWait(): number {
 		const { reconciled, reachable, tasks } = this.row
 		// Until an unreachable server has answered, its leases are not renewed.
