Give appends of the owner more time while the log is slow

Cause: an append timed out after 0.7 s, however slow the log was, and was then repeated. Since a term acts only on what the log has confirmed, none could begin or go on.

Change: the timeout doubles with each attempt up to 2.5 s, which an append may wait in the log, and starts at twice the time of the latest answered one.

The test over slow appends failed before and passes.

--- a/packages/jobs/src/lib/owner/ProgressWriter.ts
+++ b/packages/jobs/src/lib/owner/ProgressWriter.ts
@@ -8,8 +8,14 @@
 import type { OwnerContext } from './OwnerContext.js'
 import { SuspendAwareClock } from './SuspendAwareClock.js'
 
-/** Timeout of one append, in milliseconds. */
-const APPEND_TIMEOUT = 700
+/**
+ * Initial and maximum timeout of one append, in milliseconds; it doubles with each attempt, since the log
+ * may be slow. An append may wait 2 s in the log.
+ */
+const MINIMUM_APPEND_TIMEOUT = 700
+const MAXIMUM_APPEND_TIMEOUT = 2_500
+/** Factor from the time that an append took to the timeout of the next one. */
+const TIMEOUT_RESERVE = 2
 /** Initial and maximum pause before an append is retried, in milliseconds; it doubles each time. */
 const MINIMUM_RETRY_PAUSE = 50
 const MAXIMUM_RETRY_PAUSE = 400
@@ -54,6 +60,8 @@
 	private appendingSince: Instant | undefined
 	/** Start of the latest append that is known to be in the log, its first attempt. */
 	private latestContact: Instant | undefined
+	/** Time in which the latest answered append was answered, in milliseconds. */
+	private latestAppendTime = 0
 	/** Timer of the next flush of delayed records. */
 	private flushTimer: { cancel(): void } | undefined
 
@@ -203,10 +211,13 @@
 		const { token, timers, events } = this.context
 		this.appendingSince = this.clock.now()
 		let pause = MINIMUM_RETRY_PAUSE
+		let timeout = this.getAppendTimeout()
 		while (!this.stopped) {
 			const fence = { term: token, sequence: this.sequence }
-			const result = await this.log.append('progress', records, APPEND_TIMEOUT, fence)
+			const sentAt = timers.now()
+			const result = await this.log.append('progress', records, timeout, fence)
 			if (result.kind === 'appended') {
+				this.latestAppendTime = timers.now() - sentAt
 				this.handleAppended(records, result.offset)
 				return !this.stopped
 			}
@@ -217,10 +228,16 @@
 			events.warn('progress-append-repeated', { reason: result.reason, waited: this.appendDelay })
 			await new Promise<void>((resolve) => timers.after(pause, resolve))
 			pause = Math.min(pause * 2, MAXIMUM_RETRY_PAUSE)
+			timeout = Math.min(timeout * 2, MAXIMUM_APPEND_TIMEOUT)
 		}
 		return false
 	}
 
+	private getAppendTimeout(): number {
+		const expected = this.latestAppendTime * TIMEOUT_RESERVE
+		return Math.min(Math.max(expected, MINIMUM_APPEND_TIMEOUT), MAXIMUM_APPEND_TIMEOUT)
+	}
+
 	private handleAppended(records: readonly LogRecord[], offset: number): void {
 		const { metrics } = this.context
 		metrics.observe('progress_append', this.appendDelay)
