Wait for the longer lease of a start order to a restarted server that no owner has seen

Change: the replica keeps when each placement was read. A run that an owner inherits counts as over only once a start order sent by 5.1 s after that, or by the end of the earlier terms, cannot hold a lease of 6 s any more; runs placed longer ago are not affected. The recorded long lease is kept for every server.

Ruled out: the time of the job's latest record (each end in a job of 70 tasks would have renewed the wait of all others; lostRack failed).

--- a/packages/jobs/src/lib/JobDaemon.ts
+++ b/packages/jobs/src/lib/JobDaemon.ts
@@ -265,7 +265,7 @@
 	}
 
 	private handleProgressLoaded(): void {
-		this.replica.terms.recordLoad(this.options.timers.now())
+		this.replica.handleLoaded()
 		if (!this.term) void this.termReporter.reportEarlierProcesses()
 	}
 }
--- a/packages/jobs/src/lib/log/JobReplica.ts
+++ b/packages/jobs/src/lib/log/JobReplica.ts
@@ -8,9 +8,12 @@
 import { LeaseTiming } from '../owner/LeaseTiming.js'
 import { JobRecords } from './JobRecords.js'
 import type { RecordedLease } from './RecordedLease.js'
+import type { RecordedPlacement } from './RecordedPlacement.js'
 import type { ReplicaRow } from './ReplicaRow.js'
 import { TermHistory } from './TermHistory.js'
 
+const noPlacements: ReplicaRow['placements'] = new Map()
+
 /**
  * In-memory replica of all jobs, built from the log on every instance. It contains only durable
  * state.
@@ -30,6 +33,8 @@
 	readonly terms = new TermHistory()
 	/** Whether an owner was seen that records its orders for machines; earlier versions do not. */
 	recordsMachineOrders = false
+	/** Whether the progress of all jobs has been loaded, so that what is read now has just been written. */
+	private isLoaded = false
 	private readonly jobListeners = new Set<(row: ReplicaRow) => void>()
 
 	constructor(
@@ -37,6 +42,12 @@
 		private readonly timers: Pick<TimerService, 'now'>
 	) {}
 
+	/** Handles that the progress of all jobs has been loaded. */
+	handleLoaded(): void {
+		this.isLoaded = true
+		this.terms.recordLoad(this.timers.now())
+	}
+
 	/** Calls `listener` when a job is submitted or cancelled. */
 	subscribe(listener: (row: ReplicaRow) => void): { cancel(): void } {
 		this.jobListeners.add(listener)
@@ -130,6 +141,19 @@
 		}
 		const row = this.getOrCreateRow(entry.key)
 		row.snapshot = this.parse(entry, (value) => JobRecords.parseProgress(value)) ?? row.snapshot
+		row.placements = this.updatePlacements(row)
+	}
+
+	/** Returns the placements of a job's latest progress, with the time at which each was first read. */
+	private updatePlacements({ snapshot, placements }: ReplicaRow): ReplicaRow['placements'] {
+		const updated = new Map<number, RecordedPlacement>()
+		const readAt = this.isLoaded ? this.timers.now() : undefined
+		for (const { place, phase, attempt } of snapshot?.tasks ?? []) {
+			if (phase !== 'placed') continue
+			const earlier = placements.get(place)
+			updated.set(place, earlier?.attempt === attempt ? earlier : { attempt, readAt })
+		}
+		return updated
 	}
 
 	private applyHeartbeat(entry: LogEntry): void {
@@ -191,7 +215,13 @@
 	private getOrCreateRow(id: JobId): ReplicaRow {
 		const existing = this.rows.get(id)
 		if (existing) return existing
-		const row: ReplicaRow = { id, job: undefined, cancelled: false, snapshot: undefined }
+		const row: ReplicaRow = {
+			id,
+			job: undefined,
+			cancelled: false,
+			snapshot: undefined,
+			placements: noPlacements,
+		}
 		this.rows.set(id, row)
 		return row
 	}
--- a/packages/jobs/src/lib/log/ReplicaRow.ts
+++ b/packages/jobs/src/lib/log/ReplicaRow.ts
@@ -1,4 +1,5 @@
 import type { Job, JobId, JobSnapshot } from '@mastichead/core'
+import type { RecordedPlacement } from './RecordedPlacement.js'
 
 /**
  * A job in the replica.
@@ -12,4 +13,6 @@
 	cancelled: boolean
 	/** Latest progress recorded by an owner; undefined before the first record. */
 	snapshot: JobSnapshot | undefined
+	/** The placements in that progress, by the task's index in the job's list of tasks. */
+	placements: ReadonlyMap<number, RecordedPlacement>
 }
--- a/packages/jobs/src/lib/owner/BackendMonitor.ts
+++ b/packages/jobs/src/lib/owner/BackendMonitor.ts
@@ -23,6 +23,10 @@
 /** Pause after a failed listing, in milliseconds: while tasks are placed on the server, and otherwise. */
 const FAILURE_PAUSE = 300
 const IDLE_FAILURE_PAUSE = 800
+/** Minimum time until the leases of an unreachable server are looked at again, in milliseconds. */
+const MINIMUM_EXPIRY_CHECK = 100
+/** Reason of the end of runs whose leases cannot hold any more. */
+const LEASES_EXPIRED = 'all leases have expired'
 /** Maximum time to wait for ends to become durable before the next renewal, in milliseconds. */
 const MAXIMUM_DURABILITY_WAIT = 1_500
 
@@ -37,6 +41,7 @@
 	private endIdleSleep: (() => void) | undefined
 	/** Whether a listing from `requestListing` is in flight. */
 	private isExtraListingPending = false
+	private isExpiryScheduled = false
 	private readonly reconciler: RunReconciler
 
 	constructor(
@@ -116,7 +121,29 @@
 	private endExpiredRuns(): void {
 		const { row, context, options } = this
 		if (options.leases.mayRenew(row) || context.timers.now() < options.leases.getExpiry(row)) return
-		if (row.tasks.size > 0) options.taskUpdater.endLostRuns(row, 'all leases have expired')
+		this.endLostRuns()
+	}
+
+	private endLostRuns(): void {
+		const { row, options } = this
+		for (const task of row.tasks.values()) {
+			if (task.orderState === 'unclear') task.orderState = 'barred'
+		}
+		options.taskUpdater.endLostRuns(row, LEASES_EXPIRED, (task) => options.leases.isOver(task))
+	}
+
+	/** Ends the runs when their leases expire, unless the server has answered by then. */
+	private scheduleExpiry(): void {
+		const { row, context, options } = this
+		if (this.isExpiryScheduled || row.tasks.size === 0) return
+		this.isExpiryScheduled = true
+		const remaining = options.leases.getExpiry(row) - context.timers.now()
+		context.timers.after(Math.max(remaining + 1, MINIMUM_EXPIRY_CHECK), () => {
+			this.isExpiryScheduled = false
+			if (this.stopped || row.reachable || !context.mayAct()) return
+			this.endExpiredRuns()
+			this.scheduleExpiry()
+		})
 	}
 
 	private getListingWait(): number {
@@ -220,12 +247,12 @@
 		if (row.tasks.size > 0 && !(row.reconciled && row.reachable)) options.leases.suspend(row)
 		row.reachable = false
 		for (const task of row.tasks.values()) task.availableSince = undefined
-		if (!isGone && sentAt < options.leases.getExpiry(row)) return
-		if (row.tasks.size === 0) return
-		for (const task of row.tasks.values()) {
-			if (task.orderState === 'unclear') task.orderState = 'barred'
+		if (isGone) {
+			options.taskUpdater.endLostRuns(row, 'backend server gone')
+			return
 		}
-		options.taskUpdater.endLostRuns(row, isGone ? 'backend server gone' : 'all leases have expired')
+		if (sentAt >= options.leases.getExpiry(row)) this.endLostRuns()
+		else this.scheduleExpiry()
 	}
 
 	private async waitForDurability(): Promise<void> {
--- a/packages/jobs/src/lib/owner/LeaseLedger.ts
+++ b/packages/jobs/src/lib/owner/LeaseLedger.ts
@@ -1,4 +1,4 @@
-import type { BackendId, BackendRow } from '@mastichead/core'
+import type { BackendId, BackendRow, TaskRow } from '@mastichead/core'
 import { JobRecords } from '../log/JobRecords.js'
 import type { JobReplica } from '../log/JobReplica.js'
 import type { RecordedLease } from '../log/RecordedLease.js'
@@ -68,6 +68,20 @@
 		return Math.max(leasesExpireBy, this.getInheritedExpiry(id))
 	}
 
+	/**
+	 * Whether the run of a task is over once the leases on its server have expired. An earlier owner may
+	 * have sent its start order without an answer to a process that had just started again, which
+	 * granted a longer lease.
+	 */
+	isOver({ orderState, orderStateChangedAt }: TaskRow): boolean {
+		if (orderState !== 'inherited') return true
+		const latestOrder = Math.min(
+			this.replica.terms.getLatestOrder(this.context.token),
+			LeaseTiming.getLatestOrder(orderStateChangedAt)
+		)
+		return this.context.timers.now() >= LeaseTiming.getLatestStartExpiry(latestOrder)
+	}
+
 	/** Whether leases on the server may be requested. */
 	mayRenew({ id }: BackendRow): boolean {
 		return !this.suspensions.has(id)
@@ -78,7 +92,7 @@
 	 * may have asked a process that has started since for a lease on the clock of the one before.
 	 */
 	handleReconciled(row: BackendRow): void {
-		if (!this.inherited.delete(row.id)) return
+		const isInherited = this.inherited.delete(row.id)
 		const now = this.context.timers.now()
 		const knownIncarnation = this.incarnations.get(row.id) ?? row.incarnation
 		if (knownIncarnation !== row.incarnation) {
@@ -87,8 +101,8 @@
 		}
 		const recorded = this.recorded.get(row.id)
 		const recordedExpiry = recorded?.renewed === true ? recorded.expiresBy : 0
-		const expiry = Math.max(LeaseTiming.getLatestExpiry(now), recordedExpiry)
-		row.leasesExpireBy = Math.max(row.leasesExpireBy, expiry)
+		const usualExpiry = isInherited ? LeaseTiming.getLatestExpiry(now) : 0
+		row.leasesExpireBy = Math.max(row.leasesExpireBy, usualExpiry, recordedExpiry)
 		if (recordedExpiry > 0) this.recordUntilExpiry(row)
 	}
 
@@ -97,7 +111,7 @@
 	 * must not learn of the restart without the longer lease.
 	 */
 	handleRegistration(row: BackendRow, incarnation: number | undefined): void {
-		if (!row.reconciled || row.tasks.size === 0) return
+		if (!row.reconciled) return
 		if (incarnation !== undefined && incarnation !== row.incarnation) this.recordLongLease(row)
 	}
 
--- a/packages/jobs/src/lib/owner/LeaseTiming.ts
+++ b/packages/jobs/src/lib/owner/LeaseTiming.ts
@@ -4,6 +4,11 @@
 const MAXIMUM_CLOCK_DRIFT = 0.02
 /** Time for the last order to arrive and for a run to be killed after its lease, in milliseconds. */
 const EXPIRY_MARGIN = 300
+/**
+ * Longest lease that a start order on the clock of a server's earlier process is expected to get, in
+ * milliseconds.
+ */
+const RESTARTED_GRANT = 6_000
 /** Longest lease that any backend server grants, in milliseconds. */
 const LONGEST_GRANT = 10_000
 /** Longest time since a server's clock was read for which a lease is shortened, in milliseconds. */
@@ -40,6 +45,14 @@
 		return requestedAt + DURATION * (1 + MAXIMUM_CLOCK_DRIFT) + EXPIRY_MARGIN
 	},
 
+	/**
+	 * Returns the time by which the lease of a start order has expired that was sent at `sentAt`, maybe on
+	 * the clock of an earlier process of the server.
+	 */
+	getLatestStartExpiry(sentAt: number): number {
+		return sentAt + RESTARTED_GRANT * (1 + MAXIMUM_CLOCK_DRIFT) + EXPIRY_MARGIN
+	},
+
 	/** Returns the time by which a lease of unknown length, granted before `now`, has expired. */
 	getLatestGrantedExpiry(now: number): number {
 		return now + LONGEST_GRANT * (1 + MAXIMUM_CLOCK_DRIFT) + EXPIRY_MARGIN
--- a/packages/jobs/src/lib/owner/TaskUpdater.ts
+++ b/packages/jobs/src/lib/owner/TaskUpdater.ts
@@ -86,9 +86,18 @@
 		this.updateJob(row)
 	}
 
-	/** Ends the runs of all tasks on a backend server that no longer runs them. */
-	endLostRuns(backend: BackendRow, reason: string): void {
+	/**
+	 * Ends the runs on a backend server that no longer runs them.
+	 *
+	 * @param isOver - whether a task's run is over; all are by default
+	 */
+	endLostRuns(
+		backend: BackendRow,
+		reason: string,
+		isOver: (task: TaskRow) => boolean = () => true
+	): void {
 		for (const task of [...backend.tasks.values()]) {
+			if (!isOver(task)) continue
 			// The answer to an order in flight decides about its task.
 			if (task.orderState === 'recorded' || task.orderState === 'sent') continue
 			this.endRun(task, 'lost', '', reason)
--- a/packages/jobs/src/lib/owner/TermRecovery.slices.failure.test.ts
+++ b/packages/jobs/src/lib/owner/TermRecovery.slices.failure.test.ts
@@ -46,7 +46,7 @@
 	return Array.from({ length: JOBS }, (_, index) => {
 		const id = index.toString(16).padStart(16, '0')
 		const job = createTestJob(id, [{ estimate: 300 }], 0)
-		return { id, job, cancelled: false, snapshot: undefined }
+		return { id, job, cancelled: false, snapshot: undefined, placements: new Map() }
 	})
 }
 
--- a/packages/jobs/src/lib/owner/TermRecovery.ts
+++ b/packages/jobs/src/lib/owner/TermRecovery.ts
@@ -113,13 +113,14 @@
 	/** Restores a job in the state in which earlier owners left it. */
 	restoreJob(replicaRow: ReplicaRow): void {
 		const { jobs, backends } = this.context
-		const { job, snapshot, cancelled } = replicaRow
+		const { job, snapshot, cancelled, placements } = replicaRow
 		// A job that was submitted or cancelled meanwhile has been restored by then.
 		if (!job || jobs.get(job.id)) return
 		const row = jobs.add(job, snapshot)
-		for (const task of row.tasks) {
+		for (const [place, task] of row.tasks.entries()) {
 			if (task.phase !== 'placed' || task.backend === undefined) continue
 			this.options.leases.inherit(backends.getOrCreate(task.backend))
+			task.orderStateChangedAt = placements.get(place)?.readAt ?? -Infinity
 			backends.assign(task)
 		}
 		if (row.finishedAt !== undefined) this.options.taskUpdater.settleJob(row)
