--- a/packages/jobs/src/lib/owner/LeaseLedger.ts
+++ b/packages/jobs/src/lib/owner/LeaseLedger.ts
@@ -7,9 +7,18 @@
 import type { OwnerContext } from './OwnerContext.js'
 import type { ProgressWriter } from './ProgressWriter.js'
 
+/** Minimum time between two records of the time that is left, in milliseconds. */
+const RECORD_INTERVAL = 1_000
+
 interface Suspension {
 	/** Whether the record that allows renewals again is on its way to the log. */
 	isEnding: boolean
+	/** Time at which the time that is left was last recorded in this term. */
+	recordedAt: number
+	/** Time that was left then, in milliseconds. */
+	recordedRemaining: number
+	/** Whether the log may say that the leases are not renewed. */
+	isWritten: boolean
 }
 
 /**
@@ -24,6 +33,8 @@
 	private readonly suspensions = new Map<BackendId, Suspension>()
 	/** Servers that earlier owners may have sent orders to, unless they were listed in this term. */
 	private readonly inherited = new Set<BackendId>()
+	/** Starts of the servers' processes that earlier owners have recorded. */
+	private readonly incarnations = new Map<BackendId, number>()
 	/** What the log said when the term began. */
 	private recorded: ReadonlyMap<BackendId, RecordedLease> = new Map()
 
@@ -38,8 +49,10 @@
 		this.replica.terms.recordTakeover(this.context.timers.now())
 		this.recorded = new Map(this.replica.leases)
 		for (const [id, { renewed }] of this.recorded) {
-			if (!renewed) this.suspensions.set(id, { isEnding: false })
+			if (!renewed) this.suspensions.set(id, { ...createSuspension(), isWritten: true })
 		}
+		for (const [id, { incarnation }] of this.replica.backends)
+			this.incarnations.set(id, incarnation)
 	}
 
 	/** Marks a server on which an earlier owner has placed tasks. */
@@ -58,27 +71,56 @@
 		return !this.suspensions.has(id)
 	}
 
-	/** Handles the first listing of a term, after which the server refuses orders of earlier owners. */
+	/**
+	 * Handles the first listing of a term, after which the server refuses orders of earlier owners. They
+	 * may have asked a process that has started since for a lease on the clock of the one before.
+	 */
 	handleReconciled(row: BackendRow): void {
 		if (!this.inherited.delete(row.id)) return
-		const latestExpiry = LeaseTiming.getLatestExpiry(this.context.timers.now())
-		row.leasesExpireBy = Math.max(row.leasesExpireBy, latestExpiry)
+		const now = this.context.timers.now()
+		const knownIncarnation = this.incarnations.get(row.id) ?? row.incarnation
+		if (knownIncarnation !== row.incarnation) {
+			this.recordLongLease(row)
+			return
+		}
+		const recorded = this.recorded.get(row.id)
+		const recordedExpiry = recorded?.renewed === true ? recorded.expiresBy : 0
+		const expiry = Math.max(LeaseTiming.getLatestExpiry(now), recordedExpiry)
+		row.leasesExpireBy = Math.max(row.leasesExpireBy, expiry)
+		if (recordedExpiry > 0) this.recordUntilExpiry(row)
+	}
+
+	/**
+	 * Handles a changed registration. It may show a restart before a listing does, and the next owner
+	 * must not learn of the restart without the longer lease.
+	 */
+	handleRegistration(row: BackendRow, incarnation: number | undefined): void {
+		if (!row.reconciled || row.tasks.size === 0) return
+		if (incarnation !== undefined && incarnation !== row.incarnation) this.recordLongLease(row)
 	}
 
-	/** Records that leases on the server are not renewed. Nothing may be sent there that extends them. */
+	/**
+	 * Records that leases on the server are not renewed; nothing may be sent there that extends them. A
+	 * further call records the time that is left now, for instances that start meanwhile.
+	 */
 	suspend(row: BackendRow): void {
-		const suspension = this.suspensions.get(row.id)
-		if (suspension && !suspension.isEnding) return
-		this.suspensions.set(row.id, { isEnding: false })
-		this.record(row)
-		const remaining = Math.round(this.getExpiry(row) - this.context.timers.now())
+		const existing = this.suspensions.get(row.id)
+		if (existing && !existing.isEnding) {
+			this.recordRemaining(row, existing)
+			return
+		}
+		const suspension = { ...createSuspension(), isWritten: existing?.isWritten ?? false }
+		this.suspensions.set(row.id, suspension)
+		this.recordRemaining(row, suspension)
+		const remaining = suspension.recordedRemaining
 		this.context.events.info('leases-suspended', { backend: row.id, remaining })
 	}
 
 	/** Records that leases on the server may be renewed, and calls `onResumed` once that is durable. */
 	resume(row: BackendRow, onResumed: () => void): void {
 		const suspension = this.suspensions.get(row.id)
-		if (!suspension) {
+		if (!suspension?.isWritten) {
+			this.suspensions.delete(row.id)
 			onResumed()
 			return
 		}
@@ -93,9 +135,14 @@
 		})
 	}
 
-	/** Records a lease that may be longer than those that owners request. */
+	/**
+	 * Records that the server has started again and may have granted its longest lease, since an order
+	 * named an expiry on its earlier clock.
+	 */
 	recordLongLease(row: BackendRow): void {
-		this.record(row)
+		const latestExpiry = LeaseTiming.getLatestGrantedExpiry(this.context.timers.now())
+		row.leasesExpireBy = Math.max(row.leasesExpireBy, latestExpiry)
+		this.recordUntilExpiry(row)
 	}
 
 	/** Drops the records about servers that have left and run nothing. */
@@ -124,6 +171,28 @@
 		return Math.min(expiry, recorded.expiresBy)
 	}
 
+	/** Records how long leases may hold, and again once that time has passed. */
+	private recordUntilExpiry(row: BackendRow): void {
+		this.record(row)
+		this.context.timers.after(this.getRemaining(row) + 1, () => {
+			this.record(row)
+		})
+	}
+
+	private recordRemaining(row: BackendRow, suspension: Suspension): void {
+		const now = this.context.timers.now()
+		if (suspension.recordedRemaining === 0) return
+		if (now - suspension.recordedAt < RECORD_INTERVAL) return
+		suspension.recordedAt = now
+		suspension.recordedRemaining = this.getRemaining(row)
+		this.record(row)
+	}
+
+	/** Returns for how many milliseconds leases on the server may still hold. */
+	private getRemaining(row: BackendRow): number {
+		return Math.max(0, Math.ceil(this.getExpiry(row) - this.context.timers.now()))
+	}
+
 	private record(row: BackendRow): void {
 		const key = JobRecords.getLeaseKey(row.id)
 		this.writer.markRecordChanged(key, () => this.createRecord(row))
@@ -132,10 +201,20 @@
 	private createRecord(row: BackendRow): LogRecord {
 		const suspension = this.suspensions.get(row.id)
 		const renewed = suspension?.isEnding ?? true
+		if (suspension) suspension.isWritten = true
 		const now = this.context.timers.now()
-		const remaining = Math.max(0, Math.ceil(this.getExpiry(row) - now))
+		const remaining = this.getRemaining(row)
 		const isUsual = renewed && now + remaining <= LeaseTiming.getLatestExpiry(now)
 		if (isUsual) return JobRecords.createLeaseTombstone(row.id)
 		return JobRecords.createLeaseRecord(row.id, { renewed, remaining })
 	}
 }
+
+function createSuspension(): Suspension {
+	return {
+		isEnding: false,
+		recordedAt: -Infinity,
+		recordedRemaining: Infinity,
+		isWritten: false,
+	}
+}
