--- a/packages/jobs/src/lib/machines/PoolManager.ts
+++ b/packages/jobs/src/lib/machines/PoolManager.ts
@@ -62,7 +62,10 @@
 			readonly policy: PoolPolicy
 			readonly demand: DemandMeter
 			/** Work that the latest plan could not place, and jobs that can no longer finish in time. */
-			readonly planner: Pick<PlacementPlanner, 'backlog' | 'lateBacklog' | 'lateJobs'>
+			readonly planner: Pick<
+				PlacementPlanner,
+				'backlog' | 'lateBacklog' | 'lateJobs' | 'missingMachines'
+			>
 			/** Whether the registry is up to date, so that a machine joining a pool would be noticed. */
 			readonly isRegistryFresh: () => boolean
 			/** Whether a maintenance wave is evacuating the machine or has taken it down. */
@@ -111,15 +114,20 @@
 		return this.arrivals.has(machine)
 	}
 
+	/** Returns the pool of a service as the latest round saw it. */
+	getPool(service: string): PoolState | undefined {
+		return this.poolStates.find((pool) => pool.service === service)
+	}
+
 	/** Returns how many machines the pool has beyond its need; negative if it is short. */
 	getSlack(service: string): number {
-		const pool = this.poolStates.find((candidate) => candidate.service === service)
+		const pool = this.getPool(service)
 		return pool ? pool.usableMachines - this.options.policy.getTargetSize(pool) : 0
 	}
 
 	/** Returns how many machines of a service's pool late work may use; undefined for all. */
 	getLateMachineLimit(service: string): number | undefined {
-		const pool = this.poolStates.find((candidate) => candidate.service === service)
+		const pool = this.getPool(service)
 		return pool && this.options.policy.getLateMachineLimit(pool)
 	}
 
@@ -192,7 +200,7 @@
 		const machines: { id: string; idleSince: number | undefined }[] = []
 		const machineCores = this.options.inventory.getMedianCores()
 		const backendsByMachine = this.options.inventory.getBackends()
-		const { backlog, lateBacklog } = this.options.planner
+		const { backlog, lateBacklog, missingMachines } = this.options.planner
 		let usableMachines = 0
 		let lastingCores = 0
 		let usedCores = 0
@@ -225,6 +233,7 @@
 			lateCores: lateCores + (lateBacklog.get(service) ?? 0),
 			lastingCores,
 			minimumLastingMachines: this.getMinimumLastingMachines(service),
+			missingLastingMachines: missingMachines.get(service) ?? 0,
 		}
 	}
 
@@ -257,6 +266,7 @@
 			lateCores: 0,
 			lastingCores: 0,
 			minimumLastingMachines: 0,
+			missingLastingMachines: 0,
 		}
 		return { service, spare: true, machineCores: 0, machines, ...empty }
 	}
--- a/packages/jobs/src/lib/machines/WaveManager.ts
+++ b/packages/jobs/src/lib/machines/WaveManager.ts
@@ -93,7 +93,9 @@
 			done,
 			down: new Map(),
 			evacuating: new Map(),
+			earlierEvacuations: new Map(Object.entries(progress?.evacuatingSince ?? {})),
 			missingSince: new Map(),
+			missingTimes: new Map(Object.entries(progress?.missingTimes ?? {})),
 			receivedAt: progress?.receivedAt ?? this.context.getWallTime(),
 			reported: progress?.reported ?? 'nothing',
 		}
@@ -141,25 +143,43 @@
 		}
 	}
 
-	/** Marks machines that the platform has not listed for a while as done. */
+	/**
+	 * Marks machines that the platform has not listed for a while as done. The time that has passed is
+	 * recorded with each list, so that the next owner goes on from it.
+	 */
 	private completeRemovedMachines(row: WaveRow): void {
 		const { inventory } = this.options
 		for (const machine of row.wave.machines) {
-			if (this.getMachine(machine) || inventory.getBackend(machine))
+			if (this.getMachine(machine) || inventory.getBackend(machine)) {
 				row.missingSince.delete(machine)
-			else if (!row.done.has(machine) && !row.missingSince.has(machine))
-				row.missingSince.set(machine, this.context.timers.now())
+				row.missingTimes.delete(machine)
+			} else if (!row.done.has(machine) && !row.missingSince.has(machine)) {
+				const earlier = row.missingTimes.get(machine) ?? 0
+				row.missingSince.set(machine, this.context.timers.now() - earlier)
+			}
 		}
 		for (const [machine, missingSince] of row.missingSince) {
+			if (row.done.has(machine)) continue
+			const missingTime = inventory.listedAt - missingSince
 			// A wave may name a machine that is newer than the current list.
-			if (row.done.has(machine) || inventory.listedAt < missingSince + MISSING_TIME) continue
-			row.done.add(machine)
-			row.evacuating.delete(machine)
-			row.down.delete(machine)
-			this.context.events.info('wave-machine-gone', { wave: row.wave.number, machine })
+			if (missingTime >= MISSING_TIME) this.completeRemovedMachine(row, machine)
+			else if (missingTime > (row.missingTimes.get(machine) ?? 0)) {
+				row.missingTimes.set(machine, missingTime)
+				this.recordProgress(row)
+			}
 		}
 	}
 
+	private completeRemovedMachine(row: WaveRow, machine: string): void {
+		row.done.add(machine)
+		row.evacuating.delete(machine)
+		row.down.delete(machine)
+		row.missingTimes.delete(machine)
+		row.earlierEvacuations.delete(machine)
+		this.recordProgress(row)
+		this.context.events.info('wave-machine-gone', { wave: row.wave.number, machine })
+	}
+
 	/** Starts to evacuate the machines that are next in line. */
 	private cordonNextMachines(row: WaveRow, remainingMachines: readonly string[]): void {
 		const limit = row.wave.parallelism * (1 + EVACUATED_AHEAD)
@@ -173,7 +193,11 @@
 			else if (row.evacuating.size < limit) this.cordonMachine(row, machine, undefined)
 		}
 		const cordonedCounts = new Map<string, number>()
-		for (const backend of sortByDisruptionCost([...backends.keys()])) {
+		const isStarted = (backend: BackendRow): boolean =>
+			row.earlierEvacuations.has(backends.get(backend) ?? '')
+		const sorted = sortByDisruptionCost([...backends.keys()])
+		const started = sorted.filter(isStarted)
+		for (const backend of [...started, ...sorted.filter((other) => !isStarted(other))]) {
 			if (row.evacuating.size >= limit) return
 			const { service } = backend
 			const cordonedCount = cordonedCounts.get(service) ?? 0
@@ -184,10 +208,14 @@
 	}
 
 	private cordonMachine(row: WaveRow, machine: string, backend: BackendRow | undefined): void {
-		const { timers, events } = this.context
-		row.evacuating.set(machine, timers.now())
+		const { timers, events, getWallTime } = this.context
+		const earlierSince = row.earlierEvacuations.get(machine)
+		row.earlierEvacuations.delete(machine)
+		const elapsed = earlierSince === undefined ? 0 : Math.max(0, getWallTime() - earlierSince)
+		row.evacuating.set(machine, timers.now() - elapsed)
 		if (!backend) return
 		backend.cordoned = true
+		if (elapsed === 0 && !hasOnlyLastingTasks(backend)) this.recordProgress(row)
 		events.info('backend-closing', { backend: backend.id, machine, tasks: backend.tasks.size })
 	}
 
@@ -273,8 +301,7 @@
 
 	private isEvacuated(backend: BackendRow, evacuatingSince: number): boolean {
 		if (this.context.timers.now() - evacuatingSince > EVACUATION_TIMEOUT) return true
-		for (const task of backend.tasks.values()) if (!task.step.lasting) return false
-		return true
+		return hasOnlyLastingTasks(backend)
 	}
 
 	private handleMaintenanceStarted(
@@ -309,7 +336,7 @@
 	}
 
 	private recordProgress(row: WaveRow): void {
-		const { key, ordered, done, receivedAt } = row
+		const { key, ordered, done, receivedAt, missingTimes } = row
 		this.options.writer.markRecordChanged(key, () => {
 			const { reported } = row
 			return JobRecords.createWaveProgressRecord(key, {
@@ -317,10 +344,20 @@
 				done: [...done],
 				receivedAt,
 				reported,
+				missingTimes: Object.fromEntries(missingTimes),
+				evacuatingSince: this.getEvacuatingSince(row),
 			})
 		})
 	}
 
+	/** Returns when the evacuation of each machine began, in milliseconds since 1970. */
+	private getEvacuatingSince(row: WaveRow): Record<string, number> {
+		const { timers, getWallTime } = this.context
+		const offset = getWallTime() - timers.now()
+		const own = [...row.evacuating].map(([machine, since]) => [machine, since + offset] as const)
+		return Object.fromEntries([...row.earlierEvacuations, ...own])
+	}
+
 	private isStopped(): boolean {
 		return this.stopped
 	}
@@ -337,6 +374,10 @@
 	return canDisruptBackend(backend)
 }
 
+function hasOnlyLastingTasks(backend: BackendRow): boolean {
+	return [...backend.tasks.values()].every(({ step }) => step.lasting)
+}
+
 /** Returns the process of a backend server; undefined if it is not known. */
 function getProcess(backend: BackendRow | undefined): string | undefined {
 	return backend && backend.incarnation !== 0 ? `${backend.id}/${backend.incarnation}` : undefined
