--- a/packages/jobs/src/lib/owner/lostServerRestarts.failure.test.ts
+++ b/packages/jobs/src/lib/owner/lostServerRestarts.failure.test.ts
@@ -1,8 +1,6 @@
 import { expect, it } from 'vitest'
-import { createTestFleet } from '../testing/createTestFleet.js'
+import { createLostServerFleet } from '../testing/createLostServerFleet.js'
 
-const { createJob } = createTestFleet
-const INSTANCES = 3
 /** Time from the loss of the server to the first restart, in milliseconds, in which an owner records the loss. */
 const FIRST_RESTART = 1_000
 /** Intervals between two restarts of all instances, in milliseconds; shorter than a lease holds. */
@@ -18,23 +16,14 @@
 it.each(INTERVALS)(
 	'a task of a lost server runs again although all instances restart every %i ms',
 	async (interval) => {
-		const fleet = createTestFleet({ instances: INSTANCES, backends: 3 })
-		for (const backend of fleet.backends.values()) backend.getRunDuration = () => undefined
-		await fleet.advance(500)
-		const job = createJob(1, [{ count: 2, lasting: true, maximumPerBackend: 1 }])
-		void fleet.instances[0]?.daemon.intake.submit(job, fleet.timers.now() + 2_000)
-		await fleet.advance(1_000)
-		const lost = fleet.journal.getRuns(`${job.id}.0.0.0`)[0]?.backend ?? ''
-		const server = fleet.backends.get(lost)
-		if (server) server.disconnected = true
-		const lostAt = fleet.timers.now()
+		const { fleet, task, lostAt } = await createLostServerFleet()
 		await fleet.advance(FIRST_RESTART)
 		while (fleet.timers.now() - lostAt < MAXIMUM_ABSENCE) {
-			for (let index = 0; index < INSTANCES; index += 1) fleet.restartInstance(index)
+			for (let index = 0; index < fleet.instances.length; index += 1) fleet.restartInstance(index)
 			const left = MAXIMUM_ABSENCE - (fleet.timers.now() - lostAt)
 			await fleet.advance(Math.min(interval, left))
 		}
-		expect(fleet.journal.getRuns(`${job.id}.0.0.0`)).toHaveLength(2)
+		expect(fleet.journal.getRuns(task)).toHaveLength(2)
 		expect(fleet.journal.violations).toEqual([])
 	}
 )
--- a/packages/jobs/src/lib/owner/lostServerTakeovers.failure.test.ts
+++ b/packages/jobs/src/lib/owner/lostServerTakeovers.failure.test.ts
@@ -1,7 +1,6 @@
 import { expect, it } from 'vitest'
-import { createTestFleet } from '../testing/createTestFleet.js'
+import { createLostServerFleet } from '../testing/createLostServerFleet.js'
 
-const { createJob } = createTestFleet
 /** Time from the loss of the server to the first change of the owner, in milliseconds; shorter than a lease. */
 const FIRST_CHANGE = 1_000
 /** Intervals between two changes of the owner, in milliseconds; all are shorter than the wait for leases. */
@@ -17,22 +16,13 @@
 it.each(INTERVALS)(
 	'a task of a lost server runs again although the owner changes every %i ms',
 	async (interval) => {
-		const fleet = createTestFleet({ instances: 3, backends: 3 })
-		for (const backend of fleet.backends.values()) backend.getRunDuration = () => undefined
-		await fleet.advance(500)
-		const job = createJob(1, [{ count: 2, lasting: true, maximumPerBackend: 1 }])
-		void fleet.instances[0]?.daemon.intake.submit(job, fleet.timers.now() + 2_000)
-		await fleet.advance(1_000)
-		const lost = fleet.journal.getRuns(`${job.id}.0.0.0`)[0]?.backend ?? ''
-		const server = fleet.backends.get(lost)
-		if (server) server.disconnected = true
-		const lostAt = fleet.timers.now()
+		const { fleet, task, lostAt } = await createLostServerFleet()
 		for (let waited = FIRST_CHANGE; waited < MAXIMUM_ABSENCE; waited += interval) {
 			await fleet.advance(waited === FIRST_CHANGE ? FIRST_CHANGE : interval)
 			fleet.store.rebalance()
 		}
 		await fleet.advance(MAXIMUM_ABSENCE - (fleet.timers.now() - lostAt))
-		expect(fleet.journal.getRuns(`${job.id}.0.0.0`)).toHaveLength(2)
+		expect(fleet.journal.getRuns(task)).toHaveLength(2)
 		expect(fleet.journal.violations).toEqual([])
 	}
 )
@@ -40,19 +30,10 @@
 // Guards against a lasting task that stands without a run for longer than leases last, because the owner
 // was killed before it could record that it had lost the server.
 it('a task of a server that is lost together with the owner runs again once its leases have expired', async () => {
-	const fleet = createTestFleet({ instances: 3, backends: 3 })
-	for (const backend of fleet.backends.values()) backend.getRunDuration = () => undefined
-	await fleet.advance(500)
-	const job = createJob(1, [{ count: 2, lasting: true, maximumPerBackend: 1 }])
+	const { fleet, task } = await createLostServerFleet()
 	const owner = fleet.instances.find(({ daemon }) => daemon.isOwner)
-	const other = fleet.instances.find(({ daemon }) => !daemon.isOwner)
-	void other?.daemon.intake.submit(job, fleet.timers.now() + 2_000)
-	await fleet.advance(1_000)
-	const lost = fleet.journal.getRuns(`${job.id}.0.0.0`)[0]?.backend ?? ''
-	const server = fleet.backends.get(lost)
-	if (server) server.disconnected = true
 	owner?.timers.pause()
 	await fleet.advance(MAXIMUM_ABSENCE)
-	expect(fleet.journal.getRuns(`${job.id}.0.0.0`)).toHaveLength(2)
+	expect(fleet.journal.getRuns(task)).toHaveLength(2)
 	expect(fleet.journal.violations).toEqual([])
 })
