Let the stand-in of a server that restarts date the ends of runs whose lease had expired before

Cause: a server that leaves is out of reach, and its stand-in is asked nothing until it restarts 6.7 s later. It then reported all its runs as lost at that moment, also those whose lease had expired before.

Change: a restart first ends what was due, at the time at which it was. The check is as strict: a run counts until its lease expires or its server's process ends.

Ruled out: a lease that was given up early (the owner's end is 2.4 s after the lease's).

--- a/packages/standins/src/lib/jobPlatform/RunServerStandin.ts
+++ b/packages/standins/src/lib/jobPlatform/RunServerStandin.ts
@@ -94,6 +94,8 @@
 
 	/** Drops all runs at once and starts a new incarnation. */
 	restart(): void {
+		// Runs whose lease has expired meanwhile ended then, not now.
+		this.endDueRuns()
 		for (const { task, attempt } of this.runs.values()) this.report('ended', task, attempt, 'lost')
 		this.runs.clear()
 		this.barredAttempts.clear()
