--- a/packages/core/src/lib/jobs/BackendRow.ts
+++ b/packages/core/src/lib/jobs/BackendRow.ts
@@ -1,4 +1,5 @@
 import type { BackendId } from './BackendId.js'
+import type { ContactLoss } from './ContactLoss.js'
 import type { Resources } from './Resources.js'
 import type { TaskId } from './TaskId.js'
 import type { TaskRow } from './TaskRow.js'
@@ -28,6 +29,8 @@
 	reconciled: boolean
 	/** Whether calls to it currently succeed. */
 	reachable: boolean
+	/** How calls to it began to fail; undefined while they succeed, and before the first call of a term. */
+	contactLoss: ContactLoss | undefined
 	/** Whether it takes no new tasks because its machine is being drained for maintenance or a move. */
 	cordoned: boolean
 	/** Time until which it gets no new tasks after failures. */
--- a/packages/core/src/lib/jobs/BackendTable.ts
+++ b/packages/core/src/lib/jobs/BackendTable.ts
@@ -77,6 +77,7 @@
 		draining: false,
 		reconciled: false,
 		reachable: true,
+		contactLoss: undefined,
 		cordoned: false,
 		avoidedUntil: 0,
 		clockOffset: 0,
--- a/packages/core/src/lib/jobs/PlacementPlanner.ts
+++ b/packages/core/src/lib/jobs/PlacementPlanner.ts
@@ -217,6 +217,8 @@
 		task.attempt = attempt
 		task.backend = backend.id
 		task.orderState = 'recorded'
+		task.startedAt = Infinity
+		task.listedAt = -Infinity
 		task.stopping = false
 		task.interrupting = false
 		task.percent = 0
--- a/packages/core/src/lib/jobs/TaskRow.ts
+++ b/packages/core/src/lib/jobs/TaskRow.ts
@@ -31,6 +31,13 @@
 	orderState: StartOrderState
 	/** Time at which `orderState` last changed. */
 	orderStateChangedAt: number
+	/**
+	 * Time at which the start order of the current attempt was sent, or at which the record of an earlier
+	 * owner's placement was read; Infinity before.
+	 */
+	startedAt: number
+	/** Time of the latest request whose listing named the current attempt as running; -Infinity before. */
+	listedAt: number
 	/** Whether the current attempt is being stopped. */
 	stopping: boolean
 	/** Whether an order for the machine of the current attempt, which ends it, may be in flight. */
--- a/packages/core/src/lib/jobs/createJobRow.ts
+++ b/packages/core/src/lib/jobs/createJobRow.ts
@@ -53,6 +53,8 @@
 		checkpoint: '',
 		orderState: 'recorded',
 		orderStateChangedAt: 0,
+		startedAt: Infinity,
+		listedAt: -Infinity,
 		stopping: false,
 		interrupting: false,
 		percent: 0,
--- a/packages/jobs/src/lib/owner/BackendMonitor.limits.failure.test.ts
+++ b/packages/jobs/src/lib/owner/BackendMonitor.limits.failure.test.ts
@@ -8,6 +8,7 @@
 import { createTestContext } from '../testing/createTestContext.js'
 import { BackendMonitor } from './BackendMonitor.js'
 import { JobReplica } from '../log/JobReplica.js'
+import { CrashTracker } from './CrashTracker.js'
 import { createListingQueues } from './createListingQueues.js'
 import { LeaseLedger } from './LeaseLedger.js'
 import type { OrderDispatcher } from './OrderDispatcher.js'
@@ -93,6 +94,10 @@
 		dispatcher: {} as unknown as OrderDispatcher,
 		writer,
 		leases: new LeaseLedger(context, writer, new JobReplica(context.events, timers)),
+		crashes: new CrashTracker(context, {
+			getMachineOrder: () => undefined,
+			getRecordedIncarnation: () => undefined,
+		}),
 		...createListingQueues(),
 		replan: ignore,
 		isIntakeRead: () => true,
--- a/packages/jobs/src/lib/owner/BackendMonitor.ts
+++ b/packages/jobs/src/lib/owner/BackendMonitor.ts
@@ -1,6 +1,7 @@
-import type { BackendRow } from '@mastichead/core'
+import type { BackendRow, ContactLoss } from '@mastichead/core'
 import type { RenewalResult } from '../ports/RenewalResult.js'
 import type { RunListing } from '../ports/RunListing.js'
+import type { CrashTracker } from './CrashTracker.js'
 import type { LeaseLedger } from './LeaseLedger.js'
 import { LeaseTiming } from './LeaseTiming.js'
 import type { ConcurrencyLimit } from '../ConcurrencyLimit.js'
@@ -52,6 +53,7 @@
 			readonly dispatcher: OrderDispatcher
 			readonly writer: ProgressWriter
 			readonly leases: LeaseLedger
+			readonly crashes: CrashTracker
 			/** Limits of the first listing of each server and of its repetitions, shared by all monitors. */
 			readonly firstListings: ConcurrencyLimit
 			readonly repeatedListings: ConcurrencyLimit
@@ -174,7 +176,7 @@
 		if (!context.mayAct()) return false
 		const sentAt = context.timers.now()
 		if (row.address === '') {
-			this.handleUnreachable('no address', sentAt)
+			this.handleUnreachable('no address', sentAt, 'silence')
 			return false
 		}
 		// An unreachable server gets no new leases, so that the leases of its runs can expire.
@@ -216,6 +218,7 @@
 		const { row, context, options } = this
 		options.leases.resume(row, () => {
 			row.reachable = true
+			row.contactLoss = undefined
 			context.events.info('backend-regained', { backend: row.id })
 			options.replan()
 		})
@@ -229,32 +232,39 @@
 			this.context.endTerm(`renewal refused by ${this.row.id}: fence`)
 			return
 		}
+		const reason = `${result.kind}: ${result.detail}`
 		// Another incarnation at the address proves that the server is gone. A refused connection does
 		// not, because a network partition can also refuse connections.
-		this.handleUnreachable(`${result.kind}: ${result.detail}`, sentAt, result.kind === 'moved')
+		if (result.kind === 'moved') this.handleGone(reason, sentAt)
+		else this.handleUnreachable(reason, sentAt, getContactLoss(result.kind))
 	}
 
 	/**
 	 * Marks the server as unreachable, and ends its runs once they cannot be active any more.
 	 *
 	 * @param sentAt - monotonic instant at which the failed renewal was sent
-	 * @param isGone - whether the server is known to be gone, so that its leases need not expire first
 	 */
-	private handleUnreachable(reason: string, sentAt: number, isGone = false): void {
+	private handleUnreachable(reason: string, sentAt: number, contactLoss: ContactLoss): void {
 		const { row, context, options } = this
 		if (row.reachable) context.events.warn('backend-lost', { backend: row.id, reason })
 		// A single lost answer is no reason to give up the leases of this term.
 		if (row.tasks.size > 0 && !(row.reconciled && row.reachable)) options.leases.suspend(row)
 		row.reachable = false
+		row.contactLoss ??= contactLoss
 		for (const task of row.tasks.values()) task.availableSince = undefined
-		if (isGone) {
-			options.taskUpdater.endLostRuns(row, 'backend server gone')
-			return
-		}
 		if (sentAt >= options.leases.getExpiry(row)) this.endLostRuns()
 		else this.scheduleExpiry()
 	}
 
+	/** Ends the runs of a server whose process has ended, so that its leases need not expire first. */
+	private handleGone(reason: string, sentAt: number): void {
+		const { row, options } = this
+		const { crashes, taskUpdater } = options
+		crashes.handleProcessEnd(row, crashes.getIncarnation(row), reason, [...row.tasks.values()])
+		this.handleUnreachable(reason, sentAt, 'closed')
+		taskUpdater.endLostRuns(row, 'backend server gone')
+	}
+
 	private async waitForDurability(): Promise<void> {
 		const { row, context } = this
 		if (row.lastProcessedEnd <= row.lastAcknowledgedEnd) return
@@ -272,3 +282,7 @@
 		})
 	}
 }
+
+function getContactLoss(failure: 'refused' | 'closed' | 'unavailable'): ContactLoss {
+	return failure === 'unavailable' ? 'silence' : 'closed'
+}
--- a/packages/jobs/src/lib/owner/MonitorTable.ts
+++ b/packages/jobs/src/lib/owner/MonitorTable.ts
@@ -1,5 +1,6 @@
 import type { BackendId, BackendRow } from '@mastichead/core'
 import { BackendMonitor } from './BackendMonitor.js'
+import type { CrashTracker } from './CrashTracker.js'
 import { createListingQueues } from './createListingQueues.js'
 import type { LeaseLedger } from './LeaseLedger.js'
 import type { OrderDispatcher } from './OrderDispatcher.js'
@@ -23,6 +24,7 @@
 			readonly dispatcher: OrderDispatcher
 			readonly writer: ProgressWriter
 			readonly leases: LeaseLedger
+			readonly crashes: CrashTracker
 			readonly replan: () => void
 			/** Whether every job that an earlier owner may have started has been read. */
 			readonly isIntakeRead: () => boolean
--- a/packages/jobs/src/lib/owner/OwnerTerm.ts
+++ b/packages/jobs/src/lib/owner/OwnerTerm.ts
@@ -30,6 +30,7 @@
 import type { MaintenanceWave } from '../ports/MaintenanceWave.js'
 import { MachineManager } from '../machines/MachineManager.js'
 import { BackendRegistry } from './BackendRegistry.js'
+import { CrashTracker } from './CrashTracker.js'
 import { EarlierTerms } from './EarlierTerms.js'
 import { LeaseLedger } from './LeaseLedger.js'
 import { LeaseTiming } from './LeaseTiming.js'
@@ -68,6 +69,7 @@
 	private readonly recovery: TermRecovery
 	private readonly demand = new DemandMeter()
 	private readonly leases: LeaseLedger
+	private readonly crashes: CrashTracker
 	private readonly earlierTerms: EarlierTerms
 	private readonly monitors: MonitorTable
 	private readonly subscriptions: { cancel(): void }[] = []
@@ -180,11 +182,16 @@
 			leases: this.leases,
 			isEnded: () => this.ended,
 		})
+		this.crashes = new CrashTracker(this.context, {
+			getMachineOrder: (machine) => options.replica.machineOrders.get(machine),
+			getRecordedIncarnation: (id) => this.leases.getRecordedIncarnation(id),
+		})
 		this.monitors = new MonitorTable(this.context, {
 			taskUpdater: this.taskUpdater,
 			dispatcher: this.dispatcher,
 			writer: this.writer,
 			leases: this.leases,
+			crashes: this.crashes,
 			replan,
 			isIntakeRead: () => options.intake.every((follower) => this.recovery.isRead(follower)),
 		})
@@ -370,6 +377,7 @@
 			this.monitors.remove(row.id)
 			backends.remove(row.id)
 			this.health.remove(row.id)
+			this.crashes.remove(row.id)
 			backendClient.closeIdleConnections(row)
 		}
 		this.leases.dropUnused((id) => backends.get(id) !== undefined)
--- a/packages/jobs/src/lib/owner/RunReconciler.ts
+++ b/packages/jobs/src/lib/owner/RunReconciler.ts
@@ -1,6 +1,7 @@
 import type { BackendRow, TaskRow } from '@mastichead/core'
 import type { RunListing } from '../ports/RunListing.js'
 import { completesTask } from './completesTask.js'
+import type { CrashTracker } from './CrashTracker.js'
 import type { LeaseLedger } from './LeaseLedger.js'
 import type { OrderDispatcher } from './OrderDispatcher.js'
 import type { OwnerContext } from './OwnerContext.js'
@@ -29,6 +30,7 @@
 			readonly dispatcher: OrderDispatcher
 			readonly writer: ProgressWriter
 			readonly leases: LeaseLedger
+			readonly crashes: CrashTracker
 			/** Whether every job that an earlier owner may have started has been read. */
 			readonly isIntakeRead: () => boolean
 		}
@@ -41,13 +43,13 @@
 	 */
 	apply(listing: RunListing, sentAt: number): void {
 		const { row, context } = this
-		if (row.incarnation !== listing.incarnation) this.handleIncarnationChange(listing.incarnation)
+		if (row.incarnation !== listing.incarnation) this.handleIncarnationChange(listing)
 		row.clockOffset = listing.clock - context.timers.now()
 		row.clockReadAt = context.timers.now()
 		row.hasUnreadRuns = [...listing.running, ...listing.ended].some(({ task }) =>
 			this.mayBeUnread(task)
 		)
-		const listed = this.updateRunningTasks(listing)
+		const listed = this.updateRunningTasks(listing, sentAt)
 		this.processEnds(listing, listed)
 		if (listing.isComplete) this.handleUnlistedTasks(listed, sentAt)
 	}
@@ -56,9 +58,11 @@
 	 * Handles a server that has started again under its id. Runs that the listing does not name have
 	 * ended with the process before; those that it names began after the restart.
 	 */
-	private handleIncarnationChange(incarnation: number): void {
+	private handleIncarnationChange(listing: RunListing): void {
 		const { row, context } = this
+		const { incarnation } = listing
 		const previous = row.incarnation
+		this.handleProcessEnd(listing)
 		row.incarnation = incarnation
 		row.lastProcessedEnd = 0
 		row.lastAcknowledgedEnd = 0
@@ -68,8 +72,21 @@
 		context.events.warn('backend-restarted', { backend: row.id, before: previous, incarnation })
 	}
 
+	/** Handles the end of the process before, which may have crashed under the tasks not listed now. */
+	private handleProcessEnd(listing: RunListing): void {
+		const { row, options } = this
+		const known = options.crashes.getIncarnation(row)
+		if (known === 0 || known === listing.incarnation) return
+		const isListed = ({ id, attempt }: TaskRow): boolean =>
+			[...listing.running, ...listing.ended].some(
+				(run) => run.task === id && run.attempt === attempt
+			)
+		const runs = [...row.tasks.values()].filter((task) => !isListed(task))
+		options.crashes.handleProcessEnd(row, known, 'its id names another process', runs)
+	}
+
 	/** Updates the tasks that are listed as running and returns their ids. */
-	private updateRunningTasks(listing: RunListing): Set<string> {
+	private updateRunningTasks(listing: RunListing, sentAt: number): Set<string> {
 		const { row } = this
 		const listed = new Set<string>()
 		for (const run of listing.running) {
@@ -80,6 +97,7 @@
 			}
 			listed.add(run.task)
 			if (run.checkpoint !== '') task.checkpoint = run.checkpoint
+			task.listedAt = Math.max(task.listedAt, sentAt)
 			this.updateProgress(task, run.percent)
 			this.confirmOrder(task)
 		}
--- a/packages/jobs/src/lib/owner/TaskUpdater.ts
+++ b/packages/jobs/src/lib/owner/TaskUpdater.ts
@@ -40,15 +40,16 @@
 
 	/** Records the end of a task's current run. */
 	endRun(task: TaskRow, ending: RunEnding, checkpoint: string, reason: string): void {
-		const { backends, events, metrics, getConfiguration } = this.context
+		const { backends, events, metrics, timers, getConfiguration } = this.context
 		const queue = getConfiguration().queues.get(task.job.job.queue)
 		const backend = task.backend
+		const age = Math.max(0, Math.round(timers.now() - task.startedAt))
 		const maximumAttempts = queue?.maximumAttempts ?? DEFAULT_MAXIMUM_ATTEMPTS
 		this.updateHealth(task, ending)
 		applyRunEnding(task, ending, checkpoint, maximumAttempts, backends)
 		metrics.count('run_ends', ending)
 		const { id, attempt, phase, failures } = task
-		events.info('run-ended', { task: id, attempt, backend, ending, reason, phase, failures })
+		events.info('run-ended', { task: id, attempt, backend, ending, reason, age, phase, failures })
 		this.updateJob(task.job)
 		this.replan()
 	}
--- a/packages/jobs/src/lib/owner/TermRecovery.ts
+++ b/packages/jobs/src/lib/owner/TermRecovery.ts
@@ -120,7 +120,9 @@
 		for (const [place, task] of row.tasks.entries()) {
 			if (task.phase !== 'placed' || task.backend === undefined) continue
 			this.options.leases.inherit(backends.getOrCreate(task.backend))
-			task.orderStateChangedAt = placements.get(place)?.readAt ?? -Infinity
+			const readAt = placements.get(place)?.readAt
+			task.orderStateChangedAt = readAt ?? -Infinity
+			task.startedAt = readAt ?? this.startedAt
 			backends.assign(task)
 		}
 		if (row.finishedAt !== undefined) this.options.taskUpdater.settleJob(row)
--- a/packages/jobs/src/lib/ports/RenewalResult.ts
+++ b/packages/jobs/src/lib/ports/RenewalResult.ts
@@ -7,10 +7,14 @@
  * - `fenced`: the server has seen a higher fencing token
  * - `moved`: another incarnation answered
  * - `refused`: nothing listens at the address
+ * - `closed`: the connection was closed or reset before an answer came
  * - `unavailable`: no usable answer came
  *
  * @public
  */
 export type RenewalResult =
 	| { readonly kind: 'listed'; readonly listing: RunListing }
-	| { readonly kind: 'fenced' | 'moved' | 'refused' | 'unavailable'; readonly detail: string }
+	| {
+			readonly kind: 'fenced' | 'moved' | 'refused' | 'closed' | 'unavailable'
+			readonly detail: string
+	  }
