--- /dev/null
+++ b/packages/jobs/src/lib/owner/crashingTask.failure.test.ts
@@ -0,0 +1,181 @@
+import { describe, expect, it } from 'vitest'
+import { createCrashFleet } from '../testing/createCrashFleet.js'
+
+/** Crashes under a task after which it is given up. */
+const CRASH_LIMIT = 2
+/** Starts of a task that crashes servers which the users allow: three crashes, and two starts more. */
+const MAXIMUM_STARTS = 5
+/** Time in which a task that crashes servers must have been given up, in milliseconds. */
+const OBSERVED_TIME = 40_000
+const LASTING = 0x100
+
+// Guards against a task that crashes server after server.
+describe('a task that crashes the servers that start it', () => {
+	it.each(['same-id', undefined] as const)(
+		'is given up after two crashes, and its job is shown as failed, servers restart with %s',
+		async (restart) => {
+			const crashFleet = await createCrashFleet({
+				instances: 2,
+				backends: 4,
+				...(restart && { restart }),
+			})
+			const { fleet, crashing, submit, getState, crashes } = crashFleet
+			crashing.add(`${createId(1)}.0.0.0`)
+			submit(1, { count: 1 })
+			await fleet.advance(OBSERVED_TIME)
+			expect(crashes).toHaveLength(CRASH_LIMIT)
+			expect(await getState(createId(1))).toBe('failed')
+			expect(fleet.journal.violations).toEqual([])
+		}
+	)
+
+	it('is given up if it lasts', async () => {
+		const { fleet, crashing, submit, getState, crashes } = await createCrashFleet({
+			instances: 2,
+			backends: 4,
+		})
+		crashing.add(`${createId(LASTING)}.0.0.1`)
+		submit(LASTING, { count: 2, lasting: true })
+		await fleet.advance(OBSERVED_TIME)
+		expect(crashes).toHaveLength(CRASH_LIMIT)
+		expect(await getState(createId(LASTING))).toBe('failed')
+	})
+
+	it('is given up if it belongs to a gang', async () => {
+		const { fleet, crashing, submit, getState, crashes } = await createCrashFleet({
+			instances: 2,
+			backends: 4,
+		})
+		crashing.add(`${createId(1)}.0.0.2`)
+		submit(1, { count: 4, gang: true })
+		await fleet.advance(OBSERVED_TIME)
+		expect(crashes.length).toBeLessThan(MAXIMUM_STARTS)
+		expect(await getState(createId(1))).toBe('failed')
+	})
+})
+
+// Guards against sound tasks that are given up because they were lost together with one that crashes servers.
+describe('sound tasks beside tasks that crash servers', () => {
+	it.each([1, 2, 4, 6])('are completed beside %i of them', async (count) => {
+		const { fleet, crashing, submit, getState } = await createCrashFleet({
+			instances: 2,
+			backends: 6,
+		})
+		const jobs = Array.from({ length: 12 }, (_, index) => index + 1)
+		for (const number of jobs) {
+			if (number <= count) crashing.add(`${createId(number)}.0.0.${number % 4}`)
+			submit(number, { count: 4 })
+		}
+		submit(LASTING, { count: 6, lasting: true, maximumPerBackend: 1 })
+		await fleet.advance(OBSERVED_TIME)
+		const states = await Promise.all(jobs.map((number) => getState(createId(number))))
+		expect(states).toEqual(jobs.map((number) => (number <= count ? 'failed' : 'completed')))
+		expect(await getState(createId(LASTING))).toBe('running')
+		const starts = [...crashing].map((task) => fleet.journal.getRuns(task).length)
+		expect(Math.max(...starts)).toBeLessThanOrEqual(MAXIMUM_STARTS)
+		expect(fleet.journal.violations).toEqual([])
+	})
+
+	it('are completed in a stream of jobs that fills the servers', async () => {
+		const { fleet, crashing, submit, getState } = await createCrashFleet({
+			instances: 2,
+			backends: 3,
+		})
+		const jobs = Array.from({ length: 40 }, (_, index) => index + 1)
+		const crashingJobs = new Set([3, 9, 15])
+		for (const number of jobs) {
+			if (crashingJobs.has(number)) crashing.add(`${createId(number)}.0.0.0`)
+			submit(number, { count: 12 })
+			await fleet.advance(200)
+		}
+		await fleet.advance(OBSERVED_TIME)
+		const states: string[] = []
+		for (const number of jobs) states.push(await getState(createId(number)))
+		expect(states).toEqual(
+			jobs.map((number) => (crashingJobs.has(number) ? 'failed' : 'completed'))
+		)
+		const starts = [...crashing].map((task) => fleet.journal.getRuns(task).length)
+		expect(Math.max(...starts)).toBeLessThanOrEqual(MAXIMUM_STARTS)
+	})
+})
+
+// Guards against crashes under a task that are forgotten with the process that saw them.
+describe('crashes under a task are known', () => {
+	const DELAYS = [100, 1_000, 2_500, 3_300, 3_600]
+
+	it.each(DELAYS)('after the owner is killed %i ms after each crash', async (delay) => {
+		const { fleet, crashing, crashes, submit, getState } = await createCrashFleet({
+			instances: 3,
+			backends: 5,
+		})
+		crashing.add(`${createId(1)}.0.0.0`)
+		submit(1, { count: 3 })
+		submit(2, { count: 9 })
+		let seen = 0
+		for (let waited = 0; waited < OBSERVED_TIME; waited += 50) {
+			await fleet.advance(50)
+			const latest = crashes.at(-1)
+			if (latest === undefined || seen === crashes.length) continue
+			if (fleet.timers.now() - latest < delay) continue
+			seen = crashes.length
+			fleet.restartInstance(fleet.instances.findIndex(({ daemon }) => daemon.isOwner))
+		}
+		expect(await getState(createId(1))).toBe('failed')
+		expect(await getState(createId(2))).toBe('completed')
+		expect(crashes.length).toBeLessThanOrEqual(MAXIMUM_STARTS)
+		expect(fleet.journal.violations).toEqual([])
+	})
+
+	it.each(DELAYS)('after all instances restart %i ms after each crash', async (delay) => {
+		const { fleet, crashing, crashes, submit, getState } = await createCrashFleet({
+			instances: 3,
+			backends: 5,
+		})
+		crashing.add(`${createId(1)}.0.0.0`)
+		submit(1, { count: 3 })
+		submit(2, { count: 9 })
+		let seen = 0
+		for (let waited = 0; waited < OBSERVED_TIME; waited += 50) {
+			await fleet.advance(50)
+			const latest = crashes.at(-1)
+			if (latest === undefined || seen === crashes.length) continue
+			if (fleet.timers.now() - latest < delay) continue
+			seen = crashes.length
+			for (const index of fleet.instances.keys()) fleet.restartInstance(index)
+		}
+		expect(await getState(createId(1))).toBe('failed')
+		expect(await getState(createId(2))).toBe('completed')
+		expect(crashes.length).toBeLessThanOrEqual(MAXIMUM_STARTS)
+		expect(fleet.journal.violations).toEqual([])
+	})
+
+	it.each(DELAYS)('after the log is lost for 4 s, %i ms after each crash', async (delay) => {
+		const { fleet, crashing, crashes, submit, getState } = await createCrashFleet({
+			instances: 3,
+			backends: 5,
+		})
+		crashing.add(`${createId(1)}.0.0.0`)
+		submit(1, { count: 3 })
+		submit(2, { count: 9 })
+		let seen = 0
+		for (let waited = 0; waited < OBSERVED_TIME; waited += 50) {
+			await fleet.advance(50)
+			const latest = crashes.at(-1)
+			if (latest === undefined || seen === crashes.length) continue
+			if (fleet.timers.now() - latest < delay) continue
+			seen = crashes.length
+			for (const { log } of fleet.instances) {
+				log.disconnected = true
+				fleet.timers.after(4_000, () => (log.disconnected = false))
+			}
+		}
+		expect(await getState(createId(1))).toBe('failed')
+		expect(await getState(createId(2))).toBe('completed')
+		expect(crashes.length).toBeLessThanOrEqual(MAXIMUM_STARTS)
+		expect(fleet.journal.violations).toEqual([])
+	})
+})
+
+function createId(number: number): string {
+	return number.toString(16).padStart(16, '0')
+}
--- a/packages/jobs/src/lib/testing/MemoryBackend.ts
+++ b/packages/jobs/src/lib/testing/MemoryBackend.ts
@@ -29,6 +29,12 @@
 	disconnected = false
 	/** Whether the process has crashed and not started again; nothing reaches it then. */
 	private down = false
+	/** Whether the process has ended while its host is up, so that connections are refused. */
+	private exited = false
+	/** Whether another process answers at its address. */
+	replaced = false
+	/** Called when it has begun a run. */
+	onStart: (task: string) => void = () => undefined
 	/** Rate of its clock; below 1 it runs slow. */
 	clockRate = 1
 	/** Longest lease that it grants, in milliseconds. */
@@ -48,11 +54,12 @@
 		readonly id: string,
 		private readonly timers: TimerService,
 		private readonly journal: RunJournal,
-		readonly cores = 16
+		readonly cores = 16,
+		readonly machine = `machine-${id}`
 	) {}
 
 	start(order: StartOrder): BackendOrderResult {
-		if (this.down) return { kind: 'unknown', detail: 'no process' }
+		if (this.down || this.exited) return { kind: 'unknown', detail: 'no process' }
 		this.advance()
 		if (order.token < this.token) return this.createRefusal('fence')
 		this.token = order.token
@@ -68,6 +75,7 @@
 			duration === undefined ? undefined : { at: startedAt + duration, kind: 'done' as const }
 		this.runs.set(order.task, { task: order.task, attempt: order.attempt, startedAt, ending })
 		this.journal.recordStart(order.task, order.attempt, this.id, startedAt)
+		this.onStart(order.task)
 		return { kind: 'taken', clock: this.clock }
 	}
 
@@ -114,6 +122,19 @@
 		return !this.disconnected && !this.down
 	}
 
+	/** How calls fail that do not reach the process; undefined if they reach it. */
+	get failure(): 'silent' | 'refused' | 'moved' | undefined {
+		if (!this.isReachable) return 'silent'
+		if (this.replaced) return 'moved'
+		return this.exited ? 'refused' : undefined
+	}
+
+	/** Simulates a crash of the process on a host that stays up. */
+	exit(): void {
+		this.restart()
+		this.exited = true
+	}
+
 	/** Simulates a crash of the process, after which it is down. */
 	crash(): void {
 		this.restart()
@@ -123,6 +144,7 @@
 	/** Simulates a crash of the process and its restart under the same id. */
 	restart(): void {
 		this.down = false
+		this.exited = false
 		this.advance()
 		for (const run of this.runs.values()) this.journal.recordEnd(run.task, run.attempt, this.now)
 		this.runs.clear()
--- a/packages/jobs/src/lib/testing/MemoryBackendServerClient.ts
+++ b/packages/jobs/src/lib/testing/MemoryBackendServerClient.ts
@@ -68,6 +68,8 @@
 			await this.sleep(renewal.wait + CALL_TIMEOUT)
 			return { kind: 'unavailable', detail: 'no answer' }
 		}
+		const { failure } = target
+		if (failure === 'refused' || failure === 'moved') return { kind: failure, detail: failure }
 		const { incarnation } = target
 		const connection = this.getConnection(target)
 		const { connectionIncarnations } = this
@@ -81,8 +83,8 @@
 		const isWaiting = (): boolean =>
 			this.timers.now() < deadline && !target.hasEnds() && target.incarnation === incarnation
 		while (isWaiting()) await this.sleep(POLL_INTERVAL)
-		if (!this.findReachable(backend) || target.incarnation !== incarnation)
-			return { kind: 'unavailable', detail: 'reset' }
+		if (!this.findReachable(backend)) return { kind: 'unavailable', detail: 'no answer' }
+		if (target.incarnation !== incarnation) return { kind: 'closed', detail: 'reset' }
 		if (first.kind !== 'listed') return first
 		connectionIncarnations.recordListing(connection, incarnation)
 		const result = target.renew({ ...renewal, leaseEnd: undefined }, through)
@@ -105,6 +107,9 @@
 			await this.sleep(CALL_TIMEOUT)
 			return { kind: 'unknown', detail: 'no answer' }
 		}
+		const { failure } = target
+		if (failure === 'refused') return { kind: 'unsent', detail: failure }
+		if (failure === 'moved') return { kind: 'moved', detail: failure }
 		const result = execute(target)
 		if (this.silent.has(target.id)) {
 			await this.sleep(CALL_TIMEOUT)
--- a/packages/jobs/src/lib/testing/createTestFleet.ts
+++ b/packages/jobs/src/lib/testing/createTestFleet.ts
@@ -4,6 +4,7 @@
 import type { EventLog } from '../logs/EventLog.js'
 import { SilentEventLog } from '../logs/SilentEventLog.js'
 import { JobMetrics } from '../metrics/JobMetrics.js'
+import type { BackendRegistration } from '../ports/BackendRegistration.js'
 import type { Machine } from '../ports/Machine.js'
 import { JsonTestFormat } from './JsonTestFormat.js'
 import { MemoryBackend } from './MemoryBackend.js'
@@ -88,8 +89,20 @@
 		instances[index]?.timers.kill()
 		startInstance(index)
 	}
-	const register = (backend: MemoryBackend): void => {
-		registerBackend(store, backend)
+	const register = (backend: MemoryBackend, change?: Partial<BackendRegistration>): void => {
+		registerBackend(store, backend, change)
+	}
+	const replace = (backend: MemoryBackend): MemoryBackend => {
+		const { machine, cores, incarnation } = backend
+		const successor = new MemoryBackend(`${backend.id}+`, timers, journal, cores, machine)
+		successor.incarnation = incarnation + 1
+		successor.getRunDuration = backend.getRunDuration
+		successor.onStart = backend.onStart
+		backend.replaced = true
+		backends.set(successor.id, successor)
+		store.append('backends', [{ key: backend.id, value: undefined }])
+		registerBackend(store, successor)
+		return successor
 	}
 	const advance = async (duration: number): Promise<void> => {
 		for (let step = 0; step < duration; step += 1) {
@@ -110,6 +123,7 @@
 		advance,
 		restartInstance,
 		register,
+		replace,
 	}
 }
 
@@ -132,21 +146,28 @@
 	advance(duration: number): Promise<void>
 	/** Replaces an instance by a new process, which knows nothing of the one before. */
 	restartInstance(index: number): void
-	/** Writes a backend server's registration again, as after its restart. */
-	register(backend: MemoryBackend): void
+	/** Writes a backend server's registration again, as after its restart or with a change. */
+	register(backend: MemoryBackend, change?: Partial<BackendRegistration>): void
+	/** Starts another process, with another id, on the machine of one that has ended. */
+	replace(backend: MemoryBackend): MemoryBackend
 }
 
-function registerBackend(store: MemoryStore, backend: MemoryBackend): void {
-	const registration = {
+function registerBackend(
+	store: MemoryStore,
+	backend: MemoryBackend,
+	change: Partial<BackendRegistration> = {}
+): void {
+	const registration: BackendRegistration = {
 		id: backend.id,
-		machine: `machine-${backend.id}`,
+		machine: backend.machine,
 		service: 'desk',
-		address: `10.0.0.1:${backend.id}`,
+		address: `10.0.0.1:${backend.machine}`,
 		zone: 'a',
 		labels: [],
 		capacity: { cpu: backend.cores * 1_000, memory: 64_000, gpu: 0 },
 		draining: false,
 		incarnation: backend.incarnation,
+		...change,
 	}
 	store.append('backends', [{ key: backend.id, value: JSON.stringify(registration) }])
 }
