Give up a task once two servers have crashed under it, after it was started apart from others

Cause: the end of a run by a crash counted nowhere (hypothesis 1), and all that was lost together was started together on the next server (hypothesis 2), so a count alone would have given up about forty sound tasks.

Change: CrashTracker marks the tasks that had just been started when a server's process ended by itself; drains, orders for the machine and silence before the end do not count. Such a task is started apart from other jobs (ProbationPlan): where no other job has just been started, and with no other start beside it until a listing shows that it has outlived its start; servers that are always busy are held back for it, half of a pool at most. So the next crash has one job to blame, which is given up after the second one. A run of 5 s clears a task. The number of crashes is part of the job's progress in the log, written before the next start.

Ruled out: counting every loss (see above), and the youngest run alone (three or four start within 10 ms of each other).

--- a/packages/core/src/lib/jobs/JobSnapshot.ts
+++ b/packages/core/src/lib/jobs/JobSnapshot.ts
@@ -21,6 +21,8 @@
 	readonly phase: 'pending' | 'placed' | 'done' | 'failed' | 'dropped'
 	readonly attempt: number
 	readonly failures: number
+	/** Crashes of backend servers that the task may have caused. */
+	readonly crashes: number
 	readonly backend: BackendId | undefined
 	readonly checkpoint: string
 }
--- a/packages/core/src/lib/jobs/PlacementPlanner.ts
+++ b/packages/core/src/lib/jobs/PlacementPlanner.ts
@@ -12,6 +12,7 @@
 import type { TaskPlacement } from './TaskPlacement.js'
 import type { ReadyStep } from './ReadyStep.js'
 import type { TaskRow } from './TaskRow.js'
+import { ProbationPlan } from './ProbationPlan.js'
 import { countMissingMachines } from './countMissingMachines.js'
 import { exceedsTeamLimit } from './exceedsTeamLimit.js'
 import { getBackendAvailability } from './getBackendAvailability.js'
@@ -41,6 +42,7 @@
 	readonly missingMachines = new Map<string, number>()
 	/** Jobs with pending tasks that can no longer finish on time. */
 	readonly lateJobs = new Set<JobId>()
+	private readonly probations = new ProbationPlan()
 	/**
 	 * Servers that the latest plan gave no tasks that end by themselves, because a lasting task that fits
 	 * on no server waits for room there.
@@ -87,12 +89,19 @@
 		this.missingMachines.clear()
 		this.lateJobs.clear()
 		this.heldBackends.clear()
+		this.probations.clear()
 		const loads = new Map<string, ServiceLoad>()
 		for (const [service, usable] of usableByService)
 			loads.set(service, getServiceLoad(usable, getArrivingMachines(service)))
-		for (const candidate of this.rankReadySteps(configuration, loads, now, wallTime)) {
+		const ranked = this.rankReadySteps(configuration, loads, now, wallTime)
+		for (const { readyStep, queue } of ranked) {
+			const usable = usableByService.get(queue.service) ?? []
+			placements.push(...this.placeSuspects(readyStep, usable, configuration))
+		}
+		for (const candidate of ranked.map(withoutSuspects)) {
 			const { readyStep, isLate } = candidate
 			if (isLate) this.lateJobs.add(readyStep.row.job.id)
+			if (readyStep.pending.length === 0) continue
 			const candidates = getBackendsFor(candidate)
 			const placed = this.placeStep(readyStep, candidates, configuration)
 			placements.push(...placed)
@@ -145,6 +154,34 @@
 		return this.policy.rank(candidates, loads, wallTime)
 	}
 
+	/**
+	 * Places the tasks of a step that may have crashed backend servers, before all others, so that other
+	 * starts do not keep them waiting for a server where nothing has just been started.
+	 */
+	private placeSuspects(
+		readyStep: ReadyStep,
+		usable: readonly BackendRow[],
+		configuration: FleetConfiguration
+	): TaskPlacement[] {
+		const placements: TaskPlacement[] = []
+		const { row, step } = readyStep
+		const rules = configuration.teams.get(row.job.team)
+		for (const task of readyStep.pending) {
+			if (task.crashes === 0) continue
+			const used = this.backends.getTeamUsage(row.job.team)
+			if (exceedsTeamLimit(rules, used, step.needs)) break
+			const backend = this.selectBackend(readyStep, task, usable, configuration)
+			if (!backend) {
+				this.probations.awaitOne(task, getPossibleHosts(readyStep, usable), usable)
+				break
+			}
+			if (step.gang || !this.probations.mayUse(task, backend, usable)) break
+			this.assign(task, backend, task.attempt + 1)
+			placements.push({ task, backend, attempt: task.attempt })
+		}
+		return placements
+	}
+
 	private placeStep(
 		readyStep: ReadyStep,
 		usable: readonly BackendRow[],
@@ -152,14 +189,15 @@
 	): TaskPlacement[] {
 		const placements: TaskPlacement[] = []
 		const attempt = 1 + Math.max(...readyStep.members.map((member) => member.attempt))
-		for (const task of readyStep.pending) {
+		const pending = readyStep.pending.toSorted((a, b) => b.crashes - a.crashes)
+		for (const task of pending) {
 			const backend = this.selectBackend(readyStep, task, usable, configuration)
 			if (!backend) break
 			this.assign(task, backend, readyStep.step.gang ? attempt : task.attempt + 1)
 			placements.push({ task, backend, attempt: task.attempt })
 		}
 		if (!readyStep.step.gang || placements.length === readyStep.pending.length) return placements
-		for (const { task } of placements) this.unassign(task)
+		for (const placement of placements) this.unassign(placement)
 		return []
 	}
 
@@ -203,7 +241,11 @@
 		for (const backend of usable) {
 			if (getHostRefusal(readyStep, backend)) continue
 			if (!step.lasting && this.heldBackends.has(backend)) continue
-			const baseScore = this.scorer.getScore(readyStep, backend)
+			if (!this.probations.allows(task, backend)) continue
+			const baseScore =
+				task.crashes > 0
+					? this.probations.getScore(task, backend)
+					: this.scorer.getScore(readyStep, backend)
 			const score = backend.id === task.failedOn ? baseScore - FAILED_BACKEND_PENALTY : baseScore
 			if (score <= bestScore) continue
 			best = backend
@@ -224,10 +266,12 @@
 		task.percent = 0
 		task.availableSince = undefined
 		this.backends.assign(task)
+		this.probations.update(backend)
 	}
 
-	private unassign(task: TaskRow): void {
+	private unassign({ task, backend }: TaskPlacement): void {
 		this.backends.release(task)
+		this.probations.update(backend)
 		task.phase = 'pending'
 		task.attempt -= 1
 	}
@@ -241,3 +285,22 @@
 	if (limit === undefined || limit >= backends.length) return backends
 	return backends.toSorted((a, b) => b.used.cpu - a.used.cpu).slice(0, limit)
 }
+
+/** Leaves out the tasks that were placed, or not, before all others. Those of gangs are placed together. */
+function withoutSuspects(candidate: RankedCandidate): RankedCandidate {
+	const { readyStep } = candidate
+	const { step, pending } = readyStep
+	if (step.gang || pending.every(({ crashes }) => crashes === 0)) return candidate
+	return {
+		...candidate,
+		readyStep: { ...readyStep, pending: pending.filter(({ crashes }) => crashes === 0) },
+	}
+}
+
+/** Returns the servers that can host a task of a step now, or as soon as other tasks there have ended. */
+function getPossibleHosts(readyStep: ReadyStep, usable: readonly BackendRow[]): BackendRow[] {
+	return usable.filter((backend) => {
+		const refusal = getHostRefusal(readyStep, backend)
+		return refusal === undefined || refusal === 'room'
+	})
+}
--- a/packages/core/src/lib/jobs/TaskRow.ts
+++ b/packages/core/src/lib/jobs/TaskRow.ts
@@ -1,4 +1,5 @@
 import type { BackendId } from './BackendId.js'
+import type { CrashSuspicion } from './CrashSuspicion.js'
 import type { JobRow } from './JobRow.js'
 import type { JobStep } from './JobStep.js'
 import type { StartOrderState } from './StartOrderState.js'
@@ -22,6 +23,13 @@
 	attempt: number
 	/** Number of attempts that ended as `failed`. */
 	failures: number
+	/**
+	 * Number of crashes of backend servers that the task may have caused, since it last ran for
+	 * `STABLE_RUN_TIME`.
+	 */
+	crashes: number
+	/** Whether the server of the current attempt crashed, and the task may have caused that. */
+	crashSuspicion: CrashSuspicion | undefined
 	/** Backend server of the latest run that ended as `failed`. */
 	failedOn: BackendId | undefined
 	/** Backend server of the current attempt; undefined unless the task is placed. */
--- a/packages/core/src/lib/jobs/applyRunEnding.ts
+++ b/packages/core/src/lib/jobs/applyRunEnding.ts
@@ -1,6 +1,11 @@
 import type { BackendTable } from './BackendTable.js'
 import type { RunEnding } from './RunEnding.js'
 import type { TaskRow } from './TaskRow.js'
+import { getRunAge } from './getRunAge.js'
+import { STABLE_RUN_TIME } from './stableRunTime.js'
+
+/** Crashes of backend servers after which a task is given up, if it alone can have caused the latest. */
+const MAXIMUM_CRASHES = 2
 
 /**
  * Applies the end of a placed task's current run: releases its resources and sets its next phase.
@@ -23,6 +28,7 @@
 	task.interrupting = false
 	task.availableSince = undefined
 	task.percent = 0
+	const crashesServers = updateCrashes(task, ending)
 	if (checkpoint !== '') task.checkpoint = checkpoint
 	if (ending === 'done' && !task.step.lasting) {
 		task.phase = 'done'
@@ -33,5 +39,15 @@
 		task.failedOn = backend
 	}
 	const exhausted = !task.step.lasting && task.failures >= maximumAttempts
-	task.phase = exhausted ? 'failed' : 'pending'
+	task.phase = exhausted || crashesServers ? 'failed' : 'pending'
+}
+
+/** Counts a crash under the task. Returns whether the task is given up for it. */
+function updateCrashes(task: TaskRow, ending: RunEnding): boolean {
+	const { crashSuspicion } = task
+	task.crashSuspicion = undefined
+	if (getRunAge(task) >= STABLE_RUN_TIME) task.crashes = 0
+	if (ending !== 'lost' || !crashSuspicion) return false
+	task.crashes += 1
+	return crashSuspicion === 'sole' && task.crashes >= MAXIMUM_CRASHES
 }
--- a/packages/core/src/lib/jobs/createJobRow.ts
+++ b/packages/core/src/lib/jobs/createJobRow.ts
@@ -48,6 +48,8 @@
 		phase: 'pending',
 		attempt: 0,
 		failures: 0,
+		crashes: 0,
+		crashSuspicion: undefined,
 		failedOn: undefined,
 		backend: undefined,
 		checkpoint: '',
@@ -73,6 +75,7 @@
 		task.phase = taskSnapshot.phase
 		task.attempt = taskSnapshot.attempt
 		task.failures = taskSnapshot.failures
+		task.crashes = taskSnapshot.crashes
 		task.backend = taskSnapshot.backend
 		task.checkpoint = taskSnapshot.checkpoint
 		task.orderState = 'inherited'
--- a/packages/core/src/lib/jobs/createJobSnapshot.ts
+++ b/packages/core/src/lib/jobs/createJobSnapshot.ts
@@ -18,6 +18,7 @@
 			phase: task.phase,
 			attempt: task.attempt,
 			failures: task.failures,
+			crashes: task.crashes,
 			backend: task.backend,
 			checkpoint: task.phase === 'done' ? '' : task.checkpoint,
 		})
--- a/packages/jobs/src/lib/log/ProgressRecord.ts
+++ b/packages/jobs/src/lib/log/ProgressRecord.ts
@@ -22,6 +22,8 @@
 	readonly attempts?: Readonly<Record<string, string>>
 	/** Tasks by their number of failed attempts; left out for none. */
 	readonly failures?: Readonly<Record<string, string>>
+	/** Tasks by the number of crashes of backend servers that they may have caused; left out for none. */
+	readonly crashes?: Readonly<Record<string, string>>
 	/** Tasks by their latest checkpoint; left out for none. */
 	readonly checkpoints?: Readonly<Record<string, string>>
 }
--- a/packages/jobs/src/lib/log/createProgressValue.test.ts
+++ b/packages/jobs/src/lib/log/createProgressValue.test.ts
@@ -8,6 +8,7 @@
 	phase: 'placed',
 	attempt: 1,
 	failures: 0,
+	crashes: 0,
 	backend: 'i-0153d30715',
 	checkpoint: '',
 } as const
@@ -38,9 +39,9 @@
 			{ ...TASK, place: 1, backend: 'i-2' },
 			{ ...TASK, place: 2, backend: undefined },
 			{ ...pending, place: 4, attempt: 2, failures: 1, checkpoint: '__proto__' },
-			{ ...pending, place: 5, attempt: 2, checkpoint: '12' },
+			{ ...pending, place: 5, attempt: 2, crashes: 1, checkpoint: '12' },
 			{ ...pending, place: 6, phase: 'done' },
-			{ ...pending, place: 8, phase: 'failed', failures: 4, attempt: 4 },
+			{ ...pending, place: 8, phase: 'failed', failures: 4, crashes: 2, attempt: 4 },
 			{ ...pending, place: 100, phase: 'dropped', attempt: 0 },
 		],
 	}
@@ -55,7 +56,12 @@
 		finishedAt: undefined,
 		tasks: [TASK, { ...TASK, place: 7 }],
 	}
-	expect(parseProgressValue(JSON.stringify(snapshot))).toEqual(snapshot)
+	const isKnown = (key: string): boolean => key !== 'crashes'
+	const value = JSON.stringify(snapshot, (key, field: unknown) =>
+		isKnown(key) ? field : undefined
+	)
+	expect(value).not.toContain('crashes')
+	expect(parseProgressValue(value)).toEqual(snapshot)
 })
 
 // Guards against an instance of an earlier version that takes over from a later one during a rolling
--- a/packages/jobs/src/lib/log/createProgressValue.ts
+++ b/packages/jobs/src/lib/log/createProgressValue.ts
@@ -21,6 +21,7 @@
 		placed: omitEmpty(groupPlaces(placed, (task) => task.backend ?? '')),
 		attempts: omitEmpty(groupPlaces(tasks, ({ attempt }) => omitDefault(attempt, 1))),
 		failures: omitEmpty(groupPlaces(tasks, ({ failures }) => omitDefault(failures, 0))),
+		crashes: omitEmpty(groupPlaces(tasks, ({ crashes }) => omitDefault(crashes, 0))),
 		checkpoints: omitEmpty(groupPlaces(tasks, (task) => omitDefault(task.checkpoint, ''))),
 	}
 	return JSON.stringify(record)
--- a/packages/jobs/src/lib/log/parseProgressValue.ts
+++ b/packages/jobs/src/lib/log/parseProgressValue.ts
@@ -4,6 +4,11 @@
 
 type Task = JobSnapshot['tasks'][number]
 
+/** Progress as earlier versions wrote it. */
+interface EarlierRecord extends Omit<JobSnapshot, 'tasks'> {
+	readonly tasks: readonly Omit<Task, 'crashes'>[]
+}
+
 const UNPLACED_PHASES = ['pending', 'done', 'failed', 'dropped'] as const
 
 /**
@@ -13,10 +18,10 @@
  * @public
  */
 export function parseProgressValue(value: string): JobSnapshot {
-	const record = JSON.parse(value) as JobSnapshot | ProgressRecord
+	const record = JSON.parse(value) as EarlierRecord | ProgressRecord
 	if (!('format' in record)) {
-		if (!Array.isArray(record.tasks)) throw new Error('progress has neither format nor tasks')
-		return record
+		if (!isTaskList(record.tasks)) throw new Error('progress has neither format nor tasks')
+		return { ...record, tasks: record.tasks.map((task) => ({ ...task, crashes: 0 })) }
 	}
 	if ((record.format as number) !== 2) throw new Error(`unknown format ${String(record.format)}`)
 	const { state, begun, finishedAt } = record
@@ -26,12 +31,14 @@
 function parseTasks(record: ProgressRecord): Task[] {
 	const attempts = parseGroups(record.attempts)
 	const failures = parseGroups(record.failures)
+	const crashes = parseGroups(record.crashes)
 	const checkpoints = parseGroups(record.checkpoints)
 	const createTask = (place: number, phase: Task['phase'], backend?: string): Task => ({
 		place,
 		phase,
 		attempt: Number(attempts.get(place) ?? 1),
 		failures: Number(failures.get(place) ?? 0),
+		crashes: Number(crashes.get(place) ?? 0),
 		backend,
 		checkpoint: checkpoints.get(place) ?? '',
 	})
@@ -53,3 +60,7 @@
 	}
 	return keys
 }
+
+function isTaskList(value: unknown): value is EarlierRecord['tasks'] {
+	return Array.isArray(value)
+}
--- a/packages/jobs/src/lib/owner/CrashTracker.ts
+++ b/packages/jobs/src/lib/owner/CrashTracker.ts
@@ -1,13 +1,17 @@
 import type { BackendId, BackendRow, TaskRow } from '@mastichead/core'
+import { getCrashSuspects } from '@mastichead/core'
 import type { MachineOrder } from '../machines/MachineOrder.js'
 import type { OwnerContext } from './OwnerContext.js'
 import type { ProcessEndCause } from './ProcessEndCause.js'
 
 /** Time from an order for a machine in which it may end the process there, in milliseconds. */
 const ORDER_EFFECT_TIME = 15_000
+/** Maximum number of tasks that one line names. */
+const MAXIMUM_LOGGED_TASKS = 8
 
 /**
- * Tells crashes of backend servers from other ends of their processes.
+ * Tells crashes of backend servers from other ends of their processes, and marks the tasks that may have
+ * caused a crash. The crash is counted when the run ends.
  *
  * @internal
  */
@@ -42,6 +46,7 @@
 		this.endedProcesses.set(row.id, incarnation)
 		const cause = this.getCause(row, incarnation)
 		const { id, machine } = row
+		const suspects = cause === 'crash' ? markSuspects(runs) : []
 		this.context.metrics.count('backend_process_ends', cause)
 		this.context.events.info('backend-process-ended', {
 			backend: id,
@@ -50,6 +55,8 @@
 			evidence,
 			cause,
 			runs: runs.length,
+			suspects: suspects.length,
+			tasks: suspects.slice(0, MAXIMUM_LOGGED_TASKS).map(({ id }) => id),
 		})
 	}
 
@@ -76,3 +83,9 @@
 		return this.context.getWallTime() - order.recordedAt < ORDER_EFFECT_TIME
 	}
 }
+
+function markSuspects(runs: readonly TaskRow[]): readonly TaskRow[] {
+	const { suspects, suspicion } = getCrashSuspects(runs)
+	for (const task of suspects) task.crashSuspicion = suspicion
+	return suspects
+}
--- a/packages/jobs/src/lib/owner/OrderDispatcher.ts
+++ b/packages/jobs/src/lib/owner/OrderDispatcher.ts
@@ -1,4 +1,5 @@
 import type { BackendRow, TaskPlacement, TaskRow } from '@mastichead/core'
+import { getProbationTime, isOnProbation } from '@mastichead/core'
 import type { BackendOrderResult } from '../ports/BackendOrderResult.js'
 import type { LeaseLedger } from './LeaseLedger.js'
 import { LeaseTiming } from './LeaseTiming.js'
@@ -136,6 +137,7 @@
 			case 'taken':
 				this.onOrderSuccess(backend)
 				if (task.orderState === 'sent') setOrderState(task, 'confirmed', timers.now())
+				this.scheduleProbationListing(task, backend)
 				return
 			case 'unknown':
 				if (task.orderState === 'sent') setOrderState(task, 'unclear', timers.now())
@@ -167,6 +169,15 @@
 		}
 	}
 
+	/** Looks whether a task on probation has survived its start, since others wait for that. */
+	private scheduleProbationListing(task: TaskRow, backend: BackendRow): void {
+		if (!isOnProbation(task)) return
+		const { attempt } = task
+		this.context.timers.after(getProbationTime(task.crashes) + 1, () => {
+			if (isPlacedAt(task, backend, attempt) && isOnProbation(task)) this.requestListing(backend)
+		})
+	}
+
 	private logStartResult(
 		task: TaskRow,
 		attempt: number,
--- a/packages/jobs/src/lib/owner/RunReconciler.ts
+++ b/packages/jobs/src/lib/owner/RunReconciler.ts
@@ -1,4 +1,5 @@
 import type { BackendRow, TaskRow } from '@mastichead/core'
+import { isOnProbation } from '@mastichead/core'
 import type { RunListing } from '../ports/RunListing.js'
 import { completesTask } from './completesTask.js'
 import type { CrashTracker } from './CrashTracker.js'
@@ -31,6 +32,7 @@
 			readonly writer: ProgressWriter
 			readonly leases: LeaseLedger
 			readonly crashes: CrashTracker
+			readonly replan: () => void
 			/** Whether every job that an earlier owner may have started has been read. */
 			readonly isIntakeRead: () => boolean
 		}
@@ -97,13 +99,19 @@
 			}
 			listed.add(run.task)
 			if (run.checkpoint !== '') task.checkpoint = run.checkpoint
-			task.listedAt = Math.max(task.listedAt, sentAt)
+			this.recordListed(task, sentAt)
 			this.updateProgress(task, run.percent)
 			this.confirmOrder(task)
 		}
 		return listed
 	}
 
+	private recordListed(task: TaskRow, sentAt: number): void {
+		const wasOnProbation = isOnProbation(task)
+		task.listedAt = Math.max(task.listedAt, sentAt)
+		if (wasOnProbation && !isOnProbation(task)) this.options.replan()
+	}
+
 	private confirmOrder(task: TaskRow): void {
 		if (task.orderState === 'confirmed' || task.orderState === 'barred') return
 		task.orderState = 'confirmed'
--- a/packages/jobs/src/lib/owner/TaskUpdater.ts
+++ b/packages/jobs/src/lib/owner/TaskUpdater.ts
@@ -48,8 +48,9 @@
 		this.updateHealth(task, ending)
 		applyRunEnding(task, ending, checkpoint, maximumAttempts, backends)
 		metrics.count('run_ends', ending)
-		const { id, attempt, phase, failures } = task
-		events.info('run-ended', { task: id, attempt, backend, ending, reason, age, phase, failures })
+		const { id, attempt, phase, failures, crashes } = task
+		const details = { task: id, attempt, backend, ending, reason, age, phase, failures, crashes }
+		events.info('run-ended', details)
 		this.updateJob(task.job)
 		this.replan()
 	}
