Keep the record of a server that has left while tasks are placed on it

A server crashes, its successor registers and the old registration goes; the owner deletes its record of the server and is killed, or ends, before it has asked at the address. Cause: the next owner finds tasks placed on a server without an address, can only wait for its leases, and counts no crash, so the task that caused it is started as if it were new, each time again. Change: while tasks are placed there the record stays, marked as departed. A departed server is described to the next owner (address, machine, draining), not registered, so it gets no work. The record is deleted once the server is dropped.

--- a/packages/jobs/src/lib/owner/BackendRegistry.ts
+++ b/packages/jobs/src/lib/owner/BackendRegistry.ts
@@ -61,7 +61,10 @@
 
 	/** Applies the registrations that the earlier owner knew, until the registry has been read. */
 	preload(registrations: Iterable<BackendRegistration>): void {
-		for (const registration of registrations) this.applyRegistration(registration)
+		for (const registration of registrations) {
+			if (registration.departed) this.describe(registration)
+			else this.applyRegistration(registration)
+		}
 	}
 
 	/** Whether the log has answered recently. */
@@ -106,17 +109,23 @@
 		if (!isChanged) return
 		if (previous && previous.incarnation !== incarnation) row.cordoned = false
 		if (!row.registered) row.idleSince = timers.now()
+		this.describe(registration)
+		row.registered = true
+		const { machine, address } = registration
+		events.info('backend-registered', { backend: id, machine, address, service, draining })
+		this.onChange(row)
+	}
+
+	/** Updates a row from a registration, without making it one of the registered servers. */
+	private describe(registration: BackendRegistration): void {
+		const row = this.context.backends.getOrCreate(registration.id)
 		row.machine = registration.machine
-		row.service = service
+		row.service = registration.service
 		row.address = registration.address
 		row.zone = registration.zone
 		row.labels = registration.labels
 		row.capacity = registration.capacity
-		row.draining = draining
-		row.registered = true
-		const { machine, address } = registration
-		events.info('backend-registered', { backend: id, machine, address, service, draining })
-		this.onChange(row)
+		row.draining = registration.draining
 	}
 
 	/** Deregisters backend servers that an earlier owner knew but the registry no longer contains. */
--- a/packages/jobs/src/lib/owner/OwnerTerm.ts
+++ b/packages/jobs/src/lib/owner/OwnerTerm.ts
@@ -174,6 +174,7 @@
 			instance: options.instance,
 			writer: this.writer,
 			getRegistration: (id) => this.registry.get(id),
+			getRecorded: (id) => options.replica.backends.get(id),
 		})
 		this.recovery = new TermRecovery(this.context, {
 			log: options.log,
@@ -376,6 +377,7 @@
 			if (row.registered || row.tasks.size > 0 || this.registry.get(row.id)) continue
 			this.monitors.remove(row.id)
 			backends.remove(row.id)
+			if (this.options.replica.backends.has(row.id)) this.records.recordBackend(row.id)
 			this.health.remove(row.id)
 			this.crashes.remove(row.id)
 			backendClient.closeIdleConnections(row)
--- a/packages/jobs/src/lib/owner/TermRecords.ts
+++ b/packages/jobs/src/lib/owner/TermRecords.ts
@@ -1,5 +1,6 @@
 import type { BackendId } from '@mastichead/core'
 import { JobRecords } from '../log/JobRecords.js'
+import type { LogRecord } from '../ports/LogRecord.js'
 import type { BackendRegistration } from '../ports/BackendRegistration.js'
 import type { OwnerContext } from './OwnerContext.js'
 import { OwnerTiming } from './OwnerTiming.js'
@@ -20,6 +21,8 @@
 			readonly instance: string
 			readonly writer: ProgressWriter
 			readonly getRegistration: (id: BackendId) => BackendRegistration | undefined
+			/** Returns the latest recorded registration of a backend server. */
+			readonly getRecorded: (id: BackendId) => BackendRegistration | undefined
 		}
 	) {}
 
@@ -47,12 +50,18 @@
 
 	/** Records the registration of a backend server, or that it has left. */
 	recordBackend(id: BackendId): void {
-		const { writer, getRegistration } = this.options
-		writer.markRecordChanged(`backend/${id}`, () => {
-			const registration = getRegistration(id)
-			if (!registration) return JobRecords.createBackendTombstone(id)
-			return JobRecords.createBackendRecord(registration)
-		})
+		this.options.writer.markRecordChanged(`backend/${id}`, () => this.createBackendRecord(id))
+	}
+
+	/** The next owner needs the address of a server that has left to learn what became of its runs. */
+	private createBackendRecord(id: BackendId): LogRecord {
+		const { getRegistration, getRecorded } = this.options
+		const registration = getRegistration(id)
+		if (registration) return JobRecords.createBackendRecord(registration)
+		const recorded = getRecorded(id)
+		const hasTasks = (this.context.backends.get(id)?.tasks.size ?? 0) > 0
+		if (!recorded || !hasTasks) return JobRecords.createBackendTombstone(id)
+		return JobRecords.createBackendRecord({ ...recorded, departed: true })
 	}
 
 	/** Shows the other instances that there is an owner. */
--- a/packages/jobs/src/lib/ports/BackendRegistration.ts
+++ b/packages/jobs/src/lib/ports/BackendRegistration.ts
@@ -23,4 +23,9 @@
 	 * have expired; only in an owner's copy.
 	 */
 	readonly absentTime?: number
+	/**
+	 * Whether the registry does not contain it any more, while tasks were still placed on the server; only in
+	 * an owner's copy.
+	 */
+	readonly departed?: boolean
 }
