Take over a changed room of a backend server while its process goes on

Cause: BackendRegistry applied a registration only if its service, draining state, process or absence had changed, so a smaller room was known and not used, and a larger one left unused. Change: the capacity counts as a change, and backend-registered names it.

--- a/packages/jobs/src/lib/owner/BackendRegistry.ts
+++ b/packages/jobs/src/lib/owner/BackendRegistry.ts
@@ -1,4 +1,4 @@
-import type { BackendId, BackendRow } from '@mastichead/core'
+import type { BackendId, BackendRow, Resources } from '@mastichead/core'
 import { StreamFollower } from '../log/StreamFollower.js'
 import type { LogEntry } from '../ports/LogEntry.js'
 import type { MetadataLog } from '../ports/MetadataLog.js'
@@ -96,7 +96,7 @@
 
 	private applyRegistration(registration: BackendRegistration): void {
 		const { backends, timers, events } = this.context
-		const { id, service, draining, incarnation } = registration
+		const { id, service, draining, incarnation, capacity } = registration
 		const previous = this.registrations.get(id)
 		const row = backends.getOrCreate(id)
 		const isChanged =
@@ -104,6 +104,7 @@
 			previous?.service !== service ||
 			previous.draining !== draining ||
 			previous.incarnation !== incarnation ||
+			!isSameCapacity(previous.capacity, capacity) ||
 			previous.absentTime !== registration.absentTime
 		this.registrations.set(id, registration)
 		if (!isChanged) return
@@ -112,7 +113,8 @@
 		this.describe(registration)
 		row.registered = true
 		const { machine, address } = registration
-		events.info('backend-registered', { backend: id, machine, address, service, draining })
+		const details = { backend: id, machine, address, service, draining, ...capacity }
+		events.info('backend-registered', details)
 		this.onChange(row)
 	}
 
@@ -176,3 +178,7 @@
 		this.onChange(row)
 	}
 }
+
+function isSameCapacity(a: Resources, b: Resources): boolean {
+	return a.cpu === b.cpu && a.memory === b.memory && a.gpu === b.gpu
+}
--- a/packages/jobs/src/lib/testing/MemoryBackend.ts
+++ b/packages/jobs/src/lib/testing/MemoryBackend.ts
@@ -69,14 +69,19 @@
 		if (running?.attempt === order.attempt) return { kind: 'taken', clock: this.clock }
 		if ((this.barredAttempts.get(order.task) ?? 0) >= order.attempt)
 			return this.createRefusal('old')
-		const duration = this.getRunDuration(order.task)
+		this.begin(order.task, order.attempt)
+		return { kind: 'taken', clock: this.clock }
+	}
+
+	/** Begins a run, also without an order. */
+	begin(task: string, attempt: number): void {
+		const duration = this.getRunDuration(task)
 		const startedAt = this.timers.now()
 		const ending =
 			duration === undefined ? undefined : { at: startedAt + duration, kind: 'done' as const }
-		this.runs.set(order.task, { task: order.task, attempt: order.attempt, startedAt, ending })
-		this.journal.recordStart(order.task, order.attempt, this.id, startedAt)
-		this.onStart(order.task)
-		return { kind: 'taken', clock: this.clock }
+		this.runs.set(task, { task, attempt, startedAt, ending })
+		this.journal.recordStart(task, attempt, this.id, startedAt)
+		this.onStart(task)
 	}
 
 	stop(order: StopOrder): BackendOrderResult {
