Check again whether a server takes a start that was recorded while the log was slow

What callers saw: nothing yet. A placement waits for its record; while the log takes none for some seconds, the server may report that it drains, or a smaller room, both of which the registry stream still shows. Change: startTask asks again, beside the leases, and ends the run as not started.

--- a/packages/jobs/src/lib/owner/OrderDispatcher.ts
+++ b/packages/jobs/src/lib/owner/OrderDispatcher.ts
@@ -1,5 +1,5 @@
 import type { BackendRow, TaskPlacement, TaskRow } from '@mastichead/core'
-import { getProbationTime, isOnProbation } from '@mastichead/core'
+import { fitsWithin, getProbationTime, isOnProbation, noResources } from '@mastichead/core'
 import type { BackendOrderResult } from '../ports/BackendOrderResult.js'
 import type { LeaseLedger } from './LeaseLedger.js'
 import { LeaseTiming } from './LeaseTiming.js'
@@ -53,12 +53,13 @@
 			this.getTaskUpdater().endRun(task, 'stopped', '', 'stopped before its start order was sent')
 			return
 		}
-		if (!this.leases.mayRenew(backend)) {
+		const problem = this.getStartProblem(backend)
+		if (problem !== undefined) {
 			this.getTaskUpdater().endRun(
 				task,
 				'stopped',
 				'',
-				'server lost before its start order was sent'
+				`${problem} before its start order was sent`
 			)
 			return
 		}
@@ -169,6 +170,14 @@
 		}
 	}
 
+	/** Returns what has happened to a server since a task was placed on it, if it takes no start now. */
+	private getStartProblem(backend: BackendRow): string | undefined {
+		if (!this.leases.mayRenew(backend)) return 'server lost'
+		if (backend.draining) return 'server draining'
+		const hasRoom = fitsWithin(noResources, backend.used, backend.capacity)
+		return hasRoom ? undefined : 'room shrunk'
+	}
+
 	/** Looks whether a task on probation has survived its start, since others wait for that. */
 	private scheduleProbationListing(task: TaskRow, backend: BackendRow): void {
 		if (!isOnProbation(task)) return
--- a/packages/jobs/src/lib/owner/changedCapacity.test.ts
+++ b/packages/jobs/src/lib/owner/changedCapacity.test.ts
@@ -33,4 +33,21 @@
 		expect(findOverloads(journal, 'b1', SMALL_ROOM, grown).length).toBeGreaterThan(0)
 		expect(findOverloads(journal, 'b1', ROOM, grown)).toEqual([])
 	})
+
+	it('gets no start that was recorded before, once that would be beyond it', async () => {
+		const { fleet, backend, submit } = await createSingleServerFleet()
+		const [instance] = fleet.instances
+		if (!instance) throw new Error('no instance')
+		submit(1, ROOM)
+		await fleet.advance(10)
+		fleet.store.unavailableStreams.add('progress')
+		fleet.register(backend, { capacity: SMALL_CAPACITY })
+		await fleet.advance(3_000)
+		fleet.store.unavailableStreams.delete('progress')
+		const from = fleet.timers.now()
+		await fleet.advance(3_000)
+		const span = { from, to: fleet.timers.now() }
+		expect(fleet.journal.tasks.length).toBeGreaterThan(0)
+		expect(findOverloads(fleet.journal, 'b1', SMALL_ROOM, span)).toEqual([])
+	})
 })
