Count runs that nobody wants as room in use until they have ended

A run that its owner had given up, or of a job that has ended, may still be listed when its server comes back; it is stopped, but LIMIT counts what is being stopped, and no task stood for it in the planner. Cause: the room in use was the sum over placed tasks only; besides, an idle server was not listed again after such a stop, so a lost stop order was not repeated. Change: each listing sums the runs without a task (BackendRow.unexpected), the planner counts them, and the server is listed until they are gone. Evidence: unexpectedRuns.test.ts, 12 such runs that take 4 s to stop on a server with room for 16 beside one lasting task: 15 starts beyond the room before, none after. The memory server no longer lets a repeated stop order put off the end of a run, which the protocol bounds by the first one.

--- a/packages/core/src/lib/jobs/BackendRow.ts
+++ b/packages/core/src/lib/jobs/BackendRow.ts
@@ -51,5 +51,7 @@
 	idleSince: number
 	/** Resources reserved by its placed tasks. */
 	used: Resources
+	/** Resources of the runs that its latest listing names and that no task is placed for. */
+	unexpected: Resources
 	readonly tasks: Map<TaskId, TaskRow>
 }
--- a/packages/core/src/lib/jobs/BackendTable.ts
+++ b/packages/core/src/lib/jobs/BackendTable.ts
@@ -88,6 +88,7 @@
 		hasUnreadRuns: false,
 		idleSince: 0,
 		used: noResources,
+		unexpected: noResources,
 		tasks: new Map(),
 	}
 }
--- a/packages/core/src/lib/jobs/getHostRefusal.ts
+++ b/packages/core/src/lib/jobs/getHostRefusal.ts
@@ -1,6 +1,7 @@
 import type { BackendRow } from './BackendRow.js'
 import type { HostRefusal } from './HostRefusal.js'
 import type { ReadyStep } from './ReadyStep.js'
+import { addResources } from './addResources.js'
 import { fitsWithin } from './fitsWithin.js'
 import { getReservedResources } from './getReservedResources.js'
 
@@ -12,12 +13,13 @@
  */
 export function getHostRefusal(
 	{ step, members }: Pick<ReadyStep, 'step' | 'members'>,
-	{ id, labels, used, capacity }: BackendRow
+	{ id, labels, used, unexpected, capacity }: BackendRow
 ): HostRefusal | undefined {
 	if (step.requiredLabel !== '' && !labels.includes(step.requiredLabel)) return 'label'
 	if (step.maximumPerBackend > 0) {
 		const placedHere = members.filter((member) => member.backend === id)
 		if (placedHere.length >= step.maximumPerBackend) return 'sibling-limit'
 	}
-	return fitsWithin(getReservedResources(step), used, capacity) ? undefined : 'room'
+	const taken = addResources(used, unexpected)
+	return fitsWithin(getReservedResources(step), taken, capacity) ? undefined : 'room'
 }
--- a/packages/jobs/src/lib/owner/BackendMonitor.ts
+++ b/packages/jobs/src/lib/owner/BackendMonitor.ts
@@ -1,4 +1,5 @@
 import type { BackendRow, ContactLoss } from '@mastichead/core'
+import { noResources } from '@mastichead/core'
 import type { RenewalResult } from '../ports/RenewalResult.js'
 import type { RunListing } from '../ports/RunListing.js'
 import type { CrashTracker } from './CrashTracker.js'
@@ -167,6 +168,7 @@
 		const hasUnacknowledgedEnds = row.lastProcessedEnd > row.lastAcknowledgedEnd
 		const isUnusable = !row.reconciled || !row.reachable
 		if (row.tasks.size > 0 || row.hasUnreadRuns || hasUnacknowledgedEnds) return true
+		if (row.unexpected !== noResources) return true
 		return row.registered && isUnusable
 	}
 
--- a/packages/jobs/src/lib/owner/RunReconciler.ts
+++ b/packages/jobs/src/lib/owner/RunReconciler.ts
@@ -1,5 +1,5 @@
 import type { BackendRow, TaskRow } from '@mastichead/core'
-import { isOnProbation } from '@mastichead/core'
+import { addResources, getReservedResources, isOnProbation, noResources } from '@mastichead/core'
 import type { RunListing } from '../ports/RunListing.js'
 import { completesTask } from './completesTask.js'
 import type { CrashTracker } from './CrashTracker.js'
@@ -91,10 +91,11 @@
 	private updateRunningTasks(listing: RunListing, sentAt: number): Set<string> {
 		const { row } = this
 		const listed = new Set<string>()
+		row.unexpected = noResources
 		for (const run of listing.running) {
 			const task = row.tasks.get(run.task)
 			if (task?.attempt !== run.attempt) {
-				this.stopUnexpectedRun(run.task, run.attempt)
+				this.handleUnexpectedRun(run.task, run.attempt)
 				continue
 			}
 			listed.add(run.task)
@@ -195,6 +196,14 @@
 		return this.context.jobs.getTask(task) === undefined && !this.options.isIntakeRead()
 	}
 
+	/** Stops a run that no task is placed for. Until it has ended, it takes room. */
+	private handleUnexpectedRun(task: string, attempt: number): void {
+		const { row, context } = this
+		const step = context.jobs.getTask(task)?.step
+		if (step) row.unexpected = addResources(row.unexpected, getReservedResources(step))
+		this.stopUnexpectedRun(task, attempt)
+	}
+
 	private stopUnexpectedRun(task: string, attempt: number): void {
 		if (this.mayBeUnread(task)) return
 		const now = this.context.timers.now()
--- a/packages/jobs/src/lib/testing/MemoryBackend.ts
+++ b/packages/jobs/src/lib/testing/MemoryBackend.ts
@@ -90,7 +90,7 @@
 		this.token = order.token
 		this.barAttempt(order.task, order.attempt)
 		const run = this.runs.get(order.task)
-		if (run?.attempt === order.attempt) {
+		if (run?.attempt === order.attempt && run.ending?.kind !== 'stopped') {
 			run.ending = { at: this.timers.now() + this.stopTime, kind: 'stopped' }
 		}
 		return { kind: 'taken', clock: this.clock }
