Count a crash that shows only after the leases on its server have expired

With 5 or 8 s the test shows a task that crashes servers going on for ever: the runs end as 'all leases have expired', which says nothing of the cause, and nothing is asked at the old address any more. Change: if the server had closed its connections, its suspects keep an unexplained loss (machine, process), in the log too. The next process that is listed on the machine explains it: the same one, no crash; another one, a crash, unless an owner had ordered the machine. A task with two crashes known is given up at a further loss that its job alone can have caused, without waiting. Ruled out: counting the loss at once (a cut may refuse connections), and holding the task back until the cause is known (a lasting task may not stand that long).

--- a/packages/core/src/lib/jobs/JobSnapshot.ts
+++ b/packages/core/src/lib/jobs/JobSnapshot.ts
@@ -1,5 +1,6 @@
 import type { BackendId } from './BackendId.js'
 import type { JobState } from './JobState.js'
+import type { UnexplainedLoss } from './UnexplainedLoss.js'
 
 /**
  * A job's progress as it is stored in the log.
@@ -23,6 +24,7 @@
 	readonly failures: number
 	/** Crashes of backend servers that the task may have caused. */
 	readonly crashes: number
+	readonly unexplainedLoss?: UnexplainedLoss
 	readonly backend: BackendId | undefined
 	readonly checkpoint: string
 }
--- a/packages/core/src/lib/jobs/TaskRow.ts
+++ b/packages/core/src/lib/jobs/TaskRow.ts
@@ -5,6 +5,7 @@
 import type { StartOrderState } from './StartOrderState.js'
 import type { TaskId } from './TaskId.js'
 import type { TaskPhase } from './TaskPhase.js'
+import type { UnexplainedLoss } from './UnexplainedLoss.js'
 
 /**
  * State of a task as the owner tracks it. Times are on the owner's monotonic clock, in milliseconds.
@@ -30,6 +31,8 @@
 	crashes: number
 	/** Whether the server of the current attempt crashed, and the task may have caused that. */
 	crashSuspicion: CrashSuspicion | undefined
+	/** Latest loss that may have been a crash which the task caused; undefined once that is known. */
+	unexplainedLoss: UnexplainedLoss | undefined
 	/** Backend server of the latest run that ended as `failed`. */
 	failedOn: BackendId | undefined
 	/** Backend server of the current attempt; undefined unless the task is placed. */
--- a/packages/core/src/lib/jobs/applyRunEnding.ts
+++ b/packages/core/src/lib/jobs/applyRunEnding.ts
@@ -2,11 +2,9 @@
 import type { RunEnding } from './RunEnding.js'
 import type { TaskRow } from './TaskRow.js'
 import { getRunAge } from './getRunAge.js'
+import { MAXIMUM_CRASHES } from './maximumCrashes.js'
 import { STABLE_RUN_TIME } from './stableRunTime.js'
 
-/** Crashes of backend servers after which a task is given up, if it alone can have caused the latest. */
-const MAXIMUM_CRASHES = 2
-
 /**
  * Applies the end of a placed task's current run: releases its resources and sets its next phase.
  * The caller then updates the job with `updateJobState`.
--- a/packages/core/src/lib/jobs/createJobRow.ts
+++ b/packages/core/src/lib/jobs/createJobRow.ts
@@ -50,6 +50,7 @@
 		failures: 0,
 		crashes: 0,
 		crashSuspicion: undefined,
+		unexplainedLoss: undefined,
 		failedOn: undefined,
 		backend: undefined,
 		checkpoint: '',
@@ -76,6 +77,7 @@
 		task.attempt = taskSnapshot.attempt
 		task.failures = taskSnapshot.failures
 		task.crashes = taskSnapshot.crashes
+		task.unexplainedLoss = taskSnapshot.unexplainedLoss
 		task.backend = taskSnapshot.backend
 		task.checkpoint = taskSnapshot.checkpoint
 		task.orderState = 'inherited'
--- /dev/null
+++ b/packages/core/src/lib/jobs/explainLoss.ts
@@ -0,0 +1,18 @@
+import type { TaskRow } from './TaskRow.js'
+import { MAXIMUM_CRASHES } from './maximumCrashes.js'
+
+/**
+ * Applies what has become known of a task's unexplained loss. The caller then updates the job with
+ * `updateJobState`.
+ *
+ * @param isCrash - whether the server had crashed
+ * @public
+ */
+export function explainLoss(task: TaskRow, isCrash: boolean): void {
+	const suspicion = task.unexplainedLoss?.suspicion
+	task.unexplainedLoss = undefined
+	if (!isCrash) return
+	task.crashes += 1
+	const isGivenUp = suspicion === 'sole' && task.crashes >= MAXIMUM_CRASHES
+	if (isGivenUp && task.phase === 'pending') task.phase = 'failed'
+}
--- a/packages/jobs/src/lib/log/ProgressRecord.ts
+++ b/packages/jobs/src/lib/log/ProgressRecord.ts
@@ -1,4 +1,4 @@
-import type { BackendId, JobSnapshot } from '@mastichead/core'
+import type { BackendId, JobSnapshot, UnexplainedLoss } from '@mastichead/core'
 
 /**
  * Progress of a job in the second form in which it is written to the log. Tasks are named by ranges
@@ -24,6 +24,8 @@
 	readonly failures?: Readonly<Record<string, string>>
 	/** Tasks by the number of crashes of backend servers that they may have caused; left out for none. */
 	readonly crashes?: Readonly<Record<string, string>>
+	/** Tasks whose latest run was lost in a way that may have been a crash which they caused. */
+	readonly losses?: readonly (UnexplainedLoss & { readonly tasks: string })[]
 	/** Tasks by their latest checkpoint; left out for none. */
 	readonly checkpoints?: Readonly<Record<string, string>>
 }
--- a/packages/jobs/src/lib/log/createProgressValue.test.ts
+++ b/packages/jobs/src/lib/log/createProgressValue.test.ts
@@ -13,6 +13,8 @@
 	checkpoint: '',
 } as const
 
+const LOSS = { machine: 'm-1', incarnation: 1_700_000_000_001, suspicion: 'shared' } as const
+
 it('names tasks by ranges and leaves out defaults', () => {
 	const value = createProgressValue({
 		state: 'running',
@@ -36,11 +38,12 @@
 		finishedAt: 1_700_000_000_123,
 		tasks: [
 			{ ...TASK, attempt: 3, failures: 2, checkpoint: 'p "7",\n1-2' },
-			{ ...TASK, place: 1, backend: 'i-2' },
-			{ ...TASK, place: 2, backend: undefined },
+			{ ...TASK, place: 1, backend: 'i-2', unexplainedLoss: LOSS },
+			{ ...TASK, place: 2, backend: undefined, unexplainedLoss: LOSS },
 			{ ...pending, place: 4, attempt: 2, failures: 1, checkpoint: '__proto__' },
 			{ ...pending, place: 5, attempt: 2, crashes: 1, checkpoint: '12' },
 			{ ...pending, place: 6, phase: 'done' },
+			{ ...pending, place: 7, unexplainedLoss: { ...LOSS, suspicion: 'sole' } },
 			{ ...pending, place: 8, phase: 'failed', failures: 4, crashes: 2, attempt: 4 },
 			{ ...pending, place: 100, phase: 'dropped', attempt: 0 },
 		],
--- a/packages/jobs/src/lib/log/createProgressValue.ts
+++ b/packages/jobs/src/lib/log/createProgressValue.ts
@@ -22,6 +22,7 @@
 		attempts: omitEmpty(groupPlaces(tasks, ({ attempt }) => omitDefault(attempt, 1))),
 		failures: omitEmpty(groupPlaces(tasks, ({ failures }) => omitDefault(failures, 0))),
 		crashes: omitEmpty(groupPlaces(tasks, ({ crashes }) => omitDefault(crashes, 0))),
+		losses: createLosses(tasks),
 		checkpoints: omitEmpty(groupPlaces(tasks, (task) => omitDefault(task.checkpoint, ''))),
 	}
 	return JSON.stringify(record)
@@ -50,3 +51,16 @@
 function omitEmpty(groups: Record<string, string>): Record<string, string> | undefined {
 	return Object.keys(groups).length === 0 ? undefined : groups
 }
+
+function createLosses(tasks: readonly Task[]): ProgressRecord['losses'] {
+	const losses = new Map(
+		tasks.flatMap(({ unexplainedLoss }) =>
+			unexplainedLoss ? [[JSON.stringify(unexplainedLoss), unexplainedLoss]] : []
+		)
+	)
+	if (losses.size === 0) return undefined
+	const places = groupPlaces(tasks, ({ unexplainedLoss }) =>
+		unexplainedLoss ? JSON.stringify(unexplainedLoss) : undefined
+	)
+	return [...losses].map(([key, loss]) => ({ ...loss, tasks: places[key] ?? '' }))
+}
--- a/packages/jobs/src/lib/log/parseProgressValue.ts
+++ b/packages/jobs/src/lib/log/parseProgressValue.ts
@@ -1,4 +1,4 @@
-import type { JobSnapshot } from '@mastichead/core'
+import type { JobSnapshot, UnexplainedLoss } from '@mastichead/core'
 import type { ProgressRecord } from './ProgressRecord.js'
 import { parsePlaces } from './parsePlaces.js'
 
@@ -32,6 +32,7 @@
 	const attempts = parseGroups(record.attempts)
 	const failures = parseGroups(record.failures)
 	const crashes = parseGroups(record.crashes)
+	const losses = parseLosses(record.losses)
 	const checkpoints = parseGroups(record.checkpoints)
 	const createTask = (place: number, phase: Task['phase'], backend?: string): Task => ({
 		place,
@@ -39,6 +40,7 @@
 		attempt: Number(attempts.get(place) ?? 1),
 		failures: Number(failures.get(place) ?? 0),
 		crashes: Number(crashes.get(place) ?? 0),
+		...getLoss(losses, place),
 		backend,
 		checkpoint: checkpoints.get(place) ?? '',
 	})
@@ -64,3 +66,19 @@
 function isTaskList(value: unknown): value is EarlierRecord['tasks'] {
 	return Array.isArray(value)
 }
+
+function parseLosses(losses: ProgressRecord['losses'] = []): Map<number, UnexplainedLoss> {
+	const byPlace = new Map<number, UnexplainedLoss>()
+	for (const { tasks, machine, incarnation, suspicion } of losses) {
+		for (const place of parsePlaces(tasks)) byPlace.set(place, { machine, incarnation, suspicion })
+	}
+	return byPlace
+}
+
+function getLoss(
+	losses: ReadonlyMap<number, UnexplainedLoss>,
+	place: number
+): Pick<Task, 'unexplainedLoss'> {
+	const unexplainedLoss = losses.get(place)
+	return unexplainedLoss ? { unexplainedLoss } : {}
+}
--- a/packages/jobs/src/lib/owner/BackendMonitor.limits.failure.test.ts
+++ b/packages/jobs/src/lib/owner/BackendMonitor.limits.failure.test.ts
@@ -97,6 +97,7 @@
 		crashes: new CrashTracker(context, {
 			getMachineOrder: () => undefined,
 			getRecordedIncarnation: () => undefined,
+			updateJob: ignore,
 		}),
 		...createListingQueues(),
 		replan: ignore,
--- a/packages/jobs/src/lib/owner/BackendMonitor.ts
+++ b/packages/jobs/src/lib/owner/BackendMonitor.ts
@@ -1,4 +1,4 @@
-import type { BackendRow, ContactLoss } from '@mastichead/core'
+import type { BackendRow, ContactLoss, TaskRow } from '@mastichead/core'
 import { noResources } from '@mastichead/core'
 import type { RenewalResult } from '../ports/RenewalResult.js'
 import type { RunListing } from '../ports/RunListing.js'
@@ -132,7 +132,9 @@
 		for (const task of row.tasks.values()) {
 			if (task.orderState === 'unclear') task.orderState = 'barred'
 		}
-		options.taskUpdater.endLostRuns(row, LEASES_EXPIRED, (task) => options.leases.isOver(task))
+		const isOver = (task: TaskRow): boolean => options.leases.isOver(task)
+		options.crashes.handleLeasesExpired(row, [...row.tasks.values()].filter(isOver))
+		options.taskUpdater.endLostRuns(row, LEASES_EXPIRED, isOver)
 	}
 
 	/** Ends the runs when their leases expire, unless the server has answered by then. */
--- a/packages/jobs/src/lib/owner/CrashTracker.ts
+++ b/packages/jobs/src/lib/owner/CrashTracker.ts
@@ -1,5 +1,5 @@
-import type { BackendId, BackendRow, TaskRow } from '@mastichead/core'
-import { getCrashSuspects } from '@mastichead/core'
+import type { BackendId, BackendRow, JobRow, TaskRow, UnexplainedLoss } from '@mastichead/core'
+import { MAXIMUM_CRASHES, explainLoss, getCrashSuspects } from '@mastichead/core'
 import type { MachineOrder } from '../machines/MachineOrder.js'
 import type { OwnerContext } from './OwnerContext.js'
 import type { ProcessEndCause } from './ProcessEndCause.js'
@@ -18,6 +18,8 @@
 export class CrashTracker {
 	/** Process of each backend server whose end has been handled, by the start of the process. */
 	private readonly endedProcesses = new Map<BackendId, number>()
+	/** Tasks with unexplained losses, by the machine that the server ran on. */
+	private readonly unexplained = new Map<string, Set<TaskRow>>()
 
 	constructor(
 		private readonly context: OwnerContext,
@@ -26,6 +28,8 @@
 			readonly getMachineOrder: (machine: string) => MachineOrder | undefined
 			/** Returns the start of a server's process that earlier owners have recorded, if any. */
 			readonly getRecordedIncarnation: (id: BackendId) => number | undefined
+			/** Called for each job whose tasks have changed. */
+			readonly updateJob: (job: JobRow) => void
 		}
 	) {}
 
@@ -60,6 +64,62 @@
 		})
 	}
 
+	/**
+	 * Handles that the leases on a server have expired before it was known what became of it. If it had
+	 * closed its connections, a crash is not ruled out, and shows once its machine is heard of.
+	 *
+	 * @param runs - the tasks placed there whose runs are over
+	 */
+	handleLeasesExpired(row: BackendRow, runs: readonly TaskRow[]): void {
+		const incarnation = this.getIncarnation(row)
+		if (row.machine === '' || incarnation === 0) return
+		if (row.contactLoss !== 'closed' || this.getCause(row, incarnation) !== 'crash') return
+		const { suspects, suspicion } = getCrashSuspects(runs)
+		for (const task of suspects) {
+			const isGivenUp = suspicion === 'sole' && task.crashes >= MAXIMUM_CRASHES
+			// Its crashes before are enough, whatever became of this server.
+			if (isGivenUp) task.crashSuspicion = suspicion
+			else this.addLoss(task, { machine: row.machine, incarnation, suspicion })
+		}
+	}
+
+	/** Takes over the unexplained loss of a task that an earlier owner has recorded. */
+	restore(task: TaskRow): void {
+		if (task.unexplainedLoss) this.addLoss(task, task.unexplainedLoss)
+	}
+
+	/** Explains losses on the machine of a server that was listed: its process may be the one from before. */
+	handleListed({ machine, id }: BackendRow, incarnation: number): void {
+		const tasks = this.unexplained.get(machine)
+		if (!tasks) return
+		this.unexplained.delete(machine)
+		const jobs = new Set<JobRow>()
+		let crashes = 0
+		for (const task of tasks) {
+			const loss = task.unexplainedLoss
+			if (loss?.machine !== machine) continue
+			const isReplaced = loss.incarnation !== incarnation
+			const isCrash = isReplaced && !this.isMachineOrdered(machine, loss.incarnation)
+			explainLoss(task, isCrash)
+			if (isCrash) crashes += 1
+			jobs.add(task.job)
+		}
+		this.context.events.info('losses-explained', {
+			backend: id,
+			machine,
+			incarnation,
+			tasks: tasks.size,
+			crashes,
+		})
+		for (const job of jobs) if (job.finishedAt === undefined) this.options.updateJob(job)
+	}
+
+	private addLoss(task: TaskRow, loss: UnexplainedLoss): void {
+		task.unexplainedLoss = loss
+		const tasks = this.unexplained.get(loss.machine) ?? new Set()
+		this.unexplained.set(loss.machine, tasks.add(task))
+	}
+
 	/** Returns the start of the latest known process of a backend server; 0 if unknown. */
 	getIncarnation(row: BackendRow): number {
 		return row.incarnation || (this.options.getRecordedIncarnation(row.id) ?? 0)
--- a/packages/jobs/src/lib/owner/OwnerTerm.ts
+++ b/packages/jobs/src/lib/owner/OwnerTerm.ts
@@ -176,17 +176,21 @@
 			getRegistration: (id) => this.registry.get(id),
 			getRecorded: (id) => options.replica.backends.get(id),
 		})
+		this.crashes = new CrashTracker(this.context, {
+			getMachineOrder: (machine) => options.replica.machineOrders.get(machine),
+			getRecordedIncarnation: (id) => this.leases.getRecordedIncarnation(id),
+			updateJob: (job) => {
+				this.taskUpdater.updateJob(job)
+			},
+		})
 		this.recovery = new TermRecovery(this.context, {
 			log: options.log,
 			progress: options.progress,
 			taskUpdater: this.taskUpdater,
 			leases: this.leases,
+			crashes: this.crashes,
 			isEnded: () => this.ended,
 		})
-		this.crashes = new CrashTracker(this.context, {
-			getMachineOrder: (machine) => options.replica.machineOrders.get(machine),
-			getRecordedIncarnation: (id) => this.leases.getRecordedIncarnation(id),
-		})
 		this.monitors = new MonitorTable(this.context, {
 			taskUpdater: this.taskUpdater,
 			dispatcher: this.dispatcher,
--- a/packages/jobs/src/lib/owner/RunReconciler.ts
+++ b/packages/jobs/src/lib/owner/RunReconciler.ts
@@ -46,6 +46,7 @@
 	apply(listing: RunListing, sentAt: number): void {
 		const { row, context } = this
 		if (row.incarnation !== listing.incarnation) this.handleIncarnationChange(listing)
+		this.options.crashes.handleListed(row, listing.incarnation)
 		row.clockOffset = listing.clock - context.timers.now()
 		row.clockReadAt = context.timers.now()
 		row.hasUnreadRuns = [...listing.running, ...listing.ended].some(({ task }) =>
--- a/packages/jobs/src/lib/owner/TermRecovery.ts
+++ b/packages/jobs/src/lib/owner/TermRecovery.ts
@@ -1,6 +1,7 @@
 import type { StreamFollower } from '../log/StreamFollower.js'
 import type { ReplicaRow } from '../log/ReplicaRow.js'
 import type { MetadataLog } from '../ports/MetadataLog.js'
+import type { CrashTracker } from './CrashTracker.js'
 import type { LeaseLedger } from './LeaseLedger.js'
 import type { OwnerContext } from './OwnerContext.js'
 import type { TaskUpdater } from './TaskUpdater.js'
@@ -43,6 +44,7 @@
 			readonly progress: StreamFollower
 			readonly taskUpdater: TaskUpdater
 			readonly leases: LeaseLedger
+			readonly crashes: Pick<CrashTracker, 'restore'>
 			readonly isEnded: () => boolean
 		}
 	) {
@@ -118,6 +120,7 @@
 		if (!job || jobs.get(job.id)) return
 		const row = jobs.add(job, snapshot)
 		for (const [place, task] of row.tasks.entries()) {
+			this.options.crashes.restore(task)
 			if (task.phase !== 'placed' || task.backend === undefined) continue
 			this.options.leases.inherit(backends.getOrCreate(task.backend))
 			const readAt = placements.get(place)?.readAt
--- a/packages/jobs/src/lib/owner/crashBlame.test.ts
+++ b/packages/jobs/src/lib/owner/crashBlame.test.ts
@@ -2,6 +2,8 @@
 import { createCrashFleet } from '../testing/createCrashFleet.js'
 
 const LASTING = 0x100
+/** Time for which a server refuses connections, in milliseconds; its leases expire in it. */
+const REFUSAL = 8_000
 /** Times for which a server is out of reach, in milliseconds; leases expire in the longer ones. */
 const SILENCES = [1_500, 6_000]
 /** Number of times that a server of the same task is lost. */
@@ -32,6 +34,23 @@
 		expect(fleet.journal.violations).toEqual([])
 	})
 
+	it('and refuse connections until their leases have expired is not given up', async () => {
+		const { fleet, submit, getState, getServer } = await createFleet()
+		const task = `${submit(LASTING, { count: 1, lasting: true })}.0.0.0`
+		let losses = 0
+		for (let waited = 0; waited < (LOSSES + 1) * REFUSAL; waited += 10) {
+			await fleet.advance(10)
+			if (losses === LOSSES || fleet.journal.getRuns(task).length === losses) continue
+			losses += 1
+			const server = getServer(task)
+			server.refusing = true
+			fleet.timers.after(REFUSAL, () => (server.refusing = false))
+		}
+		expect(fleet.journal.getRuns(task)).toHaveLength(LOSSES + 1)
+		expect(await getState(task.slice(0, task.indexOf('.')))).toBe('running')
+		expect(fleet.journal.violations).toEqual([])
+	})
+
 	it('and are replaced behind the cut is not given up', async () => {
 		const { fleet, submit, getState, getServer } = await createFleet()
 		const task = `${submit(LASTING, { count: 1, lasting: true })}.0.0.0`
--- a/packages/jobs/src/lib/owner/crashingTask.failure.test.ts
+++ b/packages/jobs/src/lib/owner/crashingTask.failure.test.ts
@@ -176,6 +176,48 @@
 	})
 })
 
+// Guards against crashes that are not counted because the leases on a server expire before its machine runs
+// another process, so that the cause of the loss is not known yet.
+describe('crashes of servers that stay away for longer than leases last', () => {
+	it.each([5_000, 8_000])('%i ms, are counted once they show', async (restartTime) => {
+		const { fleet, crashing, crashes, submit, getState } = await createCrashFleet({
+			instances: 2,
+			backends: 6,
+			restartTime,
+		})
+		crashing.add(`${createId(1)}.0.0.0`)
+		for (const number of [1, 2, 3]) submit(number, { count: 3 })
+		submit(LASTING, { count: 3, lasting: true, maximumPerBackend: 1 })
+		await fleet.advance(OBSERVED_TIME)
+		expect(await getState(createId(1))).toBe('failed')
+		expect(await getState(createId(2))).toBe('completed')
+		expect(await getState(createId(LASTING))).toBe('running')
+		expect(crashes.length).toBeLessThanOrEqual(MAXIMUM_STARTS)
+		expect(fleet.journal.violations).toEqual([])
+	})
+
+	it.each([4_600, 6_000, 7_000])(
+		'are counted although the owner is killed every %i ms',
+		async (interval) => {
+			const { fleet, crashing, crashes, submit, getState } = await createCrashFleet({
+				instances: 3,
+				backends: 6,
+				restartTime: 8_000,
+			})
+			crashing.add(`${createId(1)}.0.0.0`)
+			for (const number of [1, 2]) submit(number, { count: 3 })
+			for (let waited = 0; waited < 2 * OBSERVED_TIME; waited += interval) {
+				await fleet.advance(interval)
+				fleet.restartInstance(fleet.instances.findIndex(({ daemon }) => daemon.isOwner))
+			}
+			expect(await getState(createId(1))).toBe('failed')
+			expect(await getState(createId(2))).toBe('completed')
+			expect(crashes.length).toBeLessThanOrEqual(MAXIMUM_STARTS)
+			expect(fleet.journal.violations).toEqual([])
+		}
+	)
+})
+
 function createId(number: number): string {
 	return number.toString(16).padStart(16, '0')
 }
--- a/packages/jobs/src/lib/testing/MemoryBackend.ts
+++ b/packages/jobs/src/lib/testing/MemoryBackend.ts
@@ -31,6 +31,8 @@
 	private down = false
 	/** Whether the process has ended while its host is up, so that connections are refused. */
 	private exited = false
+	/** While true, connections to it are refused on the way, and it runs on. */
+	refusing = false
 	/** Whether another process answers at its address. */
 	replaced = false
 	/** Called when it has begun a run. */
@@ -131,7 +133,7 @@
 	get failure(): 'silent' | 'refused' | 'moved' | undefined {
 		if (!this.isReachable) return 'silent'
 		if (this.replaced) return 'moved'
-		return this.exited ? 'refused' : undefined
+		return this.exited || this.refusing ? 'refused' : undefined
 	}
 
 	/** Simulates a crash of the process on a host that stays up. */
--- a/packages/jobs/src/lib/testing/createCrashFleet.ts
+++ b/packages/jobs/src/lib/testing/createCrashFleet.ts
@@ -4,7 +4,7 @@
 
 /** Time from the start of a task that crashes its server to the crash, in milliseconds. */
 const CRASH_DELAY = 10
-/** Time from a crash until another process runs on the machine, in milliseconds. */
+/** Usual time from a crash until another process runs on the machine, in milliseconds. */
 const RESTART_TIME = 3_200
 /** Duration of the runs of tasks that end by themselves, in milliseconds. */
 const SHORT_RUN = 600
@@ -41,6 +41,8 @@
 	readonly instances: number
 	readonly backends: number
 	readonly restart?: 'same-id'
+	/** Time from a crash until another process runs on the machine, in milliseconds. */
+	readonly restartTime?: number
 	readonly createEvents?: Parameters<typeof createTestFleet>[0]['createEvents']
 }): Promise<CrashFleet> {
 	const fleet = createTestFleet({ ...options, statusRetention: Infinity })
@@ -50,7 +52,7 @@
 	const crash = (backend: MemoryBackend): void => {
 		crashes.push(timers.now())
 		backend.exit()
-		timers.after(RESTART_TIME, () => {
+		timers.after(options.restartTime ?? RESTART_TIME, () => {
 			if (options.restart === 'same-id') {
 				backend.restart()
 				fleet.register(backend)
--- a/packages/jobs/src/lib/testing/createTestRecovery.ts
+++ b/packages/jobs/src/lib/testing/createTestRecovery.ts
@@ -26,6 +26,8 @@
 	const taskUpdater = new TaskUpdater(context, writer, ignore, ignore, health)
 	const leases = new LeaseLedger(context, writer, new JobReplica(context.events, timers))
 	const isEnded = (): boolean => false
-	const recovery = new TermRecovery(context, { log, progress, taskUpdater, leases, isEnded })
+	const crashes = { restore: ignore }
+	const options = { log, progress, taskUpdater, leases, crashes, isEnded }
+	const recovery = new TermRecovery(context, options)
 	return { recovery, context }
 }
