Say that a waiting task is on probation, and look at probations last when a server is chosen

explain and the lines about waiting tasks gave the reason 'order' (other work comes first) for a task that waits to be started apart from other jobs; it is 'probation' now, in the command line too (explainJob.test.ts). The planner asks for the starts on a server only if the server is better than the best one so far, since that loop runs for each task and server; no choice changes.

--- a/packages/cli/src/lib/output/formatJobReport.ts
+++ b/packages/cli/src/lib/output/formatJobReport.ts
@@ -11,6 +11,7 @@
 	'no-backend': 'its pool has no usable backend server',
 	'too-large': 'no usable backend server could take a task, even an empty one',
 	'no-room': 'every backend server that could take a task is full',
+	probation: 'a task may have crashed a backend server, and is started apart from other jobs',
 	order: 'there is room; other work goes first',
 }
 
--- a/packages/core/src/lib/jobs/PlacementPlanner.ts
+++ b/packages/core/src/lib/jobs/PlacementPlanner.ts
@@ -241,13 +241,12 @@
 		for (const backend of usable) {
 			if (getHostRefusal(readyStep, backend)) continue
 			if (!step.lasting && this.heldBackends.has(backend)) continue
-			if (!this.probations.allows(task, backend)) continue
 			const baseScore =
 				task.crashes > 0
 					? this.probations.getScore(task, backend)
 					: this.scorer.getScore(readyStep, backend)
 			const score = backend.id === task.failedOn ? baseScore - FAILED_BACKEND_PENALTY : baseScore
-			if (score <= bestScore) continue
+			if (score <= bestScore || !this.probations.allows(task, backend)) continue
 			best = backend
 			bestScore = score
 		}
--- a/packages/core/src/lib/jobs/StepExplanation.ts
+++ b/packages/core/src/lib/jobs/StepExplanation.ts
@@ -8,6 +8,7 @@
  * - `no-backend`: the pool has no usable backend server
  * - `too-large`: no usable server could host a task even if it were empty
  * - `no-room`: every server that could host a task is full, or has as many of the step as it may
+ * - `probation`: a waiting task may have crashed a server, and is to be started apart from other jobs
  * - `order`: there is room, but other work is placed first or the next plan is pending
  *
  * @public
@@ -29,6 +30,7 @@
 		| 'no-backend'
 		| 'too-large'
 		| 'no-room'
+		| 'probation'
 		| 'order'
 		| undefined
 }
--- a/packages/core/src/lib/jobs/explainJob.test.ts
+++ b/packages/core/src/lib/jobs/explainJob.test.ts
@@ -41,6 +41,12 @@
 	expect(reasons()[0]).toMatchObject({ waiting: 1, reason: 'order' })
 })
 
+it('gives the reason probation for a task that may have crashed a server', () => {
+	const { reasons, row } = explain([{ count: 1, needs }])
+	for (const task of row.tasks) task.crashes = 1
+	expect(reasons()[0]).toMatchObject({ waiting: 1, reason: 'probation' })
+})
+
 it('gives the reason pausing for a task that may not be placed again yet', () => {
 	const { reasons, row } = explain([{ count: 1, needs }])
 	for (const task of row.tasks) task.notBefore = NOW + 100
--- a/packages/core/src/lib/jobs/explainJob.ts
+++ b/packages/core/src/lib/jobs/explainJob.ts
@@ -95,7 +95,7 @@
 		readonly configuration: FleetConfiguration
 		readonly now: number
 	}
-): 'team-limit' | 'no-backend' | 'too-large' | 'no-room' | 'order' {
+): 'team-limit' | 'no-backend' | 'too-large' | 'no-room' | 'probation' | 'order' {
 	const { backends, configuration, now } = options
 	const { step } = readyStep
 	const used = backends.getTeamUsage(job.team)
@@ -113,5 +113,7 @@
 	)
 	if (suitable.length === 0) return 'too-large'
 	const isOpen = suitable.some((backend) => getHostRefusal(readyStep, backend) === undefined)
-	return isOpen ? 'order' : 'no-room'
+	if (!isOpen) return 'no-room'
+	const isSuspect = ({ phase, crashes }: TaskRow): boolean => phase === 'pending' && crashes > 0
+	return readyStep.members.some(isSuspect) ? 'probation' : 'order'
 }
