Keep the server that a task on probation waits for the same from plan to plan

Found by reading: each plan chose the server with the fewest tasks to be left alone until its runs have survived their starts. Where another one has fewer tasks in the next plan, the first is filled again, and the task may wait for ever. Now it is the server with the earliest latest start, which only moves away from the others. Evidence: ProbationPlan.test.ts, two full servers of which the later started one empties faster: the stream of other jobs went to the awaited server in the first round before, never now, and the task is placed there. In the same change the tests of disturbances after crashes share one body; their checks and bounds are the same.

--- a/packages/core/src/lib/jobs/PlacementPlanner.ts
+++ b/packages/core/src/lib/jobs/PlacementPlanner.ts
@@ -189,8 +189,7 @@
 	): TaskPlacement[] {
 		const placements: TaskPlacement[] = []
 		const attempt = 1 + Math.max(...readyStep.members.map((member) => member.attempt))
-		const pending = readyStep.pending.toSorted((a, b) => b.crashes - a.crashes)
-		for (const task of pending) {
+		for (const task of getPlacementOrder(readyStep)) {
 			const backend = this.selectBackend(readyStep, task, usable, configuration)
 			if (!backend) break
 			this.assign(task, backend, readyStep.step.gang ? attempt : task.attempt + 1)
@@ -285,7 +284,16 @@
 	return backends.toSorted((a, b) => b.used.cpu - a.used.cpu).slice(0, limit)
 }
 
-/** Leaves out the tasks that were placed, or not, before all others. Those of gangs are placed together. */
+/** Returns the pending tasks of a step, those that may have crashed servers first. */
+function getPlacementOrder({ pending }: ReadyStep): readonly TaskRow[] {
+	if (pending.every(({ crashes }) => crashes === 0)) return pending
+	return pending.toSorted((a, b) => b.crashes - a.crashes)
+}
+
+/**
+ * Leaves out the tasks that may have crashed servers, which `placeSuspects` has dealt with, except those
+ * of gangs, which are placed with their gang.
+ */
 function withoutSuspects(candidate: RankedCandidate): RankedCandidate {
 	const { readyStep } = candidate
 	const { step, pending } = readyStep
--- a/packages/core/src/lib/jobs/ProbationPlan.test.ts
+++ b/packages/core/src/lib/jobs/ProbationPlan.test.ts
@@ -105,6 +105,32 @@
 		expect(stream.some(({ phase }) => phase === 'placed')).toBe(true)
 	})
 
+	it('wait for the same server in each plan, although another one has fewer tasks now and then', () => {
+		const tables = createTestTables({ backends: 2 })
+		const first = addTasks(tables, 'b', 16)
+		plan(tables)
+		const second = addTasks(tables, 'c', 16)
+		plan(tables)
+		for (const task of first) Object.assign(task, { startedAt: 0, listedAt: 0 })
+		for (const task of second) Object.assign(task, { startedAt: 10, listedAt: 10 })
+		const [suspect] = addSuspects(tables, 1)
+		const end = (task: TaskRow | undefined): void => {
+			if (!task) return
+			tables.backends.release(task)
+			task.phase = 'done'
+		}
+		for (const round of [1, 2, 3]) {
+			end(first[round])
+			for (const task of second.slice(round * 4, round * 4 + 4)) end(task)
+			const stream = addTasks(tables, `d${round}`, 1)
+			plan(tables)
+			expect(stream[0]?.backend).toBe(second[0]?.backend)
+		}
+		run(first, SURVIVAL)
+		plan(tables)
+		expect(suspect?.backend).toBe(first[0]?.backend)
+	})
+
 	it('share a server with those of their job, since either of them brings down the job', () => {
 		const tables = createTestTables({ backends: 4 })
 		const suspects = addTasks(tables, 'a', 3)
--- a/packages/core/src/lib/jobs/ProbationPlan.ts
+++ b/packages/core/src/lib/jobs/ProbationPlan.ts
@@ -56,12 +56,18 @@
 		return inUse.length < Math.max(1, usable.length * MAXIMUM_SHARE)
 	}
 
-	/** Starts nothing on one of the servers, the one with the fewest tasks, until all its runs are settled. */
+	/**
+	 * Starts nothing on one of the servers until its latest start has been survived. It is the one with the
+	 * earliest such start, so that the next plans choose the same one.
+	 */
 	awaitOne(task: TaskRow, hosts: readonly BackendRow[], usable: readonly BackendRow[]): void {
 		let best: BackendRow | undefined
+		let earliest = Infinity
 		for (const backend of hosts) {
-			if (this.awaited.has(backend) || this.getActivity(backend).hasSuspects) continue
-			if (!best || backend.tasks.size < best.tasks.size) best = backend
+			const { latestStart, hasSuspects } = this.getActivity(backend)
+			if (this.awaited.has(backend) || hasSuspects || (best && latestStart >= earliest)) continue
+			best = backend
+			earliest = latestStart
 		}
 		if (best && this.mayUse(task, best, usable)) this.awaited.add(best)
 	}
--- a/packages/core/src/lib/jobs/getStartActivity.ts
+++ b/packages/core/src/lib/jobs/getStartActivity.ts
@@ -11,11 +11,13 @@
  */
 export function getStartActivity({ tasks }: BackendRow): StartActivity {
 	const jobs = new Set<JobRow>()
+	let latestStart = -Infinity
 	let hasSuspects = false
 	for (const task of tasks.values()) {
 		if (hasSurvivedStart(task)) continue
 		jobs.add(task.job)
+		latestStart = Math.max(latestStart, task.startedAt)
 		hasSuspects ||= isOnProbation(task)
 	}
-	return { jobs, hasSuspects }
+	return { jobs, latestStart, hasSuspects }
 }
--- a/packages/jobs/src/lib/owner/crashingTask.failure.test.ts
+++ b/packages/jobs/src/lib/owner/crashingTask.failure.test.ts
@@ -9,6 +9,8 @@
 const OBSERVED_TIME = 40_000
 const LASTING = 0x100
 
+type TestFleet = Awaited<ReturnType<typeof createCrashFleet>>['fleet']
+
 // Guards against a task that crashes server after server.
 describe('a task that crashes the servers that start it', () => {
 	it.each(['same-id', undefined] as const)(
@@ -104,75 +106,24 @@
 	const DELAYS = [100, 1_000, 2_500, 3_300, 3_600]
 
 	it.each(DELAYS)('after the owner is killed %i ms after each crash', async (delay) => {
-		const { fleet, crashing, crashes, submit, getState } = await createCrashFleet({
-			instances: 3,
-			backends: 5,
-		})
-		crashing.add(`${createId(1)}.0.0.0`)
-		submit(1, { count: 3 })
-		submit(2, { count: 9 })
-		let seen = 0
-		for (let waited = 0; waited < OBSERVED_TIME; waited += 50) {
-			await fleet.advance(50)
-			const latest = crashes.at(-1)
-			if (latest === undefined || seen === crashes.length) continue
-			if (fleet.timers.now() - latest < delay) continue
-			seen = crashes.length
+		await expectGivenUp(delay, (fleet) => {
 			fleet.restartInstance(fleet.instances.findIndex(({ daemon }) => daemon.isOwner))
-		}
-		expect(await getState(createId(1))).toBe('failed')
-		expect(await getState(createId(2))).toBe('completed')
-		expect(crashes.length).toBeLessThanOrEqual(MAXIMUM_STARTS)
-		expect(fleet.journal.violations).toEqual([])
+		})
 	})
 
 	it.each(DELAYS)('after all instances restart %i ms after each crash', async (delay) => {
-		const { fleet, crashing, crashes, submit, getState } = await createCrashFleet({
-			instances: 3,
-			backends: 5,
-		})
-		crashing.add(`${createId(1)}.0.0.0`)
-		submit(1, { count: 3 })
-		submit(2, { count: 9 })
-		let seen = 0
-		for (let waited = 0; waited < OBSERVED_TIME; waited += 50) {
-			await fleet.advance(50)
-			const latest = crashes.at(-1)
-			if (latest === undefined || seen === crashes.length) continue
-			if (fleet.timers.now() - latest < delay) continue
-			seen = crashes.length
+		await expectGivenUp(delay, (fleet) => {
 			for (const index of fleet.instances.keys()) fleet.restartInstance(index)
-		}
-		expect(await getState(createId(1))).toBe('failed')
-		expect(await getState(createId(2))).toBe('completed')
-		expect(crashes.length).toBeLessThanOrEqual(MAXIMUM_STARTS)
-		expect(fleet.journal.violations).toEqual([])
+		})
 	})
 
 	it.each(DELAYS)('after the log is lost for 4 s, %i ms after each crash', async (delay) => {
-		const { fleet, crashing, crashes, submit, getState } = await createCrashFleet({
-			instances: 3,
-			backends: 5,
-		})
-		crashing.add(`${createId(1)}.0.0.0`)
-		submit(1, { count: 3 })
-		submit(2, { count: 9 })
-		let seen = 0
-		for (let waited = 0; waited < OBSERVED_TIME; waited += 50) {
-			await fleet.advance(50)
-			const latest = crashes.at(-1)
-			if (latest === undefined || seen === crashes.length) continue
-			if (fleet.timers.now() - latest < delay) continue
-			seen = crashes.length
+		await expectGivenUp(delay, (fleet) => {
 			for (const { log } of fleet.instances) {
 				log.disconnected = true
 				fleet.timers.after(4_000, () => (log.disconnected = false))
 			}
-		}
-		expect(await getState(createId(1))).toBe('failed')
-		expect(await getState(createId(2))).toBe('completed')
-		expect(crashes.length).toBeLessThanOrEqual(MAXIMUM_STARTS)
-		expect(fleet.journal.violations).toEqual([])
+		})
 	})
 })
 
@@ -218,6 +169,34 @@
 	)
 })
 
+/**
+ * Runs a task that crashes servers beside sound ones, and disturbs the fleet some time after each crash.
+ *
+ * @param delay - milliseconds from a crash to the disturbance
+ */
+async function expectGivenUp(delay: number, disturb: (fleet: TestFleet) => void): Promise<void> {
+	const { fleet, crashing, crashes, submit, getState } = await createCrashFleet({
+		instances: 3,
+		backends: 5,
+	})
+	crashing.add(`${createId(1)}.0.0.0`)
+	submit(1, { count: 3 })
+	submit(2, { count: 9 })
+	let disturbed = 0
+	for (let waited = 0; waited < OBSERVED_TIME; waited += 50) {
+		await fleet.advance(50)
+		const latest = crashes.at(-1)
+		if (latest === undefined || disturbed === crashes.length) continue
+		if (fleet.timers.now() - latest < delay) continue
+		disturbed = crashes.length
+		disturb(fleet)
+	}
+	expect(await getState(createId(1))).toBe('failed')
+	expect(await getState(createId(2))).toBe('completed')
+	expect(crashes.length).toBeLessThanOrEqual(MAXIMUM_STARTS)
+	expect(fleet.journal.violations).toEqual([])
+}
+
 function createId(number: number): string {
 	return number.toString(16).padStart(16, '0')
 }
