Move the options of an owner's term to a file of their own

No behaviour changes: the type of the constructor's argument has a name, and its imports went with it.

--- a/packages/jobs/src/lib/owner/OwnerTerm.ts
+++ b/packages/jobs/src/lib/owner/OwnerTerm.ts
@@ -1,10 +1,4 @@
-import type {
-	BackendRow,
-	FleetConfiguration,
-	JobId,
-	StepExplanation,
-	TimerService,
-} from '@mastichead/core'
+import type { BackendRow, JobId, StepExplanation } from '@mastichead/core'
 import {
 	BackendHealth,
 	BackendTable,
@@ -18,16 +12,7 @@
 	recordEarlierArrivals,
 } from '@mastichead/core'
 import { formatError } from '../logs/formatError.js'
-import type { JobReplica } from '../log/JobReplica.js'
 import type { ReplicaRow } from '../log/ReplicaRow.js'
-import type { StreamFollower } from '../log/StreamFollower.js'
-import type { EventLog } from '../logs/EventLog.js'
-import type { JobMetrics } from '../metrics/JobMetrics.js'
-import type { BackendServerClient } from '../ports/BackendServerClient.js'
-import type { MachineController } from '../ports/MachineController.js'
-import type { MetadataLog } from '../ports/MetadataLog.js'
-import type { OperatorFormat } from '../ports/OperatorFormat.js'
-import type { MaintenanceWave } from '../ports/MaintenanceWave.js'
 import { MachineManager } from '../machines/MachineManager.js'
 import { BackendRegistry } from './BackendRegistry.js'
 import { CrashTracker } from './CrashTracker.js'
@@ -37,6 +22,7 @@
 import { MonitorTable } from './MonitorTable.js'
 import { OrderDispatcher } from './OrderDispatcher.js'
 import type { OwnerContext } from './OwnerContext.js'
+import type { OwnerTermOptions } from './OwnerTermOptions.js'
 import { PlanningLoop } from './PlanningLoop.js'
 import { ProgressWriter } from './ProgressWriter.js'
 import { JobRetention } from './JobRetention.js'
@@ -76,34 +62,7 @@
 	private started = false
 	private ended = false
 
-	constructor(
-		private readonly options: {
-			readonly token: number
-			/** Name of this instance, also of its next process. */
-			readonly instance: string
-			readonly log: MetadataLog
-			readonly backendClient: BackendServerClient
-			readonly format: OperatorFormat
-			readonly machineController: MachineController
-			readonly getWaves: () => ReadonlyMap<string, MaintenanceWave>
-			readonly timers: TimerService
-			readonly events: EventLog
-			readonly metrics: JobMetrics
-			readonly replica: JobReplica
-			readonly intake: readonly StreamFollower[]
-			readonly progress: StreamFollower
-			readonly getWallTime: () => number
-			readonly getConfiguration: () => FleetConfiguration
-			/** Returns how long the state of a finished job can be queried, in milliseconds. */
-			readonly getStatusRetention: () => number
-			/** Whether no other owner may rely on this term's leases to expire yet. */
-			readonly isCurrent: () => boolean
-			/** Whether this instance is still a member of the group, so that it must be the owner. */
-			readonly isMember: () => boolean
-			/** Called once if the term ends itself. */
-			readonly onEnd: (reason: string) => void
-		}
-	) {
+	constructor(private readonly options: OwnerTermOptions) {
 		const { token, backendClient, timers, events, metrics, getWallTime, getConfiguration } = options
 		const jobs = new JobTable()
 		const backends = new BackendTable()
