Keep the process before on record until its runs have been compared with a listing

The next owner knows only the new process, takes the runs of the one before for ones that are not listed, and counts no crash. In virtual time with a kill 3220 or 3240 ms after each crash (20 to 40 ms after the restart) the task went on for ever: 7 crashes in 30 s, the job running. Change: while tasks placed before are not compared with a listing of the new process, the record of the server names the earlier process too (earlierIncarnation); it is written again 1 s later without it, when the ends are in the log.

--- a/packages/jobs/src/lib/owner/BackendMonitor.limits.failure.test.ts
+++ b/packages/jobs/src/lib/owner/BackendMonitor.limits.failure.test.ts
@@ -96,7 +96,7 @@
 		leases: new LeaseLedger(context, writer, new JobReplica(context.events, timers)),
 		crashes: new CrashTracker(context, {
 			getMachineOrder: () => undefined,
-			getRecordedIncarnation: () => undefined,
+			onProcessEnd: ignore,
 			updateJob: ignore,
 		}),
 		...createListingQueues(),
--- a/packages/jobs/src/lib/owner/CrashTracker.ts
+++ b/packages/jobs/src/lib/owner/CrashTracker.ts
@@ -1,6 +1,7 @@
 import type { BackendId, BackendRow, JobRow, TaskRow, UnexplainedLoss } from '@mastichead/core'
 import { MAXIMUM_CRASHES, explainLoss, getCrashSuspects } from '@mastichead/core'
 import type { MachineOrder } from '../machines/MachineOrder.js'
+import type { BackendRegistration } from '../ports/BackendRegistration.js'
 import type { OwnerContext } from './OwnerContext.js'
 import type { ProcessEndCause } from './ProcessEndCause.js'
 
@@ -18,6 +19,8 @@
 export class CrashTracker {
 	/** Process of each backend server whose end has been handled, by the start of the process. */
 	private readonly endedProcesses = new Map<BackendId, number>()
+	/** Processes that earlier owners have placed tasks on, by their starts. */
+	private readonly recordedProcesses = new Map<BackendId, number>()
 	/** Tasks with unexplained losses, by the machine that the server ran on. */
 	private readonly unexplained = new Map<string, Set<TaskRow>>()
 
@@ -26,13 +29,19 @@
 		private readonly options: {
 			/** Returns the latest recorded order for a machine. */
 			readonly getMachineOrder: (machine: string) => MachineOrder | undefined
-			/** Returns the start of a server's process that earlier owners have recorded, if any. */
-			readonly getRecordedIncarnation: (id: BackendId) => number | undefined
+			/** Called when the end of a server's process has been handled. */
+			readonly onProcessEnd: (id: BackendId) => void
 			/** Called for each job whose tasks have changed. */
 			readonly updateJob: (job: JobRow) => void
 		}
 	) {}
 
+	/** Takes over the registrations that earlier owners have recorded. */
+	begin(registrations: Iterable<BackendRegistration>): void {
+		for (const { id, incarnation, earlierIncarnation } of registrations)
+			this.recordedProcesses.set(id, earlierIncarnation ?? incarnation)
+	}
+
 	/**
 	 * Handles evidence that the process of a backend server has ended. Further evidence about the same
 	 * process has no effect.
@@ -60,8 +69,9 @@
 			cause,
 			runs: runs.length,
 			suspects: suspects.length,
-			tasks: suspects.slice(0, MAXIMUM_LOGGED_TASKS).map(({ id }) => id),
+			tasks: suspects.slice(0, MAXIMUM_LOGGED_TASKS).map((task) => task.id),
 		})
+		this.options.onProcessEnd(id)
 	}
 
 	/**
@@ -122,7 +132,7 @@
 
 	/** Returns the start of the latest known process of a backend server; 0 if unknown. */
 	getIncarnation(row: BackendRow): number {
-		return row.incarnation || (this.options.getRecordedIncarnation(row.id) ?? 0)
+		return row.incarnation || (this.recordedProcesses.get(row.id) ?? 0)
 	}
 
 	/** Forgets a backend server that has left. */
--- a/packages/jobs/src/lib/owner/LeaseLedger.ts
+++ b/packages/jobs/src/lib/owner/LeaseLedger.ts
@@ -57,11 +57,6 @@
 			this.incarnations.set(id, incarnation)
 	}
 
-	/** Returns the start of a server's process that earlier owners have recorded, if any. */
-	getRecordedIncarnation(id: BackendId): number | undefined {
-		return this.incarnations.get(id)
-	}
-
 	/** Marks a server on which an earlier owner has placed tasks. */
 	inherit({ id }: BackendRow): void {
 		this.inherited.add(id)
--- a/packages/jobs/src/lib/owner/OwnerTerm.ts
+++ b/packages/jobs/src/lib/owner/OwnerTerm.ts
@@ -33,6 +33,11 @@
 
 /** Interval at which expired jobs and departed backend servers are removed, in milliseconds. */
 const RETENTION_INTERVAL = 10_000
+/**
+ * Time after which the record of a server no longer names a process that has ended, in milliseconds, so that
+ * the ends of its runs are in the log before.
+ */
+const PROCESS_RECORD_DELAY = 1_000
 /**
  * One term of ownership, from raising the fence in the log until ownership is lost. Tracks all runs,
  * places pending tasks, and records every decision in the log before it acts on it.
@@ -137,7 +142,9 @@
 		})
 		this.crashes = new CrashTracker(this.context, {
 			getMachineOrder: (machine) => options.replica.machineOrders.get(machine),
-			getRecordedIncarnation: (id) => this.leases.getRecordedIncarnation(id),
+			onProcessEnd: (id) => {
+				this.records.recordBackend(id, PROCESS_RECORD_DELAY)
+			},
 			updateJob: (job) => {
 				this.taskUpdater.updateJob(job)
 			},
@@ -216,6 +223,7 @@
 		const { token, intake, progress, replica, timers, events } = this.options
 		if (!(await this.recovery.readEarlierTerms())) return
 		this.leases.begin()
+		this.crashes.begin(replica.backends.values())
 		const termRecorded = this.records.begin()
 		this.registry.preload(replica.backends.values())
 		await this.recovery.readStreams([...intake, this.registry.follower])
--- a/packages/jobs/src/lib/owner/TermRecords.ts
+++ b/packages/jobs/src/lib/owner/TermRecords.ts
@@ -48,18 +48,31 @@
 		this.heartbeats?.cancel()
 	}
 
-	/** Records the registration of a backend server, or that it has left. */
-	recordBackend(id: BackendId): void {
-		this.options.writer.markRecordChanged(`backend/${id}`, () => this.createBackendRecord(id))
+	/**
+	 * Records the registration of a backend server, or that it has left.
+	 *
+	 * @param delay - milliseconds for which the record may wait
+	 */
+	recordBackend(id: BackendId, delay = 0): void {
+		const create = (): LogRecord => this.createBackendRecord(id)
+		this.options.writer.markRecordChanged(`backend/${id}`, create, delay)
 	}
 
-	/** The next owner needs the address of a server that has left to learn what became of its runs. */
+	/**
+	 * The next owner has to learn what became of the runs of a server that has left, or whose process has
+	 * changed, so that their process stays on record.
+	 */
 	private createBackendRecord(id: BackendId): LogRecord {
 		const { getRegistration, getRecorded } = this.options
 		const registration = getRegistration(id)
-		if (registration) return JobRecords.createBackendRecord(registration)
 		const recorded = getRecorded(id)
-		const hasTasks = (this.context.backends.get(id)?.tasks.size ?? 0) > 0
+		const row = this.context.backends.get(id)
+		const hasTasks = row !== undefined && row.tasks.size > 0
+		if (registration) {
+			const isCompared = row?.reconciled === true && row.incarnation === registration.incarnation
+			const earlier = hasTasks && !isCompared ? getEarlierProcess(recorded, registration) : {}
+			return JobRecords.createBackendRecord({ ...registration, ...earlier })
+		}
 		if (!recorded || !hasTasks) return JobRecords.createBackendTombstone(id)
 		return JobRecords.createBackendRecord({ ...recorded, departed: true })
 	}
@@ -72,3 +85,13 @@
 		)
 	}
 }
+
+function getEarlierProcess(
+	recorded: BackendRegistration | undefined,
+	{ incarnation }: BackendRegistration
+): Pick<BackendRegistration, 'earlierIncarnation'> {
+	const { earlierIncarnation } = recorded ?? {}
+	if (earlierIncarnation !== undefined) return { earlierIncarnation }
+	if (!recorded || recorded.incarnation === incarnation) return {}
+	return { earlierIncarnation: recorded.incarnation }
+}
--- a/packages/jobs/src/lib/owner/crashingTask.failure.test.ts
+++ b/packages/jobs/src/lib/owner/crashingTask.failure.test.ts
@@ -111,6 +111,17 @@
 		})
 	})
 
+	// The registration of the next process is known by then, and what runs there is not.
+	it.each([3_200, 3_220, 3_240])(
+		'after the owner is killed %i ms after each crash, and servers restart under their ids',
+		async (delay) => {
+			const restartOwner = (fleet: TestFleet): void => {
+				fleet.restartInstance(fleet.instances.findIndex(({ daemon }) => daemon.isOwner))
+			}
+			await expectGivenUp(delay, restartOwner, 'same-id')
+		}
+	)
+
 	it.each(DELAYS)('after all instances restart %i ms after each crash', async (delay) => {
 		await expectGivenUp(delay, (fleet) => {
 			for (const index of fleet.instances.keys()) fleet.restartInstance(index)
@@ -174,17 +185,22 @@
  *
  * @param delay - milliseconds from a crash to the disturbance
  */
-async function expectGivenUp(delay: number, disturb: (fleet: TestFleet) => void): Promise<void> {
+async function expectGivenUp(
+	delay: number,
+	disturb: (fleet: TestFleet) => void,
+	restart?: 'same-id'
+): Promise<void> {
 	const { fleet, crashing, crashes, submit, getState } = await createCrashFleet({
 		instances: 3,
 		backends: 5,
+		...(restart && { restart }),
 	})
 	crashing.add(`${createId(1)}.0.0.0`)
 	submit(1, { count: 3 })
 	submit(2, { count: 9 })
 	let disturbed = 0
-	for (let waited = 0; waited < OBSERVED_TIME; waited += 50) {
-		await fleet.advance(50)
+	for (let waited = 0; waited < OBSERVED_TIME; waited += 10) {
+		await fleet.advance(10)
 		const latest = crashes.at(-1)
 		if (latest === undefined || disturbed === crashes.length) continue
 		if (fleet.timers.now() - latest < delay) continue
--- a/packages/jobs/src/lib/ports/BackendRegistration.ts
+++ b/packages/jobs/src/lib/ports/BackendRegistration.ts
@@ -28,4 +28,9 @@
 	 * an owner's copy.
 	 */
 	readonly departed?: boolean
+	/**
+	 * Start of the process before, in milliseconds since 1970, while tasks that were placed on it have not been
+	 * compared with a listing of the present one; only in an owner's copy.
+	 */
+	readonly earlierIncarnation?: number
 }
--- a/packages/soak/src/lib/JobRecord.ts
+++ b/packages/soak/src/lib/JobRecord.ts
@@ -9,6 +9,8 @@
 	readonly tasks: number
 	/** Whether its tasks run until they are stopped. */
 	readonly lasting: boolean
+	/** Whether its tasks crash each backend server that starts them. */
+	readonly crashing: boolean
 	/** When it was accepted; undefined if no answer said so. */
 	acceptedAt: number | undefined
 	/** Whether every attempt to submit it was refused as not run. */
--- a/packages/soak/src/lib/SoakCaller.ts
+++ b/packages/soak/src/lib/SoakCaller.ts
@@ -19,6 +19,8 @@
 const LASTING_INTERVAL = 20
 /** Every other one of them is cancelled this time after its acceptance, the others at the end. */
 const LASTING_MILLISECONDS = 6_000
+/** One job of this many has tasks that crash backend servers. */
+const CRASHING_INTERVAL = 23
 const MAXIMUM_STEP_WIDTH = 4
 
 /**
@@ -48,6 +50,7 @@
 	/** Submits a job and follows it until it has ended. Resolves then, or when callers are stopped. */
 	async runJob(number: number): Promise<void> {
 		const isLasting = number % LASTING_INTERVAL === 0
+		const isCrashing = !isLasting && number % CRASHING_INTERVAL === 0
 		const drawn = [1, 2].map(() => this.random.integer(1, MAXIMUM_STEP_WIDTH))
 		const widths = isLasting ? drawn.slice(1) : drawn
 		const job: JobRecord = {
@@ -55,6 +58,7 @@
 			tasks: widths.reduce((sum, width) => sum + width, 0),
 			acceptedAt: undefined,
 			lasting: isLasting,
+			crashing: isCrashing,
 			refused: false,
 			cancelSentAt: undefined,
 			cancelledAt: undefined,
@@ -62,7 +66,7 @@
 			state: undefined,
 		}
 		this.jobs.push(job)
-		await this.submit(job, isLasting ? createLastingBody(widths) : createBody(widths))
+		await this.submit(job, isLasting ? createLastingBody(widths) : createBody(widths, isCrashing))
 		if (job.acceptedAt === undefined) return
 		if (number % (2 * LASTING_INTERVAL) === 0) await this.lastingJobsEnd
 		else if (isLasting) await delay(LASTING_MILLISECONDS)
@@ -187,11 +191,12 @@
 	return JSON.stringify({ spec, steps: [{ ...step, count }] })
 }
 
-function createBody([first = 1, second = 1]: readonly number[]): string {
+function createBody([first = 1, second = 1]: readonly number[], isCrashing: boolean): string {
 	const step = { cpu: SoakFleet.taskCpu, mem_mb: 100, estimate_ms: 400 }
 	const steps = [
 		{ ...step, count: first },
 		{ ...step, count: second, depends_on: [0] },
 	]
-	return JSON.stringify({ spec: 'soak', steps })
+	const spec = isCrashing ? RunServerStandin.crashingSpecification : 'soak'
+	return JSON.stringify({ spec, steps })
 }
--- a/packages/soak/src/lib/SoakFleet.ts
+++ b/packages/soak/src/lib/SoakFleet.ts
@@ -28,6 +28,8 @@
 const BYTES_PER_MEGABIT = 125_000
 /** Duration of a run. */
 const RUN_MILLISECONDS = 400
+/** Time from a crash under a task until the server starts again. */
+const RESTART_MILLISECONDS = 3_000
 /** Module by which the wall clock of an instance is set off, and by how many milliseconds. */
 const CLOCK_MODULE = pathToFileURL(path.resolve('packages/soak/dist/stepWallClock.js')).href
 const CLOCK_STEP_MILLISECONDS = 3_000
@@ -132,6 +134,16 @@
 		this.servers[number]?.restart()
 	}
 
+	/** Lets a backend server crash under a task, and start again under its id. */
+	private crashForSomeTime(number: number): void {
+		this.setServerFault(number, 'reset')
+		this.crashServer(number)
+		setTimeout(() => {
+			this.setServerFault(number, 'none')
+			this.restartServer(number)
+		}, RESTART_MILLISECONDS).unref()
+	}
+
 	/** Writes the state of a backend server to the registry; undefined removes it. */
 	register(number: number, state: 'ready' | 'draining' | undefined): void {
 		const id = `i-${number}`
@@ -163,6 +175,9 @@
 		const server = new RunServerStandin(RUN_MILLISECONDS)
 		server.instanceId = `i-${number}`
 		server.onEvent = (event) => this.runs.push(event)
+		server.onCrash = () => {
+			this.crashForSomeTime(number)
+		}
 		await server.listen(host, INNER_SERVER_PORT)
 		const link = new FaultProxy({ host, port: INNER_SERVER_PORT })
 		await link.listen(host, SERVER_PORT)
--- a/packages/soak/src/lib/checkRecord.test.ts
+++ b/packages/soak/src/lib/checkRecord.test.ts
@@ -30,6 +30,14 @@
 		},
 		'an accepted job that is not known at the end': { jobs: [createJob({ state: undefined })] },
 		'an accepted job that never ends': { jobs: [createJob({ state: 'running' })] },
+		'a sound job that is given up after one crash': {
+			jobs: [createJob({ state: 'failed', completedAt: undefined })],
+			runs: createCrashes(1),
+		},
+		'a task that crashes servers and is started again and again': {
+			jobs: [createJob({ state: 'failed', crashing: true, completedAt: undefined })],
+			runs: createCrashes(6),
+		},
 		'a job that is cancelled without a reason': { jobs: [createJob({ state: 'cancelled' })] },
 		'a cancelled job with a task that still runs': {
 			jobs: [createJob({ state: 'cancelled', cancelledAt: 50, completedAt: undefined })],
@@ -75,6 +83,11 @@
 		expect(checkRecord(createRecord({ runs }))).toEqual([])
 	})
 
+	it('allows that a job is given up once two servers have crashed under its task', () => {
+		const jobs = [createJob({ state: 'failed', completedAt: undefined })]
+		expect(checkRecord(createRecord({ jobs, runs: createCrashes(2) }))).toEqual([])
+	})
+
 	const lost = [event('started', 1, 0), event('ended', 1, 1_000, 'lapsed')]
 	const startAgain = (at: number) => [event('started', 2, at), event('ended', 2, 50_000, 'stopped')]
 	const allowed: Readonly<Record<string, Partial<SoakRecord>>> = {
@@ -100,6 +113,14 @@
 	})
 })
 
+/** Creates runs of the task that each end with a crash of their server. */
+function createCrashes(count: number): RunEvent[] {
+	return Array.from({ length: count }, (_, index) => [
+		event('started', index + 1, index * 1_000),
+		event('ended', index + 1, index * 1_000 + 10, 'lost'),
+	]).flat()
+}
+
 function createRecord(change: Partial<SoakRecord>): SoakRecord {
 	return {
 		jobs: [createJob({})],
@@ -120,6 +141,7 @@
 		tasks: 1,
 		acceptedAt: 10,
 		lasting: false,
+		crashing: false,
 		refused: false,
 		cancelSentAt: undefined,
 		cancelledAt: undefined,
--- a/packages/soak/src/lib/checkRecord.ts
+++ b/packages/soak/src/lib/checkRecord.ts
@@ -11,6 +11,13 @@
 const KEY_BOUND = 5_000
 /** Time after a disturbance in which an instance may still be late or behind, in milliseconds. */
 const RECOVERY_TIME = 3_000
+/** How a run ends whose server crashes. */
+const CRASH = 'lost'
+/** Crashes of servers under a task after which its job may be shown as failed. */
+const CRASHES_TO_FAIL = 2
+/** Crashes under a task that causes them after which it must not be started this many times more. */
+const CRASHES_BEFORE_LAST_STARTS = 3
+const FORBIDDEN_STARTS = 3
 /** Share by which a team may exceed its limit for a moment. */
 const LIMIT_BURST = 0.1
 
@@ -25,6 +32,7 @@
 	return [
 		...checkRuns(record.runs),
 		...checkJobs(record),
+		...checkCrashes(record),
 		...checkLastingTasks(record),
 		...checkLimit(record),
 		...checkCalls(record),
@@ -88,7 +96,10 @@
 	for (const job of jobs) {
 		const ofJob = [...groups].filter(([task]) => task.startsWith(`${job.id}.`))
 		if (job.refused && ofJob.length > 0) problems.push(`${job.id}: ran, but was refused as not run`)
-		const isFinal = job.state === 'completed' || job.state === 'cancelled'
+		// A task under which two servers have crashed may be given up.
+		const mayFail = ofJob.some(([, events]) => countCrashes(events) >= CRASHES_TO_FAIL)
+		const isGivenUp = job.state === 'failed' && mayFail
+		const isFinal = job.state === 'completed' || job.state === 'cancelled' || isGivenUp
 		if (job.acceptedAt !== undefined && !isFinal)
 			problems.push(`${job.id}: accepted, but at the end it is ${job.state ?? 'unknown'}`)
 		if (job.state === 'cancelled' && job.cancelledAt === undefined)
@@ -106,6 +117,22 @@
 	return problems
 }
 
+/** A task that crashes servers is started less than three times after three of them have crashed under it. */
+function checkCrashes({ jobs, runs }: SoakRecord): string[] {
+	const crashing = jobs.filter((job) => job.crashing)
+	return [...groupByTask(runs)].flatMap(([task, events]) => {
+		if (!crashing.some(({ id }) => task.startsWith(`${id}.`))) return []
+		const third = events.filter(({ ending }) => ending === CRASH)[CRASHES_BEFORE_LAST_STARTS - 1]
+		const later = events.filter(({ kind, at }) => kind === 'started' && third && at > third.at)
+		if (later.length < FORBIDDEN_STARTS) return []
+		return [`${task}: ${later.length} starts after ${CRASHES_BEFORE_LAST_STARTS} crashes under it`]
+	})
+}
+
+function countCrashes(events: readonly RunEvent[]): number {
+	return events.filter(({ ending }) => ending === CRASH).length
+}
+
 /** The team never has more running than its limit, with a burst and one task more. */
 function checkLimit({ runs, taskCpu, cpuLimit }: SoakRecord): string[] {
 	if (cpuLimit === 0) return []
--- a/packages/standins/src/lib/jobPlatform/RunServerStandin.ts
+++ b/packages/standins/src/lib/jobPlatform/RunServerStandin.ts
@@ -7,6 +7,9 @@
 /** Longest lease that a server grants. */
 const MAXIMUM_LEASE_MILLISECONDS = 6_000
 
+/** Time from the start of a task that crashes its server to the crash. */
+const CRASH_DELAY_MILLISECONDS = 10
+
 interface Run {
 	readonly task: string
 	readonly attempt: number
@@ -32,12 +35,16 @@
 export class RunServerStandin {
 	/** Specification of tasks that run until they are stopped. */
 	static readonly lastingSpecification = 'lasting'
+	/** Specification of tasks that crash each server that starts them. */
+	static readonly crashingSpecification = 'crash'
 	/** Every accepted start, as `TASK/ATTEMPT`, in order. */
 	readonly starts: string[] = []
 	/** Id under which it is registered; calls for another one are refused. Undefined to accept all. */
 	instanceId: string | undefined
 	/** Called with everything that happens to runs. */
 	onEvent: (event: RunEvent) => void = () => undefined
+	/** Called when a task crashes the server, which must then be restarted. */
+	onCrash: () => void = () => undefined
 	/** Highest attempt of each task that has ended or was stopped here. */
 	private readonly barredAttempts = new Map<string, number>()
 	/** Start of the current incarnation, in milliseconds since 1970. */
@@ -141,9 +148,16 @@
 		this.runs.set(task, { task, attempt, endsAt })
 		this.starts.push(`${task}/${attempt}`)
 		this.report('started', task, attempt, '')
+		if (spec === RunServerStandin.crashingSpecification) this.crashSoon(task, attempt)
 		return accepted
 	}
 
+	private crashSoon(task: string, attempt: number): void {
+		setTimeout(() => {
+			if (this.runs.get(task)?.attempt === attempt) this.onCrash()
+		}, CRASH_DELAY_MILLISECONDS)
+	}
+
 	private extendLease(deadline: number): void {
 		const limit = this.clockMilliseconds + MAXIMUM_LEASE_MILLISECONDS
 		this.leaseEnd = Math.max(this.leaseEnd, Math.min(deadline, limit))
