Do not count a crash of a server against a task whose run may not have begun there

Cause: a placement was taken for a run. Change: a crash counts only if the run was confirmed, by the answer or a listing, or if the task was already apart from all other starts; else it only makes the task a suspect (isSuspected, recorded). What makes a task wait apart and what gives it up are two fields now.

--- a/packages/core/src/lib/jobs/CrashSuspicion.ts
+++ b/packages/core/src/lib/jobs/CrashSuspicion.ts
@@ -1,9 +1,10 @@
 /**
- * Which tasks may have crashed a backend server.
+ * What the crash of a backend server says about a task that was placed there.
  *
- * - `shared`: tasks of several jobs
- * - `sole`: only tasks of one job, which is to blame whichever of them it was
+ * - `unconfirmed`: whether its run had begun is not known, so that the crash does not count against it
+ * - `shared`: it may have caused the crash, as tasks of other jobs may have
+ * - `sole`: only tasks of its job can have caused the crash
  *
  * @public
  */
-export type CrashSuspicion = 'shared' | 'sole'
+export type CrashSuspicion = 'unconfirmed' | 'shared' | 'sole'
--- a/packages/core/src/lib/jobs/JobSnapshot.ts
+++ b/packages/core/src/lib/jobs/JobSnapshot.ts
@@ -24,6 +24,8 @@
 	readonly failures: number
 	/** Crashes of backend servers that the task may have caused. */
 	readonly crashes: number
+	/** Whether it may have crashed a backend server, so that it is started apart from other jobs. */
+	readonly isSuspected: boolean
 	readonly unexplainedLoss?: UnexplainedLoss
 	readonly backend: BackendId | undefined
 	readonly checkpoint: string
--- a/packages/core/src/lib/jobs/PlacementPlanner.ts
+++ b/packages/core/src/lib/jobs/PlacementPlanner.ts
@@ -167,7 +167,7 @@
 		const { row, step } = readyStep
 		const rules = configuration.teams.get(row.job.team)
 		for (const task of readyStep.pending) {
-			if (task.crashes === 0) continue
+			if (!task.isSuspected) continue
 			const used = this.backends.getTeamUsage(row.job.team)
 			if (exceedsTeamLimit(rules, used, step.needs)) break
 			const backend = this.selectBackend(readyStep, task, usable, configuration)
@@ -240,10 +240,9 @@
 		for (const backend of usable) {
 			if (getHostRefusal(readyStep, backend)) continue
 			if (!step.lasting && this.heldBackends.has(backend)) continue
-			const baseScore =
-				task.crashes > 0
-					? this.probations.getScore(task, backend)
-					: this.scorer.getScore(readyStep, backend)
+			const baseScore = task.isSuspected
+				? this.probations.getScore(task, backend)
+				: this.scorer.getScore(readyStep, backend)
 			const score = backend.id === task.failedOn ? baseScore - FAILED_BACKEND_PENALTY : baseScore
 			if (score <= bestScore || !this.probations.allows(task, backend)) continue
 			best = backend
@@ -286,8 +285,8 @@
 
 /** Returns the pending tasks of a step, those that may have crashed servers first. */
 function getPlacementOrder({ pending }: ReadyStep): readonly TaskRow[] {
-	if (pending.every(({ crashes }) => crashes === 0)) return pending
-	return pending.toSorted((a, b) => b.crashes - a.crashes)
+	if (!pending.some(({ isSuspected }) => isSuspected)) return pending
+	return pending.toSorted((a, b) => Number(b.isSuspected) - Number(a.isSuspected))
 }
 
 /**
@@ -297,10 +296,10 @@
 function withoutSuspects(candidate: RankedCandidate): RankedCandidate {
 	const { readyStep } = candidate
 	const { step, pending } = readyStep
-	if (step.gang || pending.every(({ crashes }) => crashes === 0)) return candidate
+	if (step.gang || !pending.some(({ isSuspected }) => isSuspected)) return candidate
 	return {
 		...candidate,
-		readyStep: { ...readyStep, pending: pending.filter(({ crashes }) => crashes === 0) },
+		readyStep: { ...readyStep, pending: pending.filter(({ isSuspected }) => !isSuspected) },
 	}
 }
 
--- a/packages/core/src/lib/jobs/ProbationPlan.ts
+++ b/packages/core/src/lib/jobs/ProbationPlan.ts
@@ -29,7 +29,7 @@
 	/** Whether a task may be started on a backend server, as far as other starts there are concerned. */
 	allows(task: TaskRow, backend: BackendRow): boolean {
 		const { jobs, hasSuspects } = this.getActivity(backend)
-		const isSuspect = task.crashes > 0
+		const isSuspect = task.isSuspected
 		if (!isSuspect && this.awaited.has(backend)) return false
 		if (jobs.size === 0) return true
 		if (!isSuspect && !hasSuspects) return true
--- a/packages/core/src/lib/jobs/TaskRow.ts
+++ b/packages/core/src/lib/jobs/TaskRow.ts
@@ -25,10 +25,12 @@
 	/** Number of attempts that ended as `failed`. */
 	failures: number
 	/**
-	 * Number of crashes of backend servers that the task may have caused, since it last ran for
-	 * `STABLE_RUN_TIME`.
+	 * Number of crashes of backend servers under a run of the task that it may have caused, since it last
+	 * ran for `STABLE_RUN_TIME`.
 	 */
 	crashes: number
+	/** Whether it may have crashed a server since then, so that it is started apart from other jobs. */
+	isSuspected: boolean
 	/** Whether the server of the current attempt crashed, and the task may have caused that. */
 	crashSuspicion: CrashSuspicion | undefined
 	/** Latest loss that may have been a crash which the task caused; undefined once that is known. */
--- a/packages/core/src/lib/jobs/applyRunEnding.ts
+++ b/packages/core/src/lib/jobs/applyRunEnding.ts
@@ -2,7 +2,7 @@
 import type { RunEnding } from './RunEnding.js'
 import type { TaskRow } from './TaskRow.js'
 import { getRunAge } from './getRunAge.js'
-import { MAXIMUM_CRASHES } from './maximumCrashes.js'
+import { recordCrash } from './recordCrash.js'
 import { STABLE_RUN_TIME } from './stableRunTime.js'
 
 /**
@@ -44,8 +44,9 @@
 function updateCrashes(task: TaskRow, ending: RunEnding): boolean {
 	const { crashSuspicion } = task
 	task.crashSuspicion = undefined
-	if (getRunAge(task) >= STABLE_RUN_TIME) task.crashes = 0
-	if (ending !== 'lost' || !crashSuspicion) return false
-	task.crashes += 1
-	return crashSuspicion === 'sole' && task.crashes >= MAXIMUM_CRASHES
+	if (getRunAge(task) >= STABLE_RUN_TIME) {
+		task.crashes = 0
+		task.isSuspected = false
+	}
+	return ending === 'lost' && crashSuspicion !== undefined && recordCrash(task, crashSuspicion)
 }
--- a/packages/core/src/lib/jobs/createJobRow.ts
+++ b/packages/core/src/lib/jobs/createJobRow.ts
@@ -49,6 +49,7 @@
 		attempt: 0,
 		failures: 0,
 		crashes: 0,
+		isSuspected: false,
 		crashSuspicion: undefined,
 		unexplainedLoss: undefined,
 		failedOn: undefined,
@@ -77,6 +78,7 @@
 		task.attempt = taskSnapshot.attempt
 		task.failures = taskSnapshot.failures
 		task.crashes = taskSnapshot.crashes
+		task.isSuspected = taskSnapshot.isSuspected
 		task.unexplainedLoss = taskSnapshot.unexplainedLoss
 		task.backend = taskSnapshot.backend
 		task.checkpoint = taskSnapshot.checkpoint
--- a/packages/core/src/lib/jobs/createJobSnapshot.ts
+++ b/packages/core/src/lib/jobs/createJobSnapshot.ts
@@ -19,6 +19,7 @@
 			attempt: task.attempt,
 			failures: task.failures,
 			crashes: task.crashes,
+			isSuspected: task.isSuspected,
 			...(task.unexplainedLoss && { unexplainedLoss: task.unexplainedLoss }),
 			backend: task.backend,
 			checkpoint: task.phase === 'done' ? '' : task.checkpoint,
--- a/packages/core/src/lib/jobs/explainJob.ts
+++ b/packages/core/src/lib/jobs/explainJob.ts
@@ -114,6 +114,6 @@
 	if (suitable.length === 0) return 'too-large'
 	const isOpen = suitable.some((backend) => getHostRefusal(readyStep, backend) === undefined)
 	if (!isOpen) return 'no-room'
-	const isSuspect = ({ phase, crashes }: TaskRow): boolean => phase === 'pending' && crashes > 0
+	const isSuspect = ({ phase, isSuspected }: TaskRow): boolean => phase === 'pending' && isSuspected
 	return readyStep.members.some(isSuspect) ? 'probation' : 'order'
 }
--- a/packages/core/src/lib/jobs/explainLoss.ts
+++ b/packages/core/src/lib/jobs/explainLoss.ts
@@ -1,5 +1,5 @@
 import type { TaskRow } from './TaskRow.js'
-import { MAXIMUM_CRASHES } from './maximumCrashes.js'
+import { recordCrash } from './recordCrash.js'
 
 /**
  * Applies what has become known of a task's unexplained loss. The caller then updates the job with
@@ -11,8 +11,7 @@
 export function explainLoss(task: TaskRow, isCrash: boolean): void {
 	const suspicion = task.unexplainedLoss?.suspicion
 	task.unexplainedLoss = undefined
-	if (!isCrash) return
-	task.crashes += 1
-	const isGivenUp = suspicion === 'sole' && task.crashes >= MAXIMUM_CRASHES
+	if (!isCrash || !suspicion) return
+	const isGivenUp = recordCrash(task, suspicion)
 	if (isGivenUp && task.phase === 'pending') task.phase = 'failed'
 }
--- a/packages/core/src/lib/jobs/getCrashSuspects.ts
+++ b/packages/core/src/lib/jobs/getCrashSuspects.ts
@@ -1,4 +1,4 @@
-import type { CrashSuspicion } from './CrashSuspicion.js'
+import type { CrashSuspect } from './CrashSuspect.js'
 import type { TaskRow } from './TaskRow.js'
 import { getRunAge } from './getRunAge.js'
 import { hasSurvivedStart } from './hasSurvivedStart.js'
@@ -12,17 +12,24 @@
  * @param tasks - the tasks that were placed on the server when it crashed
  * @public
  */
-export function getCrashSuspects(tasks: readonly TaskRow[]): {
-	readonly suspects: readonly TaskRow[]
-	readonly suspicion: CrashSuspicion
-} {
+export function getCrashSuspects(tasks: readonly TaskRow[]): CrashSuspect[] {
 	const recent = tasks.filter(
 		(task) => task.orderState !== 'recorded' && getRunAge(task) < STABLE_RUN_TIME
 	)
 	const fresh = recent.filter((task) => !hasSurvivedStart(task))
-	if (fresh.length === 0) return { suspects: recent, suspicion: 'shared' }
-	const known = fresh.filter(({ crashes }) => crashes > 0)
+	if (fresh.length === 0) return recent.map((task) => ({ task, suspicion: 'shared' }))
+	const known = fresh.filter((task) => task.isSuspected)
 	const suspects = known.length > 0 ? known : fresh
-	const jobs = new Set(suspects.map(({ job }) => job))
-	return { suspects, suspicion: jobs.size === 1 ? 'sole' : 'shared' }
+	const isSole = new Set(suspects.map(({ job }) => job)).size === 1
+	return suspects.map((task) => {
+		// Nothing else was started beside it then, so that it must have begun.
+		const hasBegun = isRunConfirmed(task) || (isSole && task.isSuspected)
+		if (!hasBegun) return { task, suspicion: 'unconfirmed' }
+		return { task, suspicion: isSole ? 'sole' : 'shared' }
+	})
+}
+
+/** Whether the server has shown that the current run has begun. */
+function isRunConfirmed({ orderState, listedAt }: TaskRow): boolean {
+	return orderState === 'confirmed' || listedAt > -Infinity
 }
--- a/packages/core/src/lib/jobs/isOnProbation.ts
+++ b/packages/core/src/lib/jobs/isOnProbation.ts
@@ -8,5 +8,5 @@
  * @public
  */
 export function isOnProbation(task: TaskRow): boolean {
-	return task.crashes > 0 && task.phase === 'placed' && !hasSurvivedStart(task)
+	return task.isSuspected && task.phase === 'placed' && !hasSurvivedStart(task)
 }
--- a/packages/jobs/src/lib/log/ProgressRecord.ts
+++ b/packages/jobs/src/lib/log/ProgressRecord.ts
@@ -24,6 +24,8 @@
 	readonly failures?: Readonly<Record<string, string>>
 	/** Tasks by the number of crashes of backend servers that they may have caused; left out for none. */
 	readonly crashes?: Readonly<Record<string, string>>
+	/** Tasks that may have crashed a backend server, so that they are started apart from other jobs. */
+	readonly suspected?: string
 	/** Tasks whose latest run was lost in a way that may have been a crash which they caused. */
 	readonly losses?: readonly (UnexplainedLoss & { readonly tasks: string })[]
 	/** Tasks by their latest checkpoint; left out for none. */
--- a/packages/jobs/src/lib/log/createProgressValue.ts
+++ b/packages/jobs/src/lib/log/createProgressValue.ts
@@ -22,6 +22,7 @@
 		attempts: omitEmpty(groupPlaces(tasks, ({ attempt }) => omitDefault(attempt, 1))),
 		failures: omitEmpty(groupPlaces(tasks, ({ failures }) => omitDefault(failures, 0))),
 		crashes: omitEmpty(groupPlaces(tasks, ({ crashes }) => omitDefault(crashes, 0))),
+		suspected: formatSuspected(tasks),
 		losses: createLosses(tasks),
 		checkpoints: omitEmpty(groupPlaces(tasks, (task) => omitDefault(task.checkpoint, ''))),
 	}
@@ -64,3 +65,8 @@
 	)
 	return [...losses].map(([key, loss]) => ({ ...loss, tasks: places[key] ?? '' }))
 }
+
+function formatSuspected(tasks: readonly Task[]): string | undefined {
+	const places = tasks.filter((task) => task.isSuspected).map(({ place }) => place)
+	return places.length === 0 ? undefined : formatPlaces(places)
+}
--- a/packages/jobs/src/lib/log/parseProgressValue.ts
+++ b/packages/jobs/src/lib/log/parseProgressValue.ts
@@ -6,7 +6,7 @@
 
 /** Progress as earlier versions wrote it. */
 interface EarlierRecord extends Omit<JobSnapshot, 'tasks'> {
-	readonly tasks: readonly Omit<Task, 'crashes'>[]
+	readonly tasks: readonly Omit<Task, 'crashes' | 'isSuspected'>[]
 }
 
 const UNPLACED_PHASES = ['pending', 'done', 'failed', 'dropped'] as const
@@ -21,7 +21,10 @@
 	const record = JSON.parse(value) as EarlierRecord | ProgressRecord
 	if (!('format' in record)) {
 		if (!isTaskList(record.tasks)) throw new Error('progress has neither format nor tasks')
-		return { ...record, tasks: record.tasks.map((task) => ({ ...task, crashes: 0 })) }
+		return {
+			...record,
+			tasks: record.tasks.map((task) => ({ ...task, crashes: 0, isSuspected: false })),
+		}
 	}
 	if ((record.format as number) !== 2) throw new Error(`unknown format ${String(record.format)}`)
 	const { state, begun, finishedAt } = record
@@ -32,6 +35,7 @@
 	const attempts = parseGroups(record.attempts)
 	const failures = parseGroups(record.failures)
 	const crashes = parseGroups(record.crashes)
+	const suspected = new Set(record.suspected === undefined ? [] : parsePlaces(record.suspected))
 	const losses = parseLosses(record.losses)
 	const checkpoints = parseGroups(record.checkpoints)
 	const createTask = (place: number, phase: Task['phase'], backend?: string): Task => ({
@@ -40,6 +44,7 @@
 		attempt: Number(attempts.get(place) ?? 1),
 		failures: Number(failures.get(place) ?? 0),
 		crashes: Number(crashes.get(place) ?? 0),
+		isSuspected: suspected.has(place),
 		...getLoss(losses, place),
 		backend,
 		checkpoint: checkpoints.get(place) ?? '',
--- a/packages/jobs/src/lib/owner/CrashTracker.ts
+++ b/packages/jobs/src/lib/owner/CrashTracker.ts
@@ -1,4 +1,11 @@
-import type { BackendId, BackendRow, JobRow, TaskRow, UnexplainedLoss } from '@mastichead/core'
+import type {
+	BackendId,
+	BackendRow,
+	CrashSuspect,
+	JobRow,
+	TaskRow,
+	UnexplainedLoss,
+} from '@mastichead/core'
 import { MAXIMUM_CRASHES, explainLoss, getCrashSuspects } from '@mastichead/core'
 import type { MachineOrder } from '../machines/MachineOrder.js'
 import type { BackendRegistration } from '../ports/BackendRegistration.js'
@@ -69,7 +76,7 @@
 			cause,
 			runs: runs.length,
 			suspects: suspects.length,
-			tasks: suspects.slice(0, MAXIMUM_LOGGED_TASKS).map((task) => task.id),
+			tasks: suspects.slice(0, MAXIMUM_LOGGED_TASKS).map(({ task }) => task.id),
 		})
 		this.options.onProcessEnd(id)
 	}
@@ -84,8 +91,7 @@
 		const incarnation = this.getIncarnation(row)
 		if (row.machine === '' || incarnation === 0) return
 		if (row.contactLoss !== 'closed' || this.getCause(row, incarnation) !== 'crash') return
-		const { suspects, suspicion } = getCrashSuspects(runs)
-		for (const task of suspects) {
+		for (const { task, suspicion } of getCrashSuspects(runs)) {
 			const isGivenUp = suspicion === 'sole' && task.crashes >= MAXIMUM_CRASHES
 			// Its crashes before are enough, whatever became of this server.
 			if (isGivenUp) task.crashSuspicion = suspicion
@@ -154,8 +160,8 @@
 	}
 }
 
-function markSuspects(runs: readonly TaskRow[]): readonly TaskRow[] {
-	const { suspects, suspicion } = getCrashSuspects(runs)
-	for (const task of suspects) task.crashSuspicion = suspicion
+function markSuspects(runs: readonly TaskRow[]): readonly CrashSuspect[] {
+	const suspects = getCrashSuspects(runs)
+	for (const { task, suspicion } of suspects) task.crashSuspicion = suspicion
 	return suspects
 }
--- a/packages/jobs/src/lib/owner/crashBlame.test.ts
+++ b/packages/jobs/src/lib/owner/crashBlame.test.ts
@@ -137,3 +137,23 @@
 	await fleet.advance(RESTART_TIME)
 	for (const id of ids) expect(await getState(id)).toBe('running')
 })
+
+// Guards against a task that is given up for the crash of a server on which it had not begun, because its start
+// order got no answer.
+it('a task whose start order was lost with its server is given up only after two crashes under its runs', async () => {
+	const { fleet, submit, getState, getServer, crash } = await createFleet()
+	const owner = fleet.instances.find(({ daemon }) => daemon.isOwner)
+	if (!owner) throw new Error('there is no owner')
+	owner.backendClient.startDelay = Infinity
+	const id = submit(LASTING, { count: 1, lasting: true })
+	await fleet.advance(50)
+	const [target] = [...fleet.backends.values()].filter((backend) => backend.id === 'b1')
+	if (!target) throw new Error('no server')
+	crash(target)
+	owner.backendClient.startDelay = undefined
+	await fleet.advance(RESTART_TIME)
+	crash(getServer(`${id}.0.0.0`))
+	await fleet.advance(RESTART_TIME)
+	expect(fleet.journal.getRuns(`${id}.0.0.0`).length).toBeGreaterThan(1)
+	expect(await getState(id)).toBe('running')
+})
