--- a/packages/jobs/src/lib/owner/crashBlame.test.ts
+++ b/packages/jobs/src/lib/owner/crashBlame.test.ts
@@ -151,7 +151,10 @@
 	if (!target) throw new Error('no server')
 	crash(target)
 	owner.backendClient.startDelay = undefined
-	await fleet.advance(RESTART_TIME)
+	for (let waited = 0; waited < RESTART_TIME; waited += 10) {
+		await fleet.advance(10)
+		if (fleet.journal.getRuns(`${id}.0.0.0`).length > 0) break
+	}
 	crash(getServer(`${id}.0.0.0`))
 	await fleet.advance(RESTART_TIME)
 	expect(fleet.journal.getRuns(`${id}.0.0.0`).length).toBeGreaterThan(1)
