A server gets a monitor when a job with tasks on it is read late

Cause: the new owner waits 500 ms for the intake and begins without the job. The monitor of its server then has nothing to do and sleeps, or is removed with the server. When the stream can be read, restoreJob puts the tasks on the server, but only placements and registrations wake a monitor. By the same cause a job stays whose server is well and never got the start order: it lists nothing, and its monitor sleeps.

Ruled out: the leases (with the monitor awake they expire and the tasks run again), and the record of the server that TermRecords drops, which the claim names: later owners find the server by the job's progress.

Change: for each server on which a restored job has tasks, the term records it, starts its monitor and wakes it, as for a changed registration.

--- a/packages/jobs/src/lib/owner/OwnerTerm.ts
+++ b/packages/jobs/src/lib/owner/OwnerTerm.ts
@@ -155,6 +155,9 @@
 			taskUpdater: this.taskUpdater,
 			leases: this.leases,
 			crashes: this.crashes,
+			onInherited: (row) => {
+				if (this.started) this.watchBackend(row)
+			},
 			isEnded: () => this.ended,
 		})
 		this.monitors = new MonitorTable(this.context, {
@@ -328,11 +331,16 @@
 
 	private handleBackendChange(row: BackendRow): void {
 		if (!this.started) return
-		this.records.recordBackend(row.id)
 		this.leases.handleRegistration(row, this.registry.get(row.id)?.incarnation)
+		this.watchBackend(row)
+		this.planning.schedule()
+	}
+
+	/** Records a server that has changed or got tasks, and makes its monitor look at it now. */
+	private watchBackend(row: BackendRow): void {
+		this.records.recordBackend(row.id)
 		this.monitors.start(row)
 		this.monitors.wakeUp(row.id)
-		this.planning.schedule()
 	}
 
 	private restoreDemand(): void {
--- a/packages/jobs/src/lib/owner/TermRecovery.ts
+++ b/packages/jobs/src/lib/owner/TermRecovery.ts
@@ -1,3 +1,4 @@
+import type { BackendRow } from '@mastichead/core'
 import type { StreamFollower } from '../log/StreamFollower.js'
 import type { ReplicaRow } from '../log/ReplicaRow.js'
 import type { MetadataLog } from '../ports/MetadataLog.js'
@@ -45,6 +46,8 @@
 			readonly taskUpdater: TaskUpdater
 			readonly leases: LeaseLedger
 			readonly crashes: Pick<CrashTracker, 'restore'>
+			/** Called for each server on which an earlier owner has placed a task of a restored job. */
+			readonly onInherited: (backend: BackendRow) => void
 			readonly isEnded: () => boolean
 		}
 	) {
@@ -119,15 +122,19 @@
 		// A job that was submitted or cancelled meanwhile has been restored by then.
 		if (!job || jobs.get(job.id)) return
 		const row = jobs.add(job, snapshot)
+		const inherited = new Set<BackendRow>()
 		for (const [place, task] of row.tasks.entries()) {
 			this.options.crashes.restore(task)
 			if (task.phase !== 'placed' || task.backend === undefined) continue
-			this.options.leases.inherit(backends.getOrCreate(task.backend))
+			const backend = backends.getOrCreate(task.backend)
+			this.options.leases.inherit(backend)
 			const readAt = placements.get(place)?.readAt
 			task.orderStateChangedAt = readAt ?? -Infinity
 			task.startedAt = readAt ?? this.startedAt
 			backends.assign(task)
+			inherited.add(backend)
 		}
+		for (const backend of inherited) this.options.onInherited(backend)
 		if (row.finishedAt !== undefined) this.options.taskUpdater.settleJob(row)
 		else if (cancelled) this.options.taskUpdater.cancelJob(row)
 	}
--- a/packages/jobs/src/lib/testing/createTestRecovery.ts
+++ b/packages/jobs/src/lib/testing/createTestRecovery.ts
@@ -27,7 +27,7 @@
 	const leases = new LeaseLedger(context, writer, new JobReplica(context.events, timers))
 	const isEnded = (): boolean => false
 	const crashes = { restore: ignore }
-	const options = { log, progress, taskUpdater, leases, crashes, isEnded }
+	const options = { log, progress, taskUpdater, leases, crashes, onInherited: ignore, isEnded }
 	const recovery = new TermRecovery(context, options)
 	return { recovery, context }
 }
