--- a/packages/core/src/lib/jobs/Job.ts
+++ b/packages/core/src/lib/jobs/Job.ts
@@ -1,5 +1,6 @@
 import type { JobId } from './JobId.js'
 import type { JobStep } from './JobStep.js'
+import type { QueueRules } from './QueueRules.js'
 
 /**
  * A job as a caller submitted it.
@@ -10,6 +11,8 @@
 	readonly id: JobId
 	/** Name of the queue. */
 	readonly queue: string
+	/** Rules of the queue when the job was accepted; absent in records of versions that did not keep them. */
+	readonly acceptedRules?: QueueRules
 	/** Name of the team; empty for a job without a key. */
 	readonly team: string
 	/** Text that is passed to each task. */
--- a/packages/core/src/lib/jobs/PlacementPlanner.ts
+++ b/packages/core/src/lib/jobs/PlacementPlanner.ts
@@ -18,6 +18,7 @@
 import { getBackendAvailability } from './getBackendAvailability.js'
 import { getHostRefusal } from './getHostRefusal.js'
 import { getPendingCores } from './getPendingCores.js'
+import { getQueueRules } from './getQueueRules.js'
 import { getReadySteps } from './getReadySteps.js'
 import { getRemainingWork } from './getRemainingWork.js'
 import { getServiceLoad } from './getServiceLoad.js'
@@ -144,7 +145,7 @@
 	): RankedCandidate[] {
 		const candidates: SchedulingCandidate[] = []
 		for (const row of this.jobs.active) {
-			const queue = configuration.queues.get(row.job.queue)
+			const queue = getQueueRules(row.job, configuration)
 			if (!queue) continue
 			const readySteps = getReadySteps(row, now, wallTime)
 			for (const readyStep of readySteps) candidates.push({ readyStep, queue })
--- a/packages/core/src/lib/jobs/explainJob.ts
+++ b/packages/core/src/lib/jobs/explainJob.ts
@@ -8,6 +8,7 @@
 import { fitsWithin } from './fitsWithin.js'
 import { getBackendAvailability } from './getBackendAvailability.js'
 import { getHostRefusal } from './getHostRefusal.js'
+import { getQueueRules } from './getQueueRules.js'
 import { getReservedResources } from './getReservedResources.js'
 import { getReadySteps } from './getReadySteps.js'
 import { noResources } from './noResources.js'
@@ -100,7 +101,7 @@
 	const { step } = readyStep
 	const used = backends.getTeamUsage(job.team)
 	if (exceedsTeamLimit(configuration.teams.get(job.team), used, step.needs)) return 'team-limit'
-	const service = configuration.queues.get(job.queue)?.service
+	const service = getQueueRules(job, configuration)?.service
 	const usable = [...backends.all].filter(
 		(backend) => backend.service === service && getBackendAvailability(backend, now) === 'usable'
 	)
--- a/packages/core/src/lib/jobs/recordEarlierArrivals.ts
+++ b/packages/core/src/lib/jobs/recordEarlierArrivals.ts
@@ -2,6 +2,7 @@
 import type { FleetConfiguration } from './FleetConfiguration.js'
 import type { Job } from './Job.js'
 import { getJobWork } from './getJobWork.js'
+import { getQueueRules } from './getQueueRules.js'
 
 /** Age from which a job no longer counts as arriving, in milliseconds. */
 const MAXIMUM_AGE = 10_000
@@ -23,7 +24,7 @@
 ): void {
 	for (const job of jobs) {
 		const age = wallTime - job.acceptedAt
-		const service = configuration.queues.get(job.queue)?.service
+		const service = getQueueRules(job, configuration)?.service
 		if (service === undefined || age > MAXIMUM_AGE) continue
 		demand.recordArrival(service, getJobWork(job), now, age)
 	}
--- a/packages/jobs/src/lib/callers/JobIntake.ts
+++ b/packages/jobs/src/lib/callers/JobIntake.ts
@@ -1,4 +1,4 @@
-import type { Job, JobId, JobStep, TimerService } from '@mastichead/core'
+import type { Job, JobId, JobStep, QueueRules, TimerService } from '@mastichead/core'
 import { isFinalState } from '@mastichead/core'
 import { JobRecords } from '../log/JobRecords.js'
 import type { JobReplica } from '../log/JobReplica.js'
@@ -92,13 +92,15 @@
 	/**
 	 * Counts the jobs of a queue that have no schedule and of which no task has started. The answer is
 	 * `unavailable` until every stream has been loaded.
+	 *
+	 * @param prefix - where callers reach the queue; jobs accepted there under another name count as well
 	 */
-	countWaitingJobs(queue: string): JobAnswer {
+	countWaitingJobs(queue: string, prefix?: Pick<QueueRules, 'host' | 'pathPrefix'>): JobAnswer {
 		if (!this.reader.isLoaded) {
 			this.events.info('waiting-jobs-uncounted', { queue })
 			return createUnavailableAnswer('state not loaded yet')
 		}
-		return { kind: 'waiting', count: this.replica.countWaitingJobs(queue) }
+		return { kind: 'waiting', count: this.replica.countWaitingJobs(queue, prefix) }
 	}
 
 	private createMissingAnswer(
--- a/packages/jobs/src/lib/log/JobReplica.ts
+++ b/packages/jobs/src/lib/log/JobReplica.ts
@@ -1,4 +1,4 @@
-import type { BackendId, JobId, JobState, TimerService } from '@mastichead/core'
+import type { BackendId, Job, JobId, JobState, QueueRules, TimerService } from '@mastichead/core'
 import { isFinalState } from '@mastichead/core'
 import type { EventLog } from '../logs/EventLog.js'
 import type { MachineOrder } from '../machines/MachineOrder.js'
@@ -12,6 +12,8 @@
 import type { ReplicaRow } from './ReplicaRow.js'
 import { TermHistory } from './TermHistory.js'
 
+type QueuePrefix = Pick<QueueRules, 'host' | 'pathPrefix'>
+
 const noPlacements: ReplicaRow['placements'] = new Map()
 
 /**
@@ -76,11 +78,15 @@
 		return row.cancelled && !isFinalState(state) ? 'cancelled' : state
 	}
 
-	/** Counts the jobs of a queue that have no schedule and of which no task has started. */
-	countWaitingJobs(queue: string): number {
+	/**
+	 * Counts the jobs of a queue that have no schedule and of which no task has started.
+	 *
+	 * @param prefix - where callers reach the queue; jobs accepted there under another name count as well
+	 */
+	countWaitingJobs(queue: string, prefix?: QueuePrefix): number {
 		let count = 0
 		for (const row of this.rows.values()) {
-			if (row.job?.queue !== queue || row.job.times > 0) continue
+			if (!row.job || !isOfQueue(row.job, queue, prefix) || row.job.times > 0) continue
 			if (!row.cancelled && row.snapshot?.begun !== true) count += 1
 		}
 		return count
@@ -236,3 +242,9 @@
 		}
 	}
 }
+
+function isOfQueue({ queue, acceptedRules }: Job, name: string, prefix?: QueuePrefix): boolean {
+	if (queue === name) return true
+	if (!acceptedRules || !prefix) return false
+	return acceptedRules.host === prefix.host && acceptedRules.pathPrefix === prefix.pathPrefix
+}
--- a/packages/jobs/src/lib/machines/PoolManager.ts
+++ b/packages/jobs/src/lib/machines/PoolManager.ts
@@ -8,7 +8,7 @@
 	PoolPolicy,
 	PoolState,
 } from '@mastichead/core'
-import { getBackendAvailability } from '@mastichead/core'
+import { getBackendAvailability, getQueueRules } from '@mastichead/core'
 import { ConcurrencyLimit } from '../ConcurrencyLimit.js'
 import type { OwnerContext } from '../owner/OwnerContext.js'
 import type { MachineController } from '../ports/MachineController.js'
@@ -276,7 +276,7 @@
 		const { jobs, getConfiguration } = this.context
 		let minimum = 0
 		for (const row of jobs.active) {
-			if (getConfiguration().queues.get(row.job.queue)?.service !== service) continue
+			if (getQueueRules(row.job, getConfiguration())?.service !== service) continue
 			for (const { lasting, count, maximumPerBackend } of row.job.steps) {
 				if (!lasting || maximumPerBackend === 0) continue
 				minimum = Math.max(minimum, Math.ceil(count / maximumPerBackend))
--- a/packages/jobs/src/lib/owner/OwnerTerm.ts
+++ b/packages/jobs/src/lib/owner/OwnerTerm.ts
@@ -7,6 +7,7 @@
 	LeastSlackPolicy,
 	BinPackingScorer,
 	getJobWork,
+	getQueueRules,
 	DemandMeter,
 	explainJob,
 	recordEarlierArrivals,
@@ -319,7 +320,7 @@
 		const { jobs, timers, getConfiguration } = this.context
 		const existing = jobs.get(job.id)
 		if (!existing) {
-			const service = getConfiguration().queues.get(job.queue)?.service
+			const service = getQueueRules(job, getConfiguration())?.service
 			if (service !== undefined && this.started)
 				this.demand.recordArrival(service, getJobWork(job), timers.now())
 			this.recovery.restoreJob(replicaRow)
--- a/packages/jobs/src/lib/owner/TaskUpdater.ts
+++ b/packages/jobs/src/lib/owner/TaskUpdater.ts
@@ -6,11 +6,11 @@
 	RunEnding,
 	TaskRow,
 } from '@mastichead/core'
-import { applyRunEnding, updateJobState } from '@mastichead/core'
+import { applyRunEnding, getQueueRules, updateJobState } from '@mastichead/core'
 import type { OwnerContext } from './OwnerContext.js'
 import type { ProgressWriter } from './ProgressWriter.js'
 
-/** Maximum attempts of a task whose queue is no longer configured. */
+/** Maximum attempts of a task of whose queue no rules are known. */
 const DEFAULT_MAXIMUM_ATTEMPTS = 1
 /**
  * How long the changes of a job's tasks may wait for further ones, in milliseconds, while the job's
@@ -41,7 +41,7 @@
 	/** Records the end of a task's current run. */
 	endRun(task: TaskRow, ending: RunEnding, checkpoint: string, reason: string): void {
 		const { backends, events, metrics, timers, getConfiguration } = this.context
-		const queue = getConfiguration().queues.get(task.job.job.queue)
+		const queue = getQueueRules(task.job.job, getConfiguration())
 		const backend = task.backend
 		const age = Math.max(0, Math.round(timers.now() - task.startedAt))
 		const maximumAttempts = queue?.maximumAttempts ?? DEFAULT_MAXIMUM_ATTEMPTS
--- a/packages/jobs/src/lib/owner/WaitingTaskReporter.ts
+++ b/packages/jobs/src/lib/owner/WaitingTaskReporter.ts
@@ -4,6 +4,7 @@
 	explainJob,
 	getBackendAvailability,
 	getHostRefusal,
+	getQueueRules,
 } from '@mastichead/core'
 import type { OwnerContext } from './OwnerContext.js'
 
@@ -120,7 +121,7 @@
 		const reason = this.explain(first, now)
 		for (const task of tasks) this.recordReport(this.waiting, task, now)
 		if (reason === 'not-due' || reason === 'dependency') return
-		const service = getConfiguration().queues.get(job.job.queue)?.service
+		const service = getQueueRules(job.job, getConfiguration())?.service
 		const pool = service === undefined ? undefined : this.getPool(service)
 		const { team } = job.job
 		const rules = getConfiguration().teams.get(team)
--- a/packages/jobs/src/lib/testing/MemoryBackend.ts
+++ b/packages/jobs/src/lib/testing/MemoryBackend.ts
@@ -45,6 +45,8 @@
 	stopTime = 50
 	/** Returns how long a task runs in milliseconds; undefined if it runs until it is stopped. */
 	getRunDuration: (task: string) => number | undefined = () => 300
+	/** Returns how a run ends that is not stopped. */
+	getRunEnding: (task: string) => RunEnding = () => 'done'
 	private readonly runs = new Map<string, Run>()
 	private unacknowledgedEnds: RunListing['ended'][number][] = []
 	private readonly barredAttempts = new Map<string, number>()
@@ -80,7 +82,9 @@
 		const duration = this.getRunDuration(task)
 		const startedAt = this.timers.now()
 		const ending =
-			duration === undefined ? undefined : { at: startedAt + duration, kind: 'done' as const }
+			duration === undefined
+				? undefined
+				: { at: startedAt + duration, kind: this.getRunEnding(task) }
 		this.runs.set(task, { task, attempt, startedAt, ending })
 		this.journal.recordStart(task, attempt, this.id, startedAt)
 		this.onStart(task)
--- a/packages/jobs/src/lib/testing/createTestFleet.ts
+++ b/packages/jobs/src/lib/testing/createTestFleet.ts
@@ -35,6 +35,8 @@
 	/** Number of instances, the first ones, that are not preferred as owners; none by default. */
 	readonly standbys?: number
 	readonly configuration?: FleetConfiguration
+	/** Configuration that comes into force when `2` is written as the operator's configuration. */
+	readonly nextConfiguration?: FleetConfiguration
 	readonly machines?: Machine[]
 	readonly events?: EventLog
 	/** Creates the event log of each process, instead of one that all share. */
@@ -55,7 +57,9 @@
 	}
 	store.append('operator', [{ key: 'config', value: '1' }])
 	const configuration = options.configuration ?? createTestConfiguration(options.limit)
-	const format = new JsonTestFormat(new Map([[1, configuration]]))
+	const configurations = new Map([[1, configuration]])
+	if (options.nextConfiguration) configurations.set(2, options.nextConfiguration)
+	const format = new JsonTestFormat(configurations)
 	const machines = new MemoryMachineController(options.machines)
 	const instances: TestInstance[] = []
 	/** Number of starts; it names each process differently. */
