The cancelling of an unknown job is durable before it is acknowledged

The log may carry out an append that it has not answered seconds later, so that "no such job" does not mean that none comes.

Ruled out: refusing the late record at the owner by its acceptance time, since clocks differ and the owner does not know of the cancelling; fencing submissions, since any instance may write them.

Change: an unknown job's cancelling is written like a known one's, and answered 410 once it is stored, 503 or 504 if it is not. A row with only a cancelling stays unknown to queries, and makes a late submission `cancelled`.

The fixture of JobIntake.lines.test.ts had a writer without streams, where no record can be stored; it has them now, with the same assertions.

--- a/packages/jobs/src/lib/callers/JobIntake.lines.test.ts
+++ b/packages/jobs/src/lib/callers/JobIntake.lines.test.ts
@@ -3,6 +3,7 @@
 import { JobReplica } from '../log/JobReplica.js'
 import { StreamFollower } from '../log/StreamFollower.js'
 import { intakeStreams } from '../ports/intakeStreams.js'
+import type { LogStream } from '../ports/LogStream.js'
 import { MemoryEventLog } from '../testing/MemoryEventLog.js'
 import { MemoryLog } from '../testing/MemoryLog.js'
 import { MemoryStore } from '../testing/MemoryStore.js'
@@ -54,12 +55,13 @@
 	const log = new MemoryLog(store, timers)
 	const events = new MemoryEventLog()
 	const options = { maximumWait: 0, getPollDelay: () => 20 }
-	const [progress, ...intakeFollowers] = (['progress', ...intakeStreams] as const).map(
-		(stream) => new StreamFollower(stream, log, timers, events, () => undefined, options)
-	)
-	if (!progress) throw new Error('no follower of progress')
-	const followers = [...intakeFollowers, progress]
-	const writer = new IntakeWriter(log, timers, events, new Map())
+	const createFollower = (stream: LogStream): StreamFollower =>
+		new StreamFollower(stream, log, timers, events, () => undefined, options)
+	const progress = createFollower('progress')
+	const intakeFollowers = new Map(intakeStreams.map((stream) => [stream, createFollower(stream)]))
+	const followers = [...intakeFollowers.values(), progress]
+	// A cancellation is stored although its job is unknown.
+	const writer = new IntakeWriter(log, timers, events, intakeFollowers)
 	const replica = new JobReplica(events, timers)
 	const intake = new JobIntake(replica, writer, followers, progress, events, timers)
 	const advance = async (duration: number): Promise<void> => {
--- a/packages/jobs/src/lib/callers/JobIntake.ts
+++ b/packages/jobs/src/lib/callers/JobIntake.ts
@@ -56,21 +56,23 @@
 	}
 
 	/**
-	 * Cancels a job. Resolves once the cancellation is durable.
+	 * Cancels a job. Resolves once the cancellation is durable, also if no submission is known: the log may
+	 * still carry one out, and the job must not run then.
 	 *
 	 * @param deadline - monotonic instant by which the caller needs an answer
 	 */
 	async cancel(id: JobId, deadline: number): Promise<JobAnswer> {
 		const askedAt = this.timers.now()
 		const found = await this.reader.lookUp(id, deadline)
-		if (found !== 'known') return this.createMissingAnswer(id, found, askedAt)
+		if (found === 'unreadable') return this.createMissingAnswer(id, found, askedAt)
 		const state = this.replica.getState(id)
 		if (state && isFinalState(state)) return { kind: 'cancelled' }
 		const result = await this.writer.write(JobRecords.createCancelRecord(id), deadline)
 		this.events.info('job-cancel-asked', { job: id, state, verdict: result.kind })
-		if (result.kind === 'stored') return { kind: 'cancelled' }
 		if (result.kind === 'unclear') return result
-		return createUnavailableAnswer(result.reason)
+		if (result.kind !== 'stored') return createUnavailableAnswer(result.reason)
+		if (this.replica.isSubmitted(id)) return { kind: 'cancelled' }
+		return this.createMissingAnswer(id, 'unknown', askedAt)
 	}
 
 	/**
--- a/packages/jobs/src/lib/log/JobReplica.ts
+++ b/packages/jobs/src/lib/log/JobReplica.ts
@@ -100,12 +100,14 @@
 			return
 		}
 		if (entry.value === undefined) {
-			if (key.kind === 'job') this.rows.delete(key.id)
+			if (key.kind === 'job' || !this.isSubmitted(key.id)) this.rows.delete(key.id)
 			return
 		}
 		const row = this.getOrCreateRow(key.id)
-		if (key.kind === 'cancel') row.cancelled = true
-		else row.job ??= this.parse(entry, (value) => JobRecords.parseJob(value))
+		if (key.kind === 'cancel') {
+			row.cancelled = true
+			row.cancelReadAt = this.timers.now()
+		} else row.job ??= this.parse(entry, (value) => JobRecords.parseJob(value))
 		for (const listener of this.jobListeners) listener(row)
 	}
 
@@ -225,6 +227,7 @@
 			id,
 			job: undefined,
 			cancelled: false,
+			cancelReadAt: undefined,
 			snapshot: undefined,
 			placements: noPlacements,
 		}
--- a/packages/jobs/src/lib/log/ReplicaRow.ts
+++ b/packages/jobs/src/lib/log/ReplicaRow.ts
@@ -11,6 +11,8 @@
 	/** The submitted job; undefined if only other records of the job were read so far. */
 	job: Job | undefined
 	cancelled: boolean
+	/** Monotonic instant at which the latest cancellation was read; undefined before the first. */
+	cancelReadAt: number | undefined
 	/** Latest progress recorded by an owner; undefined before the first record. */
 	snapshot: JobSnapshot | undefined
 	/** The placements in that progress, by the task's index in the job's list of tasks. */
--- a/packages/jobs/src/lib/owner/JobRetention.ts
+++ b/packages/jobs/src/lib/owner/JobRetention.ts
@@ -17,8 +17,14 @@
 /** Timeout of one append, in milliseconds. */
 const APPEND_TIMEOUT = 900
 
+interface ExpiredJob {
+	readonly id: JobId
+	/** Whether an owner has recorded progress of the job. */
+	readonly hasProgress: boolean
+}
+
 /**
- * Drops the records of jobs that finished long ago. This bounds the size of the log and of the
+ * Drops the records of jobs that finished long ago, and cancellations of jobs that were never submitted. This bounds the size of the log and of the
  * replica in each instance.
  *
  * @public
@@ -46,7 +52,7 @@
 		const intakeReadAt = this.getIntakeReadAt()
 		const expired = [...this.options.replica.all]
 			.filter((row) => this.isExpired(row, intakeReadAt))
-			.map((row) => row.id)
+			.map(({ id, snapshot }) => ({ id, hasProgress: snapshot !== undefined }))
 		for (let start = 0; start < expired.length; start += MAXIMUM_JOBS_PER_BATCH) {
 			await this.dropJobs(expired.slice(start, start + MAXIMUM_JOBS_PER_BATCH), failedStreams)
 			await this.waitForDurability()
@@ -73,14 +79,18 @@
 		return Math.min(...instants)
 	}
 
-	private isExpired({ snapshot }: ReplicaRow, intakeReadAt: number): boolean {
-		if (snapshot?.finishedAt === undefined) return false
-		if (snapshot.finishedAt + MAXIMUM_SUBMISSION_DELAY > intakeReadAt) return false
-		if (snapshot.tasks.some((task) => task.phase === 'placed')) return false
-		return (
-			this.context.getWallTime() - snapshot.finishedAt >
-			this.options.getRetentionTime() + RETENTION_MARGIN
-		)
+	private isExpired(row: ReplicaRow, intakeReadAt: number): boolean {
+		const endedAt = this.getEndedAt(row)
+		if (endedAt === undefined || endedAt + MAXIMUM_SUBMISSION_DELAY > intakeReadAt) return false
+		if (row.snapshot?.tasks.some((task) => task.phase === 'placed')) return false
+		return this.context.getWallTime() - endedAt > this.options.getRetentionTime() + RETENTION_MARGIN
+	}
+
+	/** Returns when a job ended, or when it was cancelled without having been submitted, as wall time. */
+	private getEndedAt({ job, snapshot, cancelReadAt }: ReplicaRow): number | undefined {
+		if (job || snapshot || cancelReadAt === undefined) return snapshot?.finishedAt
+		const { timers, getWallTime } = this.context
+		return cancelReadAt + getWallTime() - timers.now()
 	}
 
 	/**
@@ -89,8 +99,11 @@
 	 *
 	 * @param failedStreams - streams that are not tried again in this run
 	 */
-	private async dropJobs(ids: readonly JobId[], failedStreams: Set<StreamFollower>): Promise<void> {
-		const remaining = new Set(ids)
+	private async dropJobs(
+		jobs: readonly ExpiredJob[],
+		failedStreams: Set<StreamFollower>
+	): Promise<void> {
+		const remaining = new Set(jobs.map(({ id }) => id))
 		const { intake } = this.options
 		const streams = [...intake].sort(
 			(a, b) => Number(failedStreams.has(b)) - Number(failedStreams.has(a))
@@ -103,7 +116,7 @@
 			failedStreams.add(follower)
 			for (const id of present) remaining.delete(id)
 		}
-		this.dropProgress(remaining)
+		this.dropProgress(jobs.filter(({ id }) => remaining.has(id)))
 	}
 
 	private async dropIntakeRecords(
@@ -118,13 +131,14 @@
 		return false
 	}
 
-	private dropProgress(ids: ReadonlySet<JobId>): void {
-		if (ids.size === 0) return
-		for (const id of ids) {
-			this.options.writer.markRecordChanged(id, () => ({ key: id, value: undefined }))
+	private dropProgress(jobs: readonly ExpiredJob[]): void {
+		if (jobs.length === 0) return
+		for (const { id, hasProgress } of jobs) {
+			if (hasProgress)
+				this.options.writer.markRecordChanged(id, () => ({ key: id, value: undefined }))
 			this.context.jobs.remove(id)
 		}
-		this.context.events.info('jobs-dropped', { count: ids.size })
+		this.context.events.info('jobs-dropped', { count: jobs.length })
 	}
 }
 
--- a/packages/jobs/src/lib/owner/TermRecovery.slices.failure.test.ts
+++ b/packages/jobs/src/lib/owner/TermRecovery.slices.failure.test.ts
@@ -46,7 +46,8 @@
 	return Array.from({ length: JOBS }, (_, index) => {
 		const id = index.toString(16).padStart(16, '0')
 		const job = createTestJob(id, [{ estimate: 300 }], 0)
-		return { id, job, cancelled: false, snapshot: undefined, placements: new Map() }
+		const cancellation = { cancelled: false, cancelReadAt: undefined }
+		return { id, job, ...cancellation, snapshot: undefined, placements: new Map() }
 	})
 }
 
