Entries of the registry that an owner cannot call or record are passed over

The key of the owner's copy, backend/ID, does not fit in a key, encodeRecords throws, and each term ends; - 100,000 bytes that are not UTF-8: no job is placed. Each becomes three bytes in the owner's copy, the store refuses the record (413), and the append is repeated for ever; - a service that is not configured, sound otherwise: its address is called again and again.

Cause: what a copy of a registration can hold was nowhere checked, and a server counted whatever its service.

A monitor calls a server only while its service is configured or something runs there, and looks again each 500 ms. An unreadable entry is reported once, with a short problem, and deregisters what an earlier owner made of it. The stand-in refuses records over the platform's limit.

--- a/packages/jobs/src/lib/owner/BackendMonitor.ts
+++ b/packages/jobs/src/lib/owner/BackendMonitor.ts
@@ -26,6 +26,8 @@
 /** Pause after a failed listing, in milliseconds: while tasks are placed on the server, and otherwise. */
 const FAILURE_PAUSE = 300
 const IDLE_FAILURE_PAUSE = 800
+/** Pause before a server is looked at again whose service is not configured, in milliseconds. */
+const UNUSED_SERVICE_PAUSE = 500
 /** Minimum time until the leases of an unreachable server are looked at again, in milliseconds. */
 const MINIMUM_EXPIRY_CHECK = 100
 /** Reason of the end of runs whose leases cannot hold any more. */
@@ -111,7 +113,8 @@
 
 	private async runOnce(): Promise<void> {
 		if (!this.isNeeded()) {
-			await this.sleep(undefined)
+			// The next configuration may name the service of a server that is unusable now.
+			await this.sleep(this.isUnusable() ? UNUSED_SERVICE_PAUSE : undefined)
 			return
 		}
 		const wasReachable = this.row.reachable
@@ -196,10 +199,15 @@
 		const { row } = this
 		if (row.address === '') return row.tasks.size > 0
 		const hasUnacknowledgedEnds = row.lastProcessedEnd > row.lastAcknowledgedEnd
-		const isUnusable = !row.reconciled || !row.reachable
 		if (row.tasks.size > 0 || row.hasUnreadRuns || hasUnacknowledgedEnds) return true
 		if (row.unexpected !== noResources) return true
-		return row.registered && isUnusable
+		return this.isUnusable() && this.context.getConfiguration().services.has(row.service)
+	}
+
+	/** Whether the server is registered and has to be listed before it can be used. */
+	private isUnusable(): boolean {
+		const { registered, reconciled, reachable } = this.row
+		return registered && !(reconciled && reachable)
 	}
 
 	/** Renews the leases and reads a listing. Returns whether the server answered with a listing. */
--- a/packages/jobs/src/lib/owner/BackendRegistry.ts
+++ b/packages/jobs/src/lib/owner/BackendRegistry.ts
@@ -32,6 +32,8 @@
 export class BackendRegistry {
 	readonly follower: StreamFollower
 	private readonly registrations = new Map<BackendId, BackendRegistration>()
+	/** Problems of the entries that name no server. */
+	private readonly unreadable = new Map<BackendId, string>()
 
 	constructor(
 		private readonly context: OwnerContext,
@@ -82,16 +84,23 @@
 
 	private apply(entry: LogEntry): void {
 		if (entry.value === undefined) {
+			this.unreadable.delete(entry.key)
 			this.deregister(entry.key)
 			return
 		}
 		const registration = this.format.decodeRegistration(entry.key, entry.value)
-		if ('kind' in registration) {
-			const { events } = this.context
-			events.warn('registration-unreadable', { backend: entry.key, problem: registration.problem })
-			return
+		if ('kind' in registration) this.reportUnreadable(entry.key, registration.problem)
+		else {
+			this.unreadable.delete(entry.key)
+			this.applyRegistration(registration)
 		}
-		this.applyRegistration(registration)
+	}
+
+	/** Reports an entry that names no server; the same one is not reported again if it is only rewritten. */
+	private reportUnreadable(id: BackendId, problem: string): void {
+		if (this.unreadable.get(id) === problem) return
+		this.unreadable.set(id, problem)
+		this.context.events.warn('registration-unreadable', { backend: id, problem })
 	}
 
 	private applyRegistration(registration: BackendRegistration): void {
@@ -132,7 +141,11 @@
 
 	/** Deregisters backend servers that an earlier owner knew but the registry no longer contains. */
 	private deregisterUnlisted(): void {
-		for (const id of [...this.registrations.keys()]) if (!this.follower.has(id)) this.deregister(id)
+		for (const id of [...this.registrations.keys()]) {
+			const row = this.context.backends.get(id)
+			if (!this.follower.has(id)) this.deregister(id)
+			else if (row && this.unreadable.has(id)) this.removeRegistration(row)
+		}
 	}
 
 	/** Deregisters a backend server, after the grace time if the log was recently unreachable. */
--- a/packages/standins/src/lib/jobPlatform/StoreStandin.ts
+++ b/packages/standins/src/lib/jobPlatform/StoreStandin.ts
@@ -9,6 +9,8 @@
 /** Maximum size of a page of newest records. */
 const MAXIMUM_PAGE_RECORDS = 500
 const MAXIMUM_PAGE_BYTES = 1_000_000
+/** Maximum size of a record without its length. */
+const MAXIMUM_RECORD_BYTES = 262_144
 const DEFAULT_READ_KILOBYTES = 1_024
 const BYTES_PER_KILOBYTE = 1_024
 
@@ -146,14 +148,23 @@
 		if (previousAnswer) return { status: 200, body: previousAnswer }
 	}
 	const offset = partition.records.length
+	const records = splitRecords(body)
+	if (records.some(({ length }) => length > LENGTH_BYTES + MAXIMUM_RECORD_BYTES))
+		return { status: 413, body: {} }
+	partition.records.push(...records)
+	const answer = { offset, end: partition.records.length }
+	if (sequence !== null) partition.answers.set(sequence, answer)
+	return { status: 200, body: answer }
+}
+
+function splitRecords(body: Buffer): Buffer[] {
+	const records: Buffer[] = []
 	for (let position = 0; position < body.length;) {
 		const end = position + LENGTH_BYTES + body.readUInt32BE(position)
-		partition.records.push(body.subarray(position, end))
+		records.push(body.subarray(position, end))
 		position = end
 	}
-	const answer = { offset, end: partition.records.length }
-	if (sequence !== null) partition.answers.set(sequence, answer)
-	return { status: 200, body: answer }
+	return records
 }
 
 async function readRecords(
@@ -213,6 +224,7 @@
 function listNewestValues(partition: Partition): NewestValue[] {
 	const items = new Map<string, NewestValue>()
 	for (const [offset, record] of partition.records.entries()) {
+		if (record.length <= LENGTH_BYTES) continue
 		const keyEnd = LENGTH_BYTES + 1 + record.readUInt8(LENGTH_BYTES)
 		const key = record.toString('utf8', LENGTH_BYTES + 1, keyEnd)
 		const value = record.subarray(keyEnd)
