--- a/packages/jobs/src/lib/owner/JobRetention.ts
+++ b/packages/jobs/src/lib/owner/JobRetention.ts
@@ -17,15 +17,9 @@
 /** Timeout of one append, in milliseconds. */
 const APPEND_TIMEOUT = 900
 
-interface ExpiredJob {
-	readonly id: JobId
-	/** Whether an owner has recorded progress of the job. */
-	readonly hasProgress: boolean
-}
-
 /**
- * Drops the records of jobs that finished long ago, and cancellations of jobs that were never submitted. This bounds the size of the log and of the
- * replica in each instance.
+ * Drops the records of jobs that finished long ago, and cancellations of jobs that were never submitted.
+ * This bounds the size of the log and of the replica in each instance.
  *
  * @public
  */
@@ -50,9 +44,7 @@
 		this.isDropping = true
 		const failedStreams = new Set<StreamFollower>()
 		const intakeReadAt = this.getIntakeReadAt()
-		const expired = [...this.options.replica.all]
-			.filter((row) => this.isExpired(row, intakeReadAt))
-			.map(({ id, snapshot }) => ({ id, hasProgress: snapshot !== undefined }))
+		const expired = [...this.options.replica.all].filter((row) => this.isExpired(row, intakeReadAt))
 		for (let start = 0; start < expired.length; start += MAXIMUM_JOBS_PER_BATCH) {
 			await this.dropJobs(expired.slice(start, start + MAXIMUM_JOBS_PER_BATCH), failedStreams)
 			await this.waitForDurability()
@@ -100,10 +92,10 @@
 	 * @param failedStreams - streams that are not tried again in this run
 	 */
 	private async dropJobs(
-		jobs: readonly ExpiredJob[],
+		rows: readonly ReplicaRow[],
 		failedStreams: Set<StreamFollower>
 	): Promise<void> {
-		const remaining = new Set(jobs.map(({ id }) => id))
+		const remaining = new Set(rows.map(({ id }) => id))
 		const { intake } = this.options
 		const streams = [...intake].sort(
 			(a, b) => Number(failedStreams.has(b)) - Number(failedStreams.has(a))
@@ -116,7 +108,7 @@
 			failedStreams.add(follower)
 			for (const id of present) remaining.delete(id)
 		}
-		this.dropProgress(jobs.filter(({ id }) => remaining.has(id)))
+		this.dropProgress(rows.filter(({ id }) => remaining.has(id)))
 	}
 
 	private async dropIntakeRecords(
@@ -131,14 +123,13 @@
 		return false
 	}
 
-	private dropProgress(jobs: readonly ExpiredJob[]): void {
-		if (jobs.length === 0) return
-		for (const { id, hasProgress } of jobs) {
-			if (hasProgress)
-				this.options.writer.markRecordChanged(id, () => ({ key: id, value: undefined }))
+	private dropProgress(rows: readonly ReplicaRow[]): void {
+		if (rows.length === 0) return
+		for (const { id, snapshot } of rows) {
+			if (snapshot) this.options.writer.markRecordChanged(id, () => ({ key: id, value: undefined }))
 			this.context.jobs.remove(id)
 		}
-		this.context.events.info('jobs-dropped', { count: jobs.length })
+		this.context.events.info('jobs-dropped', { count: rows.length })
 	}
 }
 
