The soak's check takes a run that ends in the millisecond of its start for ended

Cause, as the review traced it in the four runs whose files were kept: a run began and was lost with its server in one millisecond; checkRecord sorts ends of a time before starts, so that the run's end came first and it counted as open for ever. A fault of the check, not of the product.

Ruled out: ignoring overlaps of that length, and sorting by the order of the list, since an end is noticed late.

Change: an end comes after the starts of its time if its own run began at that time, and before them otherwise, in the check of runs and in that of the limit. As strict as before: two runs that begin at one time are still found, and so is one that begins and ends at one time while another runs; both are new cases of checkRecord.test.ts.

--- a/packages/soak/src/lib/checkRecord.test.ts
+++ b/packages/soak/src/lib/checkRecord.test.ts
@@ -11,11 +11,42 @@
 		expect(checkRecord(createRecord({}))).toEqual([])
 	})
 
+	// Guards against a run that counts as open for ever, because it was lost in the millisecond in which it began.
+	it('finds nothing if a run ends at the time of its start and another begins later', () => {
+		const runs = [
+			event('started', 1, 0),
+			event('ended', 1, 0, 'lost'),
+			...[
+				event('started', 2, 100),
+				event('ended', 2, 500, 'done'),
+				event('acknowledged', 2, 550, 'done'),
+			],
+		]
+		expect(checkRecord(createRecord({ runs }))).toEqual([])
+	})
+
+	// An end of another run at the time of a start comes before it.
+	it('finds nothing if a run begins at the time at which another ends', () => {
+		const runs = [
+			event('started', 1, 0),
+			event('started', 2, 100),
+			event('ended', 1, 100, 'lost'),
+			...[event('ended', 2, 500, 'done'), event('acknowledged', 2, 550, 'done')],
+		]
+		expect(checkRecord(createRecord({ runs }))).toEqual([])
+	})
+
 	// Each case is a mistake that the check must find.
 	const mistakes: Readonly<Record<string, Partial<SoakRecord>>> = {
 		'two runs of a task at the same time': {
 			runs: [event('started', 1, 0), event('started', 2, 50), ...createRuns()],
 		},
+		'a run that begins at the time of another one, which has not ended': {
+			runs: [event('started', 1, 0), event('started', 2, 0), ...createRuns()],
+		},
+		'a run that begins and ends while another one runs': {
+			runs: [event('started', 1, 0), event('started', 2, 50), event('ended', 2, 50, 'lost')],
+		},
 		'a run after the end was acknowledged': {
 			runs: [...createRuns(), event('started', 2, 900), event('ended', 2, 1_000, 'done')],
 		},
--- a/packages/soak/src/lib/checkRecord.ts
+++ b/packages/soak/src/lib/checkRecord.ts
@@ -75,9 +75,7 @@
 
 function groupByTask(events: readonly RunEvent[]): Map<string, RunEvent[]> {
 	const groups = new Map<string, RunEvent[]>()
-	// An end is noticed later than it happens, so that it may follow a later start in the list.
-	const sorted = [...events].sort((a, b) => a.at - b.at || rank(a) - rank(b))
-	for (const event of sorted) {
+	for (const event of sortEvents(events)) {
 		const group = groups.get(event.task)
 		if (group) group.push(event)
 		else groups.set(event.task, [event])
@@ -85,8 +83,22 @@
 	return groups
 }
 
-function rank({ kind }: RunEvent): number {
-	return kind === 'started' ? 1 : 0
+/**
+ * Sorts events by their time. An end is noticed later than it happens, so that it may follow a later start in
+ * the list; of one time, ends come first, but not before the starts of their own runs.
+ */
+function sortEvents(events: readonly RunEvent[]): RunEvent[] {
+	const starts = new Set(events.filter(({ kind }) => kind === 'started').map(formatInstant))
+	const rank = (event: RunEvent): number => {
+		if (event.kind === 'started') return 1
+		return event.kind === 'ended' && starts.has(formatInstant(event)) ? 2 : 0
+	}
+	return [...events].sort((a, b) => a.at - b.at || rank(a) - rank(b))
+}
+
+/** Formats the run of an event and its time. */
+function formatInstant({ task, attempt, at }: RunEvent): string {
+	return `${task}/${attempt}@${at}`
 }
 
 /** No accepted job is lost, none is shown as completed too early, and "not run" is true. */
@@ -138,8 +150,7 @@
 	if (cpuLimit === 0) return []
 	const running = new Set<string>()
 	const allowed = (cpuLimit * (1 + LIMIT_BURST)) / taskCpu + 1
-	const sorted = [...runs].sort((a, b) => a.at - b.at || rank(a) - rank(b))
-	for (const { kind, task, attempt } of sorted) {
+	for (const { kind, task, attempt } of sortEvents(runs)) {
 		if (kind === 'started') running.add(`${task}/${attempt}`)
 		if (kind === 'ended') running.delete(`${task}/${attempt}`)
 		if (running.size > allowed) return [`${running.size} tasks ran, the limit allows ${allowed}`]
