The test of first listings names the service of its servers

Ruled out: the load (it fails alone), and the product, which begins no term before it has a configuration.

Change: the fixture has a configuration and its servers a service of it. The assertions are the same, and it fails as before if the limits of createListingQueues are raised to 480.

--- a/packages/jobs/src/lib/owner/BackendMonitor.limits.failure.test.ts
+++ b/packages/jobs/src/lib/owner/BackendMonitor.limits.failure.test.ts
@@ -1,4 +1,4 @@
-import { VirtualTimerService } from '@mastichead/core'
+import { VirtualTimerService, createTestConfiguration } from '@mastichead/core'
 import { expect, it } from 'vitest'
 import { BackendServerClient } from '../ports/BackendServerClient.js'
 import type { BackendAddress } from '../ports/BackendAddress.js'
@@ -86,7 +86,13 @@
 // gets none of the lists in time, and starts over for ever.
 it('reads the ends of all backend servers over a narrow link when a term starts', async () => {
 	const timers = new VirtualTimerService()
-	const context = { ...createTestContext(timers), backendClient: new NarrowClient(timers) }
+	const configuration = createTestConfiguration()
+	const context = {
+		...createTestContext(timers),
+		backendClient: new NarrowClient(timers),
+		// Only servers of configured services are listed.
+		getConfiguration: () => configuration,
+	}
 	const ignore = (): void => undefined
 	const writer = { whenDurable: ignore } as unknown as ProgressWriter
 	const options = {
@@ -105,7 +111,7 @@
 	}
 	const rows = Array.from({ length: BACKENDS }, (_, number) => {
 		const row = context.backends.getOrCreate(`b${number}`)
-		Object.assign(row, { registered: true, address: `10.0.0.1:${number}` })
+		Object.assign(row, { registered: true, address: `10.0.0.1:${number}`, service: 'desk' })
 		return row
 	})
 	for (const row of rows) new BackendMonitor(context, row, options).start()
