--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -1,36 +1,25 @@
 /**
- * Callers hand in scheduled jobs, each of which is accepted: an hourly task pair for a year. Nothing of them is
- * due for an hour. The daemons must stay up and answer for what they have accepted.
+ * A new configuration takes a key from one tenant and gives it to another. From then on the key must not reach
+ * the jobs that the first tenant has handed in, neither to read nor to cancel them.
  */
 import path from 'node:path'
 import { setTimeout as delay } from 'node:timers/promises'
-import { runCase } from '../lib-2/Site.mjs'
+import { runCase, NotRun } from '../lib-2/Site.mjs'
 
-const WORKERS = 7
+const WORKERS = 3
 const DAEMONS = 3
-const TASK_CPU = 880
-/** Occurrences of one job: every hour for a year. Without the disruption, as many as on the sheet. */
-const OCCURRENCES = 8_760
-const USUAL_OCCURRENCES = 8
-const TASKS = 2
-const HOUR = 3_600_000
-const JOBS = 24
-const JOB_INTERVAL = 600
-/** The platform starts a process again after a short delay. */
-const RESTART_DELAY = 700
-const OBSERVED_TIME = 30_000
-const MAX_OWN_ENDS = 3
-const MAX_MACHINES = 2
-const FINISH_TIME = 14_000
-const PROBE = '/q/00000000000000b9'
+const TASK_CPU = 500
+const JOB = '00000000000000d1'
+const TARGET = `/q/${JOB}`
+const MOVED_KEY = 'key-1'
+const NEW_KEY = 'key-3'
+/** `config_apply_ms` is 2,000; the calls come 3 s later than that. */
+const APPLY_TIME = 5_000
 
 const record = path.join(import.meta.dirname, 'record.txt')
 
 runCase(record, async (site, isTrouble) => {
-	site.configure({
-		services: [{ name: 'desk' }],
-		routes: [{ name: 'r-1', path_prefix: '/q/', service: 'desk' }],
-	})
+	configure(site, 1, [MOVED_KEY], ['key-2'])
 	site.prepare = (worker) => {
 		worker.getNeeds = () => TASK_CPU
 	}
@@ -39,57 +28,49 @@
 	for (let number = 1; number <= DAEMONS; number += 1) site.startDaemon(number)
 	await site.waitUntilReady()
 
-	const ownEnds = new Map()
-	site.onExit = (number) => {
-		if (site.closing) return
-		ownEnds.set(number, (ownEnds.get(number) ?? 0) + 1)
-		setTimeout(() => {
-			if (!site.closing) site.startDaemon(number)
-		}, RESTART_DELAY)
-	}
-	const accepted = await submitJobs(site, isTrouble ? OCCURRENCES : USUAL_OCCURRENCES)
-	await site.waitFor('daemons that end by themselves', () => isBroken(ownEnds), OBSERVED_TIME)
-	const probe = await runProbe(site)
-	const ends = [...ownEnds].map(([number, count]) => `front-a-${number} ${count}`).join(', ')
-	const verdict = `${accepted.length} jobs accepted; own ends of processes: ${ends || 'none'}; a job of one task that is due now: ${probe}`
-	return { broken: isBroken(ownEnds), verdict }
-})
+	const steps = [{ count: 2, cpu: TASK_CPU, mem_mb: 256, long_running: true }]
+	const submitted = await site.call(
+		1,
+		'POST',
+		TARGET,
+		{ spec: 'lasting', steps },
+		{ key: MOVED_KEY }
+	)
+	const isRunning = async () => (await site.getState(TARGET, 1, MOVED_KEY)) === 'running'
+	if (submitted.status !== 200 || !(await site.waitFor('job running', isRunning, 5_000)))
+		throw new NotRun('the job does not run')
 
-/** The rule: on two machines at least, processes end by themselves three times. */
-function isBroken(ownEnds) {
-	const machines = [...ownEnds.values()].filter((count) => count >= MAX_OWN_ENDS)
-	return machines.length >= MAX_MACHINES
-}
+	if (isTrouble) configure(site, 7, [NEW_KEY], ['key-2', MOVED_KEY])
+	else configure(site, 7, [MOVED_KEY, NEW_KEY], ['key-2'])
+	await delay(APPLY_TIME)
+	const served = await callWithMovedKey(site, isTrouble)
+	await delay(1_000)
+	const state = await site.getState(TARGET, 3, NEW_KEY)
+	site.note('state-for-its-tenant', { state })
+	const verdict = `with a key of another tenant: ${served.join(', ') || 'nothing served'}; its own tenant reads: ${state}`
+	return { broken: served.length > 0, verdict }
+})
 
-async function submitJobs(site, times) {
-	const accepted = []
-	const startAt = Date.now() + HOUR
-	for (let number = 0; number < JOBS; number += 1) {
-		const id = (0xb0_0000 + number).toString(16).padStart(16, '0')
-		const status = await site.submit(`/q/${id}`, {
-			spec: '500 meter reading',
-			times,
-			start_at_ms: startAt,
-			interval_ms: HOUR,
-			steps: [{ count: TASKS, cpu: TASK_CPU, mem_mb: 256, estimate_ms: 500 }],
-		})
-		if (status === 200) accepted.push(id)
-		// Once no daemon answers, there is no use in more.
-		else break
-		await delay(JOB_INTERVAL)
-	}
-	return accepted
+function configure(site, version, keysOfA, keysOfB) {
+	site.note('configuration', { version, team_a: keysOfA, team_b: keysOfB })
+	site.configure({
+		version,
+		services: [{ name: 'desk' }],
+		routes: [{ name: 'r-1', path_prefix: '/q/', service: 'desk' }],
+		tenants: [
+			{ name: 'team-a', api_keys: keysOfA, priority: 1, weight: 35, cap: {} },
+			{ name: 'team-b', api_keys: keysOfB, priority: 1, weight: 35, cap: {} },
+		],
+	})
 }
 
-/** Hands in a usual job, and returns what is shown of it after `finish_s`. */
-async function runProbe(site) {
-	const steps = [{ count: 1, cpu: TASK_CPU, mem_mb: 256, estimate_ms: 500 }]
-	const status = await site.submit(PROBE, { spec: '500 quote', steps })
-	let state
-	const isDone = async () => {
-		for (const number of site.daemons.keys()) state = await site.getState(PROBE, number)
-		return state === 'completed'
+/** Reads the job and cancels it. Returns the calls that were answered with success though they must not be. */
+async function callWithMovedKey(site, isForeign) {
+	const served = []
+	const methods = isForeign ? ['GET', 'DELETE'] : ['GET']
+	for (const method of methods) {
+		const { status } = await site.call(2, method, TARGET, undefined, { key: MOVED_KEY })
+		if (isForeign && status >= 200 && status < 300) served.push(`${method} ${status}`)
 	}
-	await site.waitFor('probe completed', isDone, FINISH_TIME)
-	return `answered ${status}, then ${state}`
+	return served
 }
--- a/review/lib-2/Site.mjs
+++ b/review/lib-2/Site.mjs
@@ -251,8 +251,8 @@
 	}
 
 	/** Returns the state that a daemon shows for a job, or its status without one. */
-	async getState(target, number, quiet = true) {
-		const { status, text } = await this.call(number, 'GET', target, undefined, { quiet })
+	async getState(target, number, key = KEY) {
+		const { status, text } = await this.call(number, 'GET', target, undefined, { quiet: true, key })
 		return status === 200 ? JSON.parse(text).state : `status ${status}`
 	}
 
