--- a/review/lib-2/Site.mjs
+++ b/review/lib-2/Site.mjs
@@ -303,8 +303,7 @@
 		for (const worker of this.workers.values()) worker.crash()
 		this.store?.server.kill()
 		this.cloud?.server.kill()
-		if (process.env.KEEP_LOGS === undefined) rmSync(this.folder, { recursive: true, force: true })
-		else console.log(this.folder)
+		rmSync(this.folder, { recursive: true, force: true })
 	}
 }
 
@@ -332,6 +331,8 @@
 		process.exit(code)
 	}
 	for (const signal of ['SIGINT', 'SIGTERM']) process.on(signal, () => finish(2, signal))
+	for (const event of ['uncaughtException', 'unhandledRejection'])
+		process.on(event, (error) => finish(2, error?.stack ?? String(error)))
 	try {
 		await site.open()
 		const { broken, verdict } = await play(site, isTrouble)
