Evacuate an availability zone while the operator asks for it

An instance joins the group after it has read all records of the operator. Servers that warm up come after others.

--- a/packages/core/src/lib/jobs/BackendRow.ts
+++ b/packages/core/src/lib/jobs/BackendRow.ts
@@ -33,6 +33,10 @@
 	contactLoss: ContactLoss | undefined
 	/** Whether it takes no new tasks because its machine is being drained for maintenance or a move. */
 	cordoned: boolean
+	/** Whether its availability zone is being evacuated, so that it takes no new tasks. */
+	evacuated: boolean
+	/** How much longer it runs tasks slowly, by its latest registration, in milliseconds. */
+	warmupLeft: number
 	/** Time until which it gets no new tasks after failures. */
 	avoidedUntil: number
 	/** Its clock minus the owner's monotonic clock, in milliseconds. */
--- a/packages/core/src/lib/jobs/BackendTable.ts
+++ b/packages/core/src/lib/jobs/BackendTable.ts
@@ -79,6 +79,8 @@
 		reachable: true,
 		contactLoss: undefined,
 		cordoned: false,
+		evacuated: false,
+		warmupLeft: 0,
 		avoidedUntil: 0,
 		clockOffset: 0,
 		clockReadAt: 0,
--- a/packages/core/src/lib/jobs/BinPackingScorer.ts
+++ b/packages/core/src/lib/jobs/BinPackingScorer.ts
@@ -6,6 +6,8 @@
 const LOCALITY_BONUS = 10
 /** Penalty for placing best-effort tasks and tasks that serve users on the same server. */
 const INTERFERENCE_PENALTY = 5
+/** Penalty for a server that still runs tasks slowly after its start; outweighs how full servers are. */
+const WARMUP_PENALTY = 2
 /** Maximum share of a lasting step's tasks on one server while another server has room. */
 const MAXIMUM_LASTING_SHARE = 0.5
 /** Penalty for a server that already holds this share. */
@@ -14,7 +16,7 @@
 const LASTING_BONUS = 1
 
 /**
- * Prefers servers near the data and the rest of the step, then the fullest servers, so that the
+ * Prefers servers near the data and the rest of the step, then those at full speed, then the fullest, so that the
  * remaining machines become idle and can move to another pool.
  *
  * @public
@@ -26,6 +28,7 @@
 		if (readyStep.step.dataRack !== '' && backend.labels.includes(readyStep.step.dataRack))
 			score += LOCALITY_BONUS
 		if (readyStep.step.sameRack) score += LOCALITY_BONUS * getMemberShare(readyStep, backend)
+		if (backend.warmupLeft > 0) score -= WARMUP_PENALTY
 		if (wouldInterfere(readyStep, backend)) score -= INTERFERENCE_PENALTY
 		if (readyStep.step.lasting) score += getLastingScore(readyStep, backend)
 		return score
--- a/packages/core/src/lib/jobs/PlacementPlanner.test.ts
+++ b/packages/core/src/lib/jobs/PlacementPlanner.test.ts
@@ -12,6 +12,18 @@
 		expect(new Set(placements.map(({ backend }) => backend.id)).size).toBe(1)
 	})
 
+	it('prefers servers at full speed to fuller ones that warm up', () => {
+		const { jobs, backends, planner, configuration } = createTestTables({ backends: 2 })
+		jobs.add(createTestJob('a', [{ count: 2 }]))
+		const [first] = planner.plan(configuration, 0, 0)
+		if (!first) throw new Error('nothing was placed')
+		first.backend.warmupLeft = 500
+		jobs.add(createTestJob('b', [{ count: 2 }]))
+		const placements = planner.plan(configuration, 0, 0)
+		expect(placements.map(({ backend }) => backend.id)).not.toContain(first.backend.id)
+		expect([...backends.all].filter(({ warmupLeft }) => warmupLeft > 0)).toHaveLength(1)
+	})
+
 	it('places as many tasks as fit and reports the backlog in cores', () => {
 		const { jobs, planner, configuration } = createTestTables({ backends: 1 })
 		jobs.add(createTestJob('a', [{ count: 20 }]))
--- a/packages/core/src/lib/jobs/getBackendAvailability.ts
+++ b/packages/core/src/lib/jobs/getBackendAvailability.ts
@@ -9,9 +9,9 @@
  * @public
  */
 export function getBackendAvailability(backend: BackendRow, now: number): BackendAvailability {
-	const { registered, draining, cordoned, reachable, reconciled, avoidedUntil } = backend
+	const { registered, draining, cordoned, evacuated, reachable, reconciled, avoidedUntil } = backend
 	if (!registered) return 'unregistered'
-	if (draining || cordoned) return 'closing'
+	if (draining || cordoned || evacuated) return 'closing'
 	if (!reachable) return 'unreachable'
 	if (!reconciled) return 'unlisted'
 	return avoidedUntil > now ? 'avoided' : 'usable'
--- a/packages/jobs/src/lib/JobDaemon.ts
+++ b/packages/jobs/src/lib/JobDaemon.ts
@@ -132,7 +132,10 @@
 			getWallTime,
 			isPreferred: this.options.isPreferredOwner,
 			getOwnerSilence: () => this.getOwnerSilence(),
-			isReady: () => this.configuration.current !== undefined && this.progressFollower.loaded,
+			isReady: () =>
+				this.configuration.current !== undefined &&
+				this.configuration.isComplete &&
+				this.progressFollower.loaded,
 			onAcquire: (token) => {
 				this.beginTerm(token)
 			},
@@ -230,6 +233,8 @@
 			format,
 			machineController,
 			getWaves: () => this.configuration.waves,
+			evacuatedZones: this.configuration.evacuatedZones,
+			subscribeEvacuations: (listener) => this.configuration.subscribeEvacuations(listener),
 			timers,
 			events,
 			metrics,
--- a/packages/jobs/src/lib/configuration/ConfigurationManager.ts
+++ b/packages/jobs/src/lib/configuration/ConfigurationManager.ts
@@ -13,8 +13,8 @@
 const POLL_DELAY = 5
 
 /**
- * Follows the operator's stream: the configuration, of which the highest version is in force, and
- * the maintenance waves.
+ * Follows the operator's stream: the configuration, of which the highest version is in force, the
+ * maintenance waves, and the availability zones to evacuate.
  *
  * @public
  */
@@ -24,7 +24,12 @@
 	current: FleetConfiguration | undefined
 	/** Maintenance waves by the key of their record. */
 	readonly waves = new Map<string, MaintenanceWave>()
+	/** Availability zones that are being evacuated. */
+	readonly evacuatedZones = new Set<string>()
+	/** Whether every record of the stream has been read at least once since the start. */
+	isComplete = false
 	private readonly listeners = new Set<(configuration: FleetConfiguration) => void>()
+	private readonly evacuationListeners = new Set<() => void>()
 
 	constructor(
 		private readonly options: {
@@ -43,7 +48,13 @@
 			(entry) => {
 				this.apply(entry)
 			},
-			{ maximumWait: MAXIMUM_READ_WAIT, getPollDelay: () => POLL_DELAY }
+			{
+				maximumWait: MAXIMUM_READ_WAIT,
+				getPollDelay: () => POLL_DELAY,
+				onLoaded: () => {
+					this.isComplete = true
+				},
+			}
 		)
 	}
 
@@ -57,10 +68,20 @@
 		this.listeners.add(listener)
 	}
 
+	/** Calls `listener` whenever the evacuation of an availability zone begins or ends, until cancelled. */
+	subscribeEvacuations(listener: () => void): { cancel(): void } {
+		this.evacuationListeners.add(listener)
+		return { cancel: () => this.evacuationListeners.delete(listener) }
+	}
+
 	private apply(entry: LogEntry): void {
 		const { format } = this.options
 		if (entry.key === format.configurationKey) this.applyConfiguration(entry)
 		else if (format.isWaveKey(entry.key)) this.applyWave(entry)
+		else {
+			const zone = format.getEvacuatedZone(entry.key)
+			if (zone !== undefined) this.applyEvacuation(zone, entry)
+		}
 	}
 
 	private applyConfiguration(entry: LogEntry): void {
@@ -84,6 +105,14 @@
 		for (const listener of this.listeners) listener(decoded)
 	}
 
+	private applyEvacuation(zone: string, { value, offset }: LogEntry): void {
+		if (value === undefined) this.evacuatedZones.delete(zone)
+		else this.evacuatedZones.add(zone)
+		const change = value === undefined ? 'ended' : 'begun'
+		this.options.events.info('evacuation-changed', { zone, change, offset })
+		for (const listener of this.evacuationListeners) listener()
+	}
+
 	private applyWave(entry: LogEntry): void {
 		if (entry.value === undefined) {
 			this.waves.delete(entry.key)
--- a/packages/jobs/src/lib/machines/PoolManager.ts
+++ b/packages/jobs/src/lib/machines/PoolManager.ts
@@ -211,7 +211,7 @@
 				usedCores += row.used.cpu / MILLICORES_PER_CORE
 				lateCores += this.getLateCores(row)
 			}
-			if (row.service !== service || !row.registered || row.draining || row.cordoned) continue
+			if (row.service !== service || !row.registered || isClosing(row)) continue
 			lastingCores += getLastingCores(row)
 			// A server that has left may stay registered beside its successor on the machine.
 			if (row.machine !== '' && backendsByMachine.get(row.machine) !== row) continue
@@ -250,6 +250,7 @@
 		for (const machine of this.options.inventory.all) {
 			if (machine.service !== service || machine.state !== 'up') continue
 			if (this.options.inventory.getBackend(machine.id)) continue
+			if (this.context.evacuatedZones.has(machine.zone)) continue
 			const paused = (this.pausedUntil.get(machine.id) ?? 0) > now
 			const safeToOrder = this.options.orders.isSafeToOrder(machine.id)
 			const reserved =
@@ -358,6 +359,10 @@
 	}
 }
 
+function isClosing({ draining, cordoned, evacuated }: BackendRow): boolean {
+	return draining || cordoned || evacuated
+}
+
 function getLastingCores(row: BackendRow): number {
 	let cores = 0
 	for (const task of row.tasks.values()) {
--- a/packages/jobs/src/lib/owner/BackendRegistry.ts
+++ b/packages/jobs/src/lib/owner/BackendRegistry.ts
@@ -69,6 +69,12 @@
 		}
 	}
 
+	/** Marks the servers in the availability zones that are being evacuated, and no others. */
+	updateEvacuations(): void {
+		const { backends, evacuatedZones } = this.context
+		for (const row of backends.all) row.evacuated = evacuatedZones.has(row.zone)
+	}
+
 	/** Whether the log has answered recently. */
 	isFresh(): boolean {
 		const { lastContactAt } = this.follower
@@ -116,6 +122,7 @@
 			!isSameCapacity(previous.capacity, capacity) ||
 			previous.absentTime !== registration.absentTime
 		this.registrations.set(id, registration)
+		row.warmupLeft = registration.warmupLeft ?? 0
 		if (!isChanged) return
 		if (previous && previous.incarnation !== incarnation) row.cordoned = false
 		if (!row.registered) row.idleSince = timers.now()
@@ -134,6 +141,7 @@
 		row.service = registration.service
 		row.address = registration.address
 		row.zone = registration.zone
+		row.evacuated = this.context.evacuatedZones.has(registration.zone)
 		row.labels = registration.labels
 		row.capacity = registration.capacity
 		row.draining = registration.draining
--- a/packages/jobs/src/lib/owner/OrderDispatcher.ts
+++ b/packages/jobs/src/lib/owner/OrderDispatcher.ts
@@ -174,6 +174,7 @@
 	private getStartProblem(backend: BackendRow): string | undefined {
 		if (!this.leases.mayRenew(backend)) return 'server lost'
 		if (backend.draining) return 'server draining'
+		if (backend.evacuated) return 'zone being evacuated'
 		const hasRoom = fitsWithin(noResources, backend.used, backend.capacity)
 		return hasRoom ? undefined : 'room shrunk'
 	}
--- a/packages/jobs/src/lib/owner/OwnerContext.ts
+++ b/packages/jobs/src/lib/owner/OwnerContext.ts
@@ -21,6 +21,8 @@
 	readonly getWallTime: () => number
 	/** Returns the newest configuration. */
 	readonly getConfiguration: () => FleetConfiguration
+	/** Availability zones that are being evacuated. */
+	readonly evacuatedZones: ReadonlySet<string>
 	/**
 	 * Whether the term may still send orders: true while no other owner may rely on its leases to
 	 * expire. Checked before each order. Ends the term if it returns false.
--- a/packages/jobs/src/lib/owner/OwnerTerm.ts
+++ b/packages/jobs/src/lib/owner/OwnerTerm.ts
@@ -85,6 +85,7 @@
 			token,
 			getWallTime,
 			getConfiguration,
+			evacuatedZones: options.evacuatedZones,
 			mayAct: () => this.mayAct(),
 			mayOrderMachines: () => this.mayAct() && options.isMember(),
 			endTerm,
@@ -239,6 +240,13 @@
 				this.handleJobChange(row)
 			})
 		)
+		this.subscriptions.push(
+			this.options.subscribeEvacuations(() => {
+				this.registry.updateEvacuations()
+				this.planning.schedule()
+			})
+		)
+		this.registry.updateEvacuations()
 		if (!(await this.recovery.restoreJobs(replica.all))) return
 		this.restoreDemand()
 		this.subscriptions.push(
--- a/packages/jobs/src/lib/owner/OwnerTermOptions.ts
+++ b/packages/jobs/src/lib/owner/OwnerTermOptions.ts
@@ -23,6 +23,10 @@
 	readonly format: OperatorFormat
 	readonly machineController: MachineController
 	readonly getWaves: () => ReadonlyMap<string, MaintenanceWave>
+	/** Availability zones that are being evacuated. */
+	readonly evacuatedZones: ReadonlySet<string>
+	/** Calls `listener` whenever `evacuatedZones` has changed, until cancelled. */
+	readonly subscribeEvacuations: (listener: () => void) => { cancel(): void }
 	readonly timers: TimerService
 	readonly events: EventLog
 	readonly metrics: JobMetrics
--- a/packages/jobs/src/lib/owner/WaitingTaskReporter.ts
+++ b/packages/jobs/src/lib/owner/WaitingTaskReporter.ts
@@ -1,10 +1,11 @@
-import type { BackendRow, JobRow, PoolState, ReadyStep, TaskRow } from '@mastichead/core'
+import type { BackendRow, PoolState, ReadyStep, TaskRow } from '@mastichead/core'
 import {
 	exceedsTeamLimit,
 	explainJob,
 	getBackendAvailability,
 	getHostRefusal,
 	getQueueRules,
+	getStepMembers,
 } from '@mastichead/core'
 import type { OwnerContext } from './OwnerContext.js'
 
@@ -161,7 +162,7 @@
 	): Record<string, number> {
 		const step: Pick<ReadyStep, 'step' | 'members'> = {
 			step: task.step,
-			members: getMembers(task.job, task),
+			members: getStepMembers(task),
 		}
 		const counts: Record<string, number> = {}
 		for (const row of this.context.backends.all) {
@@ -207,7 +208,3 @@
 function isDue({ since, reportedAt }: Watch, minimum: number, now: number): boolean {
 	return now - since > minimum && now - reportedAt >= REPEAT_INTERVAL
 }
-
-function getMembers({ tasks }: JobRow, { stepNumber, occurrence }: TaskRow): readonly TaskRow[] {
-	return tasks.filter((task) => task.stepNumber === stepNumber && task.occurrence === occurrence)
-}
--- a/packages/jobs/src/lib/ports/BackendRegistration.ts
+++ b/packages/jobs/src/lib/ports/BackendRegistration.ts
@@ -18,6 +18,8 @@
 	readonly draining: boolean
 	/** Start of the server's process, in milliseconds since 1970. */
 	readonly incarnation: number
+	/** How much longer it runs tasks slowly, in milliseconds; absent once it runs at full speed. */
+	readonly warmupLeft?: number
 	/**
 	 * Milliseconds for which the log answered without the registration, after an outage in which it may
 	 * have expired; only in an owner's copy.
--- a/packages/jobs/src/lib/ports/OperatorFormat.ts
+++ b/packages/jobs/src/lib/ports/OperatorFormat.ts
@@ -15,6 +15,8 @@
 	abstract readonly configurationKey: string
 	/** Whether a key belongs to a maintenance wave. */
 	abstract isWaveKey(key: string): boolean
+	/** Returns the availability zone whose evacuation a record requests while it exists; undefined if none. */
+	abstract getEvacuatedZone(key: string): string | undefined
 	abstract decodeConfiguration(value: string): FleetConfiguration | FormatError
 	abstract decodeWave(value: string): MaintenanceWave | FormatError
 	/** Creates the record that reports the state of a wave to the operator. */
--- a/packages/jobs/src/lib/testing/JsonTestFormat.ts
+++ b/packages/jobs/src/lib/testing/JsonTestFormat.ts
@@ -22,6 +22,10 @@
 		return key.startsWith('wave/')
 	}
 
+	override getEvacuatedZone(key: string): string | undefined {
+		return key.startsWith('evacuate/') ? key.slice('evacuate/'.length) : undefined
+	}
+
 	override decodeConfiguration(value: string): FleetConfiguration | FormatError {
 		const configuration = this.configurations.get(Number(value))
 		return (
--- a/packages/jobs/src/lib/testing/createTestContext.ts
+++ b/packages/jobs/src/lib/testing/createTestContext.ts
@@ -23,6 +23,7 @@
 		getConfiguration: () => {
 			throw new Error('the test context has no configuration')
 		},
+		evacuatedZones: new Set(),
 		mayAct: () => true,
 		mayOrderMachines: () => true,
 		endTerm: () => undefined,
