A call reaches the jobs of its own team and queue only

Change: queries and cancellations name their caller; foreign and unknown ids are answered alike (410). A cancellation of an unknown id is recorded for the caller's team (cancel/ID/TEAM) and refuses that team's later submissions truly (503). A submission under a taken id is answered 409. Ruled out: answering from progress alone while the submission is unread, since progress does not tell whose it is.

--- a/packages/jobs/src/lib/callers/JobIntake.ts
+++ b/packages/jobs/src/lib/callers/JobIntake.ts
@@ -1,15 +1,20 @@
 import type { Job, JobId, JobStep, QueueRules, TimerService } from '@mastichead/core'
 import { isFinalState } from '@mastichead/core'
 import { JobRecords } from '../log/JobRecords.js'
+import { isJobOfQueue } from '../log/isJobOfQueue.js'
 import type { JobReplica } from '../log/JobReplica.js'
 import type { StreamFollower } from '../log/StreamFollower.js'
 import type { EventLog } from '../logs/EventLog.js'
 import type { IntakeWriter } from './IntakeWriter.js'
 import type { JobAnswer } from './JobAnswer.js'
+import type { JobCaller } from './JobCaller.js'
+import { mayReachJob } from './mayReachJob.js'
 import { ReplicaReader } from './ReplicaReader.js'
 
 /** Delay after which a caller should retry when the log is unreachable. */
 const LOG_RETRY_AFTER_SECONDS = 1
+/** Delay after which a cancelled id may be used again, at the latest. */
+const BARRED_RETRY_AFTER_SECONDS = 180
 
 /**
  * Serves submissions, cancellations and queries of callers. Runs on every instance.
@@ -37,15 +42,18 @@
 	 * @param deadline - monotonic instant by which the caller needs an answer
 	 */
 	async submit(job: Job, deadline: number): Promise<JobAnswer> {
-		if (this.replica.isSubmitted(job.id)) {
-			this.events.info('job-repeated', { job: job.id, queue: job.queue })
-			return { kind: 'accepted' }
+		const earlier = this.getEarlierAnswer(job)
+		if (earlier) {
+			this.events.info('job-repeated', { job: job.id, queue: job.queue, answer: earlier.kind })
+			return earlier
 		}
 		const startedAt = this.timers.now()
 		const result = await this.writer.write(JobRecords.createJobRecord(job), deadline)
 		const after = Math.round(this.timers.now() - startedAt)
 		const { id, queue, team } = job
 		if (result.kind === 'stored') {
+			// A submission of another team may have come first.
+			if (this.isTaken(job)) return { kind: 'id-taken' }
 			const steps = job.steps.map(formatStep)
 			this.events.info('job-accepted', { job: id, queue, team, after, steps })
 			return { kind: 'accepted' }
@@ -57,21 +65,24 @@
 
 	/**
 	 * Cancels a job. Resolves once the cancellation is durable, also if no submission is known: the log may
-	 * still carry one out, and the job must not run then.
+	 * still carry one out, and the job must not run then. That binds the caller's team alone.
 	 *
 	 * @param deadline - monotonic instant by which the caller needs an answer
+	 * @param caller - who asks; to it the jobs of others are unknown
 	 */
-	async cancel(id: JobId, deadline: number): Promise<JobAnswer> {
+	async cancel(id: JobId, deadline: number, caller?: JobCaller): Promise<JobAnswer> {
 		const askedAt = this.timers.now()
-		const found = await this.reader.lookUp(id, deadline)
+		const found = await this.reader.lookUp(id, deadline, caller)
 		if (found === 'unreadable') return this.createMissingAnswer(id, found, askedAt)
-		const state = this.replica.getState(id)
+		const state = found === 'known' ? this.replica.getState(id) : undefined
 		if (state && isFinalState(state)) return { kind: 'cancelled' }
-		const result = await this.writer.write(JobRecords.createCancelRecord(id), deadline)
-		this.events.info('job-cancel-asked', { job: id, state, verdict: result.kind })
+		const boundTeam = found === 'known' ? undefined : caller?.team
+		const record = JobRecords.createCancelRecord(id, boundTeam)
+		const result = await this.writer.write(record, deadline)
+		this.events.info('job-cancel-asked', { job: id, state, verdict: result.kind, boundTeam })
 		if (result.kind === 'unclear') return result
 		if (result.kind !== 'stored') return createUnavailableAnswer(result.reason)
-		if (this.replica.isSubmitted(id)) return { kind: 'cancelled' }
+		if (this.isReachable(id, caller)) return { kind: 'cancelled' }
 		return this.createMissingAnswer(id, 'unknown', askedAt)
 	}
 
@@ -80,10 +91,11 @@
 	 * answer is `unavailable` while the records that decide the state have not all been loaded.
 	 *
 	 * @param deadline - monotonic instant by which the caller needs an answer
+	 * @param caller - who asks; to it the jobs of others are unknown
 	 */
-	async getState(id: JobId, deadline: number): Promise<JobAnswer> {
+	async getState(id: JobId, deadline: number, caller?: JobCaller): Promise<JobAnswer> {
 		const askedAt = this.timers.now()
-		const found = await this.reader.lookUp(id, deadline)
+		const found = await this.reader.lookUp(id, deadline, caller)
 		if (found !== 'known') return this.createMissingAnswer(id, found, askedAt)
 		const state = await this.reader.readState(id, deadline)
 		if (state !== undefined) return { kind: 'state', state }
@@ -105,6 +117,29 @@
 		return { kind: 'waiting', count: this.replica.countWaitingJobs(queue, prefix) }
 	}
 
+	/** Returns the answer to a submission whose id is in use or barred; undefined if it is to be written. */
+	private getEarlierAnswer(job: Job): JobAnswer | undefined {
+		const { id, team } = job
+		if (this.isTaken(job)) return { kind: 'id-taken' }
+		if (this.replica.isSubmitted(id)) return { kind: 'accepted' }
+		if (!this.replica.isBarred(id, team)) return undefined
+		const retryAfterSeconds = BARRED_RETRY_AFTER_SECONDS
+		return { kind: 'barred', reason: 'the job was cancelled before', retryAfterSeconds }
+	}
+
+	/** Whether a job of another team, or in another queue, has the id. */
+	private isTaken({ id, team, queue, acceptedRules }: Job): boolean {
+		const existing = this.replica.get(id)?.job
+		if (!existing) return false
+		return existing.team !== team || !isJobOfQueue(existing, queue, acceptedRules)
+	}
+
+	private isReachable(id: JobId, caller: JobCaller | undefined): boolean {
+		if (!caller) return this.replica.isSubmitted(id)
+		const job = this.replica.get(id)?.job
+		return job !== undefined && mayReachJob(job, caller)
+	}
+
 	private createMissingAnswer(
 		id: JobId,
 		found: 'known' | 'unknown' | 'unreadable',
--- a/packages/jobs/src/lib/callers/ReplicaReader.ts
+++ b/packages/jobs/src/lib/callers/ReplicaReader.ts
@@ -2,12 +2,16 @@
 import { isFinalState } from '@mastichead/core'
 import type { JobReplica } from '../log/JobReplica.js'
 import type { StreamFollower } from '../log/StreamFollower.js'
+import type { JobCaller } from './JobCaller.js'
+import { mayReachJob } from './mayReachJob.js'
 
 /** How long a query waits for new progress before it uses the known state, in milliseconds. */
 const STATE_READ_TIMEOUT = 150
 /** How long a query waits for a stream that did not answer lately, in milliseconds. */
 const UNAVAILABLE_STREAM_TIMEOUT = 150
 
+type LookUpResult = 'known' | 'unknown' | 'unreadable'
+
 /**
  * Brings the replica up to date for queries, within the deadlines of their callers.
  *
@@ -28,12 +32,22 @@
 	 * Looks up a job; reads the intake streams to their ends before it reports the job as unknown.
 	 *
 	 * @param deadline - monotonic instant at which the job is `unreadable` if it was not found
+	 * @param caller - who asks; to it the jobs of others are unknown
 	 */
-	async lookUp(id: JobId, deadline: number): Promise<'known' | 'unknown' | 'unreadable'> {
-		if (this.replica.isSubmitted(id)) return 'known'
+	async lookUp(id: JobId, deadline: number, caller?: JobCaller): Promise<LookUpResult> {
+		const found = this.getKnown(id, caller)
+		if (found) return found
 		const allRead = await this.readIntake(id, deadline)
-		if (this.replica.isSubmitted(id)) return 'known'
-		return allRead ? 'unknown' : 'unreadable'
+		return this.getKnown(id, caller) ?? (allRead ? 'unknown' : 'unreadable')
+	}
+
+	/** Returns whether a caller may know a job, as far as the records that have been read tell. */
+	private getKnown(id: JobId, caller: JobCaller | undefined): 'known' | 'unknown' | undefined {
+		if (!this.replica.isSubmitted(id)) return undefined
+		if (!caller) return 'known'
+		// Progress does not tell whose job it is.
+		const job = this.replica.get(id)?.job
+		return job && (mayReachJob(job, caller) ? 'known' : 'unknown')
 	}
 
 	/**
@@ -104,7 +118,7 @@
 			const recordEnd = (read: boolean): void => {
 				endedCount += 1
 				if (read) readCount += 1
-				if (endedCount < readable.length && !this.replica.isSubmitted(id)) return
+				if (endedCount < readable.length && !this.replica.get(id)?.job) return
 				timer.cancel()
 				resolve(readCount === this.intake.length)
 			}
--- a/packages/jobs/src/lib/log/JobRecords.ts
+++ b/packages/jobs/src/lib/log/JobRecords.ts
@@ -16,6 +16,15 @@
 const LEASE_PREFIX = 'lease/'
 const TERM_PREFIX = 'term/'
 const OWNER_KEY = 'owner/heartbeat'
+/** Stands between a job's id, which does not contain it, and a team's name. */
+const TEAM_SEPARATOR = '/'
+
+interface IntakeKey {
+	readonly kind: 'job' | 'cancel'
+	readonly id: JobId
+	/** Team whose submissions a cancellation binds; undefined if the job was known to the caller's team. */
+	readonly team?: string
+}
 
 /**
  * Creates and parses the records that the instances write to the log.
@@ -27,8 +36,11 @@
 		return { key: JOB_PREFIX + job.id, value: JSON.stringify(job) }
 	},
 
-	createCancelRecord(id: JobId): LogRecord {
-		return { key: CANCEL_PREFIX + id, value: '{}' }
+	/**
+	 * @param team - team whose submissions it binds if the job is not known; undefined if it is known
+	 */
+	createCancelRecord(id: JobId, team?: string): LogRecord {
+		return { key: getCancelKey(id, team), value: '{}' }
 	},
 
 	createProgressRecord(id: JobId, snapshot: JobSnapshot): LogRecord {
@@ -154,19 +166,19 @@
 	},
 
 	/** Creates the records that delete everything that callers wrote about a job. */
-	createIntakeTombstones(id: JobId): LogRecord[] {
-		return [
-			{ key: JOB_PREFIX + id, value: undefined },
-			{ key: CANCEL_PREFIX + id, value: undefined },
-		]
+	createIntakeTombstones(id: JobId, barredTeams: Iterable<string>): LogRecord[] {
+		const cancelKeys = [undefined, ...barredTeams].map((team) => getCancelKey(id, team))
+		return [JOB_PREFIX + id, ...cancelKeys].map((key) => ({ key, value: undefined }))
 	},
 
 	/** Parses the key of an intake record; undefined if it has no known form. */
-	parseIntakeKey(key: string): { readonly kind: 'job' | 'cancel'; readonly id: JobId } | undefined {
+	parseIntakeKey(key: string): IntakeKey | undefined {
 		if (key.startsWith(JOB_PREFIX)) return { kind: 'job', id: key.slice(JOB_PREFIX.length) }
-		if (key.startsWith(CANCEL_PREFIX))
-			return { kind: 'cancel', id: key.slice(CANCEL_PREFIX.length) }
-		return undefined
+		if (!key.startsWith(CANCEL_PREFIX)) return undefined
+		const target = key.slice(CANCEL_PREFIX.length)
+		const idEnd = target.indexOf(TEAM_SEPARATOR)
+		if (idEnd < 0) return { kind: 'cancel', id: target }
+		return { kind: 'cancel', id: target.slice(0, idEnd), team: target.slice(idEnd + 1) }
 	},
 
 	/** Throws if the value is not a job. */
@@ -181,3 +193,7 @@
 		return parseProgressValue(value)
 	},
 } as const
+
+function getCancelKey(id: JobId, team: string | undefined): string {
+	return CANCEL_PREFIX + id + (team === undefined ? '' : TEAM_SEPARATOR + team)
+}
--- a/packages/jobs/src/lib/log/JobReplica.ts
+++ b/packages/jobs/src/lib/log/JobReplica.ts
@@ -1,4 +1,4 @@
-import type { BackendId, Job, JobId, JobState, QueueRules, TimerService } from '@mastichead/core'
+import type { BackendId, JobId, JobState, QueueRules, TimerService } from '@mastichead/core'
 import { isFinalState } from '@mastichead/core'
 import type { EventLog } from '../logs/EventLog.js'
 import type { MachineOrder } from '../machines/MachineOrder.js'
@@ -7,6 +7,7 @@
 import type { LogEntry } from '../ports/LogEntry.js'
 import { LeaseTiming } from '../owner/LeaseTiming.js'
 import { JobRecords } from './JobRecords.js'
+import { isJobOfQueue } from './isJobOfQueue.js'
 import type { RecordedLease } from './RecordedLease.js'
 import type { RecordedPlacement } from './RecordedPlacement.js'
 import type { ReplicaRow } from './ReplicaRow.js'
@@ -64,6 +65,13 @@
 		return this.rows.values()
 	}
 
+	/** Whether a team has cancelled an id before any submission of it was read, so that none of it runs. */
+	isBarred(id: JobId, team: string): boolean {
+		const row = this.rows.get(id)
+		if (!row || this.isSubmitted(id)) return false
+		return row.cancelled || row.barredTeams.has(team)
+	}
+
 	/** Whether a record shows that the job was submitted: the submission or its progress. */
 	isSubmitted(id: JobId): boolean {
 		const row = this.rows.get(id)
@@ -86,7 +94,7 @@
 	countWaitingJobs(queue: string, prefix?: QueuePrefix): number {
 		let count = 0
 		for (const row of this.rows.values()) {
-			if (!row.job || !isOfQueue(row.job, queue, prefix) || row.job.times > 0) continue
+			if (!row.job || !isJobOfQueue(row.job, queue, prefix) || row.job.times > 0) continue
 			if (!row.cancelled && row.snapshot?.begun !== true) count += 1
 		}
 		return count
@@ -100,14 +108,19 @@
 			return
 		}
 		if (entry.value === undefined) {
-			if (key.kind === 'job' || !this.isSubmitted(key.id)) this.rows.delete(key.id)
+			const barredTeams = this.rows.get(key.id)?.barredTeams
+			if (key.team !== undefined) barredTeams?.delete(key.team)
+			const isUnused = !this.isSubmitted(key.id) && (barredTeams?.size ?? 0) === 0
+			if (key.kind === 'job' || isUnused) this.rows.delete(key.id)
 			return
 		}
 		const row = this.getOrCreateRow(key.id)
 		if (key.kind === 'cancel') {
-			row.cancelled = true
 			row.cancelReadAt = this.timers.now()
+			if (key.team === undefined) row.cancelled = true
+			else row.barredTeams.add(key.team)
 		} else row.job ??= this.parse(entry, (value) => JobRecords.parseJob(value))
+		if (row.job && row.barredTeams.has(row.job.team)) row.cancelled = true
 		for (const listener of this.jobListeners) listener(row)
 	}
 
@@ -228,6 +241,7 @@
 			job: undefined,
 			cancelled: false,
 			cancelReadAt: undefined,
+			barredTeams: new Set(),
 			snapshot: undefined,
 			placements: noPlacements,
 		}
@@ -245,9 +259,3 @@
 		}
 	}
 }
-
-function isOfQueue({ queue, acceptedRules }: Job, name: string, prefix?: QueuePrefix): boolean {
-	if (queue === name) return true
-	if (!acceptedRules || !prefix) return false
-	return acceptedRules.host === prefix.host && acceptedRules.pathPrefix === prefix.pathPrefix
-}
--- a/packages/jobs/src/lib/owner/JobRetention.ts
+++ b/packages/jobs/src/lib/owner/JobRetention.ts
@@ -1,4 +1,3 @@
-import type { JobId } from '@mastichead/core'
 import { JobRecords } from '../log/JobRecords.js'
 import type { JobReplica } from '../log/JobReplica.js'
 import type { ReplicaRow } from '../log/ReplicaRow.js'
@@ -95,31 +94,33 @@
 		rows: readonly ReplicaRow[],
 		failedStreams: Set<StreamFollower>
 	): Promise<void> {
-		const remaining = new Set(rows.map(({ id }) => id))
+		const remaining = new Map(rows.map((row) => [row.id, row]))
 		const { intake } = this.options
 		const streams = [...intake].sort(
 			(a, b) => Number(failedStreams.has(b)) - Number(failedStreams.has(a))
 		)
 		for (const follower of streams) {
-			const present = [...remaining].filter((id) => getIntakeRecords(follower, id).length > 0)
+			const present = [...remaining.values()].filter(
+				(row) => getIntakeRecords(follower, row).length > 0
+			)
 			if (present.length === 0) continue
 			if (!failedStreams.has(follower) && (await this.dropIntakeRecords(follower, present)))
 				continue
 			failedStreams.add(follower)
-			for (const id of present) remaining.delete(id)
+			for (const { id } of present) remaining.delete(id)
 		}
 		this.dropProgress(rows.filter(({ id }) => remaining.has(id)))
 	}
 
 	private async dropIntakeRecords(
 		follower: StreamFollower,
-		ids: readonly JobId[]
+		rows: readonly ReplicaRow[]
 	): Promise<boolean> {
 		const { stream } = follower
-		const records = ids.flatMap((id) => getIntakeRecords(follower, id))
+		const records = rows.flatMap((row) => getIntakeRecords(follower, row))
 		const result = await this.options.log.append(stream, records, APPEND_TIMEOUT)
 		if (result.kind === 'appended') return true
-		this.context.events.warn('jobs-not-dropped', { stream, count: ids.length, ...result })
+		this.context.events.warn('jobs-not-dropped', { stream, count: rows.length, ...result })
 		return false
 	}
 
@@ -134,6 +135,7 @@
 }
 
 /** Returns the tombstones for the records that a job has in a stream. */
-function getIntakeRecords(follower: StreamFollower, id: JobId): LogRecord[] {
-	return JobRecords.createIntakeTombstones(id).filter((record) => follower.has(record.key))
+function getIntakeRecords(follower: StreamFollower, { id, barredTeams }: ReplicaRow): LogRecord[] {
+	const tombstones = JobRecords.createIntakeTombstones(id, barredTeams)
+	return tombstones.filter((record) => follower.has(record.key))
 }
