Refuse submissions at once while the log is out of reach

Change: once three streams have failed without a success on any, one batch at a time tries the log. Ruled out: refusing everything for a fixed time, which would go on after the log is back.

--- a/packages/jobs/src/lib/callers/IntakeWriter.test.ts
+++ b/packages/jobs/src/lib/callers/IntakeWriter.test.ts
@@ -33,6 +33,41 @@
 	})
 })
 
+describe('submissions while the log is out of reach', () => {
+	it('are refused at once and truly, but for one batch at a time that tries the log', async () => {
+		const { writer, store, advance } = createWriter()
+		for (const stream of intakeStreams) store.unavailableStreams.add(stream)
+		const first = writer.write(RECORD, 10_000)
+		await advance(3_000)
+		expect(await first).toHaveProperty('kind', 'unclear')
+		const probe = writer.write(RECORD, 10_000)
+		const other = writer.write(OTHER_RECORD, 10_000)
+		await advance(5)
+		expect(await other).toEqual({ kind: 'not-stored', reason: 'log out of reach' })
+		await advance(3_000)
+		expect(await probe).toHaveProperty('kind', 'unclear')
+		store.unavailableStreams.clear()
+		await advance(5_000)
+		expect(intakeStreams.some((stream) => hasKey(store, stream, OTHER_RECORD.key))).toBe(false)
+	})
+
+	it('are stored again as soon as one has got through', async () => {
+		const { writer, store, advance } = createWriter()
+		for (const stream of intakeStreams) store.unavailableStreams.add(stream)
+		void writer.write(RECORD, 10_000)
+		await advance(3_000)
+		store.unavailableStreams.clear()
+		const answers = [writer.write(RECORD, 10_000)]
+		await advance(50)
+		answers.push(
+			writer.write(OTHER_RECORD, 10_000),
+			writer.write({ ...RECORD, key: 'job/3' }, 10_000)
+		)
+		await advance(50)
+		expect(await Promise.all(answers)).toEqual(Array(3).fill({ kind: 'stored' }))
+	})
+})
+
 it('writes a submission to one stream only if that stream answers', async () => {
 	const { writer, store, advance } = createWriter()
 	const answer = writer.write(RECORD, 3_000)
@@ -171,3 +206,7 @@
 	}
 	return { writer: new IntakeWriter(log, timers, events, followers), store, log, timers, advance }
 }
+
+function hasKey(store: MemoryStore, stream: (typeof intakeStreams)[number], key: string): boolean {
+	return store.getEntries(stream).some((entry) => entry.key === key)
+}
--- a/packages/jobs/src/lib/callers/IntakeWriter.ts
+++ b/packages/jobs/src/lib/callers/IntakeWriter.ts
@@ -25,6 +25,9 @@
 const FAILURE_COOLDOWN = 5_000
 /** Append latency from which the log counts as slow, in milliseconds. */
 const SLOW_APPEND_LATENCY = 80
+/** Streams that must fail without a success in between until the log counts as out of reach. */
+const OUT_OF_REACH_STREAMS = 3
+const OUT_OF_REACH_REASON = 'log out of reach'
 const MAXIMUM_APPENDS_IN_FLIGHT = 4
 const MAXIMUM_RECORDS_PER_APPEND = 100
 /** Size from which a batch takes no further record, in bytes: 0.2 s of a link of 10 Mbit/s. */
@@ -45,6 +48,8 @@
 	/** Latency of the latest successful append, in milliseconds. */
 	private appendLatency = 0
 	private readonly cooldownUntil = new Map<IntakeStream, number>()
+	/** Streams on which an append failed since the latest one that succeeded on any. */
+	private readonly failedStreams = new Set<IntakeStream>()
 
 	constructor(
 		private readonly log: MetadataLog,
@@ -56,7 +61,8 @@
 	) {}
 
 	/**
-	 * Appends a record, batched with others. Concurrent calls for one key share one write.
+	 * Appends a record, batched with others. Concurrent calls for one key share one write. While the log is
+	 * out of reach, one batch at a time tries it, and all other records are refused at once.
 	 *
 	 * @param deadline - monotonic instant by which the caller needs an answer
 	 */
@@ -66,6 +72,9 @@
 		if (deadline <= this.timers.now()) {
 			return Promise.resolve({ kind: 'not-stored', reason: 'no time left to append' })
 		}
+		if (this.isOutOfReach && this.appendsInFlight > 0) {
+			return Promise.resolve({ kind: 'not-stored', reason: OUT_OF_REACH_REASON })
+		}
 		const write = new PendingWrite(record, this.timers)
 		this.pendingWrites.set(record.key, write)
 		this.queue.push(write)
@@ -74,6 +83,18 @@
 		return result
 	}
 
+	private get isOutOfReach(): boolean {
+		return this.failedStreams.size >= OUT_OF_REACH_STREAMS
+	}
+
+	/** Refuses what waits and has not been sent. */
+	private refuseQueue(): void {
+		for (const write of this.queue.splice(0)) {
+			this.pendingWrites.delete(write.record.key)
+			write.settle({ kind: 'not-stored', reason: OUT_OF_REACH_REASON })
+		}
+	}
+
 	private flush(): void {
 		while (this.appendsInFlight < MAXIMUM_APPENDS_IN_FLIGHT) {
 			const batch = this.takeBatch()
@@ -131,6 +152,8 @@
 			return result
 		}
 		this.appendLatency = this.timers.now() - sentAt
+		if (this.isOutOfReach) this.events.info('intake-regained', { stream })
+		this.failedStreams.clear()
 		const { offset } = result
 		const entries = records.map((record, index) => ({ ...record, offset: offset + index }))
 		this.followers.get(stream)?.applyAppended(entries)
@@ -141,10 +164,19 @@
 		const now = this.timers.now()
 		const wasCoolingDown = (this.cooldownUntil.get(stream) ?? 0) > now
 		this.cooldownUntil.set(stream, now + FAILURE_COOLDOWN)
+		this.countFailure(stream, reason)
 		if (!wasCoolingDown)
 			this.events.warn('intake-distrusted', { stream, reason, duration: FAILURE_COOLDOWN })
 	}
 
+	private countFailure(stream: IntakeStream, reason: string): void {
+		const wasOutOfReach = this.isOutOfReach
+		this.failedStreams.add(stream)
+		if (!this.isOutOfReach) return
+		if (!wasOutOfReach) this.events.warn('intake-out-of-reach', { stream, reason })
+		this.refuseQueue()
+	}
+
 	private getStreamsByPreference(): IntakeStream[] {
 		const now = this.timers.now()
 		const isCoolingDown = (stream: IntakeStream): boolean =>
