--- a/packages/core/src/lib/jobs/DemandPoolPolicy.test.ts
+++ b/packages/core/src/lib/jobs/DemandPoolPolicy.test.ts
@@ -78,9 +78,9 @@
 			machines: late.machines.map(({ id }) => ({ id, idleSince: undefined })),
 		}
 		limited.plan([withoutIdle, inTime], 10_000)
-		expect(limited.getLateMachineLimit(withoutIdle)).toBe(2)
+		expect(limited.getMachineLimit(withoutIdle, true)).toBe(2)
 		limited.plan([withoutIdle, createPool('in-time', { machines: 8, pendingCores: 90 })], 10_000)
-		expect(limited.getLateMachineLimit(withoutIdle)).toBeUndefined()
+		expect(limited.getMachineLimit(withoutIdle, true)).toBeUndefined()
 	})
 
 	it('get the remaining machines if no pool is short', () => {
--- a/packages/core/src/lib/jobs/DemandPoolPolicy.ts
+++ b/packages/core/src/lib/jobs/DemandPoolPolicy.ts
@@ -1,5 +1,6 @@
 import { PoolPolicy } from './PoolPolicy.js'
 import type { MachineMove } from './MachineMove.js'
+import { getFairShares } from './scarcity/getFairShares.js'
 import type { PoolState } from './PoolState.js'
 
 /** Cores provided per core of demand, because tasks do not fill machines evenly. */
@@ -19,6 +20,11 @@
 const WARM_TIME = 3_000
 /** Demand below which a pool counts as having none, in cores. */
 const MINIMUM_DEMAND = 1
+/**
+ * Share of its fair share below which a pool gets machines of pools beyond theirs. Less than 1, so that
+ * machines do not move for small differences.
+ */
+const NEEDY_COVERAGE = 0.75
 /** Time in which work that accumulates while a machine moves should be done, in milliseconds. */
 const BACKLOG_TIME = 1_400
 
@@ -48,12 +54,15 @@
 	private lastWithoutDemandAt = -Infinity
 	/** Services that the latest plan left short of machines for jobs that can finish on time. */
 	private readonly shortServices = new Set<string>()
+	/** Fair shares of the pools that have more machines while another one lacks its own, by service. */
+	private readonly restrainedShares = new Map<string, number>()
 
 	override plan(pools: readonly PoolState[], now: number): readonly MachineMove[] {
 		const balances = pools.map((pool) => this.getBalance(pool))
 		if (hasNoDemand(pools)) this.lastWithoutDemandAt = now
 		const minimumPoolSize = now - this.lastWithoutDemandAt < WARM_TIME ? WARM_MACHINES : 0
-		const moves = coverShortages(balances, now)
+		const moves = this.returnShares(balances, now)
+		moves.push(...coverShortages(balances, now))
 		this.shortServices.clear()
 		for (const { pool, surplus } of balances) if (surplus < 0) this.shortServices.add(pool.service)
 		// Late jobs only get machines that no other job needs.
@@ -65,11 +74,14 @@
 
 	/**
 	 * Limits late jobs to the pool's target size while another pool is short of machines for jobs that
-	 * can finish on time. The remaining machines then become idle and can move to that pool.
+	 * can finish on time, and all jobs to the pool's fair share while another pool lacks its own. The
+	 * remaining machines then become idle and can move to that pool.
 	 */
-	override getLateMachineLimit(pool: PoolState): number | undefined {
+	override getMachineLimit(pool: PoolState, isLate: boolean): number | undefined {
+		const share = this.restrainedShares.get(pool.service)
 		const others = [...this.shortServices].filter((service) => service !== pool.service)
-		return others.length === 0 ? undefined : this.getTargetSize(pool)
+		if (!isLate || others.length === 0) return share
+		return Math.min(share ?? Infinity, this.getTargetSize(pool))
 	}
 
 	override getTargetSize(pool: PoolState): number {
@@ -86,6 +98,43 @@
 		)
 	}
 
+	/**
+	 * Moves idle machines from pools that have more than their fair share, and want still more, to pools
+	 * that lack theirs. Shares are scarce only if all pools together want more machines than there are.
+	 */
+	private returnShares(balances: readonly PoolBalance[], now: number): MachineMove[] {
+		this.restrainedShares.clear()
+		const claims = new Map(
+			balances
+				.filter(({ pool }) => !pool.spare)
+				.map(({ pool, targetSize }) => [pool.service, targetSize])
+		)
+		const total = balances.reduce((sum, balance) => sum + countObtainable(balance), 0)
+		const shares = getFairShares(claims, total)
+		const getExcess = (balance: PoolBalance): number =>
+			getSize(balance) - (shares.get(balance.pool.service) ?? Infinity)
+		const needy = balances.filter(
+			(balance) => getSize(balance) < (shares.get(balance.pool.service) ?? 0) * NEEDY_COVERAGE
+		)
+		const donors = balances.filter(
+			(balance) => balance.surplus <= 0 && getExcess(balance) > 0 && !balance.pool.spare
+		)
+		if (needy.length === 0) return []
+		const moves: MachineMove[] = []
+		for (const donor of donors) {
+			const { service } = donor.pool
+			this.restrainedShares.set(service, shares.get(service) ?? 0)
+			while (getExcess(donor) > 0 && hasMachineIdleFor(donor, now, TRANSFER_IDLE_TIME)) {
+				const receiver = needy.sort((a, b) => getExcess(a) - getExcess(b))[0]
+				const isLacking = receiver && getExcess(receiver) < 0
+				const move = isLacking && transferMachine(donor, receiver)
+				if (!move) break
+				moves.push(move)
+			}
+		}
+		return moves
+	}
+
 	private getBalance(pool: PoolState): PoolBalance {
 		const idleMachines: PoolBalance['idleMachines'] = []
 		for (const { id, idleSince } of pool.machines) {
@@ -114,6 +163,16 @@
 	return Math.min((excess * pool.arrivalTime) / BACKLOG_TIME, pool.pendingCores)
 }
 
+/** Returns the machines that a pool has or will have. */
+function getSize({ targetSize, surplus }: PoolBalance): number {
+	return targetSize + surplus
+}
+
+/** Returns the machines that pools can have: those of a spare pool only if they can be ordered. */
+function countObtainable(balance: PoolBalance): number {
+	return balance.pool.spare ? balance.idleMachines.length : getSize(balance)
+}
+
 /** Moves machines one by one, each to the pool that is furthest below its target size. */
 function coverShortages(balances: readonly PoolBalance[], now: number): MachineMove[] {
 	const moves: MachineMove[] = []
@@ -127,8 +186,8 @@
 }
 
 /** Returns the share of its target size that a pool has. */
-function getCoverage({ targetSize, surplus }: PoolBalance): number {
-	return (targetSize + surplus) / targetSize
+function getCoverage(balance: PoolBalance): number {
+	return getSize(balance) / balance.targetSize
 }
 
 function moveMachineTo(
--- a/packages/core/src/lib/jobs/PlacementPlanner.ts
+++ b/packages/core/src/lib/jobs/PlacementPlanner.ts
@@ -62,29 +62,31 @@
 	 *
 	 * @param now - time on the owner's monotonic clock, in milliseconds
 	 * @param wallTime - milliseconds since 1970
-	 * @param getLateMachineLimit - returns how many machines of a service late jobs may use;
-	 * undefined means no limit
+	 * @param getMachineLimit - returns how many machines of a service short tasks may use, those of late jobs
+	 * or those of all; undefined means no limit
 	 * @param getArrivingMachines - returns the machines that are on their way to a service's pool
 	 */
 	plan(
 		configuration: FleetConfiguration,
 		now: number,
 		wallTime: number,
-		getLateMachineLimit: (service: string) => number | undefined = () => undefined,
+		getMachineLimit: (service: string, isLate: boolean) => number | undefined = () => undefined,
 		getArrivingMachines: (service: string) => ArrivingMachines = () => noArrivingMachines
 	): TaskPlacement[] {
 		const placements: TaskPlacement[] = []
 		const usableByService = this.getUsableBackends(now)
-		const usableByLateJobs = new Map<string, readonly BackendRow[]>()
-		const getBackendsFor = ({ queue, isLate }: RankedCandidate): readonly BackendRow[] => {
-			const { service } = queue
+		const limited = new Map<string, readonly BackendRow[]>()
+		const getLimitedBackends = (service: string, isLate: boolean): readonly BackendRow[] => {
+			const key = `${service} ${isLate ? 'late' : 'on time'}`
 			const usable = usableByService.get(service) ?? []
-			if (!isLate) return usable
-			const fullest =
-				usableByLateJobs.get(service) ?? selectFullest(usable, getLateMachineLimit(service))
-			usableByLateJobs.set(service, fullest)
+			const fullest = limited.get(key) ?? selectFullest(usable, getMachineLimit(service, isLate))
+			limited.set(key, fullest)
 			return fullest
 		}
+		const getBackendsFor = ({ queue, readyStep, isLate }: RankedCandidate) =>
+			readyStep.step.lasting
+				? (usableByService.get(queue.service) ?? [])
+				: getLimitedBackends(queue.service, isLate)
 		this.backlog.clear()
 		this.lateBacklog.clear()
 		this.missingMachines.clear()
@@ -92,8 +94,10 @@
 		this.heldBackends.clear()
 		this.probations.clear()
 		const loads = new Map<string, ServiceLoad>()
-		for (const [service, usable] of usableByService)
-			loads.set(service, getServiceLoad(usable, getArrivingMachines(service)))
+		for (const service of usableByService.keys()) {
+			const backends = getLimitedBackends(service, false)
+			loads.set(service, getServiceLoad(backends, getArrivingMachines(service)))
+		}
 		const ranked = this.rankReadySteps(configuration, loads, now, wallTime)
 		for (const { readyStep, queue } of ranked) {
 			const usable = usableByService.get(queue.service) ?? []
--- a/packages/core/src/lib/jobs/PoolPolicy.ts
+++ b/packages/core/src/lib/jobs/PoolPolicy.ts
@@ -14,8 +14,13 @@
 	 */
 	abstract plan(pools: readonly PoolState[], now: number): readonly MachineMove[]
 
-	/** Returns how many machines of the pool late jobs may use; undefined for no limit. */
-	abstract getLateMachineLimit(pool: PoolState): number | undefined
+	/**
+	 * Returns how many machines of the pool tasks that end by themselves may use, so that the others fall
+	 * idle and can be given to another pool; undefined for no limit.
+	 *
+	 * @param isLate - whether the tasks are of jobs that can no longer finish on time
+	 */
+	abstract getMachineLimit(pool: PoolState, isLate: boolean): number | undefined
 
 	/** Returns how many machines the pool should have now. */
 	abstract getTargetSize(pool: PoolState): number
--- a/packages/jobs/src/lib/machines/MachineManager.ts
+++ b/packages/jobs/src/lib/machines/MachineManager.ts
@@ -111,9 +111,14 @@
 		return this.pools.getPool(service)
 	}
 
-	/** Returns how many machines of a service's pool late work may use; undefined for all. */
-	getLateMachineLimit(service: string): number | undefined {
-		return this.pools.getLateMachineLimit(service)
+	/** Whether machines are on their way to a pool. */
+	get isAwaitingMachines(): boolean {
+		return this.pools.isAwaitingMachines
+	}
+
+	/** Returns how many machines of a service's pool short tasks may use; undefined for all. */
+	getMachineLimit(service: string, isLate: boolean): number | undefined {
+		return this.pools.getMachineLimit(service, isLate)
 	}
 
 	/** Returns the machines that are on their way to a service's pool. */
--- a/packages/jobs/src/lib/machines/PoolManager.ts
+++ b/packages/jobs/src/lib/machines/PoolManager.ts
@@ -136,10 +136,10 @@
 		return pool ? pool.usableMachines - this.options.policy.getTargetSize(pool) : 0
 	}
 
-	/** Returns how many machines of a service's pool late work may use; undefined for all. */
-	getLateMachineLimit(service: string): number | undefined {
+	/** Returns how many machines of a service's pool short tasks may use; undefined for all. */
+	getMachineLimit(service: string, isLate: boolean): number | undefined {
 		const pool = this.getPool(service)
-		return pool && this.options.policy.getLateMachineLimit(pool)
+		return pool && this.options.policy.getMachineLimit(pool, isLate)
 	}
 
 	/** Returns the machines that this term has ordered for a service's pool. */
--- a/packages/jobs/src/lib/machines/movePermission.test.ts
+++ b/packages/jobs/src/lib/machines/movePermission.test.ts
@@ -69,7 +69,7 @@
 		return moves
 	}
 
-	override getLateMachineLimit(): undefined {
+	override getMachineLimit(): undefined {
 		return undefined
 	}
 
--- a/packages/jobs/src/lib/owner/OwnerTerm.ts
+++ b/packages/jobs/src/lib/owner/OwnerTerm.ts
@@ -187,7 +187,7 @@
 			writer: this.writer,
 			taskUpdater: this.taskUpdater,
 			dispatcher: this.dispatcher,
-			getLateMachineLimit: (service) => this.machines.getLateMachineLimit(service),
+			getMachineLimit: (service, isLate) => this.machines.getMachineLimit(service, isLate),
 			getArrivingMachines: (service) => this.machines.getArrivingMachines(service),
 			wakeUpMonitor: (id) => {
 				this.monitors.wakeUp(id)
--- a/packages/jobs/src/lib/owner/PlanningLoop.ts
+++ b/packages/jobs/src/lib/owner/PlanningLoop.ts
@@ -28,7 +28,7 @@
 			readonly writer: ProgressWriter
 			readonly taskUpdater: TaskUpdater
 			readonly dispatcher: OrderDispatcher
-			readonly getLateMachineLimit: (service: string) => number | undefined
+			readonly getMachineLimit: (service: string, isLate: boolean) => number | undefined
 			readonly getArrivingMachines: (service: string) => ArrivingMachines
 			readonly wakeUpMonitor: (id: BackendId) => void
 		}
@@ -62,7 +62,7 @@
 	}
 
 	private plan(): void {
-		const { planner, writer, getLateMachineLimit, getArrivingMachines } = this.options
+		const { planner, writer, getMachineLimit, getArrivingMachines } = this.options
 		if (!this.timer || writer.appendDelay > MAXIMUM_APPEND_DELAY) return
 		const { timers, metrics, getWallTime, getConfiguration } = this.context
 		const startedAt = timers.now()
@@ -70,7 +70,7 @@
 			getConfiguration(),
 			startedAt,
 			getWallTime(),
-			getLateMachineLimit,
+			getMachineLimit,
 			getArrivingMachines
 		)
 		metrics.observe('plan', timers.now() - startedAt)
