--- a/packages/core/src/lib/jobs/PlacementPlanner.ts
+++ b/packages/core/src/lib/jobs/PlacementPlanner.ts
@@ -19,9 +19,9 @@
 import { ExpectedEnds } from './lookahead/ExpectedEnds.js'
 import type { ReservationPolicy } from './lookahead/ReservationPolicy.js'
 import type { RunTimes } from './lookahead/RunTimes.js'
+import { UsableBackends } from './UsableBackends.js'
 import { countMissingMachines } from './countMissingMachines.js'
 import { exceedsTeamLimit } from './exceedsTeamLimit.js'
-import { getBackendAvailability } from './getBackendAvailability.js'
 import { getHostRefusal } from './getHostRefusal.js'
 import { getPendingCores } from './getPendingCores.js'
 import { getQueueRules } from './getQueueRules.js'
@@ -89,19 +89,7 @@
 		getArrivingMachines: (service: string) => ArrivingMachines = () => noArrivingMachines
 	): TaskPlacement[] {
 		const placements: TaskPlacement[] = []
-		const usableByService = this.getUsableBackends(now)
-		const limited = new Map<string, readonly BackendRow[]>()
-		const getLimitedBackends = (service: string, isLate: boolean): readonly BackendRow[] => {
-			const key = `${service} ${isLate ? 'late' : 'on time'}`
-			const usable = usableByService.get(service) ?? []
-			const fullest = limited.get(key) ?? selectFullest(usable, getMachineLimit(service, isLate))
-			limited.set(key, fullest)
-			return fullest
-		}
-		const getBackendsFor = ({ queue, readyStep, isLate }: RankedCandidate) =>
-			readyStep.step.lasting
-				? (usableByService.get(queue.service) ?? [])
-				: getLimitedBackends(queue.service, isLate)
+		const usable = new UsableBackends(this.backends.all, now, getMachineLimit)
 		this.backlog.clear()
 		this.lateBacklog.clear()
 		this.missingMachines.clear()
@@ -112,24 +100,26 @@
 		this.ends.reset(now)
 		this.reservations.reset(now)
 		const loads = new Map<string, ServiceLoad>()
-		for (const service of usableByService.keys()) {
-			const backends = getLimitedBackends(service, false)
+		for (const service of usable.services) {
+			const backends = usable.getForShortTasks(service, false)
 			loads.set(service, getServiceLoad(backends, getArrivingMachines(service), this.runTimes))
 		}
 		const ranked = this.rankReadySteps(configuration, loads, now, wallTime)
 		for (const { readyStep, queue } of ranked) {
-			const usable = usableByService.get(queue.service) ?? []
-			placements.push(...this.placeSuspects(readyStep, usable, configuration))
+			const backends = usable.get(queue.service)
+			placements.push(...this.placeSuspects(readyStep, backends, configuration))
 		}
 		for (const candidate of ranked.map(withoutSuspects)) {
-			const { readyStep, isLate } = candidate
+			const { readyStep, queue, isLate } = candidate
 			if (isLate) this.lateJobs.add(readyStep.row.job.id)
 			if (readyStep.pending.length === 0) continue
-			const candidates = getBackendsFor(candidate)
-			const placed = this.placeStep(readyStep, candidates, configuration)
+			const backends = readyStep.step.lasting
+				? usable.get(queue.service)
+				: usable.getForShortTasks(queue.service, isLate)
+			const placed = this.placeStep(readyStep, backends, configuration)
 			placements.push(...placed)
 			if (placed.length === readyStep.pending.length) continue
-			this.holdRoom(candidate, candidates, configuration)
+			this.holdRoom(candidate, backends, configuration)
 			this.addToBacklog(candidate, configuration)
 		}
 		return placements
@@ -148,17 +138,6 @@
 		backlog.set(queue.service, (backlog.get(queue.service) ?? 0) + getPendingCores(readyStep))
 	}
 
-	private getUsableBackends(now: number): Map<string, readonly BackendRow[]> {
-		const usableByService = new Map<string, BackendRow[]>()
-		for (const backend of this.backends.all) {
-			if (getBackendAvailability(backend, now) !== 'usable') continue
-			const rows = usableByService.get(backend.service)
-			if (rows) rows.push(backend)
-			else usableByService.set(backend.service, [backend])
-		}
-		return usableByService
-	}
-
 	private rankReadySteps(
 		configuration: FleetConfiguration,
 		loads: ReadonlyMap<string, ServiceLoad>,
@@ -318,15 +297,6 @@
 	}
 }
 
-/** Selects the backend servers with the most cpu in use, so that the others can drain. */
-function selectFullest(
-	backends: readonly BackendRow[],
-	limit: number | undefined
-): readonly BackendRow[] {
-	if (limit === undefined || limit >= backends.length) return backends
-	return backends.toSorted((a, b) => b.used.cpu - a.used.cpu).slice(0, limit)
-}
-
 /** Returns the pending tasks of a step, those that may have crashed servers first. */
 function getPlacementOrder({ pending }: ReadyStep): readonly TaskRow[] {
 	if (!pending.some(({ isSuspected }) => isSuspected)) return pending
