Send an order for a machine only while its record is fresh

Change: an order, also a repeated one, leaves within 1 s of its record or not at all; a round records no more orders than the platform's rate takes in half a second.

--- a/packages/jobs/src/lib/machines/MachineOrderJournal.ts
+++ b/packages/jobs/src/lib/machines/MachineOrderJournal.ts
@@ -8,8 +8,11 @@
  * milliseconds.
  */
 const TAKEOVER_DELAY = 3_100
-/** Time within which an order must be durable, or else it is not sent, in milliseconds. */
-const DURABILITY_TIMEOUT = 1_000
+/**
+ * Time from the record of an order within which it must be durable and sent, or else it is not sent, in
+ * milliseconds. The next owner counts on that.
+ */
+const VALIDITY = 1_000
 /** Tolerated difference between the clocks of two instances, in milliseconds. */
 const CLOCK_TOLERANCE = 1_000
 
@@ -20,6 +23,9 @@
  * @public
  */
 export class MachineOrderJournal {
+	/** Time after its record in which an order may be sent, in milliseconds. */
+	static readonly validity = VALIDITY
+
 	private readonly termStartedAt: number
 
 	/**
@@ -49,7 +55,7 @@
 		const order = this.getOrder(machine)
 		if (!order || order.token === token) return true
 		const age = getWallTime() - order.recordedAt
-		return age > TAKEOVER_DELAY + DURABILITY_TIMEOUT + CLOCK_TOLERANCE
+		return age > TAKEOVER_DELAY + VALIDITY + CLOCK_TOLERANCE
 	}
 
 	private recordOrder(machine: string): Promise<boolean> {
@@ -60,7 +66,7 @@
 			JobRecords.createMachineOrderRecord(machine, { token, recordedAt })
 		)
 		return new Promise((resolve) => {
-			const timeout = timers.after(DURABILITY_TIMEOUT, () => {
+			const timeout = timers.after(VALIDITY, () => {
 				resolve(false)
 			})
 			this.writer.whenRecordDurable(key, () => {
--- a/packages/jobs/src/lib/machines/OrderPace.ts
+++ b/packages/jobs/src/lib/machines/OrderPace.ts
@@ -29,20 +29,34 @@
 
 	/** Resolves when the next order may be sent, in the order of the calls. */
 	async wait(): Promise<void> {
-		const { ordersPerSecond } = this
-		if (ordersPerSecond === undefined) return
-		const now = this.timers.now()
-		const perMillisecond = (ordersPerSecond * RATE_SHARE) / MILLISECONDS_PER_SECOND
-		const elapsed = now - this.countedAt
-		this.available = Math.min(this.burst, this.available + elapsed * perMillisecond) - 1
-		this.countedAt = now
+		if (this.ordersPerSecond === undefined) return
+		this.refill()
+		this.available -= 1
 		if (this.available >= 0) return
-		const delay = -this.available / perMillisecond
+		const delay = -this.available / this.perMillisecond
 		await new Promise<void>((resolve) => {
 			this.timers.after(delay, resolve)
 		})
 	}
 
+	/** Returns how many further orders can be sent within a time, in milliseconds. */
+	countWithin(time: number): number {
+		if (this.ordersPerSecond === undefined) return Infinity
+		this.refill()
+		return Math.max(0, Math.floor(this.available + time * this.perMillisecond))
+	}
+
+	private refill(): void {
+		const now = this.timers.now()
+		const refilled = this.available + (now - this.countedAt) * this.perMillisecond
+		this.available = Math.min(this.burst, refilled)
+		this.countedAt = now
+	}
+
+	private get perMillisecond(): number {
+		return ((this.ordersPerSecond ?? 0) * RATE_SHARE) / MILLISECONDS_PER_SECOND
+	}
+
 	private get burst(): number {
 		return Math.max(1, (this.ordersPerSecond ?? 1) * BURST_SHARE)
 	}
--- a/packages/jobs/src/lib/machines/PoolManager.ts
+++ b/packages/jobs/src/lib/machines/PoolManager.ts
@@ -14,7 +14,7 @@
 import type { MachineController } from '../ports/MachineController.js'
 import type { MachineOrderResult } from '../ports/MachineOrderResult.js'
 import type { MachineInventory } from './MachineInventory.js'
-import type { MachineOrderJournal } from './MachineOrderJournal.js'
+import { MachineOrderJournal } from './MachineOrderJournal.js'
 import { OrderPace } from './OrderPace.js'
 
 /** Time after a move until its machine is no longer expected to register, in milliseconds. */
@@ -27,6 +27,8 @@
 const MAXIMUM_ATTEMPTS = 3
 /** Maximum number of orders without an answer at a time, so that none waits after it was permitted. */
 const MAXIMUM_ORDERS_IN_FLIGHT = 4
+/** Time in which the orders of a round should have been sent, in milliseconds. */
+const SEND_TIME = 500
 /**
  * How long a server may be out of reach or avoided until its machine no longer counts, in milliseconds.
  * Shorter than a lease, so that a machine ordered instead is there when the server's tasks have ended.
@@ -99,7 +101,9 @@
 		if (!this.options.isRegistryFresh() || !this.context.mayOrderMachines()) return
 		const moves = this.options.policy.plan(this.poolStates, now)
 		for (const pool of this.poolStates) this.reportRestraint(pool)
-		if (moves.length > 0) this.executeMoves(moves).catch(this.context.fail)
+		// Moves beyond the platform's rate are planned again in the next round.
+		const sendable = moves.slice(0, this.orderPace.countWithin(SEND_TIME))
+		if (sendable.length > 0) this.executeMoves(sendable).catch(this.context.fail)
 	}
 
 	private logPools(now: number): void {
@@ -357,20 +361,22 @@
 			this.arrivals.set(machine, { service: to, at: timers.now() })
 		}
 		const machines = moves.map(({ machine }) => machine)
+		const sendBy = timers.now() + MachineOrderJournal.validity
 		if (await this.options.orders.record(machines)) {
-			for (const move of moves) this.executeMove(move).catch(this.context.fail)
+			for (const move of moves) this.executeMove(move, sendBy).catch(this.context.fail)
 			return
 		}
 		events.warn('machine-moves-dropped', { machines, reason: 'not recorded in time' })
 		for (const machine of machines) this.cancelMove(machine)
 	}
 
-	private async executeMove(move: MachineMove): Promise<void> {
+	/** @param sendBy - time until which the record of the order lets it be sent */
+	private async executeMove(move: MachineMove, sendBy: number): Promise<void> {
 		const { events } = this.context
 		const backend = this.options.inventory.getBackend(move.machine)
-		let result = await this.sendMove(move)
+		let result = await this.sendMove(move, sendBy)
 		for (let attempt = 1; result.kind === 'unknown' && attempt < MAXIMUM_ATTEMPTS; attempt += 1) {
-			result = await this.sendMove(move)
+			result = await this.sendMove(move, sendBy)
 		}
 		events.info('machine-move', { ...move, backend: backend?.id, ...result })
 		if (result.kind === 'done') {
@@ -384,11 +390,16 @@
 		}
 	}
 
-	/** Sends an order if this owner may still order machines when its turn comes. */
-	private async sendMove({ machine, to }: MachineMove): Promise<MachineOrderResult> {
-		const { mayOrderMachines, token } = this.context
+	/** Sends an order if this owner may still order machines, and order this one, when its turn comes. */
+	private async sendMove(
+		{ machine, to }: MachineMove,
+		sendBy: number
+	): Promise<MachineOrderResult> {
+		const { mayOrderMachines, token, timers } = this.context
 		await this.orderPace.wait()
 		return this.orderLimit.run(() => {
+			if (timers.now() > sendBy)
+				return Promise.resolve({ kind: 'limited', detail: 'recorded too long ago' })
 			if (mayOrderMachines()) return this.options.controller.move(machine, to, token)
 			return Promise.resolve({ kind: 'limited', detail: 'ownership may have been lost' })
 		})
--- a/packages/jobs/src/lib/machines/movePermission.test.ts
+++ b/packages/jobs/src/lib/machines/movePermission.test.ts
@@ -28,6 +28,19 @@
 		expect(controller.orders).toHaveLength(2)
 	})
 
+	// Guards against an order that leaves when the next owner counts on it to have left long ago.
+	it('sends none of the orders that have waited for longer than their records are good for', async () => {
+		const { controller, manager, timers } = createTestManager(['m1', 'm2', 'm3', 'm4', 'm5', 'm6'])
+		manager.runRound()
+		await settle()
+		const { length } = controller.orders
+		timers.advance(1_500)
+		for (let order = 0; order < 6; order += 1)
+			await controller.answer({ kind: 'unknown', detail: 'no answer' })
+		expect(controller.orders).toHaveLength(length)
+		expect(length).toBeLessThan(6)
+	})
+
 	it('sends none of the orders that still wait for their turn', async () => {
 		const { controller, manager, revoke } = createTestManager(['m1', 'm2', 'm3', 'm4', 'm5'])
 		manager.runRound()
@@ -83,9 +96,10 @@
 }
 
 function createTestManager(machines: readonly string[]) {
+	const timers = new VirtualTimerService()
 	let isAllowed = true
 	const context = {
-		...createTestContext(new VirtualTimerService()),
+		...createTestContext(timers),
 		getConfiguration: createTestConfiguration,
 		mayOrderMachines: () => isAllowed,
 	}
@@ -104,5 +118,5 @@
 	const revoke = (): void => {
 		isAllowed = false
 	}
-	return { controller, manager, revoke }
+	return { controller, manager, revoke, timers }
 }
