One id is one job: the first record in the id's own stream decides, at every instance

What callers saw: two teams that hand in one id at two instances at the same moment were both answered 200, each read its own job at its own instance, and a start of all instances gave the id to the other one. A team that cancelled an unknown id (410) and handed the job in at another instance was answered 200 for a job that never ran. A cancelling through another queue of the job's team was answered 410 and cancelled the job.

Cause: answers were given from what one replica had read so far. A record went to any of six streams, so that two records of one id had no order; in one stream they had the same key, so that the newest replaced the first.

Change: all records about an id go to one stream, chosen by a hash of the id. Each append has a key of its own, so that nothing is replaced and the order stays known after a compaction or a start. resolveIntake decides from the records alone which submission is the job: the first one that no cancellation before it bars. An instance answers only after it has read everything before its own record, and a submission that is not the job is withdrawn before 409 or 503 is sent. While a stream is being loaded, in which records come in no order, nothing is resolved. Records of earlier versions are still read, and come first.

What this costs: a submission whose stream is out of reach is refused (503) or unclear (504); before, it went to another stream. With two streams that cannot both be read nobody can know that an id is free.

--- a/packages/jobs/src/lib/JobDaemon.ts
+++ b/packages/jobs/src/lib/JobDaemon.ts
@@ -1,7 +1,6 @@
 import type { TimerService, JobId, JobReport } from '@mastichead/core'
 import { ConcurrencyLimit } from './ConcurrencyLimit.js'
 import { IntakeWriter } from './callers/IntakeWriter.js'
-import { getInstanceNumber } from './callers/getInstanceNumber.js'
 import { JobIntake } from './callers/JobIntake.js'
 import { ConfigurationManager } from './configuration/ConfigurationManager.js'
 import { JobReplica } from './log/JobReplica.js'
@@ -110,13 +109,7 @@
 				},
 			}
 		)
-		const writer = new IntakeWriter(
-			log,
-			timers,
-			events,
-			this.intakeFollowers,
-			getInstanceNumber(member)
-		)
+		const writer = new IntakeWriter(log, timers, events, this.intakeFollowers, member)
 		const followers = [...this.intakeFollowers.values(), this.progressFollower]
 		this.intake = new JobIntake(
 			this.replica,
@@ -207,20 +200,24 @@
 
 	private createIntakeFollower(stream: IntakeStream): StreamFollower {
 		const { log, timers, events } = this.options
-		return new StreamFollower(
+		const follower = new StreamFollower(
 			stream,
 			log,
 			timers,
 			events,
 			(entry) => {
-				this.replica.applyIntake(entry)
+				this.replica.applyIntake(entry, stream, follower.loaded)
 			},
 			{
 				maximumWait: MAXIMUM_INTAKE_WAIT,
 				loadLimit: this.loadLimit,
 				getPollDelay: () => (this.ownership.isOwner ? OWNER_INTAKE_POLL_DELAY : INTAKE_POLL_DELAY),
+				onLoaded: () => {
+					this.replica.handleIntakeLoaded(stream)
+				},
 			}
 		)
+		return follower
 	}
 
 	private beginTerm(token: number): void {
--- a/packages/jobs/src/lib/callers/BatchWrite.ts
+++ b/packages/jobs/src/lib/callers/BatchWrite.ts
@@ -1,11 +1,10 @@
 import type { Subscription, TimerService } from '@mastichead/core'
 import type { AppendResult } from '../ports/AppendResult.js'
-import type { IntakeStream } from '../ports/IntakeStream.js'
 import type { WriteResult } from './WriteResult.js'
 
 /**
- * Writes a batch of records to one of several streams: tries the next one when an append fails or is
- * not answered in time.
+ * Writes a batch of records: appends a further copy when an append is not answered in time, or fails. A
+ * rejected append is repeated only after that time, since the log would reject the next one as well.
  *
  * @public
  */
@@ -20,10 +19,10 @@
 
 	constructor(
 		private readonly options: {
-			/** Streams in order of preference. */
-			readonly streams: readonly IntakeStream[]
-			readonly append: (stream: IntakeStream) => Promise<AppendResult>
-			/** Returns the milliseconds after which an unanswered append is also tried elsewhere. */
+			/** Maximum number of appends. */
+			readonly attempts: number
+			readonly append: () => Promise<AppendResult>
+			/** Returns the milliseconds after which an append that has not succeeded is repeated. */
 			readonly getHedgeDelay: () => number
 			/** Whether a caller still waits for the result. */
 			readonly isAwaited: () => boolean
@@ -52,31 +51,39 @@
 	}
 
 	private tryNext(): void {
-		const { streams, append, getHedgeDelay, isAwaited, timers } = this.options
-		const stream = streams[this.startedCount]
-		if (stream === undefined || !this.settle || !isAwaited()) return
+		const { append, getHedgeDelay, timers } = this.options
+		if (!this.settle) return
+		if (!this.mayTryNext) {
+			if (this.startedCount === this.endedCount) this.settleAsFailed()
+			return
+		}
 		this.startedCount += 1
 		const attempt = this.startedCount
 		this.hedgeTimer?.cancel()
 		this.hedgeTimer = timers.after(getHedgeDelay(), () => {
 			this.tryNext()
 		})
-		void append(stream).then((result) => {
+		void append().then((result) => {
 			this.recordResult(attempt, result)
 		})
 	}
 
+	private get mayTryNext(): boolean {
+		return this.startedCount < this.options.attempts && this.options.isAwaited()
+	}
+
 	private recordResult(attempt: number, result: AppendResult): void {
 		this.endedCount += 1
 		if (result.kind === 'appended') {
 			this.settle?.({ kind: 'stored' })
 			return
 		}
-		if (result.kind === 'unknown') this.unknownReason = result.reason
-		else this.rejectedReason = result.reason
-		// Only the latest attempt starts the next one, so that each stream is tried at most once.
-		if (this.startedCount === attempt) this.tryNext()
-		if (this.startedCount === this.endedCount) this.settleAsFailed()
+		if (result.kind === 'unknown') {
+			this.unknownReason = result.reason
+			// Only the latest attempt starts the next one.
+			if (this.startedCount === attempt) this.tryNext()
+		} else this.rejectedReason = result.reason
+		if (this.startedCount === this.endedCount && !this.mayTryNext) this.settleAsFailed()
 	}
 
 	/** Ends the write as `not-stored` only if every append that was started has been rejected. */
--- a/packages/jobs/src/lib/callers/JobIntake.ts
+++ b/packages/jobs/src/lib/callers/JobIntake.ts
@@ -1,7 +1,7 @@
 import type { Job, JobId, JobStep, QueueRules, TimerService } from '@mastichead/core'
 import { isFinalState } from '@mastichead/core'
-import { JobRecords } from '../log/JobRecords.js'
-import { isJobOfQueue } from '../log/isJobOfQueue.js'
+import { IntakeRecords } from '../intake/IntakeRecords.js'
+import { isSameSubmission } from '../intake/isSameSubmission.js'
 import type { JobReplica } from '../log/JobReplica.js'
 import type { StreamFollower } from '../log/StreamFollower.js'
 import type { EventLog } from '../logs/EventLog.js'
@@ -15,6 +15,7 @@
 const LOG_RETRY_AFTER_SECONDS = 1
 /** Delay after which a cancelled id may be used again, at the latest. */
 const BARRED_RETRY_AFTER_SECONDS = 180
+const NOT_LOADED_REASON = 'state not loaded yet'
 
 /**
  * Serves submissions, cancellations and queries of callers. Runs on every instance.
@@ -37,35 +38,32 @@
 	}
 
 	/**
-	 * Submits a job. Resolves once the job is durable.
+	 * Submits a job. Resolves once the job is durable and has its id for good.
 	 *
 	 * @param deadline - monotonic instant by which the caller needs an answer
 	 */
 	async submit(job: Job, deadline: number): Promise<JobAnswer> {
-		const earlier = this.getEarlierAnswer(job)
+		const { id, queue, team } = job
+		if (!(await this.reader.readHome(id, deadline))) {
+			this.events.warn('job-not-accepted', { job: id, queue, team, reason: NOT_LOADED_REASON })
+			return createRefusedAnswer(NOT_LOADED_REASON)
+		}
+		const earlier = this.getDecidedAnswer(job)
 		if (earlier) {
-			this.events.info('job-repeated', { job: job.id, queue: job.queue, answer: earlier.kind })
+			this.events.info('job-repeated', { job: id, queue, answer: earlier.kind })
 			return earlier
 		}
 		const startedAt = this.timers.now()
-		const result = await this.writer.write(JobRecords.createJobRecord(job), deadline)
+		const result = await this.writer.write(IntakeRecords.createSubmission(job), deadline)
 		const after = Math.round(this.timers.now() - startedAt)
-		const { id, queue, team } = job
-		if (result.kind === 'stored') {
-			// A submission of another team may have come first.
-			if (this.isTaken(job)) return { kind: 'id-taken' }
-			const steps = job.steps.map(formatStep)
-			this.events.info('job-accepted', { job: id, queue, team, after, steps })
-			return { kind: 'accepted' }
-		}
+		if (result.kind === 'stored') return this.answerStored(job, after, deadline)
 		this.events.warn('job-not-accepted', { job: id, queue, team, after, ...result })
-		if (result.kind === 'unclear') return result
-		return { kind: 'refused', reason: result.reason, retryAfterSeconds: LOG_RETRY_AFTER_SECONDS }
+		return result.kind === 'unclear' ? result : createRefusedAnswer(result.reason)
 	}
 
 	/**
-	 * Cancels a job. Resolves once the cancellation is durable, also if no submission is known: the log may
-	 * still carry one out, and the job must not run then. That binds the caller's team alone.
+	 * Cancels a job. Resolves once the cancellation is durable, also if no submission is known: those that
+	 * the log carries out later have no effect then. That binds the caller's own jobs alone.
 	 *
 	 * @param deadline - monotonic instant by which the caller needs an answer
 	 * @param caller - who asks; to it the jobs of others are unknown
@@ -73,13 +71,17 @@
 	async cancel(id: JobId, deadline: number, caller?: JobCaller): Promise<JobAnswer> {
 		const askedAt = this.timers.now()
 		const found = await this.reader.lookUp(id, deadline, caller)
-		if (found === 'unreadable') return this.createMissingAnswer(id, found, askedAt)
+		const isOthers = found === 'unknown' && this.replica.get(id)?.job !== undefined
+		if (found === 'unreadable' || isOthers) return this.createMissingAnswer(id, found, askedAt)
 		const state = found === 'known' ? this.replica.getState(id) : undefined
 		if (state && isFinalState(state)) return { kind: 'cancelled' }
-		const boundTeam = found === 'known' ? undefined : caller?.team
-		const record = JobRecords.createCancelRecord(id, boundTeam)
-		const result = await this.writer.write(record, deadline)
-		this.events.info('job-cancel-asked', { job: id, state, verdict: result.kind, boundTeam })
+		const result = await this.writer.write(IntakeRecords.createCancellation(id, caller), deadline)
+		this.events.info('job-cancel-asked', {
+			job: id,
+			state,
+			verdict: result.kind,
+			team: caller?.team,
+		})
 		if (result.kind === 'unclear') return result
 		if (result.kind !== 'stored') return createUnavailableAnswer(result.reason)
 		if (this.isReachable(id, caller)) return { kind: 'cancelled' }
@@ -100,7 +102,7 @@
 		const state = await this.reader.readState(id, deadline)
 		if (state !== undefined) return { kind: 'state', state }
 		this.events.info('job-state-unread', { job: id })
-		return createUnavailableAnswer('state not loaded yet')
+		return createUnavailableAnswer(NOT_LOADED_REASON)
 	}
 
 	/**
@@ -112,26 +114,62 @@
 	countWaitingJobs(queue: string, prefix?: Pick<QueueRules, 'host' | 'pathPrefix'>): JobAnswer {
 		if (!this.reader.isLoaded) {
 			this.events.info('waiting-jobs-uncounted', { queue })
-			return createUnavailableAnswer('state not loaded yet')
+			return createUnavailableAnswer(NOT_LOADED_REASON)
 		}
 		return { kind: 'waiting', count: this.replica.countWaitingJobs(queue, prefix) }
 	}
 
-	/** Returns the answer to a submission whose id is in use or barred; undefined if it is to be written. */
-	private getEarlierAnswer(job: Job): JobAnswer | undefined {
-		const { id, team } = job
-		if (this.isTaken(job)) return { kind: 'id-taken' }
-		if (this.replica.isSubmitted(id)) return { kind: 'accepted' }
-		if (!this.replica.isBarred(id, team)) return undefined
+	/** Returns the answer to a submission if the records that have been read decide it. */
+	private getDecidedAnswer(job: Job): JobAnswer | undefined {
+		const existing = this.replica.get(job.id)?.job
+		if (existing) return { kind: isSameSubmission(existing, job) ? 'accepted' : 'id-taken' }
+		// Progress does not tell whose job it is.
+		if (this.replica.isSubmitted(job.id))
+			return createRefusedAnswer('earlier job of the id not read')
+		if (!this.replica.isBarred(job)) return undefined
 		const retryAfterSeconds = BARRED_RETRY_AFTER_SECONDS
 		return { kind: 'barred', reason: 'the job was cancelled before', retryAfterSeconds }
 	}
 
-	/** Whether a job of another team, or in another queue, has the id. */
-	private isTaken({ id, team, queue, acceptedRules }: Job): boolean {
-		const existing = this.replica.get(id)?.job
-		if (!existing) return false
-		return existing.team !== team || !isJobOfQueue(existing, queue, acceptedRules)
+	/** Answers a submission whose record is stored: by what came before it in its stream. */
+	private async answerStored(job: Job, after: number, deadline: number): Promise<JobAnswer> {
+		const { id, queue, team } = job
+		const answer = this.getDecidedAnswer(job) ?? createRefusedAnswer('id in use')
+		if (answer.kind === 'accepted') {
+			this.events.info('job-accepted', {
+				job: id,
+				queue,
+				team,
+				after,
+				steps: job.steps.map(formatStep),
+			})
+			return answer
+		}
+		const withdrawn = await this.withdraw(job, deadline)
+		this.events.warn('job-not-accepted', {
+			job: id,
+			queue,
+			team,
+			after,
+			answer: answer.kind,
+			withdrawn,
+		})
+		return withdrawn ? answer : { kind: 'unclear', reason: 'submission not withdrawn' }
+	}
+
+	/**
+	 * Deletes the records of a submission that is not the job of its id.
+	 *
+	 * @returns whether none is left
+	 */
+	private async withdraw(job: Job, deadline: number): Promise<boolean> {
+		const keys = (this.replica.get(job.id)?.entries ?? [])
+			.filter((entry) => entry.kind === 'submission' && !entry.isEarlierForm)
+			.filter((entry) => entry.kind === 'submission' && isSameSubmission(entry.job, job))
+			.map(({ key }) => key)
+		if (keys.length === 0) return true
+		const { kind } = await this.writer.remove(job.id, keys, deadline)
+		return kind === 'stored'
 	}
 
 	private isReachable(id: JobId, caller: JobCaller | undefined): boolean {
@@ -159,6 +197,10 @@
 	return available ? undefined : `${stream}: unavailable`
 }
 
+function createRefusedAnswer(reason: string): JobAnswer {
+	return { kind: 'refused', reason, retryAfterSeconds: LOG_RETRY_AFTER_SECONDS }
+}
+
 function createUnavailableAnswer(reason: string): JobAnswer {
 	return { kind: 'unavailable', reason, retryAfterSeconds: LOG_RETRY_AFTER_SECONDS }
 }
--- a/packages/jobs/src/lib/callers/PendingWrite.ts
+++ b/packages/jobs/src/lib/callers/PendingWrite.ts
@@ -1,5 +1,5 @@
 import type { Subscription, TimerService } from '@mastichead/core'
-import type { LogRecord } from '../ports/LogRecord.js'
+import type { IntakeRecord } from '../intake/IntakeRecord.js'
 import type { WriteResult } from './WriteResult.js'
 
 interface Waiter {
@@ -18,7 +18,7 @@
 	private isStarted = false
 
 	constructor(
-		readonly record: LogRecord,
+		readonly record: IntakeRecord,
 		private readonly timers: TimerService
 	) {}
 
--- a/packages/jobs/src/lib/callers/ReplicaReader.ts
+++ b/packages/jobs/src/lib/callers/ReplicaReader.ts
@@ -1,5 +1,6 @@
 import type { JobId, JobState, TimerService } from '@mastichead/core'
 import { isFinalState } from '@mastichead/core'
+import { getHomeStream } from '../intake/getHomeStream.js'
 import type { JobReplica } from '../log/JobReplica.js'
 import type { StreamFollower } from '../log/StreamFollower.js'
 import type { JobCaller } from './JobCaller.js'
@@ -41,6 +42,29 @@
 		return this.getKnown(id, caller) ?? (allRead ? 'unknown' : 'unreadable')
 	}
 
+	/**
+	 * Reads the stream that holds the records about an id: if it was never loaded, or if there is progress
+	 * of a job whose submission has not been read.
+	 *
+	 * @param deadline - monotonic instant at which it gives up
+	 * @returns whether the stream has been loaded
+	 */
+	async readHome(id: JobId, deadline: number): Promise<boolean> {
+		const stream = getHomeStream(id)
+		const home = this.intake.find((follower) => follower.stream === stream)
+		if (!home) return false
+		const isUnread = this.replica.isSubmitted(id) && !this.replica.get(id)?.job
+		if (home.loaded && !isUnread) return true
+		await new Promise<void>((resolve) => {
+			const timer = this.timers.after(this.getTimeout([home], deadline), resolve)
+			void home.readToEnd().then(() => {
+				timer.cancel()
+				resolve()
+			})
+		})
+		return home.loaded
+	}
+
 	/** Returns whether a caller may know a job, as far as the records that have been read tell. */
 	private getKnown(id: JobId, caller: JobCaller | undefined): 'known' | 'unknown' | undefined {
 		if (!this.replica.isSubmitted(id)) return undefined
--- a/packages/jobs/src/lib/callers/WriteResult.ts
+++ b/packages/jobs/src/lib/callers/WriteResult.ts
@@ -1,9 +1,9 @@
 /**
  * Result of writing a record to the log.
  *
- * - `stored`: the record is in the log
+ * - `stored`: the record is in the log, and this instance has read all records before it in its stream
  * - `not-stored`: it is not in the log, and this write will not add it
- * - `unclear`: no answer came; the record may be in the log now or later
+ * - `unclear`: the record may be in the log now or later, or what came before it is not known
  *
  * @public
  */
--- a/packages/jobs/src/lib/log/JobReplica.ts
+++ b/packages/jobs/src/lib/log/JobReplica.ts
@@ -1,9 +1,12 @@
-import type { BackendId, JobId, JobState, QueueRules, TimerService } from '@mastichead/core'
+import type { BackendId, Job, JobId, JobState, QueueRules, TimerService } from '@mastichead/core'
 import { isFinalState } from '@mastichead/core'
+import { IntakeTable } from '../intake/IntakeTable.js'
+import { isInScope } from '../intake/isInScope.js'
 import type { EventLog } from '../logs/EventLog.js'
 import type { MachineOrder } from '../machines/MachineOrder.js'
 import type { WaveProgress } from '../machines/WaveProgress.js'
 import type { BackendRegistration } from '../ports/BackendRegistration.js'
+import type { IntakeStream } from '../ports/IntakeStream.js'
 import type { LogEntry } from '../ports/LogEntry.js'
 import { LeaseTiming } from '../owner/LeaseTiming.js'
 import { JobRecords } from './JobRecords.js'
@@ -39,11 +42,21 @@
 	/** Whether the progress of all jobs has been loaded, so that what is read now has just been written. */
 	private isLoaded = false
 	private readonly jobListeners = new Set<(row: ReplicaRow) => void>()
+	private readonly intake: IntakeTable
 
 	constructor(
 		private readonly events: EventLog,
 		private readonly timers: Pick<TimerService, 'now'>
-	) {}
+	) {
+		const rows = {
+			get: (id: JobId) => this.rows.get(id),
+			getOrCreate: (id: JobId) => this.getOrCreateRow(id),
+			delete: (id: JobId) => this.rows.delete(id),
+		}
+		this.intake = new IntakeTable(rows, events, (row) => {
+			for (const listener of this.jobListeners) listener(row)
+		})
+	}
 
 	/** Handles that the progress of all jobs has been loaded. */
 	handleLoaded(): void {
@@ -65,11 +78,11 @@
 		return this.rows.values()
 	}
 
-	/** Whether a team has cancelled an id before any submission of it was read, so that none of it runs. */
-	isBarred(id: JobId, team: string): boolean {
-		const row = this.rows.get(id)
-		if (!row || this.isSubmitted(id)) return false
-		return row.cancelled || row.barredTeams.has(team)
+	/** Whether a cancellation bars a submission, so that it is not the job that has its id. */
+	isBarred(job: Job): boolean {
+		const row = this.rows.get(job.id)
+		if (!row || row.job) return false
+		return row.barriers.some((scope) => isInScope(job, scope))
 	}
 
 	/** Whether a record shows that the job was submitted: the submission or its progress. */
@@ -100,28 +113,20 @@
 		return count
 	}
 
-	/** Applies a record that was written for a caller. */
-	applyIntake(entry: LogEntry): void {
-		const key = JobRecords.parseIntakeKey(entry.key)
-		if (!key) {
-			this.events.warn('log-record-unknown', { key: entry.key, offset: entry.offset })
-			return
-		}
-		if (entry.value === undefined) {
-			const barredTeams = this.rows.get(key.id)?.barredTeams
-			if (key.team !== undefined) barredTeams?.delete(key.team)
-			const isUnused = !this.isSubmitted(key.id) && (barredTeams?.size ?? 0) === 0
-			if (key.kind === 'job' || isUnused) this.rows.delete(key.id)
-			return
-		}
-		const row = this.getOrCreateRow(key.id)
-		if (key.kind === 'cancel') {
-			row.cancelReadAt = this.timers.now()
-			if (key.team === undefined) row.cancelled = true
-			else row.barredTeams.add(key.team)
-		} else row.job ??= this.parse(entry, (value) => JobRecords.parseJob(value))
-		if (row.job && row.barredTeams.has(row.job.team)) row.cancelled = true
-		for (const listener of this.jobListeners) listener(row)
+	/**
+	 * Applies a record that was written for a caller.
+	 *
+	 * @param isStreamLoaded - whether the stream has been loaded, so that its records come in order
+	 */
+	applyIntake(entry: LogEntry, stream: IntakeStream, isStreamLoaded: boolean): void {
+		const row = this.intake.apply(entry, stream, isStreamLoaded)
+		const isCancellation = row?.entries.at(-1)?.kind === 'cancellation'
+		if (row && entry.value !== undefined && isCancellation) row.cancelReadAt = this.timers.now()
+	}
+
+	/** Handles that an intake stream has been loaded. */
+	handleIntakeLoaded(stream: IntakeStream): void {
+		this.intake.handleLoaded(stream)
 	}
 
 	/** Applies a record that was written by an owner. */
@@ -238,10 +243,11 @@
 		if (existing) return existing
 		const row: ReplicaRow = {
 			id,
+			entries: [],
 			job: undefined,
 			cancelled: false,
+			barriers: [],
 			cancelReadAt: undefined,
-			barredTeams: new Set(),
 			snapshot: undefined,
 			placements: noPlacements,
 		}
--- a/packages/jobs/src/lib/log/StreamFollower.ts
+++ b/packages/jobs/src/lib/log/StreamFollower.ts
@@ -126,6 +126,22 @@
 		this.nextOffset = Math.max(this.nextOffset, last.offset + 1)
 	}
 
+	/**
+	 * Applies records that this instance has appended with one call, once all records before them have been
+	 * read and applied.
+	 *
+	 * @returns whether they have been; false if the log did not answer
+	 */
+	async applyInOrder(entries: readonly LogEntry[]): Promise<boolean> {
+		const [first, last] = [entries[0], entries.at(-1)]
+		if (!first || !last) return true
+		while (!this.loaded || first.offset > this.nextOffset) {
+			if (!(await this.readToEnd())) return false
+		}
+		this.applyAppended(entries)
+		return this.nextOffset > last.offset
+	}
+
 	/** Whether the key has a record, according to what has been read so far. */
 	has(key: string): boolean {
 		return this.offsets.has(key)
--- a/packages/jobs/src/lib/owner/JobRetention.ts
+++ b/packages/jobs/src/lib/owner/JobRetention.ts
@@ -1,4 +1,4 @@
-import { JobRecords } from '../log/JobRecords.js'
+import { IntakeRecords } from '../intake/IntakeRecords.js'
 import type { JobReplica } from '../log/JobReplica.js'
 import type { ReplicaRow } from '../log/ReplicaRow.js'
 import type { StreamFollower } from '../log/StreamFollower.js'
@@ -135,7 +135,6 @@
 }
 
 /** Returns the tombstones for the records that a job has in a stream. */
-function getIntakeRecords(follower: StreamFollower, { id, barredTeams }: ReplicaRow): LogRecord[] {
-	const tombstones = JobRecords.createIntakeTombstones(id, barredTeams)
-	return tombstones.filter((record) => follower.has(record.key))
+function getIntakeRecords({ stream }: StreamFollower, { entries }: ReplicaRow): LogRecord[] {
+	return IntakeRecords.createTombstones(entries.filter((entry) => entry.stream === stream))
 }
--- a/packages/jobs/src/lib/testing/createTestIntake.ts
+++ b/packages/jobs/src/lib/testing/createTestIntake.ts
@@ -4,8 +4,8 @@
 import { StreamFollower } from '../log/StreamFollower.js'
 import { SilentEventLog } from '../logs/SilentEventLog.js'
 import { intakeStreams } from '../ports/intakeStreams.js'
+import type { IntakeStream } from '../ports/IntakeStream.js'
 import type { LogEntry } from '../ports/LogEntry.js'
-import type { LogStream } from '../ports/LogStream.js'
 import { CountingLog } from './CountingLog.js'
 import { CountingTimerService } from './CountingTimerService.js'
 import { MemoryStore } from './MemoryStore.js'
@@ -26,23 +26,33 @@
 	const log = new CountingLog(store, timers)
 	const events = new SilentEventLog()
 	const replica = new JobReplica(events, timers)
-	const applyIntake = (entry: LogEntry): void => {
-		replica.applyIntake(entry)
+	const createIntakeFollower = (stream: IntakeStream): StreamFollower => {
+		const apply = (entry: LogEntry): void => {
+			replica.applyIntake(entry, stream, follower.loaded)
+		}
+		const onLoaded = (): void => {
+			replica.handleIntakeLoaded(stream)
+		}
+		const options = { ...INTAKE_OPTIONS, onLoaded }
+		const follower = new StreamFollower(stream, log, timers, events, apply, options)
+		return follower
 	}
-	const createFollower = (
-		stream: LogStream,
-		apply: (entry: LogEntry) => void,
-		options: typeof INTAKE_OPTIONS
-	): StreamFollower => new StreamFollower(stream, log, timers, events, apply, options)
 	const intakeFollowers = new Map(
-		intakeStreams.map((stream) => [stream, createFollower(stream, applyIntake, INTAKE_OPTIONS)])
+		intakeStreams.map((stream) => [stream, createIntakeFollower(stream)])
 	)
 	const applyProgress = (entry: LogEntry): void => {
 		replica.applyProgress(entry)
 	}
-	const progress = createFollower('progress', applyProgress, PROGRESS_OPTIONS)
+	const progress = new StreamFollower(
+		'progress',
+		log,
+		timers,
+		events,
+		applyProgress,
+		PROGRESS_OPTIONS
+	)
 	const followers = [...intakeFollowers.values(), progress]
-	const writer = new IntakeWriter(log, timers, events, intakeFollowers)
+	const writer = new IntakeWriter(log, timers, events, intakeFollowers, 'm1')
 	const intake = new JobIntake(replica, writer, followers, progress, events, timers)
 	return {
 		timers,
--- a/packages/jobs/src/lib/testing/runScenario.ts
+++ b/packages/jobs/src/lib/testing/runScenario.ts
@@ -1,5 +1,6 @@
 import type { TimerService } from '@mastichead/core'
 import type { EventLog } from '../logs/EventLog.js'
+import { intakeStreams } from '../ports/intakeStreams.js'
 import type { LogStream } from '../ports/LogStream.js'
 import type { MemoryBackend } from './MemoryBackend.js'
 import type { ScenarioFault } from './ScenarioFault.js'
@@ -79,10 +80,15 @@
 		'power-loss': () => this.kill([...this.fleet.instances.keys()]),
 		'late-starts': (fault) => this.delayStarts(fault),
 		'progress-down': () => this.takeStream('progress'),
-		'intake-down': () => this.takeStream('intake/0'),
+		'intake-down': () => {
+			const ends = intakeStreams.slice(0, 3).map((stream) => this.takeStream(stream))
+			return () => {
+				for (const end of ends) end()
+			}
+		},
 		compact: () => {
 			this.fleet.store.compact('progress')
-			this.fleet.store.compact('intake/0')
+			for (const stream of intakeStreams) this.fleet.store.compact(stream)
 			return undefined
 		},
 		'slow-log': (fault) => this.slowLog(fault),
