--- a/packages/standins/src/lib/jobPlatform/createOperatorConfiguration.ts
+++ b/packages/standins/src/lib/jobPlatform/createOperatorConfiguration.ts
@@ -4,14 +4,24 @@
  *
  * @public
  *
- * @param options.keys - keys of the only team
+ * @param options.keys - keys of the first team
+ * @param options.otherKeys - keys of a second team; without any there is none
  * @param options.cpu - limit of the team, in thousandths of a core; 0 for none
  */
 export function createOperatorConfiguration({
 	version = 3,
 	keys = ['key-1'],
+	otherKeys = [],
 	cpu = 0,
-}: { version?: number; keys?: readonly string[]; cpu?: number } = {}): object {
+}: {
+	version?: number
+	keys?: readonly string[]
+	otherKeys?: readonly string[]
+	cpu?: number
+} = {}): object {
+	const cap = { cpu }
+	const tenants = [{ name: 'installers', api_keys: keys, weight: 1, cap }]
+	if (otherKeys.length > 0) tenants.push({ name: 'strangers', api_keys: otherKeys, weight: 1, cap })
 	return {
 		version,
 		routes: [
@@ -34,6 +44,6 @@
 			{ name: 'shelf', preconditions: true, spare: true },
 		],
 		limits: { max_body_bytes: 262_144, idle_timeout_ms: 15_000 },
-		tenants: [{ name: 'installers', api_keys: keys, weight: 1, cap: { cpu } }],
+		tenants,
 	}
 }
