--- a/packages/jobs/src/lib/callers/jobAccess.test.ts
+++ b/packages/jobs/src/lib/callers/jobAccess.test.ts
@@ -11,6 +11,8 @@
 const owner: JobCaller = { team: JOB.team, queue }
 const stranger: JobCaller = { team: 'strangers', queue }
 
+// Guards against callers who read and cancel the jobs of other teams, for instance by a key that a new configuration
+// has given to their team.
 describe('a job of another team', () => {
 	it.each([0, 1])(
 		'is unknown to a caller of instance %i, and cannot be cancelled',
