--- a/spec/src/runSearches.ts
+++ b/spec/src/runSearches.ts
@@ -11,6 +11,8 @@
 import { OwnershipModel } from './ownership/OwnershipModel.js'
 import { ownershipSearches } from './ownership/ownershipSearches.js'
 import { search } from './search.js'
+import { SubmissionModel } from './submissions/SubmissionModel.js'
+import { submissionSearches } from './submissions/submissionSearches.js'
 
 /**
  * Searches every model within each of its bounds.
@@ -40,6 +42,9 @@
 		run(name, new OwnershipModel(bounds))
 	}
 	for (const [name, bounds] of Object.entries(leaseSearches)) run(name, new LeaseModel(bounds))
+	for (const [name, bounds] of Object.entries(submissionSearches)) {
+		run(name, new SubmissionModel(bounds))
+	}
 	const { maximumLostTicks } = HandoverModel
 	run(`${maximumLostTicks} ticks`, new HandoverModel(maximumLostTicks))
 	return hasPassed
