--- a/packages/jobs/src/lib/JobDaemon.ts
+++ b/packages/jobs/src/lib/JobDaemon.ts
@@ -110,15 +110,15 @@
 			}
 		)
 		const writer = new IntakeWriter(log, timers, events, this.intakeFollowers, member)
-		const followers = [...this.intakeFollowers.values(), this.progressFollower]
-		this.intake = new JobIntake(
-			this.replica,
+		this.intake = new JobIntake({
+			replica: this.replica,
 			writer,
-			followers,
-			this.progressFollower,
+			intake: [...this.intakeFollowers.values()],
+			progress: this.progressFollower,
 			events,
-			timers
-		)
+			metrics,
+			timers,
+		})
 		this.ownership = new Ownership({
 			member,
 			log,
--- a/packages/jobs/src/lib/callers/JobIntake.lines.test.ts
+++ b/packages/jobs/src/lib/callers/JobIntake.lines.test.ts
@@ -2,6 +2,7 @@
 import { expect, it } from 'vitest'
 import { JobReplica } from '../log/JobReplica.js'
 import { StreamFollower } from '../log/StreamFollower.js'
+import { JobMetrics } from '../metrics/JobMetrics.js'
 import { intakeStreams } from '../ports/intakeStreams.js'
 import type { LogStream } from '../ports/LogStream.js'
 import { MemoryEventLog } from '../testing/MemoryEventLog.js'
@@ -63,7 +64,17 @@
 	// A cancellation is stored although its job is unknown.
 	const writer = new IntakeWriter(log, timers, events, intakeFollowers, 'm1')
 	const replica = new JobReplica(events, timers)
-	const intake = new JobIntake(replica, writer, followers, progress, events, timers)
+	const metrics = new JobMetrics()
+	const streams = [...intakeFollowers.values()]
+	const intake = new JobIntake({
+		replica,
+		writer,
+		intake: streams,
+		progress,
+		events,
+		metrics,
+		timers,
+	})
 	const advance = async (duration: number): Promise<void> => {
 		for (let step = 0; step < duration; step += 1) {
 			timers.advance(1)
--- a/packages/jobs/src/lib/callers/JobIntake.ts
+++ b/packages/jobs/src/lib/callers/JobIntake.ts
@@ -1,20 +1,19 @@
-import type { Job, JobId, JobStep, QueueRules, TimerService } from '@mastichead/core'
+import type { Job, JobId, QueueRules, TimerService } from '@mastichead/core'
 import { isFinalState } from '@mastichead/core'
 import { IntakeRecords } from '../intake/IntakeRecords.js'
-import { isSameSubmission } from '../intake/isSameSubmission.js'
 import type { JobReplica } from '../log/JobReplica.js'
 import type { StreamFollower } from '../log/StreamFollower.js'
 import type { EventLog } from '../logs/EventLog.js'
+import type { JobMetrics } from '../metrics/JobMetrics.js'
 import type { IntakeWriter } from './IntakeWriter.js'
 import type { JobAnswer } from './JobAnswer.js'
 import type { JobCaller } from './JobCaller.js'
 import { mayReachJob } from './mayReachJob.js'
 import { ReplicaReader } from './ReplicaReader.js'
+import { SubmissionManager } from './SubmissionManager.js'
 
 /** Delay after which a caller should retry when the log is unreachable. */
 const LOG_RETRY_AFTER_SECONDS = 1
-/** Delay after which a cancelled id may be used again, at the latest. */
-const BARRED_RETRY_AFTER_SECONDS = 180
 const NOT_LOADED_REASON = 'state not loaded yet'
 
 /**
@@ -24,17 +23,23 @@
  */
 export class JobIntake {
 	private readonly reader: ReplicaReader
+	private readonly submissions: SubmissionManager
 
 	constructor(
-		private readonly replica: JobReplica,
-		private readonly writer: IntakeWriter,
-		private readonly followers: readonly StreamFollower[],
-		progress: StreamFollower,
-		private readonly events: EventLog,
-		private readonly timers: TimerService
+		private readonly options: {
+			readonly replica: JobReplica
+			readonly writer: IntakeWriter
+			/** Followers of all intake streams. */
+			readonly intake: readonly StreamFollower[]
+			readonly progress: StreamFollower
+			readonly events: EventLog
+			readonly metrics: JobMetrics
+			readonly timers: TimerService
+		}
 	) {
-		const intake = followers.filter((follower) => follower !== progress)
+		const { replica, intake, progress, timers } = options
 		this.reader = new ReplicaReader(replica, intake, progress, timers)
+		this.submissions = new SubmissionManager({ ...options, reader: this.reader })
 	}
 
 	/**
@@ -42,23 +47,8 @@
 	 *
 	 * @param deadline - monotonic instant by which the caller needs an answer
 	 */
-	async submit(job: Job, deadline: number): Promise<JobAnswer> {
-		const { id, queue, team } = job
-		if (!(await this.reader.readHome(id, deadline))) {
-			this.events.warn('job-not-accepted', { job: id, queue, team, reason: NOT_LOADED_REASON })
-			return createRefusedAnswer(NOT_LOADED_REASON)
-		}
-		const earlier = this.getDecidedAnswer(job)
-		if (earlier) {
-			this.events.info('job-repeated', { job: id, queue, answer: earlier.kind })
-			return earlier
-		}
-		const startedAt = this.timers.now()
-		const result = await this.writer.write(IntakeRecords.createSubmission(job), deadline)
-		const after = Math.round(this.timers.now() - startedAt)
-		if (result.kind === 'stored') return this.answerStored(job, after, deadline)
-		this.events.warn('job-not-accepted', { job: id, queue, team, after, ...result })
-		return result.kind === 'unclear' ? result : createRefusedAnswer(result.reason)
+	submit(job: Job, deadline: number): Promise<JobAnswer> {
+		return this.submissions.submit(job, deadline)
 	}
 
 	/**
@@ -69,14 +59,17 @@
 	 * @param caller - who asks; to it the jobs of others are unknown
 	 */
 	async cancel(id: JobId, deadline: number, caller?: JobCaller): Promise<JobAnswer> {
-		const askedAt = this.timers.now()
+		const askedAt = this.options.timers.now()
 		const found = await this.reader.lookUp(id, deadline, caller)
-		const isOthers = found === 'unknown' && this.replica.get(id)?.job !== undefined
+		const isOthers = found === 'unknown' && this.options.replica.get(id)?.job !== undefined
 		if (found === 'unreadable' || isOthers) return this.createMissingAnswer(id, found, askedAt)
-		const state = found === 'known' ? this.replica.getState(id) : undefined
+		const state = found === 'known' ? this.options.replica.getState(id) : undefined
 		if (state && isFinalState(state)) return { kind: 'cancelled' }
-		const result = await this.writer.write(IntakeRecords.createCancellation(id, caller), deadline)
-		this.events.info('job-cancel-asked', {
+		const result = await this.options.writer.write(
+			IntakeRecords.createCancellation(id, caller),
+			deadline
+		)
+		this.options.events.info('job-cancel-asked', {
 			job: id,
 			state,
 			verdict: result.kind,
@@ -96,12 +89,12 @@
 	 * @param caller - who asks; to it the jobs of others are unknown
 	 */
 	async getState(id: JobId, deadline: number, caller?: JobCaller): Promise<JobAnswer> {
-		const askedAt = this.timers.now()
+		const askedAt = this.options.timers.now()
 		const found = await this.reader.lookUp(id, deadline, caller)
 		if (found !== 'known') return this.createMissingAnswer(id, found, askedAt)
 		const state = await this.reader.readState(id, deadline)
 		if (state !== undefined) return { kind: 'state', state }
-		this.events.info('job-state-unread', { job: id })
+		this.options.events.info('job-state-unread', { job: id })
 		return createUnavailableAnswer(NOT_LOADED_REASON)
 	}
 
@@ -113,68 +106,15 @@
 	 */
 	countWaitingJobs(queue: string, prefix?: Pick<QueueRules, 'host' | 'pathPrefix'>): JobAnswer {
 		if (!this.reader.isLoaded) {
-			this.events.info('waiting-jobs-uncounted', { queue })
+			this.options.events.info('waiting-jobs-uncounted', { queue })
 			return createUnavailableAnswer(NOT_LOADED_REASON)
 		}
-		return { kind: 'waiting', count: this.replica.countWaitingJobs(queue, prefix) }
-	}
-
-	/** Returns the answer to a submission if the records that have been read decide it. */
-	private getDecidedAnswer(job: Job): JobAnswer | undefined {
-		const existing = this.replica.get(job.id)?.job
-		if (existing) return { kind: isSameSubmission(existing, job) ? 'accepted' : 'id-taken' }
-		// Progress does not tell whose job it is.
-		if (this.replica.isSubmitted(job.id))
-			return createRefusedAnswer('earlier job of the id not read')
-		if (!this.replica.isBarred(job)) return undefined
-		const retryAfterSeconds = BARRED_RETRY_AFTER_SECONDS
-		return { kind: 'barred', reason: 'the job was cancelled before', retryAfterSeconds }
-	}
-
-	/** Answers a submission whose record is stored: by what came before it in its stream. */
-	private async answerStored(job: Job, after: number, deadline: number): Promise<JobAnswer> {
-		const { id, queue, team } = job
-		const answer = this.getDecidedAnswer(job) ?? createRefusedAnswer('id in use')
-		if (answer.kind === 'accepted') {
-			this.events.info('job-accepted', {
-				job: id,
-				queue,
-				team,
-				after,
-				steps: job.steps.map(formatStep),
-			})
-			return answer
-		}
-		const withdrawn = await this.withdraw(job, deadline)
-		this.events.warn('job-not-accepted', {
-			job: id,
-			queue,
-			team,
-			after,
-			answer: answer.kind,
-			withdrawn,
-		})
-		return withdrawn ? answer : { kind: 'unclear', reason: 'submission not withdrawn' }
-	}
-
-	/**
-	 * Deletes the records of a submission that is not the job of its id.
-	 *
-	 * @returns whether none is left
-	 */
-	private async withdraw(job: Job, deadline: number): Promise<boolean> {
-		const keys = (this.replica.get(job.id)?.entries ?? [])
-			.filter((entry) => entry.kind === 'submission' && !entry.isEarlierForm)
-			.filter((entry) => entry.kind === 'submission' && isSameSubmission(entry.job, job))
-			.map(({ key }) => key)
-		if (keys.length === 0) return true
-		const { kind } = await this.writer.remove(job.id, keys, deadline)
-		return kind === 'stored'
+		return { kind: 'waiting', count: this.options.replica.countWaitingJobs(queue, prefix) }
 	}
 
 	private isReachable(id: JobId, caller: JobCaller | undefined): boolean {
-		if (!caller) return this.replica.isSubmitted(id)
-		const job = this.replica.get(id)?.job
+		if (!caller) return this.options.replica.isSubmitted(id)
+		const job = this.options.replica.get(id)?.job
 		return job !== undefined && mayReachJob(job, caller)
 	}
 
@@ -183,9 +123,10 @@
 		found: 'known' | 'unknown' | 'unreadable',
 		askedAt: number
 	): JobAnswer {
-		const after = Math.round(this.timers.now() - askedAt)
-		const unread = this.followers.map(formatUnread).filter((text) => text !== undefined)
-		this.events.info('job-not-found', { job: id, found, after, unread })
+		const after = Math.round(this.options.timers.now() - askedAt)
+		const { intake, progress } = this.options
+		const unread = [...intake, progress].map(formatUnread).filter((text) => text !== undefined)
+		this.options.events.info('job-not-found', { job: id, found, after, unread })
 		if (found === 'unknown') return { kind: 'unknown-job' }
 		return createUnavailableAnswer('log out of reach')
 	}
@@ -197,28 +138,6 @@
 	return available ? undefined : `${stream}: unavailable`
 }
 
-function createRefusedAnswer(reason: string): JobAnswer {
-	return { kind: 'refused', reason, retryAfterSeconds: LOG_RETRY_AFTER_SECONDS }
-}
-
 function createUnavailableAnswer(reason: string): JobAnswer {
 	return { kind: 'unavailable', reason, retryAfterSeconds: LOG_RETRY_AFTER_SECONDS }
 }
-
-/** Formats the properties of a step that affect its scheduling, for the event log. */
-function formatStep(step: JobStep): string {
-	const { count, needs, estimate, maximumPerBackend, mayMiss, targetLatency } = step
-	const parts = [`${count}x${needs.cpu}m/${needs.memory}MB`]
-	if (step.lasting) parts.push('lasting')
-	else parts.push(`~${estimate}ms`)
-	if (maximumPerBackend > 0) parts.push(`spread=${maximumPerBackend}`)
-	if (mayMiss !== undefined) parts.push(`mayMiss=${mayMiss}`)
-	if (targetLatency > 0) parts.push(`target=${targetLatency}ms`)
-	if (step.dependsOn.length > 0) parts.push(`after=${step.dependsOn.join('+')}`)
-	for (const flag of ['gang', 'sameRack', 'speculative', 'fills', 'checkpoints'] as const) {
-		if (step[flag]) parts.push(flag)
-	}
-	if (step.dataRack !== '') parts.push(`data=${step.dataRack}`)
-	if (step.requiredLabel !== '') parts.push(`needs=${step.requiredLabel}`)
-	return parts.join(' ')
-}
--- a/packages/jobs/src/lib/testing/createTestIntake.ts
+++ b/packages/jobs/src/lib/testing/createTestIntake.ts
@@ -4,6 +4,7 @@
 import { StreamFollower } from '../log/StreamFollower.js'
 import { SilentEventLog } from '../logs/SilentEventLog.js'
 import { intakeStreams } from '../ports/intakeStreams.js'
+import { JobMetrics } from '../metrics/JobMetrics.js'
 import type { IntakeStream } from '../ports/IntakeStream.js'
 import type { LogEntry } from '../ports/LogEntry.js'
 import { CountingLog } from './CountingLog.js'
@@ -53,7 +54,15 @@
 	)
 	const followers = [...intakeFollowers.values(), progress]
 	const writer = new IntakeWriter(log, timers, events, intakeFollowers, 'm1')
-	const intake = new JobIntake(replica, writer, followers, progress, events, timers)
+	const intake = new JobIntake({
+		replica,
+		writer,
+		intake: [...intakeFollowers.values()],
+		progress,
+		events,
+		metrics: new JobMetrics(),
+		timers,
+	})
 	return {
 		timers,
 		store,
