Moves alone: the files of core's jobs by concern

80 of 96 files of packages/core/src/lib/jobs go into placement, pools, health, disruption and work, beside lookahead and scarcity; the tables and entities of jobs, tasks and backend servers stay. Only paths of imports change. Build, linter and unit tests of packages pass.

--- a/packages/core/src/lib/jobs/BackendRow.ts
+++ b/packages/core/src/lib/jobs/BackendRow.ts
@@ -1,5 +1,5 @@
 import type { BackendId } from './BackendId.js'
-import type { ContactLoss } from './ContactLoss.js'
+import type { ContactLoss } from './health/ContactLoss.js'
 import type { Resources } from './Resources.js'
 import type { TaskId } from './TaskId.js'
 import type { TaskRow } from './TaskRow.js'
--- a/packages/core/src/lib/jobs/BackendTable.ts
+++ b/packages/core/src/lib/jobs/BackendTable.ts
@@ -3,7 +3,7 @@
 import type { Resources } from './Resources.js'
 import type { TaskRow } from './TaskRow.js'
 import { addResources } from './addResources.js'
-import { getReservedResources } from './getReservedResources.js'
+import { getReservedResources } from './placement/getReservedResources.js'
 import { noResources } from './noResources.js'
 
 /**
--- a/packages/core/src/lib/jobs/JobReport.ts
+++ b/packages/core/src/lib/jobs/JobReport.ts
@@ -1,6 +1,6 @@
 import type { JobId } from './JobId.js'
 import type { JobState } from './JobState.js'
-import type { StepExplanation } from './StepExplanation.js'
+import type { StepExplanation } from './placement/StepExplanation.js'
 
 /**
  * Report of one instance about a job, for operators.
--- a/packages/core/src/lib/jobs/JobSnapshot.ts
+++ b/packages/core/src/lib/jobs/JobSnapshot.ts
@@ -1,6 +1,6 @@
 import type { BackendId } from './BackendId.js'
 import type { JobState } from './JobState.js'
-import type { UnexplainedLoss } from './UnexplainedLoss.js'
+import type { UnexplainedLoss } from './health/UnexplainedLoss.js'
 
 /**
  * A job's progress as it is stored in the log.
--- a/packages/core/src/lib/jobs/TaskRow.ts
+++ b/packages/core/src/lib/jobs/TaskRow.ts
@@ -1,11 +1,11 @@
 import type { BackendId } from './BackendId.js'
-import type { CrashSuspicion } from './CrashSuspicion.js'
+import type { CrashSuspicion } from './health/CrashSuspicion.js'
 import type { JobRow } from './JobRow.js'
 import type { JobStep } from './JobStep.js'
 import type { StartOrderState } from './StartOrderState.js'
 import type { TaskId } from './TaskId.js'
 import type { TaskPhase } from './TaskPhase.js'
-import type { UnexplainedLoss } from './UnexplainedLoss.js'
+import type { UnexplainedLoss } from './health/UnexplainedLoss.js'
 
 /**
  * State of a task as the owner tracks it. Times are on the owner's monotonic clock, in milliseconds.
--- a/packages/core/src/lib/jobs/applyRunEnding.ts
+++ b/packages/core/src/lib/jobs/applyRunEnding.ts
@@ -1,9 +1,9 @@
 import type { BackendTable } from './BackendTable.js'
 import type { RunEnding } from './RunEnding.js'
 import type { TaskRow } from './TaskRow.js'
-import { getRunAge } from './getRunAge.js'
-import { recordCrash } from './recordCrash.js'
-import { STABLE_RUN_TIME } from './stableRunTime.js'
+import { getRunAge } from './health/getRunAge.js'
+import { recordCrash } from './health/recordCrash.js'
+import { STABLE_RUN_TIME } from './health/stableRunTime.js'
 
 /**
  * Applies the end of a placed task's current run: releases its resources and sets its next phase.
--- a/packages/core/src/lib/jobs/canDisruptBackend.test.ts
+++ b/packages/core/src/lib/jobs/disruption/canDisruptBackend.test.ts
@@ -1,9 +1,9 @@
 import { describe, expect, it } from 'vitest'
 import { canDisruptBackend } from './canDisruptBackend.js'
 import { canDisruptTask } from './canDisruptTask.js'
-import type { TaskRow } from './TaskRow.js'
-import { createTestJob } from './testing/createTestJob.js'
-import { createTestTables } from './testing/createTestTables.js'
+import type { TaskRow } from '../TaskRow.js'
+import { createTestJob } from '../testing/createTestJob.js'
+import { createTestTables } from '../testing/createTestTables.js'
 
 describe('canDisruptBackend with lasting tasks', () => {
 	it('is false while another task of the step is unavailable or being stopped', () => {
--- a/packages/core/src/lib/jobs/canDisruptBackend.ts
+++ b/packages/core/src/lib/jobs/disruption/canDisruptBackend.ts
@@ -1,5 +1,5 @@
-import type { BackendRow } from './BackendRow.js'
-import type { TaskRow } from './TaskRow.js'
+import type { BackendRow } from '../BackendRow.js'
+import type { TaskRow } from '../TaskRow.js'
 import { countUnavailableSiblings } from './countUnavailableSiblings.js'
 
 /**
--- a/packages/core/src/lib/jobs/isTaskAvailable.ts
+++ b/packages/core/src/lib/jobs/disruption/isTaskAvailable.ts
@@ -1,4 +1,4 @@
-import type { TaskRow } from './TaskRow.js'
+import type { TaskRow } from '../TaskRow.js'
 
 /**
  * Whether a lasting task runs at full speed and no order that ends it is in flight.
--- a/packages/core/src/lib/jobs/setInterrupting.ts
+++ b/packages/core/src/lib/jobs/disruption/setInterrupting.ts
@@ -1,4 +1,4 @@
-import type { BackendRow } from './BackendRow.js'
+import type { BackendRow } from '../BackendRow.js'
 
 /**
  * Marks the tasks on a backend server as being interrupted by an order for its machine, or takes the
--- a/packages/core/src/lib/jobs/sortByDisruptionCost.ts
+++ b/packages/core/src/lib/jobs/disruption/sortByDisruptionCost.ts
@@ -1,4 +1,4 @@
-import type { BackendRow } from './BackendRow.js'
+import type { BackendRow } from '../BackendRow.js'
 
 /**
  * Sorts the backend servers that are due for maintenance by the cost of draining them, lowest first.
--- a/packages/core/src/lib/jobs/BackendHealth.test.ts
+++ b/packages/core/src/lib/jobs/health/BackendHealth.test.ts
@@ -1,6 +1,6 @@
 import { expect, it } from 'vitest'
 import { BackendHealth } from './BackendHealth.js'
-import { createTestTables } from './testing/createTestTables.js'
+import { createTestTables } from '../testing/createTestTables.js'
 
 it('avoids a server on which runs of different jobs fail, for a growing time', () => {
 	const { backends } = createTestTables({ backends: 6 })
--- a/packages/core/src/lib/jobs/BackendHealth.ts
+++ b/packages/core/src/lib/jobs/health/BackendHealth.ts
@@ -1,6 +1,6 @@
-import type { BackendId } from './BackendId.js'
-import type { JobId } from './JobId.js'
-import type { BackendRow } from './BackendRow.js'
+import type { BackendId } from '../BackendId.js'
+import type { JobId } from '../JobId.js'
+import type { BackendRow } from '../BackendRow.js'
 
 /**
  * Number of different jobs that must fail on a server, without a successful run in between, before
--- a/packages/core/src/lib/jobs/ProbationPlan.test.ts
+++ b/packages/core/src/lib/jobs/health/ProbationPlan.test.ts
@@ -1,8 +1,8 @@
 import { describe, expect, it } from 'vitest'
-import type { TaskPlacement } from './TaskPlacement.js'
-import type { TaskRow } from './TaskRow.js'
-import { createTestJob } from './testing/createTestJob.js'
-import { createTestTables } from './testing/createTestTables.js'
+import type { TaskPlacement } from '../placement/TaskPlacement.js'
+import type { TaskRow } from '../TaskRow.js'
+import { createTestJob } from '../testing/createTestJob.js'
+import { createTestTables } from '../testing/createTestTables.js'
 
 /** Time after which a run has survived its start, in milliseconds. */
 const SURVIVAL = 300
--- a/packages/core/src/lib/jobs/ProbationPlan.ts
+++ b/packages/core/src/lib/jobs/health/ProbationPlan.ts
@@ -1,6 +1,6 @@
-import type { BackendRow } from './BackendRow.js'
+import type { BackendRow } from '../BackendRow.js'
 import type { StartActivity } from './StartActivity.js'
-import type { TaskRow } from './TaskRow.js'
+import type { TaskRow } from '../TaskRow.js'
 import { getStartActivity } from './getStartActivity.js'
 
 /** Largest share of a service's usable servers that are used for tasks on probation at once. */
--- a/packages/core/src/lib/jobs/StartActivity.ts
+++ b/packages/core/src/lib/jobs/health/StartActivity.ts
@@ -1,4 +1,4 @@
-import type { JobRow } from './JobRow.js'
+import type { JobRow } from '../JobRow.js'
 
 /**
  * What has just been started on a backend server.
--- a/packages/core/src/lib/jobs/explainLoss.ts
+++ b/packages/core/src/lib/jobs/health/explainLoss.ts
@@ -1,4 +1,4 @@
-import type { TaskRow } from './TaskRow.js'
+import type { TaskRow } from '../TaskRow.js'
 import { recordCrash } from './recordCrash.js'
 
 /**
--- a/packages/core/src/lib/jobs/getBackendAvailability.test.ts
+++ b/packages/core/src/lib/jobs/health/getBackendAvailability.test.ts
@@ -1,5 +1,5 @@
 import { expect, it } from 'vitest'
-import { BackendTable } from './BackendTable.js'
+import { BackendTable } from '../BackendTable.js'
 import { getBackendAvailability } from './getBackendAvailability.js'
 
 const NOW = 1_000
--- a/packages/core/src/lib/jobs/getBackendAvailability.ts
+++ b/packages/core/src/lib/jobs/health/getBackendAvailability.ts
@@ -1,5 +1,5 @@
 import type { BackendAvailability } from './BackendAvailability.js'
-import type { BackendRow } from './BackendRow.js'
+import type { BackendRow } from '../BackendRow.js'
 
 /**
  * Returns whether a backend server can take work. Everything that counts servers for work decides by
--- a/packages/core/src/lib/jobs/getCrashSuspects.test.ts
+++ b/packages/core/src/lib/jobs/health/getCrashSuspects.test.ts
@@ -1,9 +1,9 @@
 import { describe, expect, it } from 'vitest'
-import type { TaskRow } from './TaskRow.js'
-import { applyRunEnding } from './applyRunEnding.js'
+import type { TaskRow } from '../TaskRow.js'
+import { applyRunEnding } from '../applyRunEnding.js'
 import { getCrashSuspects } from './getCrashSuspects.js'
-import { createTestJob } from './testing/createTestJob.js'
-import { createTestTables } from './testing/createTestTables.js'
+import { createTestJob } from '../testing/createTestJob.js'
+import { createTestTables } from '../testing/createTestTables.js'
 
 /** Returns placed tasks of a job, whose start orders were sent and accepted 100 ms before. */
 function placeTasks(
--- a/packages/core/src/lib/jobs/getCrashSuspects.ts
+++ b/packages/core/src/lib/jobs/health/getCrashSuspects.ts
@@ -1,5 +1,5 @@
 import type { CrashSuspect } from './CrashSuspect.js'
-import type { TaskRow } from './TaskRow.js'
+import type { TaskRow } from '../TaskRow.js'
 import { getRunAge } from './getRunAge.js'
 import { hasSurvivedStart } from './hasSurvivedStart.js'
 import { STABLE_RUN_TIME } from './stableRunTime.js'
--- a/packages/core/src/lib/jobs/getRunAge.ts
+++ b/packages/core/src/lib/jobs/health/getRunAge.ts
@@ -1,4 +1,4 @@
-import type { TaskRow } from './TaskRow.js'
+import type { TaskRow } from '../TaskRow.js'
 
 /**
  * Returns how long the current run of a task is known to have lasted, in milliseconds: from its start
--- a/packages/core/src/lib/jobs/getStartActivity.ts
+++ b/packages/core/src/lib/jobs/health/getStartActivity.ts
@@ -1,5 +1,5 @@
-import type { BackendRow } from './BackendRow.js'
-import type { JobRow } from './JobRow.js'
+import type { BackendRow } from '../BackendRow.js'
+import type { JobRow } from '../JobRow.js'
 import type { StartActivity } from './StartActivity.js'
 import { hasSurvivedStart } from './hasSurvivedStart.js'
 import { isOnProbation } from './isOnProbation.js'
--- a/packages/core/src/lib/jobs/hasSurvivedStart.ts
+++ b/packages/core/src/lib/jobs/health/hasSurvivedStart.ts
@@ -1,4 +1,4 @@
-import type { TaskRow } from './TaskRow.js'
+import type { TaskRow } from '../TaskRow.js'
 import { getProbationTime } from './getProbationTime.js'
 import { getRunAge } from './getRunAge.js'
 
--- a/packages/core/src/lib/jobs/isOnProbation.ts
+++ b/packages/core/src/lib/jobs/health/isOnProbation.ts
@@ -1,4 +1,4 @@
-import type { TaskRow } from './TaskRow.js'
+import type { TaskRow } from '../TaskRow.js'
 import { hasSurvivedStart } from './hasSurvivedStart.js'
 
 /**
--- a/packages/core/src/lib/jobs/recordCrash.ts
+++ b/packages/core/src/lib/jobs/health/recordCrash.ts
@@ -1,5 +1,5 @@
 import type { CrashSuspicion } from './CrashSuspicion.js'
-import type { TaskRow } from './TaskRow.js'
+import type { TaskRow } from '../TaskRow.js'
 import { MAXIMUM_CRASHES } from './maximumCrashes.js'
 
 /**
--- a/packages/core/src/lib/jobs/lookahead/DrainingScorer.ts
+++ b/packages/core/src/lib/jobs/lookahead/DrainingScorer.ts
@@ -1,6 +1,6 @@
 import type { BackendRow } from '../BackendRow.js'
-import { BinPackingScorer } from '../BinPackingScorer.js'
-import type { ReadyStep } from '../ReadyStep.js'
+import { BinPackingScorer } from '../placement/BinPackingScorer.js'
+import type { ReadyStep } from '../placement/ReadyStep.js'
 
 /** Penalty for a task whose whole run keeps a server busy that would else be idle; outweighs how full servers are. */
 const OVERHANG_PENALTY = 2
--- a/packages/core/src/lib/jobs/lookahead/EstimatedRunTimes.ts
+++ b/packages/core/src/lib/jobs/lookahead/EstimatedRunTimes.ts
@@ -1,6 +1,6 @@
 import type { Job } from '../Job.js'
 import type { JobStep } from '../JobStep.js'
-import { defaultEstimate } from '../defaultEstimate.js'
+import { defaultEstimate } from '../work/defaultEstimate.js'
 import { RunTimes } from './RunTimes.js'
 
 /**
--- a/packages/core/src/lib/jobs/lookahead/ExpectedEnds.ts
+++ b/packages/core/src/lib/jobs/lookahead/ExpectedEnds.ts
@@ -3,7 +3,7 @@
 import type { JobStep } from '../JobStep.js'
 import type { Resources } from '../Resources.js'
 import type { TaskRow } from '../TaskRow.js'
-import { getReservedResources } from '../getReservedResources.js'
+import { getReservedResources } from '../placement/getReservedResources.js'
 import type { RunTimes } from './RunTimes.js'
 
 /** Share of its age for which a task that runs longer than expected is expected to go on. */
--- a/packages/core/src/lib/jobs/lookahead/ReservationPolicy.ts
+++ b/packages/core/src/lib/jobs/lookahead/ReservationPolicy.ts
@@ -1,5 +1,5 @@
 import type { BackendRow } from '../BackendRow.js'
-import type { ReadyStep } from '../ReadyStep.js'
+import type { ReadyStep } from '../placement/ReadyStep.js'
 
 /**
  * Holds room that will become free for steps that wait, while other tasks are placed.
--- a/packages/core/src/lib/jobs/lookahead/drainingPool.test.ts
+++ b/packages/core/src/lib/jobs/lookahead/drainingPool.test.ts
@@ -1,6 +1,6 @@
 import { expect, it } from 'vitest'
-import type { BackendScorer } from '../BackendScorer.js'
-import { BinPackingScorer } from '../BinPackingScorer.js'
+import type { BackendScorer } from '../placement/BackendScorer.js'
+import { BinPackingScorer } from '../placement/BinPackingScorer.js'
 import type { JobId } from '../JobId.js'
 import type { TaskRow } from '../TaskRow.js'
 import { applyRunEnding } from '../applyRunEnding.js'
--- a/packages/core/src/lib/jobs/BackendScorer.ts
+++ b/packages/core/src/lib/jobs/placement/BackendScorer.ts
@@ -1,4 +1,4 @@
-import type { BackendRow } from './BackendRow.js'
+import type { BackendRow } from '../BackendRow.js'
 import type { ReadyStep } from './ReadyStep.js'
 
 /**
--- a/packages/core/src/lib/jobs/LargestRoom.ts
+++ b/packages/core/src/lib/jobs/placement/LargestRoom.ts
@@ -1,5 +1,5 @@
-import type { BackendRow } from './BackendRow.js'
-import type { Resources } from './Resources.js'
+import type { BackendRow } from '../BackendRow.js'
+import type { Resources } from '../Resources.js'
 
 /**
  * The most of each resource that any server of a list has free, during one plan. A task that needs more
--- a/packages/core/src/lib/jobs/LeastSlackPolicy.test.ts
+++ b/packages/core/src/lib/jobs/placement/LeastSlackPolicy.test.ts
@@ -1,6 +1,6 @@
 import { expect, it } from 'vitest'
-import { createTestJob } from './testing/createTestJob.js'
-import { createTestTables } from './testing/createTestTables.js'
+import { createTestJob } from '../testing/createTestJob.js'
+import { createTestTables } from '../testing/createTestTables.js'
 
 /** Time of the plans, in milliseconds since 1970; what was accepted at 0 is late by then. */
 const NOW = 10_000
--- a/packages/core/src/lib/jobs/LeastSlackPolicy.ts
+++ b/packages/core/src/lib/jobs/placement/LeastSlackPolicy.ts
@@ -1,13 +1,13 @@
 import { SchedulingPolicy } from './SchedulingPolicy.js'
-import type { ServiceLoad } from './ServiceLoad.js'
-import type { JobRow } from './JobRow.js'
-import type { RemainingWork } from './RemainingWork.js'
+import type { ServiceLoad } from '../pools/ServiceLoad.js'
+import type { JobRow } from '../JobRow.js'
+import type { RemainingWork } from '../work/RemainingWork.js'
 import type { SchedulingCandidate } from './SchedulingCandidate.js'
 import type { RankedCandidate } from './RankedCandidate.js'
-import { EstimatedRunTimes } from './lookahead/EstimatedRunTimes.js'
-import type { RunTimes } from './lookahead/RunTimes.js'
-import { getRemainingWork } from './getRemainingWork.js'
-import { selectSharedJobs } from './scarcity/selectSharedJobs.js'
+import { EstimatedRunTimes } from '../lookahead/EstimatedRunTimes.js'
+import type { RunTimes } from '../lookahead/RunTimes.js'
+import { getRemainingWork } from '../work/getRemainingWork.js'
+import { selectSharedJobs } from '../scarcity/selectSharedJobs.js'
 
 /** Numbers of the groups of candidates, which are placed in this order. */
 const LASTING = 0
--- a/packages/core/src/lib/jobs/PlacementPlanner.test.ts
+++ b/packages/core/src/lib/jobs/placement/PlacementPlanner.test.ts
@@ -1,8 +1,8 @@
 import { describe, expect, it } from 'vitest'
-import { applyRunEnding } from './applyRunEnding.js'
-import { updateJobState } from './updateJobState.js'
-import { createTestJob } from './testing/createTestJob.js'
-import { createTestTables } from './testing/createTestTables.js'
+import { applyRunEnding } from '../applyRunEnding.js'
+import { updateJobState } from '../updateJobState.js'
+import { createTestJob } from '../testing/createTestJob.js'
+import { createTestTables } from '../testing/createTestTables.js'
 
 describe('placement', () => {
 	it('packs tasks, so that the other machines stay idle', () => {
--- a/packages/core/src/lib/jobs/ReadyStep.ts
+++ b/packages/core/src/lib/jobs/placement/ReadyStep.ts
@@ -1,6 +1,6 @@
-import type { JobRow } from './JobRow.js'
-import type { JobStep } from './JobStep.js'
-import type { TaskRow } from './TaskRow.js'
+import type { JobRow } from '../JobRow.js'
+import type { JobStep } from '../JobStep.js'
+import type { TaskRow } from '../TaskRow.js'
 
 /**
  * A step of one occurrence of a job whose dependencies are done, with its tasks to place.
--- a/packages/core/src/lib/jobs/SchedulingCandidate.ts
+++ b/packages/core/src/lib/jobs/placement/SchedulingCandidate.ts
@@ -1,4 +1,4 @@
-import type { QueueRules } from './QueueRules.js'
+import type { QueueRules } from '../QueueRules.js'
 import type { ReadyStep } from './ReadyStep.js'
 
 /**
--- a/packages/core/src/lib/jobs/SchedulingPolicy.ts
+++ b/packages/core/src/lib/jobs/placement/SchedulingPolicy.ts
@@ -1,5 +1,5 @@
 import type { SchedulingCandidate } from './SchedulingCandidate.js'
-import type { ServiceLoad } from './ServiceLoad.js'
+import type { ServiceLoad } from '../pools/ServiceLoad.js'
 import type { RankedCandidate } from './RankedCandidate.js'
 
 /**
--- a/packages/core/src/lib/jobs/TaskPlacement.ts
+++ b/packages/core/src/lib/jobs/placement/TaskPlacement.ts
@@ -1,5 +1,5 @@
-import type { BackendRow } from './BackendRow.js'
-import type { TaskRow } from './TaskRow.js'
+import type { BackendRow } from '../BackendRow.js'
+import type { TaskRow } from '../TaskRow.js'
 
 /**
  * Decision to run one attempt of a task on a backend server.
--- a/packages/core/src/lib/jobs/UsableBackends.ts
+++ b/packages/core/src/lib/jobs/placement/UsableBackends.ts
@@ -1,5 +1,5 @@
-import type { BackendRow } from './BackendRow.js'
-import { getBackendAvailability } from './getBackendAvailability.js'
+import type { BackendRow } from '../BackendRow.js'
+import { getBackendAvailability } from '../health/getBackendAvailability.js'
 
 /**
  * The usable backend servers of each service during one plan, and those of them that short tasks may use.
--- a/packages/core/src/lib/jobs/exceedsTeamLimit.ts
+++ b/packages/core/src/lib/jobs/placement/exceedsTeamLimit.ts
@@ -1,5 +1,5 @@
-import type { Resources } from './Resources.js'
-import type { TeamRules } from './TeamRules.js'
+import type { Resources } from '../Resources.js'
+import type { TeamRules } from '../TeamRules.js'
 
 /**
  * Whether a team that uses `used` would exceed its limit with `needs` in addition.
--- a/packages/core/src/lib/jobs/explainJob.test.ts
+++ b/packages/core/src/lib/jobs/placement/explainJob.test.ts
@@ -1,6 +1,6 @@
 import { expect, it } from 'vitest'
-import { createTestJob } from './testing/createTestJob.js'
-import { createTestTables } from './testing/createTestTables.js'
+import { createTestJob } from '../testing/createTestJob.js'
+import { createTestTables } from '../testing/createTestTables.js'
 import { explainJob } from './explainJob.js'
 
 const NOW = 1_000
--- a/packages/core/src/lib/jobs/fitsWithin.ts
+++ b/packages/core/src/lib/jobs/placement/fitsWithin.ts
@@ -1,4 +1,4 @@
-import type { Resources } from './Resources.js'
+import type { Resources } from '../Resources.js'
 
 /**
  * Whether `needs` fit into the part of `capacity` that is not `used`.
--- a/packages/core/src/lib/jobs/getHostRefusal.ts
+++ b/packages/core/src/lib/jobs/placement/getHostRefusal.ts
@@ -1,4 +1,4 @@
-import type { BackendRow } from './BackendRow.js'
+import type { BackendRow } from '../BackendRow.js'
 import type { HostRefusal } from './HostRefusal.js'
 import type { ReadyStep } from './ReadyStep.js'
 import { getReservedResources } from './getReservedResources.js'
--- a/packages/core/src/lib/jobs/getReadySteps.ts
+++ b/packages/core/src/lib/jobs/placement/getReadySteps.ts
@@ -1,6 +1,6 @@
-import type { JobRow } from './JobRow.js'
+import type { JobRow } from '../JobRow.js'
 import type { ReadyStep } from './ReadyStep.js'
-import type { TaskRow } from './TaskRow.js'
+import type { TaskRow } from '../TaskRow.js'
 
 /**
  * Returns the steps of a job that have tasks to place now.
--- a/packages/core/src/lib/jobs/getReservedResources.ts
+++ b/packages/core/src/lib/jobs/placement/getReservedResources.ts
@@ -1,5 +1,5 @@
-import type { JobStep } from './JobStep.js'
-import type { Resources } from './Resources.js'
+import type { JobStep } from '../JobStep.js'
+import type { Resources } from '../Resources.js'
 
 /**
  * Returns the capacity that a task of the step reserves on a backend server. Best-effort steps
--- a/packages/core/src/lib/jobs/hasRoom.ts
+++ b/packages/core/src/lib/jobs/placement/hasRoom.ts
@@ -1,5 +1,5 @@
-import type { BackendRow } from './BackendRow.js'
-import type { Resources } from './Resources.js'
+import type { BackendRow } from '../BackendRow.js'
+import type { Resources } from '../Resources.js'
 
 /**
  * Whether a backend server has free what a task reserves. Allocates nothing, since a plan asks it for every
--- a/packages/core/src/lib/jobs/heldRoom.test.ts
+++ b/packages/core/src/lib/jobs/placement/heldRoom.test.ts
@@ -1,10 +1,10 @@
 import { expect, it } from 'vitest'
-import type { BackendId } from './BackendId.js'
-import type { JobStep } from './JobStep.js'
+import type { BackendId } from '../BackendId.js'
+import type { JobStep } from '../JobStep.js'
 import type { TaskPlacement } from './TaskPlacement.js'
-import { applyRunEnding } from './applyRunEnding.js'
-import { createTestJob } from './testing/createTestJob.js'
-import { createTestTables } from './testing/createTestTables.js'
+import { applyRunEnding } from '../applyRunEnding.js'
+import { createTestJob } from '../testing/createTestJob.js'
+import { createTestTables } from '../testing/createTestTables.js'
 
 const BACKENDS = 3
 /** Cores of a short task; 18 fill a server of 16 cores. */
--- a/packages/core/src/lib/jobs/selectFeasibleJobs.test.ts
+++ b/packages/core/src/lib/jobs/placement/selectFeasibleJobs.test.ts
@@ -1,8 +1,8 @@
 import { describe, expect, it } from 'vitest'
-import type { RemainingWork } from './RemainingWork.js'
-import { createJobRow } from './createJobRow.js'
+import type { RemainingWork } from '../work/RemainingWork.js'
+import { createJobRow } from '../createJobRow.js'
 import { selectFeasibleJobs } from './selectFeasibleJobs.js'
-import { createTestJob } from './testing/createTestJob.js'
+import { createTestJob } from '../testing/createTestJob.js'
 
 const IDLE_LOAD = {
 	cores: 16,
--- a/packages/core/src/lib/jobs/selectFeasibleJobs.ts
+++ b/packages/core/src/lib/jobs/placement/selectFeasibleJobs.ts
@@ -1,5 +1,5 @@
-import type { RemainingWork } from './RemainingWork.js'
-import type { ServiceLoad } from './ServiceLoad.js'
+import type { RemainingWork } from '../work/RemainingWork.js'
+import type { ServiceLoad } from '../pools/ServiceLoad.js'
 
 /**
  * Share of its critical path by which a job may be expected to start after its latest start. The
--- a/packages/core/src/lib/jobs/selectHeldBackend.ts
+++ b/packages/core/src/lib/jobs/placement/selectHeldBackend.ts
@@ -1,11 +1,11 @@
-import type { BackendRow } from './BackendRow.js'
+import type { BackendRow } from '../BackendRow.js'
 import type { ReadyStep } from './ReadyStep.js'
-import type { Resources } from './Resources.js'
-import { addResources } from './addResources.js'
+import type { Resources } from '../Resources.js'
+import { addResources } from '../addResources.js'
 import { fitsWithin } from './fitsWithin.js'
 import { getHostRefusal } from './getHostRefusal.js'
 import { getReservedResources } from './getReservedResources.js'
-import { noResources } from './noResources.js'
+import { noResources } from '../noResources.js'
 
 /**
  * Selects the backend server on which room is held for a lasting task that fits on none: the one that
--- a/packages/core/src/lib/jobs/DemandPoolPolicy.ts
+++ b/packages/core/src/lib/jobs/pools/DemandPoolPolicy.ts
@@ -1,6 +1,6 @@
 import { PoolPolicy } from './PoolPolicy.js'
 import type { MachineMove } from './MachineMove.js'
-import { getFairShares } from './scarcity/getFairShares.js'
+import { getFairShares } from '../scarcity/getFairShares.js'
 import type { PoolState } from './PoolState.js'
 
 /** Cores provided per core of demand, because tasks do not fill machines evenly. */
--- a/packages/core/src/lib/jobs/ServiceLoad.ts
+++ b/packages/core/src/lib/jobs/pools/ServiceLoad.ts
@@ -1,5 +1,5 @@
 import type { ArrivingMachines } from './ArrivingMachines.js'
-import type { RemainingWork } from './RemainingWork.js'
+import type { RemainingWork } from '../work/RemainingWork.js'
 
 /**
  * Capacity of a service's usable backend servers and the work that they already hold, at the time of
--- a/packages/core/src/lib/jobs/countMissingMachines.ts
+++ b/packages/core/src/lib/jobs/pools/countMissingMachines.ts
@@ -1,8 +1,8 @@
-import type { BackendRow } from './BackendRow.js'
-import type { ReadyStep } from './ReadyStep.js'
-import { fitsWithin } from './fitsWithin.js'
-import { getReservedResources } from './getReservedResources.js'
-import { noResources } from './noResources.js'
+import type { BackendRow } from '../BackendRow.js'
+import type { ReadyStep } from '../placement/ReadyStep.js'
+import { fitsWithin } from '../placement/fitsWithin.js'
+import { getReservedResources } from '../placement/getReservedResources.js'
+import { noResources } from '../noResources.js'
 
 /**
  * Returns how many further machines like those in use would take the unplaced tasks of a step that no
--- a/packages/core/src/lib/jobs/getPendingCores.ts
+++ b/packages/core/src/lib/jobs/pools/getPendingCores.ts
@@ -1,4 +1,4 @@
-import type { ReadyStep } from './ReadyStep.js'
+import type { ReadyStep } from '../placement/ReadyStep.js'
 
 const MILLICORES_PER_CORE = 1_000
 
--- a/packages/core/src/lib/jobs/getServiceLoad.ts
+++ b/packages/core/src/lib/jobs/pools/getServiceLoad.ts
@@ -1,9 +1,9 @@
 import type { ArrivingMachines } from './ArrivingMachines.js'
-import type { BackendRow } from './BackendRow.js'
+import type { BackendRow } from '../BackendRow.js'
 import type { ServiceLoad } from './ServiceLoad.js'
-import type { RunTimes } from './lookahead/RunTimes.js'
-import { getRemainingTaskWork } from './getRemainingTaskWork.js'
-import { getReservedResources } from './getReservedResources.js'
+import type { RunTimes } from '../lookahead/RunTimes.js'
+import { getRemainingTaskWork } from '../work/getRemainingTaskWork.js'
+import { getReservedResources } from '../placement/getReservedResources.js'
 
 const MILLICORES_PER_CORE = 1_000
 
--- a/packages/core/src/lib/jobs/overloadedPool.test.ts
+++ b/packages/core/src/lib/jobs/pools/overloadedPool.test.ts
@@ -1,7 +1,7 @@
 import { expect, it } from 'vitest'
-import type { JobId } from './JobId.js'
-import { createTestDemand } from './testing/createTestDemand.js'
-import { simulatePool } from './testing/simulatePool.js'
+import type { JobId } from '../JobId.js'
+import { createTestDemand } from '../testing/createTestDemand.js'
+import { simulatePool } from '../testing/simulatePool.js'
 
 const SEEDS = [1, 2, 3, 4]
 const DURATION = 5_000
--- a/packages/core/src/lib/jobs/recordEarlierArrivals.test.ts
+++ b/packages/core/src/lib/jobs/pools/recordEarlierArrivals.test.ts
@@ -1,9 +1,9 @@
 import { expect, it } from 'vitest'
 import { DemandMeter } from './DemandMeter.js'
-import { getJobWork } from './getJobWork.js'
+import { getJobWork } from '../work/getJobWork.js'
 import { recordEarlierArrivals } from './recordEarlierArrivals.js'
-import { createTestConfiguration } from './testing/createTestConfiguration.js'
-import { createTestJob } from './testing/createTestJob.js'
+import { createTestConfiguration } from '../testing/createTestConfiguration.js'
+import { createTestJob } from '../testing/createTestJob.js'
 
 const STARTED_AT = 1_700_000_000_000
 /** Milliseconds between two jobs of a busy phase, and its length. */
--- a/packages/core/src/lib/jobs/recordEarlierArrivals.ts
+++ b/packages/core/src/lib/jobs/pools/recordEarlierArrivals.ts
@@ -1,9 +1,9 @@
 import type { DemandMeter } from './DemandMeter.js'
-import type { FleetConfiguration } from './FleetConfiguration.js'
-import type { Job } from './Job.js'
-import type { RunTimes } from './lookahead/RunTimes.js'
-import { getJobWork } from './getJobWork.js'
-import { getQueueRules } from './getQueueRules.js'
+import type { FleetConfiguration } from '../FleetConfiguration.js'
+import type { Job } from '../Job.js'
+import type { RunTimes } from '../lookahead/RunTimes.js'
+import { getJobWork } from '../work/getJobWork.js'
+import { getQueueRules } from '../getQueueRules.js'
 
 /** Age from which a job no longer counts as arriving, in milliseconds. */
 const MAXIMUM_AGE = 10_000
--- a/packages/core/src/lib/jobs/scarcity/scarcePools.test.ts
+++ b/packages/core/src/lib/jobs/scarcity/scarcePools.test.ts
@@ -1,6 +1,6 @@
 import { expect, it } from 'vitest'
-import { DemandPoolPolicy } from '../DemandPoolPolicy.js'
-import type { PoolState } from '../PoolState.js'
+import { DemandPoolPolicy } from '../pools/DemandPoolPolicy.js'
+import type { PoolState } from '../pools/PoolState.js'
 
 const MACHINE_CORES = 16
 const NOW = 10_000
--- a/packages/core/src/lib/jobs/scarcity/selectSharedJobs.test.ts
+++ b/packages/core/src/lib/jobs/scarcity/selectSharedJobs.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest'
-import type { RemainingWork } from '../RemainingWork.js'
+import type { RemainingWork } from '../work/RemainingWork.js'
 import { createJobRow } from '../createJobRow.js'
 import { createTestJob } from '../testing/createTestJob.js'
 import { selectSharedJobs } from './selectSharedJobs.js'
--- a/packages/core/src/lib/jobs/scarcity/selectSharedJobs.ts
+++ b/packages/core/src/lib/jobs/scarcity/selectSharedJobs.ts
@@ -1,6 +1,6 @@
-import type { RemainingWork } from '../RemainingWork.js'
-import type { ServiceLoad } from '../ServiceLoad.js'
-import { selectFeasibleJobs } from '../selectFeasibleJobs.js'
+import type { RemainingWork } from '../work/RemainingWork.js'
+import type { ServiceLoad } from '../pools/ServiceLoad.js'
+import { selectFeasibleJobs } from '../placement/selectFeasibleJobs.js'
 import { getFairShares } from './getFairShares.js'
 
 type Load = Omit<ServiceLoad, 'blockedJobs'>
--- a/packages/core/src/lib/jobs/RemainingWork.ts
+++ b/packages/core/src/lib/jobs/work/RemainingWork.ts
@@ -1,4 +1,4 @@
-import type { JobRow } from './JobRow.js'
+import type { JobRow } from '../JobRow.js'
 
 /**
  * Estimated remaining work of one occurrence of a job, and when it is due.
--- a/packages/core/src/lib/jobs/getCriticalPath.ts
+++ b/packages/core/src/lib/jobs/work/getCriticalPath.ts
@@ -1,4 +1,4 @@
-import type { JobStep } from './JobStep.js'
+import type { JobStep } from '../JobStep.js'
 
 /**
  * Returns the length of the longest dependency chain of the steps, in milliseconds.
--- a/packages/core/src/lib/jobs/getJobWork.ts
+++ b/packages/core/src/lib/jobs/work/getJobWork.ts
@@ -1,6 +1,6 @@
-import type { Job } from './Job.js'
-import { EstimatedRunTimes } from './lookahead/EstimatedRunTimes.js'
-import type { RunTimes } from './lookahead/RunTimes.js'
+import type { Job } from '../Job.js'
+import { EstimatedRunTimes } from '../lookahead/EstimatedRunTimes.js'
+import type { RunTimes } from '../lookahead/RunTimes.js'
 
 /**
  * Returns the expected work of one occurrence of a job, in core-milliseconds. Lasting and best-effort
--- a/packages/core/src/lib/jobs/getRemainingDuration.ts
+++ b/packages/core/src/lib/jobs/work/getRemainingDuration.ts
@@ -1,6 +1,6 @@
-import type { TaskRow } from './TaskRow.js'
-import { EstimatedRunTimes } from './lookahead/EstimatedRunTimes.js'
-import type { RunTimes } from './lookahead/RunTimes.js'
+import type { TaskRow } from '../TaskRow.js'
+import { EstimatedRunTimes } from '../lookahead/EstimatedRunTimes.js'
+import type { RunTimes } from '../lookahead/RunTimes.js'
 
 /** Share of a placed task's run time that is assumed to remain. */
 const PLACED_TASK_REMAINDER = 0.5
--- a/packages/core/src/lib/jobs/getRemainingTaskWork.ts
+++ b/packages/core/src/lib/jobs/work/getRemainingTaskWork.ts
@@ -1,5 +1,5 @@
-import type { TaskRow } from './TaskRow.js'
-import type { RunTimes } from './lookahead/RunTimes.js'
+import type { TaskRow } from '../TaskRow.js'
+import type { RunTimes } from '../lookahead/RunTimes.js'
 import { getRemainingDuration } from './getRemainingDuration.js'
 
 const MILLICORES_PER_CORE = 1_000
--- a/packages/core/src/lib/jobs/getRemainingWork.ts
+++ b/packages/core/src/lib/jobs/work/getRemainingWork.ts
@@ -1,13 +1,13 @@
 import type { RemainingWork } from './RemainingWork.js'
-import type { JobRow } from './JobRow.js'
-import type { JobStep } from './JobStep.js'
-import type { QueueRules } from './QueueRules.js'
-import { EstimatedRunTimes } from './lookahead/EstimatedRunTimes.js'
-import type { RunTimes } from './lookahead/RunTimes.js'
+import type { JobRow } from '../JobRow.js'
+import type { JobStep } from '../JobStep.js'
+import type { QueueRules } from '../QueueRules.js'
+import { EstimatedRunTimes } from '../lookahead/EstimatedRunTimes.js'
+import type { RunTimes } from '../lookahead/RunTimes.js'
 import { getCriticalPath } from './getCriticalPath.js'
 import { getRemainingDuration } from './getRemainingDuration.js'
 import { getRemainingTaskWork } from './getRemainingTaskWork.js'
-import { getReservedResources } from './getReservedResources.js'
+import { getReservedResources } from '../placement/getReservedResources.js'
 
 const MILLICORES_PER_CORE = 1_000
 
