Moves alone: the parts of an owner's term by concern

packages/jobs/src/lib/owner: terms, leases, monitoring and recovery, with the tests that bear a class's name. Only paths of imports change.

--- a/packages/jobs/src/lib/log/TermHistory.ts
+++ b/packages/jobs/src/lib/log/TermHistory.ts
@@ -1,4 +1,4 @@
-import { LeaseTiming } from '../owner/LeaseTiming.js'
+import { LeaseTiming } from '../owner/leases/LeaseTiming.js'
 
 interface OpenTerm {
 	/** The instance whose process holds the term; undefined while the term has no record of its own. */
--- a/packages/jobs/src/lib/machines/Evacuator.ts
+++ b/packages/jobs/src/lib/machines/Evacuator.ts
@@ -6,7 +6,7 @@
 	getStepMembers,
 	isTaskAvailable,
 } from '@mastichead/core'
-import type { OwnerContext } from '../owner/OwnerContext.js'
+import type { OwnerContext } from '../owner/terms/OwnerContext.js'
 
 /**
  * Stops lasting tasks on backend servers that are cordoned, draining or in an availability zone that is
--- a/packages/jobs/src/lib/machines/MachineInventory.ts
+++ b/packages/jobs/src/lib/machines/MachineInventory.ts
@@ -1,5 +1,5 @@
 import type { BackendRow } from '@mastichead/core'
-import type { OwnerContext } from '../owner/OwnerContext.js'
+import type { OwnerContext } from '../owner/terms/OwnerContext.js'
 import type { Machine } from '../ports/Machine.js'
 import type { MachineController } from '../ports/MachineController.js'
 
--- a/packages/jobs/src/lib/machines/MachineManager.ts
+++ b/packages/jobs/src/lib/machines/MachineManager.ts
@@ -6,9 +6,9 @@
 	TaskRow,
 } from '@mastichead/core'
 import { DemandPoolPolicy } from '@mastichead/core'
-import type { OwnerContext } from '../owner/OwnerContext.js'
-import type { ProgressWriter } from '../owner/ProgressWriter.js'
-import type { TaskUpdater } from '../owner/TaskUpdater.js'
+import type { OwnerContext } from '../owner/terms/OwnerContext.js'
+import type { ProgressWriter } from '../owner/terms/ProgressWriter.js'
+import type { TaskUpdater } from '../owner/monitoring/TaskUpdater.js'
 import type { MachineController } from '../ports/MachineController.js'
 import type { MaintenanceWave } from '../ports/MaintenanceWave.js'
 import { Evacuator } from './Evacuator.js'
--- a/packages/jobs/src/lib/machines/MachineOrderJournal.ts
+++ b/packages/jobs/src/lib/machines/MachineOrderJournal.ts
@@ -1,6 +1,6 @@
 import { JobRecords } from '../log/JobRecords.js'
-import type { OwnerContext } from '../owner/OwnerContext.js'
-import type { ProgressWriter } from '../owner/ProgressWriter.js'
+import type { OwnerContext } from '../owner/terms/OwnerContext.js'
+import type { ProgressWriter } from '../owner/terms/ProgressWriter.js'
 import type { MachineOrder } from './MachineOrder.js'
 
 /**
--- a/packages/jobs/src/lib/machines/PoolManager.ts
+++ b/packages/jobs/src/lib/machines/PoolManager.ts
@@ -10,7 +10,7 @@
 } from '@mastichead/core'
 import { getBackendAvailability, getQueueRules } from '@mastichead/core'
 import { ConcurrencyLimit } from '../ConcurrencyLimit.js'
-import type { OwnerContext } from '../owner/OwnerContext.js'
+import type { OwnerContext } from '../owner/terms/OwnerContext.js'
 import type { MachineController } from '../ports/MachineController.js'
 import type { MachineOrderResult } from '../ports/MachineOrderResult.js'
 import type { MachineInventory } from './MachineInventory.js'
--- a/packages/jobs/src/lib/owner/lateIntake.test.ts
+++ b/packages/jobs/src/lib/owner/lateIntake.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from 'vitest'
 import { getHomeStream } from '../intake/getHomeStream.js'
 import { createTestFleet } from '../testing/createTestFleet.js'
-import { LeaseTiming } from './LeaseTiming.js'
+import { LeaseTiming } from './leases/LeaseTiming.js'
 
 const JOB_NUMBER = 1
 /** Stream of the job's submission. */
--- a/packages/jobs/src/lib/owner/LeaseLedger.longLease.test.ts
+++ b/packages/jobs/src/lib/owner/leases/LeaseLedger.longLease.test.ts
@@ -1,5 +1,5 @@
 import { expect, it } from 'vitest'
-import { createTestLedger } from '../testing/createTestLedger.js'
+import { createTestLedger } from '../../testing/createTestLedger.js'
 
 // Guards against a long lease of a restarted server that the next owner forgets with its first listing.
 it('a long lease holds as long as the earlier owner expected it, also after the first listing', () => {
--- a/packages/jobs/src/lib/owner/LeaseLedger.test.ts
+++ b/packages/jobs/src/lib/owner/leases/LeaseLedger.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest'
-import { createTestLedger } from '../testing/createTestLedger.js'
+import { createTestLedger } from '../../testing/createTestLedger.js'
 
 /** Longest time for which a lease holds after the latest order, in milliseconds. */
 const LEASE = 4_380
--- a/packages/jobs/src/lib/owner/LeaseLedger.ts
+++ b/packages/jobs/src/lib/owner/leases/LeaseLedger.ts
@@ -1,11 +1,11 @@
 import type { BackendId, BackendRow, TaskRow } from '@mastichead/core'
-import { JobRecords } from '../log/JobRecords.js'
-import type { JobReplica } from '../log/JobReplica.js'
-import type { RecordedLease } from '../log/RecordedLease.js'
-import type { LogRecord } from '../ports/LogRecord.js'
+import { JobRecords } from '../../log/JobRecords.js'
+import type { JobReplica } from '../../log/JobReplica.js'
+import type { RecordedLease } from '../../log/RecordedLease.js'
+import type { LogRecord } from '../../ports/LogRecord.js'
 import { LeaseTiming } from './LeaseTiming.js'
-import type { OwnerContext } from './OwnerContext.js'
-import type { ProgressWriter } from './ProgressWriter.js'
+import type { OwnerContext } from '../terms/OwnerContext.js'
+import type { ProgressWriter } from '../terms/ProgressWriter.js'
 
 /** Minimum time between two records of the time that is left, in milliseconds. */
 const RECORD_INTERVAL = 1_000
--- a/packages/jobs/src/lib/owner/BackendRegistry.ts
+++ b/packages/jobs/src/lib/owner/monitoring/BackendRegistry.ts
@@ -1,10 +1,10 @@
 import type { BackendId, BackendRow, Resources } from '@mastichead/core'
-import { StreamFollower } from '../log/StreamFollower.js'
-import type { LogEntry } from '../ports/LogEntry.js'
-import type { MetadataLog } from '../ports/MetadataLog.js'
-import type { BackendRegistration } from '../ports/BackendRegistration.js'
-import type { OperatorFormat } from '../ports/OperatorFormat.js'
-import type { OwnerContext } from './OwnerContext.js'
+import { StreamFollower } from '../../log/StreamFollower.js'
+import type { LogEntry } from '../../ports/LogEntry.js'
+import type { MetadataLog } from '../../ports/MetadataLog.js'
+import type { BackendRegistration } from '../../ports/BackendRegistration.js'
+import type { OperatorFormat } from '../../ports/OperatorFormat.js'
+import type { OwnerContext } from '../terms/OwnerContext.js'
 
 /** How long a read waits for a changed registration, and the pause after it, in milliseconds. */
 const READ_WAIT = 500
--- a/packages/jobs/src/lib/owner/CrashTracker.ts
+++ b/packages/jobs/src/lib/owner/monitoring/CrashTracker.ts
@@ -7,9 +7,9 @@
 	UnexplainedLoss,
 } from '@mastichead/core'
 import { MAXIMUM_CRASHES, explainLoss, getCrashSuspects } from '@mastichead/core'
-import type { MachineOrder } from '../machines/MachineOrder.js'
-import type { BackendRegistration } from '../ports/BackendRegistration.js'
-import type { OwnerContext } from './OwnerContext.js'
+import type { MachineOrder } from '../../machines/MachineOrder.js'
+import type { BackendRegistration } from '../../ports/BackendRegistration.js'
+import type { OwnerContext } from '../terms/OwnerContext.js'
 import type { ProcessEndCause } from './ProcessEndCause.js'
 
 /** Time from an order for a machine in which it may end the process there, in milliseconds. */
--- a/packages/jobs/src/lib/owner/MonitorTable.ts
+++ b/packages/jobs/src/lib/owner/monitoring/MonitorTable.ts
@@ -2,10 +2,10 @@
 import { BackendMonitor } from './BackendMonitor.js'
 import type { CrashTracker } from './CrashTracker.js'
 import { createListingQueues } from './createListingQueues.js'
-import type { LeaseLedger } from './LeaseLedger.js'
+import type { LeaseLedger } from '../leases/LeaseLedger.js'
 import type { OrderDispatcher } from './OrderDispatcher.js'
-import type { OwnerContext } from './OwnerContext.js'
-import type { ProgressWriter } from './ProgressWriter.js'
+import type { OwnerContext } from '../terms/OwnerContext.js'
+import type { ProgressWriter } from '../terms/ProgressWriter.js'
 import type { TaskUpdater } from './TaskUpdater.js'
 
 /**
--- a/packages/jobs/src/lib/owner/OrderDispatcher.ts
+++ b/packages/jobs/src/lib/owner/monitoring/OrderDispatcher.ts
@@ -1,9 +1,9 @@
 import type { BackendRow, TaskPlacement, TaskRow } from '@mastichead/core'
 import { fitsWithin, getProbationTime, isOnProbation, noResources } from '@mastichead/core'
-import type { BackendOrderResult } from '../ports/BackendOrderResult.js'
-import type { LeaseLedger } from './LeaseLedger.js'
-import { LeaseTiming } from './LeaseTiming.js'
-import type { OwnerContext } from './OwnerContext.js'
+import type { BackendOrderResult } from '../../ports/BackendOrderResult.js'
+import type { LeaseLedger } from '../leases/LeaseLedger.js'
+import { LeaseTiming } from '../leases/LeaseTiming.js'
+import type { OwnerContext } from '../terms/OwnerContext.js'
 import { detectRestart } from './detectRestart.js'
 import type { TaskUpdater } from './TaskUpdater.js'
 
--- a/packages/jobs/src/lib/owner/TaskUpdater.ts
+++ b/packages/jobs/src/lib/owner/monitoring/TaskUpdater.ts
@@ -8,8 +8,8 @@
 	TaskRow,
 } from '@mastichead/core'
 import { applyRunEnding, getQueueRules, updateJobState } from '@mastichead/core'
-import type { OwnerContext } from './OwnerContext.js'
-import type { ProgressWriter } from './ProgressWriter.js'
+import type { OwnerContext } from '../terms/OwnerContext.js'
+import type { ProgressWriter } from '../terms/ProgressWriter.js'
 
 /** Maximum attempts of a task of whose queue no rules are known. */
 const DEFAULT_MAXIMUM_ATTEMPTS = 1
--- a/packages/jobs/src/lib/owner/completesTask.ts
+++ b/packages/jobs/src/lib/owner/monitoring/completesTask.ts
@@ -1,5 +1,5 @@
 import type { TaskRow } from '@mastichead/core'
-import type { RunListing } from '../ports/RunListing.js'
+import type { RunListing } from '../../ports/RunListing.js'
 
 /**
  * Whether a listed end completes a task whose run was given up before, because its server was silent.
--- a/packages/jobs/src/lib/owner/createListingQueues.ts
+++ b/packages/jobs/src/lib/owner/monitoring/createListingQueues.ts
@@ -1,4 +1,4 @@
-import { ConcurrencyLimit } from '../ConcurrencyLimit.js'
+import { ConcurrencyLimit } from '../../ConcurrencyLimit.js'
 
 /**
  * Maximum numbers of backend servers that are listed at a time for the first time in a term, and
--- a/packages/jobs/src/lib/owner/selectNewEnds.ts
+++ b/packages/jobs/src/lib/owner/monitoring/selectNewEnds.ts
@@ -1,5 +1,5 @@
 import type { TaskId } from '@mastichead/core'
-import type { RunListing } from '../ports/RunListing.js'
+import type { RunListing } from '../../ports/RunListing.js'
 
 type Ends = RunListing['ended']
 
--- a/packages/jobs/src/lib/owner/ownerContact.failure.test.ts
+++ b/packages/jobs/src/lib/owner/ownerContact.failure.test.ts
@@ -6,8 +6,8 @@
 import { createTestContext } from '../testing/createTestContext.js'
 import { MemoryLog } from '../testing/MemoryLog.js'
 import { MemoryStore } from '../testing/MemoryStore.js'
-import { LeaseTiming } from './LeaseTiming.js'
-import { ProgressWriter } from './ProgressWriter.js'
+import { LeaseTiming } from './leases/LeaseTiming.js'
+import { ProgressWriter } from './terms/ProgressWriter.js'
 
 const EARLIER_TOKEN = 1_000
 const TOKEN = 2_000
--- a/packages/jobs/src/lib/owner/planPace.test.ts
+++ b/packages/jobs/src/lib/owner/planPace.test.ts
@@ -2,8 +2,8 @@
 import { expect, it } from 'vitest'
 import { CountingTimerService } from '../testing/CountingTimerService.js'
 import { createTestContext } from '../testing/createTestContext.js'
-import { PlanningLoop } from './PlanningLoop.js'
-import type { ProgressWriter } from './ProgressWriter.js'
+import { PlanningLoop } from './terms/PlanningLoop.js'
+import type { ProgressWriter } from './terms/ProgressWriter.js'
 
 /** Time in which changes come without a pause, in milliseconds. */
 const DURATION = 1_000
--- a/packages/jobs/src/lib/owner/JobRetention.test.ts
+++ b/packages/jobs/src/lib/owner/recovery/JobRetention.test.ts
@@ -1,5 +1,5 @@
 import { expect, it } from 'vitest'
-import { createTestFleet } from '../testing/createTestFleet.js'
+import { createTestFleet } from '../../testing/createTestFleet.js'
 
 it('drops a finished job on all instances after its retention time and keeps running jobs', async () => {
 	const fleet = createTestFleet({ instances: 2, backends: 1 })
--- a/packages/jobs/src/lib/owner/JobRetention.ts
+++ b/packages/jobs/src/lib/owner/recovery/JobRetention.ts
@@ -1,11 +1,11 @@
-import { IntakeRecords } from '../intake/IntakeRecords.js'
-import type { JobReplica } from '../log/JobReplica.js'
-import type { ReplicaRow } from '../log/ReplicaRow.js'
-import type { StreamFollower } from '../log/StreamFollower.js'
-import type { LogRecord } from '../ports/LogRecord.js'
-import type { MetadataLog } from '../ports/MetadataLog.js'
-import type { OwnerContext } from './OwnerContext.js'
-import type { ProgressWriter } from './ProgressWriter.js'
+import { IntakeRecords } from '../../intake/IntakeRecords.js'
+import type { JobReplica } from '../../log/JobReplica.js'
+import type { ReplicaRow } from '../../log/ReplicaRow.js'
+import type { StreamFollower } from '../../log/StreamFollower.js'
+import type { LogRecord } from '../../ports/LogRecord.js'
+import type { MetadataLog } from '../../ports/MetadataLog.js'
+import type { OwnerContext } from '../terms/OwnerContext.js'
+import type { ProgressWriter } from '../terms/ProgressWriter.js'
 
 /** Extra time for which expired jobs are kept, for late repeated requests, in milliseconds. */
 const RETENTION_MARGIN = 30_000
--- a/packages/jobs/src/lib/owner/TermRecovery.failure.test.ts
+++ b/packages/jobs/src/lib/owner/recovery/TermRecovery.failure.test.ts
@@ -1,7 +1,7 @@
 import { createTestJob } from '@mastichead/core'
 import { expect, it } from 'vitest'
-import { JobRecords } from '../log/JobRecords.js'
-import { createTestFleet } from '../testing/createTestFleet.js'
+import { JobRecords } from '../../log/JobRecords.js'
+import { createTestFleet } from '../../testing/createTestFleet.js'
 
 const FINISHED_JOBS = 1_000
 const FINISHED_AT = 1_700_000_000_000
--- a/packages/jobs/src/lib/owner/TermRecovery.fence.failure.test.ts
+++ b/packages/jobs/src/lib/owner/recovery/TermRecovery.fence.failure.test.ts
@@ -1,12 +1,12 @@
 import { VirtualTimerService } from '@mastichead/core'
 import { expect, it } from 'vitest'
-import type { AppendResult } from '../ports/AppendResult.js'
-import type { LogFence } from '../ports/LogFence.js'
-import type { LogRecord } from '../ports/LogRecord.js'
-import type { LogStream } from '../ports/LogStream.js'
-import { MemoryLog } from '../testing/MemoryLog.js'
-import { MemoryStore } from '../testing/MemoryStore.js'
-import { createTestRecovery } from '../testing/createTestRecovery.js'
+import type { AppendResult } from '../../ports/AppendResult.js'
+import type { LogFence } from '../../ports/LogFence.js'
+import type { LogRecord } from '../../ports/LogRecord.js'
+import type { LogStream } from '../../ports/LogStream.js'
+import { MemoryLog } from '../../testing/MemoryLog.js'
+import { MemoryStore } from '../../testing/MemoryStore.js'
+import { createTestRecovery } from '../../testing/createTestRecovery.js'
 
 /** Time that an append waits in the queue of its partition, in milliseconds. */
 const APPEND_DURATION = 1_500
--- a/packages/jobs/src/lib/owner/TermRecovery.slices.failure.test.ts
+++ b/packages/jobs/src/lib/owner/recovery/TermRecovery.slices.failure.test.ts
@@ -1,9 +1,9 @@
 import { VirtualTimerService, createTestJob } from '@mastichead/core'
 import { expect, it } from 'vitest'
-import type { ReplicaRow } from '../log/ReplicaRow.js'
-import { MemoryLog } from '../testing/MemoryLog.js'
-import { MemoryStore } from '../testing/MemoryStore.js'
-import { createTestRecovery } from '../testing/createTestRecovery.js'
+import type { ReplicaRow } from '../../log/ReplicaRow.js'
+import { MemoryLog } from '../../testing/MemoryLog.js'
+import { MemoryStore } from '../../testing/MemoryStore.js'
+import { createTestRecovery } from '../../testing/createTestRecovery.js'
 
 const JOBS = 2_000
 /** Time that restoring one job takes on the virtual clock, in milliseconds. */
--- a/packages/jobs/src/lib/owner/TermRecovery.ts
+++ b/packages/jobs/src/lib/owner/recovery/TermRecovery.ts
@@ -1,11 +1,11 @@
 import type { BackendRow } from '@mastichead/core'
-import type { StreamFollower } from '../log/StreamFollower.js'
-import type { ReplicaRow } from '../log/ReplicaRow.js'
-import type { MetadataLog } from '../ports/MetadataLog.js'
-import type { CrashTracker } from './CrashTracker.js'
-import type { LeaseLedger } from './LeaseLedger.js'
-import type { OwnerContext } from './OwnerContext.js'
-import type { TaskUpdater } from './TaskUpdater.js'
+import type { StreamFollower } from '../../log/StreamFollower.js'
+import type { ReplicaRow } from '../../log/ReplicaRow.js'
+import type { MetadataLog } from '../../ports/MetadataLog.js'
+import type { CrashTracker } from '../monitoring/CrashTracker.js'
+import type { LeaseLedger } from '../leases/LeaseLedger.js'
+import type { OwnerContext } from '../terms/OwnerContext.js'
+import type { TaskUpdater } from '../monitoring/TaskUpdater.js'
 
 /** Maximum time to wait for the intake and the registry at the start of a term, in milliseconds. */
 const MAXIMUM_READ_WAIT = 500
--- a/packages/jobs/src/lib/owner/EarlierTerms.ts
+++ b/packages/jobs/src/lib/owner/terms/EarlierTerms.ts
@@ -1,6 +1,6 @@
-import { JobRecords } from '../log/JobRecords.js'
-import type { StreamFollower } from '../log/StreamFollower.js'
-import type { TermHistory } from '../log/TermHistory.js'
+import { JobRecords } from '../../log/JobRecords.js'
+import type { StreamFollower } from '../../log/StreamFollower.js'
+import type { TermHistory } from '../../log/TermHistory.js'
 import type { OwnerContext } from './OwnerContext.js'
 import type { ProgressWriter } from './ProgressWriter.js'
 
--- a/packages/jobs/src/lib/owner/OwnerContext.ts
+++ b/packages/jobs/src/lib/owner/terms/OwnerContext.ts
@@ -1,7 +1,7 @@
 import type { BackendTable, FleetConfiguration, JobTable, TimerService } from '@mastichead/core'
-import type { EventLog } from '../logs/EventLog.js'
-import type { BackendServerClient } from '../ports/BackendServerClient.js'
-import type { JobMetrics } from '../metrics/JobMetrics.js'
+import type { EventLog } from '../../logs/EventLog.js'
+import type { BackendServerClient } from '../../ports/BackendServerClient.js'
+import type { JobMetrics } from '../../metrics/JobMetrics.js'
 
 /**
  * Dependencies and state shared by the components of one owner term.
--- a/packages/jobs/src/lib/owner/OwnerTerm.lines.test.ts
+++ b/packages/jobs/src/lib/owner/terms/OwnerTerm.lines.test.ts
@@ -1,7 +1,7 @@
 import { expect, it } from 'vitest'
-import { JobMetrics } from '../metrics/JobMetrics.js'
-import { createTestFleet } from '../testing/createTestFleet.js'
-import { MemoryEventLog } from '../testing/MemoryEventLog.js'
+import { JobMetrics } from '../../metrics/JobMetrics.js'
+import { createTestFleet } from '../../testing/createTestFleet.js'
+import { MemoryEventLog } from '../../testing/MemoryEventLog.js'
 
 // Guards against a slow start of an owner of which nobody can tell what it waited for.
 it('reports how long each phase of the start of a term took, and what is still unread', async () => {
--- a/packages/jobs/src/lib/owner/OwnerTermOptions.ts
+++ b/packages/jobs/src/lib/owner/terms/OwnerTermOptions.ts
@@ -1,13 +1,13 @@
 import type { FleetConfiguration, TimerService } from '@mastichead/core'
-import type { JobReplica } from '../log/JobReplica.js'
-import type { StreamFollower } from '../log/StreamFollower.js'
-import type { EventLog } from '../logs/EventLog.js'
-import type { JobMetrics } from '../metrics/JobMetrics.js'
-import type { BackendServerClient } from '../ports/BackendServerClient.js'
-import type { MachineController } from '../ports/MachineController.js'
-import type { MaintenanceWave } from '../ports/MaintenanceWave.js'
-import type { MetadataLog } from '../ports/MetadataLog.js'
-import type { OperatorFormat } from '../ports/OperatorFormat.js'
+import type { JobReplica } from '../../log/JobReplica.js'
+import type { StreamFollower } from '../../log/StreamFollower.js'
+import type { EventLog } from '../../logs/EventLog.js'
+import type { JobMetrics } from '../../metrics/JobMetrics.js'
+import type { BackendServerClient } from '../../ports/BackendServerClient.js'
+import type { MachineController } from '../../ports/MachineController.js'
+import type { MaintenanceWave } from '../../ports/MaintenanceWave.js'
+import type { MetadataLog } from '../../ports/MetadataLog.js'
+import type { OperatorFormat } from '../../ports/OperatorFormat.js'
 
 /**
  * Dependencies of one term of ownership.
--- a/packages/jobs/src/lib/owner/Ownership.test.ts
+++ b/packages/jobs/src/lib/owner/terms/Ownership.test.ts
@@ -1,10 +1,10 @@
 import { VirtualTimerService } from '@mastichead/core'
 import { describe, expect, it } from 'vitest'
-import { SilentEventLog } from '../logs/SilentEventLog.js'
-import type { JoinResult } from '../ports/JoinResult.js'
-import { createTestFleet } from '../testing/createTestFleet.js'
-import { MemoryLog } from '../testing/MemoryLog.js'
-import { MemoryStore } from '../testing/MemoryStore.js'
+import { SilentEventLog } from '../../logs/SilentEventLog.js'
+import type { JoinResult } from '../../ports/JoinResult.js'
+import { createTestFleet } from '../../testing/createTestFleet.js'
+import { MemoryLog } from '../../testing/MemoryLog.js'
+import { MemoryStore } from '../../testing/MemoryStore.js'
 import { Ownership } from './Ownership.js'
 
 /** Time after which a join without an answer fails, the wait for a connection included, in milliseconds. */
--- a/packages/jobs/src/lib/owner/PlanningLoop.ts
+++ b/packages/jobs/src/lib/owner/terms/PlanningLoop.ts
@@ -1,8 +1,8 @@
 import type { ArrivingMachines, BackendId, PlacementPlanner, TaskPlacement } from '@mastichead/core'
-import type { OrderDispatcher } from './OrderDispatcher.js'
+import type { OrderDispatcher } from '../monitoring/OrderDispatcher.js'
 import type { OwnerContext } from './OwnerContext.js'
 import type { ProgressWriter } from './ProgressWriter.js'
-import type { TaskUpdater } from './TaskUpdater.js'
+import type { TaskUpdater } from '../monitoring/TaskUpdater.js'
 
 /**
  * Bounds of the delay from a change to the next plan, in milliseconds, so that one plan covers several
--- a/packages/jobs/src/lib/owner/ProgressWriter.test.ts
+++ b/packages/jobs/src/lib/owner/terms/ProgressWriter.test.ts
@@ -1,11 +1,11 @@
 import type { JobRow, JobTable } from '@mastichead/core'
 import { VirtualTimerService } from '@mastichead/core'
 import { describe, expect, it } from 'vitest'
-import { StreamFollower } from '../log/StreamFollower.js'
-import { createTestContext } from '../testing/createTestContext.js'
-import { createTestFleet } from '../testing/createTestFleet.js'
-import { MemoryLog } from '../testing/MemoryLog.js'
-import { MemoryStore } from '../testing/MemoryStore.js'
+import { StreamFollower } from '../../log/StreamFollower.js'
+import { createTestContext } from '../../testing/createTestContext.js'
+import { createTestFleet } from '../../testing/createTestFleet.js'
+import { MemoryLog } from '../../testing/MemoryLog.js'
+import { MemoryStore } from '../../testing/MemoryStore.js'
 import { ProgressWriter } from './ProgressWriter.js'
 
 it('runs a callback added during an append once, after the next append', async () => {
--- a/packages/jobs/src/lib/owner/TermReporter.ts
+++ b/packages/jobs/src/lib/owner/terms/TermReporter.ts
@@ -1,8 +1,8 @@
 import type { TimerService } from '@mastichead/core'
-import { JobRecords } from '../log/JobRecords.js'
-import type { TermHistory } from '../log/TermHistory.js'
-import type { EventLog } from '../logs/EventLog.js'
-import type { MetadataLog } from '../ports/MetadataLog.js'
+import { JobRecords } from '../../log/JobRecords.js'
+import type { TermHistory } from '../../log/TermHistory.js'
+import type { EventLog } from '../../logs/EventLog.js'
+import type { MetadataLog } from '../../ports/MetadataLog.js'
 
 /** Timeout of one append, in milliseconds. */
 const APPEND_TIMEOUT = 700
--- a/packages/jobs/src/lib/owner/WaitingTaskReporter.test.ts
+++ b/packages/jobs/src/lib/owner/terms/WaitingTaskReporter.test.ts
@@ -8,8 +8,8 @@
 	createTestJob,
 } from '@mastichead/core'
 import { expect, it } from 'vitest'
-import { createTestContext } from '../testing/createTestContext.js'
-import { MemoryEventLog } from '../testing/MemoryEventLog.js'
+import { createTestContext } from '../../testing/createTestContext.js'
+import { MemoryEventLog } from '../../testing/MemoryEventLog.js'
 import { WaitingTaskReporter } from './WaitingTaskReporter.js'
 
 const needs = { cpu: 1_300, memory: 1_000, gpu: 0 }
--- a/packages/jobs/src/lib/testing/createTestContext.ts
+++ b/packages/jobs/src/lib/testing/createTestContext.ts
@@ -2,7 +2,7 @@
 import { BackendTable, JobTable } from '@mastichead/core'
 import { SilentEventLog } from '../logs/SilentEventLog.js'
 import { JobMetrics } from '../metrics/JobMetrics.js'
-import type { OwnerContext } from '../owner/OwnerContext.js'
+import type { OwnerContext } from '../owner/terms/OwnerContext.js'
 import { MemoryBackendServerClient } from './MemoryBackendServerClient.js'
 
 /**
