Streams of an instance share what they know of the log; a starting instance is not ready before it can decide

After a restart of all, submissions waited for loads of up to 3 s.

Now a batch without an answer counts as a failure when it ends, after about 1 s; three streams that failed without a success between count for all, as it was before ids had streams; and a stream that cannot be read refuses as well. One batch at a time goes on trying. An instance is ready only when its submissions are loaded (a stream that does not answer is not waited for), and a submission waits for a load for 1 s at most.

New tests: the refusal for streams that were not tried, readiness while loading (fails without the change).

--- a/packages/jobs/src/lib/JobDaemon.ts
+++ b/packages/jobs/src/lib/JobDaemon.ts
@@ -162,7 +162,12 @@
 		const now = this.options.timers.now()
 		if (now - (lastContactAt ?? -Infinity) >= MAXIMUM_LOG_SILENCE) return false
 		if (now - (unavailableSince ?? now) >= MAXIMUM_FAILURE_TIME) return false
-		return this.progressFollower.loaded
+		return this.progressFollower.loaded && this.isIntakeLoaded
+	}
+
+	/** Whether no stream of submissions is still being loaded; one that does not answer is not waited for. */
+	private get isIntakeLoaded(): boolean {
+		return [...this.intakeFollowers.values()].every(({ loaded, available }) => loaded || !available)
 	}
 
 	/** Returns what this instance knows about a job, for operators. */
--- a/packages/jobs/src/lib/callers/IntakeWriter.test.ts
+++ b/packages/jobs/src/lib/callers/IntakeWriter.test.ts
@@ -65,6 +65,19 @@
 		expect(intakeStreams.some((stream) => hasRecord(store, stream, OTHER_RECORD))).toBe(false)
 	})
 
+	// Guards against 504 for each stream in turn while none of them answers.
+	it('are refused for the streams that have not been tried as well', async () => {
+		const { writer, store, timers, advance } = await createWriter()
+		for (const stream of intakeStreams) store.unavailableStreams.add(stream)
+		const tried = createRecordsAtHomes(['intake/0', 'intake/1', 'intake/2'])
+		void tried.map((record) => writer.write(record, timers.now() + 3_000))
+		await advance(1_000)
+		void writer.write(RECORD, timers.now() + 3_000)
+		const untried = writer.write(RECORD_ELSEWHERE, timers.now() + 3_000)
+		await advance(5)
+		expect(await untried).toEqual({ kind: 'not-stored', reason: 'log out of reach' })
+	})
+
 	it('are stored again as soon as one has got through', async () => {
 		const { writer, store, advance } = await createWriter()
 		for (const stream of intakeStreams) store.unavailableStreams.add(stream)
@@ -179,6 +192,11 @@
 	expect(store.getEnd('intake/0')).toBe(64)
 })
 
+/** Creates a record at home in each stream. */
+function createRecordsAtHomes(streams: readonly IntakeStream[]): IntakeRecord[] {
+	return streams.flatMap((stream) => createIdsAtHome(stream, 1).map((id) => createTestRecord(id)))
+}
+
 /** Starts as many appends as may be in flight, so that later records wait. */
 function occupy(writer: IntakeWriter): Promise<unknown>[] {
 	return MORE_RECORDS.slice(0, 4).map((record) => writer.write(record, 5_000))
--- a/packages/jobs/src/lib/callers/IntakeWriter.ts
+++ b/packages/jobs/src/lib/callers/IntakeWriter.ts
@@ -5,7 +5,7 @@
 import type { EventLog } from '../logs/EventLog.js'
 import type { IntakeStream } from '../ports/IntakeStream.js'
 import type { MetadataLog } from '../ports/MetadataLog.js'
-import { AppendLatency } from './AppendLatency.js'
+import { LogReachability } from './LogReachability.js'
 import { StreamWriter } from './StreamWriter.js'
 import type { WriteResult } from './WriteResult.js'
 
@@ -29,14 +29,14 @@
 		followers: ReadonlyMap<IntakeStream, StreamFollower>,
 		private readonly member: string
 	) {
-		const latency = new AppendLatency()
+		const reachability = new LogReachability()
 		const createWriter = (follower: StreamFollower, stream: IntakeStream): StreamWriter =>
 			new StreamWriter(stream, {
 				log,
 				timers,
 				events,
 				follower,
-				latency,
+				reachability,
 				createCopyName: () => this.createCopyName(),
 			})
 		this.writers = new Map(
--- a/packages/jobs/src/lib/callers/ReplicaReader.ts
+++ b/packages/jobs/src/lib/callers/ReplicaReader.ts
@@ -10,6 +10,8 @@
 const STATE_READ_TIMEOUT = 150
 /** How long a query waits for a stream that did not answer lately, in milliseconds. */
 const UNAVAILABLE_STREAM_TIMEOUT = 150
+/** How long a submission waits for the stream of its id; others may have loaded it, in milliseconds. */
+const HOME_READ_TIMEOUT = 1_000
 
 type LookUpResult = 'known' | 'unknown' | 'unreadable'
 
@@ -56,7 +58,8 @@
 		const isUnread = this.replica.isSubmitted(id) && !this.replica.get(id)?.job
 		if (home.loaded && !isUnread) return true
 		await new Promise<void>((resolve) => {
-			const timer = this.timers.after(this.getTimeout([home], deadline), resolve)
+			const timeout = Math.min(HOME_READ_TIMEOUT, this.getTimeout([home], deadline))
+			const timer = this.timers.after(timeout, resolve)
 			void home.readToEnd().then(() => {
 				timer.cancel()
 				resolve()
--- a/packages/jobs/src/lib/callers/StreamWriter.ts
+++ b/packages/jobs/src/lib/callers/StreamWriter.ts
@@ -7,8 +7,8 @@
 import type { IntakeStream } from '../ports/IntakeStream.js'
 import type { LogRecord } from '../ports/LogRecord.js'
 import type { MetadataLog } from '../ports/MetadataLog.js'
-import type { AppendLatency } from './AppendLatency.js'
 import { BatchWrite } from './BatchWrite.js'
+import type { LogReachability } from './LogReachability.js'
 import { PendingWrite } from './PendingWrite.js'
 import type { WriteResult } from './WriteResult.js'
 
@@ -30,7 +30,7 @@
 /** Appends that must fail without a success in between until the stream counts as out of reach. */
 const OUT_OF_REACH_FAILURES = 3
 const OUT_OF_REACH_REASON = 'log out of reach'
-const MAXIMUM_APPENDS_IN_FLIGHT = 2
+const MAXIMUM_BATCHES_IN_FLIGHT = 2
 const MAXIMUM_RECORDS_PER_APPEND = 100
 /** Size from which a batch takes no further record, in bytes: 0.2 s of a link of 10 Mbit/s. */
 const FULL_BATCH_BYTES = 250_000
@@ -46,7 +46,7 @@
 	private readonly pendingWrites = new Map<string, PendingWrite>()
 	/** Pending writes that have not started. */
 	private readonly queue: PendingWrite[] = []
-	private appendsInFlight = 0
+	private batchesInFlight = 0
 	/** Appends that have failed since the latest success. */
 	private failures = 0
 
@@ -58,7 +58,7 @@
 			readonly events: EventLog
 			readonly follower: StreamFollower
 			/** Shared by the writers of all streams. */
-			readonly latency: AppendLatency
+			readonly reachability: LogReachability
 			/** Returns a name that is unique for each append of all instances. */
 			readonly createCopyName: () => string
 		}
@@ -77,7 +77,7 @@
 		if (deadline <= timers.now()) {
 			return Promise.resolve({ kind: 'not-stored', reason: 'no time left to append' })
 		}
-		if (this.isOutOfReach && this.appendsInFlight > 0) {
+		if (this.mustRefuse) {
 			return Promise.resolve({ kind: 'not-stored', reason: OUT_OF_REACH_REASON })
 		}
 		const write = new PendingWrite(record, timers)
@@ -104,6 +104,14 @@
 		)
 	}
 
+	/** Whether nothing more is sent for now, since one batch is already trying what has failed. */
+	private get mustRefuse(): boolean {
+		const { follower, reachability } = this.options
+		if (reachability.isOutOfReach && reachability.batchesInFlight > 0) return true
+		// Without reads no submission can be decided either.
+		return (this.isOutOfReach || !follower.available) && this.batchesInFlight > 0
+	}
+
 	private get isOutOfReach(): boolean {
 		return this.failures >= OUT_OF_REACH_FAILURES
 	}
@@ -117,12 +125,12 @@
 	}
 
 	private flush(): void {
-		while (this.appendsInFlight < MAXIMUM_APPENDS_IN_FLIGHT) {
+		while (this.batchesInFlight < MAXIMUM_BATCHES_IN_FLIGHT) {
 			const batch = this.takeBatch()
 			if (batch.length === 0) return
-			this.appendsInFlight += 1
+			this.batchesInFlight += 1
 			void this.writeBatch(batch).finally(() => {
-				this.appendsInFlight -= 1
+				this.batchesInFlight -= 1
 				this.flush()
 			})
 		}
@@ -144,12 +152,16 @@
 	}
 
 	private async writeBatch(batch: readonly PendingWrite[]): Promise<void> {
+		const { reachability } = this.options
 		for (const write of batch) write.start()
+		reachability.batchesInFlight += 1
 		const result = await this.startWrite(
 			() => this.createCopies(batch),
 			() => batch.some((write) => write.isAwaited),
 			this.getWriteTimeout()
 		)
+		reachability.batchesInFlight -= 1
+		if (result.kind === 'unclear') this.countFailure(result.reason)
 		for (const write of batch) {
 			this.pendingWrites.delete(write.record.identity)
 			write.settle(result)
@@ -166,11 +178,11 @@
 		isAwaited: () => boolean,
 		timeout: number
 	): Promise<WriteResult> {
-		const { latency } = this.options
+		const { reachability } = this.options
 		const batchWrite = new BatchWrite({
 			attempts: MAXIMUM_ATTEMPTS,
 			append: () => this.append(createRecords()),
-			getHedgeDelay: () => Math.max(HEDGE_DELAY, latency.latest * HEDGE_FACTOR),
+			getHedgeDelay: () => Math.max(HEDGE_DELAY, reachability.appendLatency * HEDGE_FACTOR),
 			isAwaited,
 			timers: this.options.timers,
 		})
@@ -178,41 +190,43 @@
 	}
 
 	private getWriteTimeout(): number {
-		const { latest } = this.options.latency
-		const timeout = Math.max(MINIMUM_WRITE_TIMEOUT, latest * WRITE_TIMEOUT_FACTOR)
+		const { appendLatency } = this.options.reachability
+		const timeout = Math.max(MINIMUM_WRITE_TIMEOUT, appendLatency * WRITE_TIMEOUT_FACTOR)
 		return Math.min(MAXIMUM_WRITE_TIMEOUT, timeout)
 	}
 
 	/** Appends records and applies them after all that come before them in the stream. */
 	private async append(records: readonly LogRecord[]): Promise<AppendResult> {
-		const { log, timers, follower, latency } = this.options
+		const { log, timers, follower, reachability } = this.options
 		const sentAt = timers.now()
 		// With a slow log, the read of what comes before the records would double the time of the answer.
-		if (latency.latest > SLOW_APPEND_LATENCY) void follower.readToEnd()
+		if (reachability.appendLatency > SLOW_APPEND_LATENCY) void follower.readToEnd()
 		const result = await log.append(this.stream, records, APPEND_TIMEOUT)
 		if (result.kind !== 'appended') {
 			this.countFailure(result.reason)
 			return result
 		}
 		this.recordSuccess()
-		latency.latest = timers.now() - sentAt
+		reachability.appendLatency = timers.now() - sentAt
 		const { offset } = result
 		const entries = records.map((record, index) => ({ ...record, offset: offset + index }))
 		if (!(await follower.applyInOrder(entries))) {
 			return { kind: 'unknown', reason: 'records before it not read' }
 		}
-		latency.latest = timers.now() - sentAt
+		reachability.appendLatency = timers.now() - sentAt
 		return result
 	}
 
 	private recordSuccess(): void {
 		if (this.isOutOfReach) this.options.events.info('intake-regained', { stream: this.stream })
 		this.failures = 0
+		this.options.reachability.recordSuccess()
 	}
 
 	private countFailure(reason: string): void {
 		const wasOutOfReach = this.isOutOfReach
 		this.failures += 1
+		this.options.reachability.recordFailure(this.stream)
 		if (!this.isOutOfReach) return
 		const { stream } = this
 		if (!wasOutOfReach) this.options.events.warn('intake-out-of-reach', { stream, reason })
--- a/packages/jobs/src/lib/readiness.test.ts
+++ b/packages/jobs/src/lib/readiness.test.ts
@@ -3,6 +3,8 @@
 
 /** Time from the first refused call of an instance until it is no longer ready, in milliseconds. */
 const MAXIMUM_DELAY = 1_500
+/** Time that each answer to a read is under way, in milliseconds. */
+const LOAD_TIME = 100
 
 // Guards against callers that the load balancer keeps sending to instances which the log turns away,
 // while others could store their jobs.
@@ -39,3 +41,28 @@
 		expect([...ready]).toEqual([true])
 	})
 })
+
+// Guards against callers that wait for an instance which is still loading, while others could decide at once.
+describe('an instance that has just started', () => {
+	it('is not ready before it has loaded the submissions', async () => {
+		const fleet = createTestFleet({ instances: 1, backends: 1 })
+		await fleet.advance(1_000)
+		fleet.restartInstance(0)
+		const [instance] = fleet.instances
+		if (!instance) throw new Error('the fleet has no instance')
+		instance.log.transferTime = LOAD_TIME
+		await fleet.advance(10 * LOAD_TIME)
+		expect(instance.daemon.isReady()).toBe(false)
+		await fleet.advance(20 * LOAD_TIME)
+		expect(instance.daemon.isReady()).toBe(true)
+	})
+
+	it('is ready if a stream of submissions does not answer', async () => {
+		const fleet = createTestFleet({ instances: 1, backends: 1 })
+		await fleet.advance(1_000)
+		fleet.store.unavailableStreams.add('intake/2')
+		fleet.restartInstance(0)
+		await fleet.advance(1_000)
+		expect(fleet.instances[0]?.daemon.isReady()).toBe(true)
+	})
+})
