Whether the log answers the reads of a stream, in a class of its own

No change of behaviour: the unit tests of packages/jobs and platform pass (427), lines of the log included (StreamFollower.lines.test.ts).

--- a/packages/jobs/src/lib/log/StreamFollower.ts
+++ b/packages/jobs/src/lib/log/StreamFollower.ts
@@ -6,6 +6,7 @@
 import type { LogStream } from '../ports/LogStream.js'
 import type { MetadataLog } from '../ports/MetadataLog.js'
 import { SharedRead } from './SharedRead.js'
+import { StreamContact } from './StreamContact.js'
 import { StreamLoad } from './StreamLoad.js'
 
 /** Delay after a failed read, in milliseconds. */
@@ -34,18 +35,10 @@
 export class StreamFollower {
 	/** Whether the newest record of every key has been loaded, those written during the load included. */
 	loaded = false
-	/** Monotonic instant of the last answer from the log; undefined before the first. */
-	lastContactAt: number | undefined
-	/** Monotonic instant at which the log last became reachable again after a failure. */
-	recoveredAt: number | undefined
-	/** Whether the latest read succeeded. */
-	available = true
 	/** Offset of the next record to read. */
 	nextOffset = 0
 	private readonly offsets = new Map<string, number>()
-	/** Instant of the first failed read since the latest answer, and the number of failed reads. */
-	private lostAt: number | undefined
-	private failedReads = 0
+	private readonly contact: StreamContact
 	private paused = false
 	private stopped = false
 	/** The load that is going on or has failed midway; undefined if there is none. */
@@ -88,9 +81,30 @@
 			readonly onLoaded?: () => void
 		}
 	) {
+		this.contact = new StreamContact(stream, timers, events)
 		this.loadTimeout = options.loadTimeout ?? MINIMUM_LOAD_TIMEOUT
 	}
 
+	/** Whether the latest read succeeded. */
+	get available(): boolean {
+		return this.contact.available
+	}
+
+	/** Monotonic instant of the last answer from the log; undefined before the first. */
+	get lastContactAt(): number | undefined {
+		return this.contact.lastContactAt
+	}
+
+	/** Monotonic instant at which the log last became reachable again after a failure. */
+	get recoveredAt(): number | undefined {
+		return this.contact.recoveredAt
+	}
+
+	/** Monotonic instant of the first failed read since the latest answer; undefined if there is none. */
+	get unavailableSince(): number | undefined {
+		return this.contact.unavailableSince
+	}
+
 	/** Starts reading; continues until `stop` is called. */
 	start(): void {
 		void this.run()
@@ -186,11 +200,6 @@
 		}
 	}
 
-	/** Monotonic instant of the first failed read since the latest answer; undefined if there is none. */
-	get unavailableSince(): number | undefined {
-		return this.available ? undefined : this.lostAt
-	}
-
 	private async run(): Promise<void> {
 		while (!this.stopped) {
 			const from = this.nextOffset
@@ -248,7 +257,7 @@
 			return this.finishLoad()
 		}
 		if (result.kind === 'unavailable') return this.recordFailure(result.reason)
-		this.recordContact()
+		this.contact.recordAnswer(this)
 		// Another read may have brought some of these records, and later ones of their keys.
 		const applied = this.nextOffset
 		for (const entry of result.entries) if (entry.offset >= applied) this.apply(entry)
@@ -273,7 +282,7 @@
 		while (!load.complete) {
 			const page = await this.runLoad(() => load.readPage(this.loadTimeout))
 			if (page.kind === 'unavailable') return this.recordFailure(page.reason)
-			this.recordContact()
+			this.contact.recordAnswer(this)
 			for (const entry of page.entries) this.apply(entry)
 		}
 		this.completePages(load)
@@ -331,21 +340,9 @@
 		}
 	}
 
-	private recordContact(): void {
-		this.lastContactAt = this.timers.now()
-		if (this.available) return
-		this.available = true
-		this.recoveredAt = this.timers.now()
-		const { stream, failedReads, nextOffset: next } = this
-		const after = Math.round(this.timers.now() - (this.lostAt ?? this.timers.now()))
-		this.events.info('log-regained', { stream, next, after, failedReads })
-	}
-
 	private recordFailure(reason: string): boolean {
-		if (this.available) this.reportLoss(reason)
-		this.failedReads += 1
+		this.contact.recordFailure(reason, this)
 		if (!this.loaded) this.extendLoadTimeout()
-		this.available = false
 		return false
 	}
 
@@ -354,15 +351,6 @@
 		this.loadTimeout = Math.min(this.loadTimeout * 2, MAXIMUM_LOAD_TIMEOUT)
 	}
 
-	private reportLoss(reason: string): void {
-		this.lostAt = this.timers.now()
-		this.failedReads = 0
-		const { stream, loaded, lastContactAt, nextOffset: from } = this
-		const silence =
-			lastContactAt === undefined ? undefined : Math.round(this.lostAt - lastContactAt)
-		this.events.warn('log-lost', { stream, reason, from, loaded, silence })
-	}
-
 	private reportLoad(load: StreamLoad): void {
 		const after = Math.round(this.timers.now() - load.startedAt)
 		const { stream, nextOffset: next } = this
