Tell when an instance begins to refuse submissions of all streams

The refusal after three failed streams had no line of its own: only that of a stream which had failed three times. intake-out-of-reach and intake-regained have the stream 'all' for it.

--- a/packages/jobs/src/lib/callers/StreamWriter.ts
+++ b/packages/jobs/src/lib/callers/StreamWriter.ts
@@ -218,18 +218,23 @@
 	}
 
 	private recordSuccess(): void {
-		if (this.isOutOfReach) this.options.events.info('intake-regained', { stream: this.stream })
+		const { reachability, events } = this.options
+		if (reachability.isOutOfReach) events.info('intake-regained', { stream: 'all' })
+		if (this.isOutOfReach) events.info('intake-regained', { stream: this.stream })
 		this.failures = 0
-		this.options.reachability.recordSuccess()
+		reachability.recordSuccess()
 	}
 
 	private countFailure(reason: string): void {
-		const wasOutOfReach = this.isOutOfReach
+		const { reachability, events } = this.options
+		const { stream } = this
+		const [wasLogLost, wasLost] = [reachability.isOutOfReach, this.isOutOfReach]
 		this.failures += 1
-		this.options.reachability.recordFailure(this.stream)
+		reachability.recordFailure(stream)
+		if (!wasLogLost && reachability.isOutOfReach)
+			events.warn('intake-out-of-reach', { stream: 'all', reason })
 		if (!this.isOutOfReach) return
-		const { stream } = this
-		if (!wasOutOfReach) this.options.events.warn('intake-out-of-reach', { stream, reason })
+		if (!wasLost) events.warn('intake-out-of-reach', { stream, reason })
 		this.refuseQueue()
 	}
 }
