Store a submission before the instance has loaded its stream, and answer it afterwards

Each instance loads 2.4 MB in about 3 s then, and a submission was not appended before its stream was loaded, so that the owner, which had begun within 0.7 s, got it up to 3 s later.

The append needs no state; only the answer does. Now the record is appended at once, the owner runs the job as soon as it reads it, and the caller is answered when the instance has read what came before, or 504 at its deadline. Appends are repeated only until one is stored, no longer while its stream is being read.

New test: stored at once, answered after the load (fails without the change).

--- a/packages/jobs/src/lib/callers/JobIntake.test.ts
+++ b/packages/jobs/src/lib/callers/JobIntake.test.ts
@@ -257,6 +257,21 @@
 	expect(second).toEqual([{ kind: 'state', state: 'completed' }])
 })
 
+// Guards against jobs that wait for the load of an instance which has just started, although an owner could run them.
+it('a submission is stored while the instance is still loading, and answered when it knows what came before', async () => {
+	const { intake, log, store, timers, start, advance } = createTestIntake()
+	const home = getHomeStream(JOB.id)
+	log.transferTime = 200
+	start()
+	const answers = collect([intake.submit(JOB, timers.now() + 2_000)])
+	await advance(READ_TIME)
+	expect(store.getEnd(home)).toBe(1)
+	expect(answers).toEqual([])
+	await advance(1_000)
+	expect(answers).toEqual([{ kind: 'accepted' }])
+	expect(store.getEnd(home)).toBe(1)
+})
+
 async function createIntakeWithoutProgress(): Promise<ReturnType<typeof createTestIntake>> {
 	const testIntake = createTestIntake()
 	const { log, store, start, advance } = testIntake
--- a/packages/jobs/src/lib/callers/LogReachability.ts
+++ b/packages/jobs/src/lib/callers/LogReachability.ts
@@ -9,10 +9,7 @@
  * @internal
  */
 export class LogReachability {
-	/**
-	 * Latency of the latest append that succeeded, with the read of what came before its records, in
-	 * milliseconds; 0 before the first.
-	 */
+	/** Latency of the latest append that succeeded, in milliseconds; 0 before the first. */
 	appendLatency = 0
 	/** Number of batches that are being written. */
 	batchesInFlight = 0
--- a/packages/jobs/src/lib/callers/ReplicaReader.ts
+++ b/packages/jobs/src/lib/callers/ReplicaReader.ts
@@ -10,8 +10,6 @@
 const STATE_READ_TIMEOUT = 150
 /** How long a query waits for a stream that did not answer lately, in milliseconds. */
 const UNAVAILABLE_STREAM_TIMEOUT = 150
-/** How long a submission waits for the stream of its id; others may have loaded it, in milliseconds. */
-const HOME_READ_TIMEOUT = 1_000
 
 type LookUpResult = 'known' | 'unknown' | 'unreadable'
 
@@ -45,27 +43,23 @@
 	}
 
 	/**
-	 * Reads the stream that holds the records about an id: if it was never loaded, or if there is progress
-	 * of a job whose submission has not been read.
+	 * Reads the stream that holds the records about an id if there is progress of a job whose submission has
+	 * not been read.
 	 *
 	 * @param deadline - monotonic instant at which it gives up
-	 * @returns whether the stream has been loaded
 	 */
-	async readHome(id: JobId, deadline: number): Promise<boolean> {
+	async readSubmission(id: JobId, deadline: number): Promise<void> {
+		if (!this.replica.isSubmitted(id) || this.replica.get(id)?.job) return
 		const stream = getHomeStream(id)
 		const home = this.intake.find((follower) => follower.stream === stream)
-		if (!home) return false
-		const isUnread = this.replica.isSubmitted(id) && !this.replica.get(id)?.job
-		if (home.loaded && !isUnread) return true
+		if (!home) return
 		await new Promise<void>((resolve) => {
-			const timeout = Math.min(HOME_READ_TIMEOUT, this.getTimeout([home], deadline))
-			const timer = this.timers.after(timeout, resolve)
+			const timer = this.timers.after(this.getTimeout([home], deadline), resolve)
 			void home.readToEnd().then(() => {
 				timer.cancel()
 				resolve()
 			})
 		})
-		return home.loaded
 	}
 
 	/** Returns whether a caller may know a job, as far as the records that have been read tell. */
--- a/packages/jobs/src/lib/callers/StreamWriter.ts
+++ b/packages/jobs/src/lib/callers/StreamWriter.ts
@@ -5,6 +5,7 @@
 import type { EventLog } from '../logs/EventLog.js'
 import type { AppendResult } from '../ports/AppendResult.js'
 import type { IntakeStream } from '../ports/IntakeStream.js'
+import type { LogEntry } from '../ports/LogEntry.js'
 import type { LogRecord } from '../ports/LogRecord.js'
 import type { MetadataLog } from '../ports/MetadataLog.js'
 import { BatchWrite } from './BatchWrite.js'
@@ -29,6 +30,8 @@
 const SLOW_APPEND_LATENCY = 80
 /** Appends that must fail without a success in between until the stream counts as out of reach. */
 const OUT_OF_REACH_FAILURES = 3
+/** Delay after a failed read of what comes before a record, in milliseconds. */
+const READ_RETRY_DELAY = 150
 const OUT_OF_REACH_REASON = 'log out of reach'
 const MAXIMUM_BATCHES_IN_FLIGHT = 2
 const MAXIMUM_RECORDS_PER_APPEND = 100
@@ -95,12 +98,12 @@
 	 */
 	remove(keys: readonly string[], deadline: number): Promise<WriteResult> {
 		const records = keys.map((key) => ({ key, value: undefined }))
-		const { timers } = this.options
-		const timeout = Math.min(this.getWriteTimeout(), deadline - timers.now())
+		const { timers, follower } = this.options
 		return this.startWrite(
 			() => records,
 			() => deadline > timers.now(),
-			timeout
+			Math.min(this.getWriteTimeout(), deadline - timers.now()),
+			(entries) => void follower.applyInOrder(entries)
 		)
 	}
 
@@ -155,17 +158,51 @@
 		const { reachability } = this.options
 		for (const write of batch) write.start()
 		reachability.batchesInFlight += 1
+		let appended: readonly LogEntry[] = []
 		const result = await this.startWrite(
 			() => this.createCopies(batch),
 			() => batch.some((write) => write.isAwaited),
-			this.getWriteTimeout()
+			this.getWriteTimeout(),
+			(entries) => {
+				// A further copy that is stored as well changes nothing.
+				if (appended.length === 0) appended = entries
+			}
 		)
 		reachability.batchesInFlight -= 1
 		if (result.kind === 'unclear') this.countFailure(result.reason)
+		// The next batch need not wait until this one has been read.
+		void this.settle(batch, result, appended)
+	}
+
+	private async settle(
+		batch: readonly PendingWrite[],
+		result: WriteResult,
+		appended: readonly LogEntry[]
+	): Promise<void> {
+		const isRead = result.kind !== 'stored' || (await this.readThrough(batch, appended))
 		for (const write of batch) {
 			this.pendingWrites.delete(write.record.identity)
-			write.settle(result)
+			write.settle(isRead ? result : { kind: 'unclear', reason: 'records before it not read' })
+		}
+	}
+
+	/**
+	 * Reads everything that comes before appended records, for as long as a caller waits.
+	 *
+	 * @returns whether it has been read and applied
+	 */
+	private async readThrough(
+		batch: readonly PendingWrite[],
+		appended: readonly LogEntry[]
+	): Promise<boolean> {
+		const { follower, timers } = this.options
+		while (batch.some((write) => write.isAwaited)) {
+			if (await follower.applyInOrder(appended)) return true
+			await new Promise<void>((resolve) => {
+				timers.after(READ_RETRY_DELAY, resolve)
+			})
 		}
+		return false
 	}
 
 	private createCopies(batch: readonly PendingWrite[]): LogRecord[] {
@@ -176,12 +213,13 @@
 	private startWrite(
 		createRecords: () => readonly LogRecord[],
 		isAwaited: () => boolean,
-		timeout: number
+		timeout: number,
+		onAppended: (entries: readonly LogEntry[]) => void
 	): Promise<WriteResult> {
 		const { reachability } = this.options
 		const batchWrite = new BatchWrite({
 			attempts: MAXIMUM_ATTEMPTS,
-			append: () => this.append(createRecords()),
+			append: () => this.append(createRecords(), onAppended),
 			getHedgeDelay: () => Math.max(HEDGE_DELAY, reachability.appendLatency * HEDGE_FACTOR),
 			isAwaited,
 			timers: this.options.timers,
@@ -195,8 +233,10 @@
 		return Math.min(MAXIMUM_WRITE_TIMEOUT, timeout)
 	}
 
-	/** Appends records and applies them after all that come before them in the stream. */
-	private async append(records: readonly LogRecord[]): Promise<AppendResult> {
+	private async append(
+		records: readonly LogRecord[],
+		onAppended: (entries: readonly LogEntry[]) => void
+	): Promise<AppendResult> {
 		const { log, timers, follower, reachability } = this.options
 		const sentAt = timers.now()
 		// With a slow log, the read of what comes before the records would double the time of the answer.
@@ -206,14 +246,10 @@
 			this.countFailure(result.reason)
 			return result
 		}
-		this.recordSuccess()
 		reachability.appendLatency = timers.now() - sentAt
+		this.recordSuccess()
 		const { offset } = result
-		const entries = records.map((record, index) => ({ ...record, offset: offset + index }))
-		if (!(await follower.applyInOrder(entries))) {
-			return { kind: 'unknown', reason: 'records before it not read' }
-		}
-		reachability.appendLatency = timers.now() - sentAt
+		onAppended(records.map((record, index) => ({ ...record, offset: offset + index })))
 		return result
 	}
 
--- a/packages/jobs/src/lib/callers/SubmissionManager.ts
+++ b/packages/jobs/src/lib/callers/SubmissionManager.ts
@@ -39,10 +39,8 @@
 	async submit(job: Job, deadline: number): Promise<JobAnswer> {
 		const { reader, events, metrics, timers } = this.options
 		const startedAt = timers.now()
-		const isRead = await reader.readHome(job.id, deadline)
-		const earlier = isRead
-			? this.getDecidedAnswer(job)
-			: createRefusedAnswer('records of the id not loaded yet')
+		await reader.readSubmission(job.id, deadline)
+		const earlier = this.getDecidedAnswer(job)
 		const answer = earlier ?? (await this.write(job, deadline))
 		metrics.count('submissions', answer.kind)
 		const { id, queue, team } = job
