--- a/packages/jobs/src/lib/log/StreamFollower.ts
+++ b/packages/jobs/src/lib/log/StreamFollower.ts
@@ -56,6 +56,8 @@
 	private readonly endRead = new SharedRead(() => this.readPiecesToEnd())
 	private readonly catchUpRead = new SharedRead(() => this.readPiecesToEnd())
 	private cancelSleep: (() => void) | undefined
+	/** Whether a caller waits for the load, so that it goes before the loads of other streams. */
+	private isLoadUrgent = false
 
 	/**
 	 * @param options.maximumWait - milliseconds for which a read waits for a record
@@ -150,6 +152,7 @@
 		const [first, last] = [entries[0], entries.at(-1)]
 		if (!first || !last) return true
 		while (!this.loaded || first.offset > this.nextOffset) {
+			this.isLoadUrgent = !this.loaded
 			if (!(await this.readToEnd())) return false
 		}
 		this.applyAppended(entries)
@@ -291,7 +294,7 @@
 
 	private runLoad<T>(read: () => Promise<T>): Promise<T> {
 		const { loadLimit } = this.options
-		return loadLimit ? loadLimit.run(read) : read()
+		return loadLimit ? loadLimit.run(read, () => this.isLoadUrgent) : read()
 	}
 
 	/** Ends the load once everything that the stream had after the last page has been read. */
@@ -299,6 +302,7 @@
 		this.loadedEnd ??= end
 		if (this.nextOffset < this.loadedEnd) return
 		this.loaded = true
+		this.isLoadUrgent = false
 		this.loadTimeout = this.options.loadTimeout ?? MINIMUM_LOAD_TIMEOUT
 		this.options.onLoaded?.()
 	}
