Crowd tests of every port, before any change of the product

So far only the callers port of the platform's daemon had some. These play at each port that a daemon opens: callers, readiness and metrics of the platform's daemon; callers, operators and peers of the first stage, the first two also with TLS. They send bodies without an end in large chunks and in chunks of one byte, under a key that exists and one that does not; requests ahead with and without a host, unread; more connections than descriptors, part of which leave early; several of these at once; one crowd four times in a row; and crowds that do not cease.

Each checks that the process lives, its memory and descriptors, and that one ordinary request is answered afterwards; no times. Crowds and bounds are fixed here. The limits are lowered in the settings of the tests: 160 MB and 700 or 1,200 descriptors on the platform; 400 connections and a heap of 96 MB in the first stage.

What the crowds share stands in packages/standins; the three older files of crowd tests use it and check the same as before.

--- a/platform/src/lib/testing/sendAll.ts
+++ b/packages/standins/src/lib/crowds/sendAll.ts
@@ -9,7 +9,7 @@
  * Sends pieces one after the other, each once the connection has taken the one before. Ends early if the
  * connection is closed or takes nothing more.
  *
- * @internal
+ * @public
  */
 export async function sendAll(socket: Socket, pieces: readonly Buffer[]): Promise<void> {
 	const stopped = delay(SEND_TIMEOUT)
--- a/packages/standins/src/lib/processes/Deployment.ts
+++ b/packages/standins/src/lib/processes/Deployment.ts
@@ -4,6 +4,7 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { createEntryInstances } from './createEntryInstances.js'
+import type { InstanceConstraints } from './InstanceConstraints.js'
 import { createSettingsText } from './createSettingsText.js'
 import type { EntryInstance } from './EntryInstance.js'
 import { ProcessGroup } from './ProcessGroup.js'
@@ -23,6 +24,8 @@
 	readonly runMilliseconds?: number
 	/** Pools whose backend servers are started; all by default. */
 	readonly pools?: readonly string[]
+	/** What one entry instance has other than the defaults. */
+	readonly constraints?: InstanceConstraints
 }
 
 /**
@@ -95,8 +98,15 @@
 		const file = join(this.directory, `${name}.yaml`)
 		const { token, instances: peers } = this
 		const platformPort = this.options.basePort
-		writeFileSync(file, createSettingsText({ instance, peers, platformPort, token }))
-		const args = [programs.daemon, '--settings', file]
+		const { constraints } = this.options
+		const {
+			tls,
+			limits,
+			nodeOptions = [],
+		}: InstanceConstraints = constraints?.instance === name ? constraints : { instance: name }
+		const settings = { instance, peers, platformPort, token, tls, limits }
+		writeFileSync(file, createSettingsText(settings))
+		const args = [...nodeOptions, programs.daemon, '--settings', file]
 		await this.processes.start(name, args, marker)
 	}
 
--- a/vitest.crowds.config.ts
+++ b/vitest.crowds.config.ts
@@ -6,7 +6,7 @@
 	ssr: { resolve: { conditions: ['source'] } },
 	resolve: { conditions: ['source'] },
 	test: {
-		include: ['platform/src/**/*.crowd.test.ts'],
+		include: ['packages/*/src/**/*.crowd.test.ts', 'platform/src/**/*.crowd.test.ts'],
 		testTimeout: 240_000,
 		hookTimeout: 60_000,
 		maxWorkers: 1,
