Moves alone: the limits of clients into a package of their own

The limits stood in platform/, which only translates, so that no other listener could have them: the readiness and metrics ports of the platform's daemon and the first stage have none of them. ConnectionTable, BodyMemory, readBody, parsePiecewise and the limits themselves are now in packages/http, with names for clients of any port. What was reported straight to the log and the metrics of one daemon is now handed to the owner of the table; event, metrics and their names are unchanged.

--- /dev/null
+++ b/packages/http/src/index.ts
@@ -0,0 +1,8 @@
+export { BodyMemory } from './lib/BodyMemory.js'
+export { type ClientConnection } from './lib/ClientConnection.js'
+export { type ClientLimits } from './lib/ClientLimits.js'
+export { ConnectionTable } from './lib/ConnectionTable.js'
+export { type Disconnection } from './lib/Disconnection.js'
+export { getClientLimits } from './lib/getClientLimits.js'
+export { parsePiecewise } from './lib/parsePiecewise.js'
+export { readBody } from './lib/readBody.js'
--- a/platform/src/lib/callers/BodyMemory.ts
+++ b/packages/http/src/lib/BodyMemory.ts
@@ -5,7 +5,7 @@
 /**
  * A body of which a part has been received.
  *
- * @internal
+ * @public
  */
 interface Body {
 	/** The content so far is at its start. */
@@ -17,10 +17,10 @@
 }
 
 /**
- * Holds the bodies that callers are sending, within a limit of memory. Beyond the limit the largest body is
+ * Holds the bodies that clients are sending, within a limit of memory. Beyond the limit the largest body is
  * dropped, so that ordinary ones, which are small, get through.
  *
- * @internal
+ * @public
  */
 export class BodyMemory {
 	/** Memory of all bodies, in bytes, also of those that are complete and not released yet. */
--- a/platform/src/lib/callers/CallerConnection.ts
+++ b/packages/http/src/lib/ClientConnection.ts
@@ -1,11 +1,11 @@
 import type { Socket } from 'node:net'
 
 /**
- * A connection of a caller.
+ * A connection of a client.
  *
- * @internal
+ * @public
  */
-export interface CallerConnection {
+export interface ClientConnection {
 	readonly socket: Socket
 	/** Requests whose answers have not been sent whole. */
 	calls: number
--- a/platform/src/lib/callers/CallerLimits.ts
+++ b/packages/http/src/lib/ClientLimits.ts
@@ -1,9 +1,9 @@
 /**
- * Bounds on what callers may hold of a process, over all connections unless stated otherwise.
+ * Bounds on what clients may hold of a process, over all connections unless stated otherwise.
  *
  * @public
  */
-export interface CallerLimits {
+export interface ClientLimits {
 	/** Open connections. */
 	readonly connections: number
 	/** Requests whose answers have not been sent whole. */
--- a/platform/src/lib/callers/ConnectionTable.test.ts
+++ b/packages/http/src/lib/ConnectionTable.test.ts
@@ -1,9 +1,8 @@
 import { EventEmitter } from 'node:events'
 import type { Socket } from 'node:net'
 import { setImmediate as turn } from 'node:timers/promises'
-import { JobMetrics, SilentEventLog } from '@mastichead/jobs'
 import { expect, it } from 'vitest'
-import type { CallerLimits } from './CallerLimits.js'
+import type { ClientLimits } from './ClientLimits.js'
 import { ConnectionTable } from './ConnectionTable.js'
 
 class FakeSocket extends EventEmitter {
@@ -71,7 +70,7 @@
 	expect([first, second].map(({ destroyed }) => destroyed)).toEqual([false, true])
 })
 
-it('counts what is being served for a caller that has left', () => {
+it('counts what is being served for a client that has left', () => {
 	const { table, open } = createFixture({ ...limits, calls: 1 })
 	const socket = open()
 	const call = table.beginCall(socket)
@@ -83,11 +82,10 @@
 	expect(table.isFull).toBe(false)
 })
 
-function createFixture(options: CallerLimits) {
+function createFixture(options: ClientLimits) {
 	const table = new ConnectionTable({
 		limits: options,
-		events: new SilentEventLog(),
-		metrics: new JobMetrics(),
+		onDisconnect: () => undefined,
 	})
 	const open = (): FakeSocket & Socket => {
 		const socket = new FakeSocket() as unknown as FakeSocket & Socket
--- a/platform/src/lib/callers/ConnectionTable.ts
+++ b/packages/http/src/lib/ConnectionTable.ts
@@ -1,23 +1,21 @@
 import type { Socket } from 'node:net'
-import type { EventLog, JobMetrics } from '@mastichead/jobs'
-import type { CallerConnection } from './CallerConnection.js'
-import type { CallerLimits } from './CallerLimits.js'
-
-type ClosingReason = 'too many connections' | 'too many calls ahead' | 'too many calls'
+import type { ClientConnection } from './ClientConnection.js'
+import type { ClientLimits } from './ClientLimits.js'
+import type { Disconnection } from './Disconnection.js'
 
 /**
- * Keeps the connections of callers and the requests on them within limits. At the limit the connections
+ * Keeps the connections of clients and the requests on them within limits. At the limit the connections
  * that serve nobody are closed first: those that never sent a whole request, then idle ones, the longest
  * so first. Thus a crowd that holds connections open does not keep others out.
  *
- * @internal
+ * @public
  */
 export class ConnectionTable {
-	private readonly connections = new Map<Socket, CallerConnection>()
+	private readonly connections = new Map<Socket, ClientConnection>()
 	/** Connections without a whole request so far, oldest first. */
-	private readonly fresh = new Set<CallerConnection>()
+	private readonly fresh = new Set<ClientConnection>()
 	/** Connections whose requests have all been answered, the longest idle first. */
-	private readonly idle = new Set<CallerConnection>()
+	private readonly idle = new Set<ClientConnection>()
 	/** Requests whose answers have not been sent whole, on open connections. */
 	private calls = 0
 	/** Requests that have begun since the event loop last turned. */
@@ -27,13 +25,20 @@
 
 	constructor(
 		private readonly options: {
-			readonly limits: CallerLimits
-			readonly events: EventLog
-			readonly metrics: JobMetrics
+			readonly limits: ClientLimits
+			/** Called with each connection that is closed beyond a limit. */
+			readonly onDisconnect: (disconnection: Disconnection) => void
 		}
-	) {
-		options.metrics.addGauge('caller_connections', () => this.connections.size)
-		options.metrics.addGauge('caller_calls', () => this.calls)
+	) {}
+
+	/** Number of open connections. */
+	get connectionCount(): number {
+		return this.connections.size
+	}
+
+	/** Number of requests whose answers have not been sent whole. */
+	get callCount(): number {
+		return this.calls
 	}
 
 	/** Adds a connection; closes another one, or this one, if there are too many. */
@@ -58,7 +63,7 @@
 	 *
 	 * @returns the connection, or undefined if the request must not be served
 	 */
-	beginCall(socket: Socket): CallerConnection | undefined {
+	beginCall(socket: Socket): ClientConnection | undefined {
 		const connection = this.connections.get(socket)
 		if (!connection) return undefined
 		const { limits } = this.options
@@ -84,7 +89,7 @@
 	}
 
 	/** Notes that a request has been read whole and is being served. */
-	startServing(connection: CallerConnection): void {
+	startServing(connection: ClientConnection): void {
 		connection.servedCalls += 1
 		this.serving += 1
 		this.fresh.delete(connection)
@@ -92,7 +97,7 @@
 	}
 
 	/** Notes that a request which was being served has got its answer. */
-	endServing(connection: CallerConnection): void {
+	endServing(connection: ClientConnection): void {
 		connection.servedCalls -= 1
 		this.serving -= 1
 		if (connection.servedCalls === 0 && this.connections.has(connection.socket))
@@ -100,7 +105,7 @@
 	}
 
 	/** Notes that the answer to a request has been sent whole. */
-	endCall(connection: CallerConnection): void {
+	endCall(connection: ClientConnection): void {
 		if (!this.connections.has(connection.socket)) return
 		connection.calls -= 1
 		this.calls -= 1
@@ -114,25 +119,24 @@
 		this.callsInTurn += 1
 	}
 
-	private remove(connection: CallerConnection): void {
+	private remove(connection: ClientConnection): void {
 		if (!this.connections.delete(connection.socket)) return
 		this.calls -= connection.calls
 		this.fresh.delete(connection)
 		this.idle.delete(connection)
 	}
 
-	private close(connection: CallerConnection, reason: ClosingReason): void {
+	private close(connection: ClientConnection, reason: Disconnection['reason']): void {
 		const { socket, calls, servedCalls } = connection
-		const { events, metrics } = this.options
-		const fields = { reason, caller: socket.remoteAddress, calls, served: servedCalls }
-		events.warn('caller-disconnected', { ...fields, connections: this.connections.size })
-		metrics.count('callers_disconnected', reason)
+		const { size } = this.connections
+		const client = socket.remoteAddress
+		this.options.onDisconnect({ reason, client, calls, served: servedCalls, connections: size })
 		this.remove(connection)
 		socket.destroy()
 	}
 
-	private getLargest(): CallerConnection | undefined {
-		let largest: CallerConnection | undefined
+	private getLargest(): ClientConnection | undefined {
+		let largest: ClientConnection | undefined
 		for (const connection of this.connections.values())
 			if (!largest || connection.calls > largest.calls) largest = connection
 		return largest
--- a/platform/src/lib/callers/readBody.ts
+++ b/packages/http/src/lib/readBody.ts
@@ -5,8 +5,8 @@
  * A request's body, or why there is none:
  *
  * - `too-large`: it exceeds the largest body
- * - `dropped`: the bodies of all callers together exceed their memory
- * - `aborted`: the caller closed the connection
+ * - `dropped`: the bodies of all clients together exceed their memory
+ * - `aborted`: the client closed the connection
  */
 type ReadBodyResult =
 	| { readonly kind: 'complete'; readonly text: string; readonly release: () => void }
@@ -17,7 +17,7 @@
  * then discarded.
  *
  * @param maximumBytes - largest body
- * @internal
+ * @public
  */
 export function readBody(
 	request: IncomingMessage,
