Parse what clients send in short turns, so that costly clients do not keep out others

What callers saw: beside 300 clients that press the callers port with chunks of one byte no ordinary call was answered within 60 s.

Cause, two parts of one thing, the parsing of a connection in pieces: parsePiecewise looked for the end of a header through all that had been received, again for each kilobyte of it (79 % of the processor in a profile of the daemon under this crowd, in indexOf), and nothing ended a turn of the event loop before everything that any client had sent was parsed.

Change: ParsingQueue and ConnectionParser take the place of parsePiecewise. Beyond 0.04 of the memory for what waits, the one that has cost most is closed. ConnectionManager brings table and queue to a server. A client whose answers are unread is still closed; it is now counted and logged.

--- a/packages/http/src/lib/ClientLimits.ts
+++ b/packages/http/src/lib/ClientLimits.ts
@@ -12,4 +12,6 @@
 	readonly callsPerConnection: number
 	/** Memory of the bodies of those requests, in bytes; a body alone may take more. */
 	readonly bodyBytes: number
+	/** Memory of what has been received and waits to be parsed, in bytes. */
+	readonly unparsedBytes: number
 }
--- /dev/null
+++ b/packages/http/src/lib/ConnectionManager.ts
@@ -0,0 +1,120 @@
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import { Server as TlsServer } from 'node:https'
+import type { Socket } from 'node:net'
+import type { ClientConnection } from './ClientConnection.js'
+import type { ClientLimits } from './ClientLimits.js'
+import { ConnectionTable } from './ConnectionTable.js'
+import type { Disconnection } from './Disconnection.js'
+import { ParsingQueue } from './ParsingQueue.js'
+
+/**
+ * Keeps what the clients of an HTTP server hold and cost within limits: connections, requests ahead, and the
+ * parsing of what they send. Works with TLS as well; a connection then counts from before its handshake.
+ *
+ * @public
+ */
+export class ConnectionManager {
+	private readonly table: ConnectionTable
+	private readonly parsing: ParsingQueue
+	/** Connections whose TLS handshake has not ended, by the client's address. */
+	private readonly handshakes = new Map<string, Socket>()
+	/** Connections below those with TLS. */
+	private readonly underlying = new WeakMap<Socket, Socket>()
+
+	/**
+	 * @param options.server - a server that does not listen yet
+	 * @param options.onDisconnect - called with each connection that is closed beyond a limit
+	 */
+	constructor(options: {
+		readonly server: Server | TlsServer
+		readonly limits: ClientLimits
+		readonly onDisconnect: (disconnection: Disconnection) => void
+	}) {
+		const { server, limits, onDisconnect } = options
+		this.table = new ConnectionTable({ limits, onDisconnect })
+		this.parsing = new ParsingQueue({
+			limit: limits.unparsedBytes,
+			onOverload: (socket, reason) => {
+				this.table.close(this.getUnderlying(socket), reason)
+			},
+		})
+		server.on('connection', (socket: Socket) => {
+			this.table.add(socket)
+			if (socket.destroyed) return
+			if (server instanceof TlsServer) this.addHandshake(socket)
+			else this.parsing.add(socket)
+		})
+		server.on('secureConnection', (socket: Socket) => {
+			this.endHandshake(socket)
+			this.parsing.add(socket)
+		})
+	}
+
+	/** Number of open connections. */
+	get connectionCount(): number {
+		return this.table.connectionCount
+	}
+
+	/** Number of requests whose answers have not been sent whole. */
+	get callCount(): number {
+		return this.table.callCount
+	}
+
+	/** Whether a further request is beyond the limit over all connections. */
+	get isFull(): boolean {
+		return this.table.isFull
+	}
+
+	/**
+	 * Begins a request.
+	 *
+	 * @returns the connection, or undefined if the request must not be served; it has then been closed
+	 */
+	begin(request: IncomingMessage, response: ServerResponse): ClientConnection | undefined {
+		const connection = this.table.beginCall(this.getUnderlying(request.socket))
+		if (!connection) return undefined
+		response.once('finish', () => {
+			this.table.endCall(connection)
+		})
+		return connection
+	}
+
+	/** Notes that a request has been read whole and is being served; its connection is not closed for others. */
+	startServing(connection: ClientConnection): void {
+		this.table.startServing(connection)
+	}
+
+	/** Notes that a request which was being served has got its answer. */
+	endServing(connection: ClientConnection): void {
+		this.table.endServing(connection)
+	}
+
+	/** Parses nothing more of a connection, and drops up to some bytes that still arrive. */
+	drop(socket: Socket, bytes: number): void {
+		this.parsing.drop(socket, bytes)
+	}
+
+	private addHandshake(socket: Socket): void {
+		const address = getAddress(socket)
+		this.handshakes.set(address, socket)
+		socket.once('close', () => {
+			if (this.handshakes.get(address) === socket) this.handshakes.delete(address)
+		})
+	}
+
+	private endHandshake(socket: Socket): void {
+		const address = getAddress(socket)
+		const underlying = this.handshakes.get(address)
+		if (!underlying) return
+		this.handshakes.delete(address)
+		this.underlying.set(socket, underlying)
+	}
+
+	private getUnderlying(socket: Socket): Socket {
+		return this.underlying.get(socket) ?? socket
+	}
+}
+
+function getAddress({ remoteAddress = '', remotePort = 0 }: Socket): string {
+	return `${remoteAddress} ${remotePort}`
+}
--- a/packages/http/src/lib/ConnectionTable.test.ts
+++ b/packages/http/src/lib/ConnectionTable.test.ts
@@ -14,7 +14,13 @@
 	}
 }
 
-const limits = { connections: 3, calls: 4, callsPerConnection: 3, bodyBytes: 1_000 }
+const limits = {
+	connections: 3,
+	calls: 4,
+	callsPerConnection: 3,
+	bodyBytes: 1_000,
+	unparsedBytes: 1_000,
+}
 
 it('closes connections that serve nobody to make room, never those being served', () => {
 	const { table, open } = createFixture(limits)
--- a/packages/http/src/lib/ConnectionTable.ts
+++ b/packages/http/src/lib/ConnectionTable.ts
@@ -46,7 +46,7 @@
 		const connection = { socket, calls: 0, servedCalls: 0 }
 		if (this.connections.size >= this.options.limits.connections) {
 			const [victim = connection] = this.fresh.size > 0 ? this.fresh : this.idle
-			this.close(victim, 'too many connections')
+			this.disconnect(victim, 'too many connections')
 			if (victim === connection) return
 		}
 		this.connections.set(socket, connection)
@@ -70,7 +70,7 @@
 		this.countInTurn()
 		const mayCallAhead = this.callsInTurn <= limits.calls
 		if (connection.calls >= (mayCallAhead ? limits.callsPerConnection : 1)) {
-			this.close(connection, 'too many calls ahead')
+			this.disconnect(connection, 'too many calls ahead')
 			return undefined
 		}
 		connection.calls += 1
@@ -78,7 +78,7 @@
 		if (this.calls <= limits.calls) return connection
 		const largest = this.getLargest()
 		if (!largest || largest.calls === 1) return connection
-		this.close(largest, 'too many calls')
+		this.disconnect(largest, 'too many calls')
 		return largest === connection ? undefined : connection
 	}
 
@@ -126,7 +126,14 @@
 		this.idle.delete(connection)
 	}
 
-	private close(connection: ClientConnection, reason: Disconnection['reason']): void {
+	/** Closes a connection beyond a limit. */
+	close(socket: Socket, reason: Disconnection['reason']): void {
+		const connection = this.connections.get(socket)
+		if (connection) this.disconnect(connection, reason)
+		else socket.destroy()
+	}
+
+	private disconnect(connection: ClientConnection, reason: Disconnection['reason']): void {
 		const { socket, calls, servedCalls } = connection
 		const { size } = this.connections
 		const client = socket.remoteAddress
--- a/packages/http/src/lib/Disconnection.ts
+++ b/packages/http/src/lib/Disconnection.ts
@@ -4,7 +4,12 @@
  * @public
  */
 export interface Disconnection {
-	readonly reason: 'too many connections' | 'too many calls ahead' | 'too many calls'
+	readonly reason:
+		| 'too many connections'
+		| 'too many calls ahead'
+		| 'too many calls'
+		| 'too much unparsed data'
+		| 'unread answers'
 	/** Address of the client; undefined if it has gone already. */
 	readonly client: string | undefined
 	/** Requests on it whose answers had not been sent whole. */
--- a/packages/http/src/lib/getClientLimits.ts
+++ b/packages/http/src/lib/getClientLimits.ts
@@ -10,6 +10,8 @@
 const CALLS_PER_CONNECTION = 32
 /** Share of the memory that bodies may take. */
 const BODY_SHARE = 0.08
+/** Share of the memory that data may take which waits to be parsed. */
+const UNPARSED_SHARE = 0.04
 const BYTES_PER_MEGABYTE = 1_048_576
 
 /**
@@ -31,5 +33,6 @@
 		calls: Math.floor(memoryMegabytes * CALLS_PER_MEGABYTE),
 		callsPerConnection: CALLS_PER_CONNECTION,
 		bodyBytes: Math.floor(memoryMegabytes * BYTES_PER_MEGABYTE * BODY_SHARE),
+		unparsedBytes: Math.floor(memoryMegabytes * BYTES_PER_MEGABYTE * UNPARSED_SHARE),
 	}
 }
