--- a/packages/daemon/src/lib/callers/CallerServer.ts
+++ b/packages/daemon/src/lib/callers/CallerServer.ts
@@ -50,8 +50,8 @@
 			limits: settings.limits,
 			timers,
 			logger,
-			handler: (request, response) => {
-				this.route(request, response).catch((error: unknown) => {
+			handler: (request, response, startServing) => {
+				this.route(request, response, startServing).catch((error: unknown) => {
 					logger.error('request-crashed', { reason: String(error) })
 					response.destroy()
 				})
@@ -122,7 +122,11 @@
 		this.connections.closeAfterResponses('all')
 	}
 
-	private async route(request: IncomingMessage, response: ServerResponse): Promise<void> {
+	private async route(
+		request: IncomingMessage,
+		response: ServerResponse,
+		startServing: () => void
+	): Promise<void> {
 		const pathname = getPathname(request)
 		if (pathname === '/healthz' || pathname === '/readyz') {
 			this.sendHealth(response)
@@ -138,7 +142,7 @@
 			this.refuse(request, response, notFound)
 			return
 		}
-		await this.submitRequest(queueName, request, response)
+		await this.submitRequest(queueName, request, response, startServing)
 	}
 
 	private sendHealth(response: ServerResponse): void {
@@ -159,7 +163,8 @@
 	private async submitRequest(
 		queueName: string,
 		request: IncomingMessage,
-		response: ServerResponse
+		response: ServerResponse,
+		startServing: () => void
 	): Promise<void> {
 		const admission = this.admit(queueName, request)
 		if (admission.type === 'refused') {
@@ -172,6 +177,7 @@
 			if (body.failure === 'too-large') this.refuse(request, response, bodyTooLarge)
 			return
 		}
+		startServing()
 		const { requestIds, requests } = this.options
 		const claim = await requestIds.claim(headers.requestId, headers)
 		if (claim.type === 'refused') {
@@ -206,6 +212,7 @@
 		const length = Number(request.headers['content-length'] ?? 0)
 		if (!(length <= this.options.settings.limits.bodyBytes)) return refuse(bodyTooLarge)
 		if (!this.options.requests.canEnqueue(queue)) return refuse(queueFull)
+		if (this.listener.isFull) return refuse(tooManyRequests)
 		return { type: 'admitted', queue, team: result.team, headers }
 	}
 
@@ -274,6 +281,14 @@
 	retryAfter: SHORT_RETRY_AFTER_MILLISECONDS,
 }
 
+const tooManyRequests: Refusal = {
+	status: 503,
+	error: 'too-many-requests',
+	message: 'callers have too many requests under way here',
+	verdict: 'not-run',
+	retryAfter: SHORT_RETRY_AFTER_MILLISECONDS,
+}
+
 function createUnknownQueueRefusal(queue: string): Refusal {
 	return {
 		status: 404,
--- a/packages/daemon/src/lib/callers/Refusal.ts
+++ b/packages/daemon/src/lib/callers/Refusal.ts
@@ -20,6 +20,7 @@
 	| 'body-too-large'
 	| 'body-incomplete'
 	| 'queue-full'
+	| 'too-many-requests'
 	| 'start-too-late'
 	| 'request-id-unknown'
 	| 'request-id-expired'
--- a/packages/daemon/src/lib/http/HttpListener.ts
+++ b/packages/daemon/src/lib/http/HttpListener.ts
@@ -1,16 +1,19 @@
 import {
 	createServer as createPlainServer,
-	type RequestListener,
+	type IncomingMessage,
 	type Server as PlainServer,
 	type ServerOptions,
+	type ServerResponse,
 } from 'node:http'
 import { createServer as createTlsServer, type Server as TlsServer } from 'node:https'
 import { Server as NetServer, type Socket } from 'node:net'
 import type { Subscription, TimerService } from '@mastichead/core'
+import { ConnectionManager, hasBody, type Disconnection } from '@mastichead/http'
 import type { Logger } from 'winston'
 import type { ListenerSettings } from '../settings/ListenerSettings.js'
 import type { Settings } from '../settings/Settings.js'
 import { ConnectionLimiter } from './ConnectionLimiter.js'
+import { getListenerLimits } from './getListenerLimits.js'
 import { TlsFiles } from './TlsFiles.js'
 
 /** Interval between checks of the TLS files for changes. */
@@ -22,8 +25,14 @@
 /** Time that a stop waits for pending responses. */
 const STOP_TIMEOUT_MILLISECONDS = 5_000
 
+type RequestHandler = (
+	request: IncomingMessage,
+	response: ServerResponse,
+	startServing: () => void
+) => void
+
 /**
- * Listens on an HTTP port, with timeouts and with limits on headers and connections. Serves TLS
+ * Listens on an HTTP port, with timeouts and with limits on what clients hold and cost. Serves TLS
  * from files that are reloaded when they change.
  *
  * @internal
@@ -32,11 +41,14 @@
 	readonly server: PlainServer | TlsServer
 	private readonly tlsFiles: TlsFiles | undefined
 	private readonly connectionLimiter: ConnectionLimiter
+	private readonly connections: ConnectionManager
 	private reloadTimer: Subscription | undefined
 
 	/**
 	 * @param options.name - name of the listener in settings and logs, such as `callers`
 	 * @param options.listener - address and TLS files
+	 * @param options.handler - calls `startServing` once it has read as much of a request's body as it needs to
+	 *   go on; a connection of which nothing is being served may be closed for others
 	 * @param options.onConnectionLimit - called with a connection that exceeds the limit of its
 	 *   caller; by default the connection is destroyed
 	 */
@@ -47,17 +59,21 @@
 			readonly limits: Settings['limits']
 			readonly timers: TimerService
 			readonly logger: Logger
-			readonly handler: RequestListener
+			readonly handler: RequestHandler
 			readonly onConnectionLimit?: (socket: Socket) => void
 		}
 	) {
-		const { listener, limits, handler } = options
+		const { listener, limits } = options
 		this.connectionLimiter = new ConnectionLimiter(limits.connectionsPerCaller)
 		this.tlsFiles = listener.tls && new TlsFiles(listener.tls)
-		this.server = this.createServer(handler)
-		this.server.maxConnections = limits.connections
-		this.server.on('connection', (socket: Socket) => {
-			this.admit(socket)
+		this.server = this.createServer()
+		this.connections = new ConnectionManager({
+			server: this.server,
+			limits: getListenerLimits(limits),
+			admits: (socket) => this.admit(socket),
+			onDisconnect: (disconnection) => {
+				this.reportDisconnection(disconnection)
+			},
 		})
 	}
 
@@ -123,8 +139,16 @@
 		this.server.closeAllConnections()
 	}
 
-	private createServer(handler: RequestListener): PlainServer | TlsServer {
+	/** Whether a further request is beyond the limit over all connections. */
+	get isFull(): boolean {
+		return this.connections.isFull
+	}
+
+	private createServer(): PlainServer | TlsServer {
 		const { limits } = this.options
+		const handler = (request: IncomingMessage, response: ServerResponse): void => {
+			this.handle(request, response)
+		}
 		const options: ServerOptions = {
 			maxHeaderSize: limits.headerBytes,
 			headersTimeout: limits.headersTimeoutMilliseconds,
@@ -140,17 +164,39 @@
 		)
 	}
 
-	private admit(socket: Socket): void {
+	private handle(request: IncomingMessage, response: ServerResponse): void {
+		const connection = this.connections.begin(request, response)
+		if (!connection) return
+		let isServing = false
+		const startServing = (): void => {
+			if (isServing) return
+			isServing = true
+			this.connections.serveUntilAnswered(connection, response)
+		}
+		if (!hasBody(request)) startServing()
+		this.options.handler(request, response, startServing)
+	}
+
+	/** Whether a new connection may stay. */
+	private admit(socket: Socket): boolean {
 		const caller = socket.remoteAddress ?? ''
 		if (!this.connectionLimiter.tryAdd(caller)) {
 			this.options.logger.warn('connection-refused', { listener: this.options.name, caller })
 			if (this.options.onConnectionLimit) this.options.onConnectionLimit(socket)
 			else socket.destroy()
-			return
+			return false
 		}
 		socket.once('close', () => {
 			this.connectionLimiter.remove(caller)
 		})
+		return true
+	}
+
+	private reportDisconnection(disconnection: Disconnection): void {
+		this.options.logger.warn('client-disconnected', {
+			listener: this.options.name,
+			...disconnection,
+		})
 	}
 
 	private reloadTls(): void {
--- a/packages/daemon/src/lib/operators/OperatorServer.ts
+++ b/packages/daemon/src/lib/operators/OperatorServer.ts
@@ -40,8 +40,8 @@
 			limits: settings.limits,
 			timers,
 			logger,
-			handler: (request, response) => {
-				void this.serve(request, response)
+			handler: (request, response, startServing) => {
+				void this.serve(request, response, startServing)
 			},
 		})
 	}
@@ -66,10 +66,14 @@
 		this.listener.destroy()
 	}
 
-	private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+	private async serve(
+		request: IncomingMessage,
+		response: ServerResponse,
+		startServing: () => void
+	): Promise<void> {
 		const path = (request.url ?? '/').split('?', 1)[0] ?? '/'
 		const operator = this.credentials.getOperator(request.headers.authorization)
-		const result = await this.getResponse(request, path, operator)
+		const result = await this.getResponse(request, path, operator, startServing)
 		sendResponse(response, result)
 		const fields = { method: request.method, path, operator, status: result.status }
 		if (operator === undefined && result.status === 401) {
@@ -81,7 +85,8 @@
 	private async getResponse(
 		request: IncomingMessage,
 		path: string,
-		operator: string | undefined
+		operator: string | undefined,
+		startServing: () => void
 	): Promise<OperatorResponse> {
 		const matched = this.matchResource(path)
 		if (operator === undefined && !matched?.resource.isPublic) {
@@ -94,6 +99,7 @@
 				return createErrorResponse('too-large', 'the body is over limits.operatorBodyBytes')
 			}
 			if (read.type === 'malformed') return createErrorResponse('malformed', 'the body is not JSON')
+			startServing()
 			const { resource, parameters } = matched
 			const { body } = read
 			return await dispatch(resource, request.method ?? '', {
--- a/packages/daemon/src/lib/settings/settingsSchema.ts
+++ b/packages/daemon/src/lib/settings/settingsSchema.ts
@@ -59,6 +59,10 @@
 	idleTimeoutMilliseconds: count.default(MINUTE_MILLISECONDS),
 	connectionsPerCaller: count.default(512),
 	connections: count.default(8_192),
+	requests: count.optional(),
+	requestsPerConnection: count.default(32),
+	bufferedBodyBytes: count.optional(),
+	unparsedBytes: count.optional(),
 })
 
 /**
--- a/packages/http/src/lib/ConnectionManager.ts
+++ b/packages/http/src/lib/ConnectionManager.ts
@@ -20,17 +20,21 @@
 	private readonly handshakes = new Map<string, Socket>()
 	/** Connections below those with TLS. */
 	private readonly underlying = new WeakMap<Socket, Socket>()
+	/** Responses that end the serving of their requests, by connection. */
+	private readonly unanswered = new Map<ClientConnection, Set<ServerResponse>>()
 
 	/**
 	 * @param options.server - a server that does not listen yet
+	 * @param options.admits - whether a new connection may stay; if not, it is left to who says so
 	 * @param options.onDisconnect - called with each connection that is closed beyond a limit
 	 */
 	constructor(options: {
 		readonly server: Server | TlsServer
 		readonly limits: ClientLimits
+		readonly admits?: (socket: Socket) => boolean
 		readonly onDisconnect: (disconnection: Disconnection) => void
 	}) {
-		const { server, limits, onDisconnect } = options
+		const { server, limits, admits = () => true, onDisconnect } = options
 		this.table = new ConnectionTable({ limits, onDisconnect })
 		this.parsing = new ParsingQueue({
 			limit: limits.unparsedBytes,
@@ -39,6 +43,7 @@
 			},
 		})
 		server.on('connection', (socket: Socket) => {
+			if (!admits(socket)) return
 			this.table.add(socket)
 			if (socket.destroyed) return
 			if (server instanceof TlsServer) this.addHandshake(socket)
@@ -89,11 +94,33 @@
 		this.table.endServing(connection)
 	}
 
+	/** Serves a request that has been read whole until its answer has been sent or its connection is closed. */
+	serveUntilAnswered(connection: ClientConnection, response: ServerResponse): void {
+		this.table.startServing(connection)
+		this.getUnanswered(connection).add(response)
+		response.once('close', () => {
+			if (this.unanswered.get(connection)?.delete(response)) this.table.endServing(connection)
+		})
+	}
+
 	/** Parses nothing more of a connection, and drops up to some bytes that still arrive. */
 	drop(socket: Socket, bytes: number): void {
 		this.parsing.drop(socket, bytes)
 	}
 
+	private getUnanswered(connection: ClientConnection): Set<ServerResponse> {
+		const known = this.unanswered.get(connection)
+		if (known) return known
+		const responses = new Set<ServerResponse>()
+		this.unanswered.set(connection, responses)
+		// Responses that wait for another one do not learn that their connection has been closed.
+		connection.socket.once('close', () => {
+			this.unanswered.delete(connection)
+			for (let left = responses.size; left > 0; left -= 1) this.table.endServing(connection)
+		})
+		return responses
+	}
+
 	private addHandshake(socket: Socket): void {
 		const address = getAddress(socket)
 		this.handshakes.set(address, socket)
--- a/packages/http/src/lib/getClientLimits.ts
+++ b/packages/http/src/lib/getClientLimits.ts
@@ -1,4 +1,5 @@
 import type { ClientLimits } from './ClientLimits.js'
+import { getMemoryLimits } from './getMemoryLimits.js'
 
 /** Descriptors that the runtime keeps for files. */
 const FILE_DESCRIPTORS = 200
@@ -6,13 +7,6 @@
 const DESCRIPTOR_SHARE = 0.4
 const CONNECTIONS_PER_MEGABYTE = 6
 const MINIMUM_CONNECTIONS = 64
-const CALLS_PER_MEGABYTE = 4
-const CALLS_PER_CONNECTION = 32
-/** Share of the memory that bodies may take. */
-const BODY_SHARE = 0.08
-/** Share of the memory that data may take which waits to be parsed. */
-const UNPARSED_SHARE = 0.04
-const BYTES_PER_MEGABYTE = 1_048_576
 
 /**
  * Derives the limits of clients from the resources of the instance.
@@ -30,9 +24,6 @@
 	const byMemory = Math.floor(memoryMegabytes * CONNECTIONS_PER_MEGABYTE)
 	return {
 		connections: Math.max(MINIMUM_CONNECTIONS, Math.min(byDescriptors, byMemory)),
-		calls: Math.floor(memoryMegabytes * CALLS_PER_MEGABYTE),
-		callsPerConnection: CALLS_PER_CONNECTION,
-		bodyBytes: Math.floor(memoryMegabytes * BYTES_PER_MEGABYTE * BODY_SHARE),
-		unparsedBytes: Math.floor(memoryMegabytes * BYTES_PER_MEGABYTE * UNPARSED_SHARE),
+		...getMemoryLimits(memoryMegabytes),
 	}
 }
