--- a/packages/daemon/src/lib/callers/CallerServer.ts
+++ b/packages/daemon/src/lib/callers/CallerServer.ts
@@ -1,4 +1,5 @@
 import type { FleetState, Queue, TeamId, TimerService } from '@mastichead/core'
+import { BodyMemory } from '@mastichead/http'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Logger } from 'winston'
 import { HttpListener } from '../http/HttpListener.js'
@@ -40,6 +41,7 @@
 export class CallerServer {
 	private readonly listener: HttpListener
 	private readonly connections: CallerConnections
+	private readonly bodies: BodyMemory
 	private isShuttingDown = false
 
 	constructor(private readonly options: Options) {
@@ -61,6 +63,7 @@
 			},
 		})
 		this.connections = new CallerConnections(this.listener.server)
+		this.bodies = new BodyMemory(this.listener.limits.bodyBytes)
 	}
 
 	/** Starts listening; rejects if the port cannot be opened. */
@@ -172,21 +175,26 @@
 			return
 		}
 		const { queue, team, headers } = admission
-		const body = await RequestBody.readAhead(request, this.options.settings.limits.bodyBytes)
+		const { bodyBytes } = this.options.settings.limits
+		const body = await RequestBody.readAhead(request, bodyBytes, this.bodies)
 		if (body.failure) {
 			if (body.failure === 'too-large') this.refuse(request, response, bodyTooLarge)
+			else if (body.failure === 'dropped') this.refuseDropped(request, response)
 			return
 		}
 		startServing()
 		const { requestIds, requests } = this.options
 		const claim = await requestIds.claim(headers.requestId, headers)
 		if (claim.type === 'refused') {
+			body.release()
 			this.refuse(request, response, claim.refusal, headers.requestId)
 			return
 		}
 		const { requestId } = claim
-		if (response.destroyed) requestIds.settle(requestId, 'not-run')
-		else requests.submit({ requestId, team, queue, headers, body, request, response })
+		if (response.destroyed) {
+			body.release()
+			requestIds.settle(requestId, 'not-run')
+		} else requests.submit({ requestId, team, queue, headers, body, request, response })
 	}
 
 	private admit(
@@ -216,6 +224,12 @@
 		return { type: 'admitted', queue, team: result.team, headers }
 	}
 
+	private refuseDropped(request: IncomingMessage, response: ServerResponse): void {
+		const { used } = this.bodies
+		this.options.logger.warn('body-dropped', { caller: request.socket.remoteAddress, used })
+		this.refuse(request, response, tooManyBodies)
+	}
+
 	private refuse(
 		request: IncomingMessage,
 		response: ServerResponse,
@@ -289,6 +303,14 @@
 	retryAfter: SHORT_RETRY_AFTER_MILLISECONDS,
 }
 
+const tooManyBodies: Refusal = {
+	status: 503,
+	error: 'too-many-bodies',
+	message: 'the bodies of all callers exceed their memory here',
+	verdict: 'not-run',
+	retryAfter: SHORT_RETRY_AFTER_MILLISECONDS,
+}
+
 function createUnknownQueueRefusal(queue: string): Refusal {
 	return {
 		status: 404,
--- a/packages/daemon/src/lib/callers/Refusal.ts
+++ b/packages/daemon/src/lib/callers/Refusal.ts
@@ -21,6 +21,7 @@
 	| 'body-incomplete'
 	| 'queue-full'
 	| 'too-many-requests'
+	| 'too-many-bodies'
 	| 'start-too-late'
 	| 'request-id-unknown'
 	| 'request-id-expired'
--- a/packages/daemon/src/lib/callers/RequestBody.ts
+++ b/packages/daemon/src/lib/callers/RequestBody.ts
@@ -1,7 +1,10 @@
 import type { IncomingMessage } from 'node:http'
+import type { BodyMemory } from '@mastichead/http'
 
 /** Bodies up to this size are buffered whole, so that they can be sent again. */
 const MAXIMUM_BUFFERED_BYTES = 65_536
+/** Memory of a chunk that waits to be read, beside its content, in bytes. */
+const CHUNK_OVERHEAD = 150
 
 /**
  * The body of a caller's request. Reads the first 64 KiB ahead, so that a small body can be sent
@@ -10,11 +13,16 @@
  * @internal
  */
 export class RequestBody {
-	/** Why the body cannot be read completely; undefined if no failure occurred so far. */
-	failure: 'too-large' | 'incomplete' | undefined
+	/**
+	 * Why the body cannot be read completely; undefined if no failure occurred so far. `dropped`: the
+	 * bodies of all callers exceed their memory.
+	 */
+	failure: 'too-large' | 'incomplete' | 'dropped' | undefined
+	/** Releases the memory that the body counts for; may be called more than once. */
+	release: () => void = () => undefined
 	private iterator: AsyncIterator<Buffer> | undefined
-	private bufferedChunks: Buffer[] = []
-	private bufferedBytes = 0
+	/** The start of the body, until it is handed out as a stream. */
+	private start: Buffer = Buffer.alloc(0)
 	private readBytes = 0
 	private isEnded = false
 	/** Whether the body was handed out as a stream, so that it cannot be sent again. */
@@ -31,19 +39,13 @@
 	 *
 	 * @param maximumBytes - size above which a body fails as `too-large`
 	 */
-	static async readAhead(request: IncomingMessage, maximumBytes: number): Promise<RequestBody> {
+	static async readAhead(
+		request: IncomingMessage,
+		maximumBytes: number,
+		memory: BodyMemory
+	): Promise<RequestBody> {
 		const body = new RequestBody(request, maximumBytes)
-		const length = Number(request.headers['content-length'])
-		if (length <= MAXIMUM_BUFFERED_BYTES) {
-			await body.readSmall(request)
-			return body
-		}
-		while (!body.isEnded && body.bufferedBytes <= MAXIMUM_BUFFERED_BYTES) {
-			const chunk = await body.next()
-			if (!chunk) break
-			body.bufferedChunks.push(chunk)
-			body.bufferedBytes += chunk.length
-		}
+		await body.readStart(memory)
 		return body
 	}
 
@@ -54,28 +56,64 @@
 
 	/** Returns the body for one attempt: a buffer if it was read completely, otherwise a stream. */
 	takePayload(): Buffer | AsyncIterable<Buffer> {
-		if (this.isEnded && !this.isStreamed) return Buffer.concat(this.bufferedChunks)
+		if (this.isEnded && !this.isStreamed) return this.start
 		this.isStreamed = true
 		return this.stream()
 	}
 
-	/** Reads a body whose length is known to be small; events cost less than the iterator. */
-	private async readSmall(request: IncomingMessage): Promise<void> {
-		await new Promise<void>((resolve) => {
-			request.on('data', (chunk: Buffer) => this.bufferedChunks.push(chunk))
-			request.once('end', () => {
-				this.isEnded = true
-				resolve()
-			})
-			request.once('close', resolve)
+	/** Copies what arrives into one buffer, since a body may come in very many chunks. */
+	private async readStart(memory: BodyMemory): Promise<void> {
+		const { request } = this
+		let chunks = 0
+		let resolve: () => void = () => undefined
+		const isRead = new Promise<void>((resolveRead) => (resolve = resolveRead))
+		const stop = (): void => {
+			request.off('data', append)
+			request.pause()
+			resolve()
+		}
+		const held = memory.begin(() => {
+			this.failure = 'dropped'
+			stop()
 		})
-		if (!this.isEnded) this.failure = 'incomplete'
+		const append = (chunk: Buffer): void => {
+			chunks += 1
+			this.readBytes += chunk.length
+			if (this.readBytes > this.maximumBytes) this.failure = 'too-large'
+			else memory.append(held, chunk)
+			if (this.failure || this.readBytes > MAXIMUM_BUFFERED_BYTES) stop()
+		}
+		this.release = () => {
+			memory.release(held)
+		}
+		request.once('end', () => {
+			this.isEnded = true
+			resolve()
+		})
+		request.once('close', resolve)
+		request.on('data', append)
+		await isRead
+		this.start = memory.complete(held)
+		if (!this.isEnded)
+			this.failure ??= this.reserveStream(chunks, (bytes) => memory.reserve(held, bytes))
+		if (this.failure) this.release()
+	}
+
+	/** Reserves the memory of the chunks that wait in the request while it is streamed. */
+	private reserveStream(
+		chunks: number,
+		reserve: (bytes: number) => boolean
+	): 'dropped' | 'incomplete' | undefined {
+		if (this.request.destroyed) return 'incomplete'
+		const { readableHighWaterMark } = this.request
+		const waitingChunks = Math.ceil((readableHighWaterMark * chunks) / this.readBytes)
+		return reserve(readableHighWaterMark + waitingChunks * CHUNK_OVERHEAD) ? undefined : 'dropped'
 	}
 
 	private async *stream(): AsyncGenerator<Buffer> {
-		const { bufferedChunks } = this
-		this.bufferedChunks = []
-		yield* bufferedChunks
+		const { start } = this
+		this.start = Buffer.alloc(0)
+		yield start
 		for (let chunk = await this.next(); chunk; chunk = await this.next()) yield chunk
 		if (this.failure) throw new Error(`the request body is ${this.failure}`)
 	}
--- a/packages/daemon/src/lib/callers/RequestManager.ts
+++ b/packages/daemon/src/lib/callers/RequestManager.ts
@@ -327,6 +327,7 @@
 
 	private completeRequest(callerRequest: CallerRequest, verdict: Verdict): void {
 		callerRequest.hasEnded = true
+		callerRequest.body.release()
 		this.requests.delete(callerRequest.queueEntry.id)
 		const now = this.options.timers.now()
 		const startedAt = callerRequest.startedAt
--- a/packages/daemon/src/lib/http/HttpListener.ts
+++ b/packages/daemon/src/lib/http/HttpListener.ts
@@ -8,7 +8,7 @@
 import { createServer as createTlsServer, type Server as TlsServer } from 'node:https'
 import { Server as NetServer, type Socket } from 'node:net'
 import type { Subscription, TimerService } from '@mastichead/core'
-import { ConnectionManager, hasBody, type Disconnection } from '@mastichead/http'
+import { ConnectionManager, hasBody, type ClientLimits, type Disconnection } from '@mastichead/http'
 import type { Logger } from 'winston'
 import type { ListenerSettings } from '../settings/ListenerSettings.js'
 import type { Settings } from '../settings/Settings.js'
@@ -41,6 +41,8 @@
 	readonly server: PlainServer | TlsServer
 	private readonly tlsFiles: TlsFiles | undefined
 	private readonly connectionLimiter: ConnectionLimiter
+	/** What the clients of this listener may hold. */
+	readonly limits: ClientLimits
 	private readonly connections: ConnectionManager
 	private reloadTimer: Subscription | undefined
 
@@ -67,9 +69,10 @@
 		this.connectionLimiter = new ConnectionLimiter(limits.connectionsPerCaller)
 		this.tlsFiles = listener.tls && new TlsFiles(listener.tls)
 		this.server = this.createServer()
+		this.limits = getListenerLimits(limits)
 		this.connections = new ConnectionManager({
 			server: this.server,
-			limits: getListenerLimits(limits),
+			limits: this.limits,
 			admits: (socket) => this.admit(socket),
 			onDisconnect: (disconnection) => {
 				this.reportDisconnection(disconnection)
--- a/packages/daemon/src/lib/testing/SimulatedDaemon.ts
+++ b/packages/daemon/src/lib/testing/SimulatedDaemon.ts
@@ -5,8 +5,10 @@
 	type Queue,
 	type TimerService,
 } from '@mastichead/core'
+import { Readable } from 'node:stream'
 import type { IncomingMessage } from 'node:http'
 import { createLogger } from 'winston'
+import { BodyMemory } from '@mastichead/http'
 import { RequestBody } from '../callers/RequestBody.js'
 import { RequestManager } from '../callers/RequestManager.js'
 import { MetricsManager } from '../metrics/MetricsManager.js'
@@ -105,7 +107,7 @@
 			recorder.end()
 			return recorder
 		}
-		const body = await RequestBody.readAhead(createEmptyBody(), 0)
+		const body = await RequestBody.readAhead(createEmptyBody(), 0, new BodyMemory(Infinity))
 		const headers = { requestId, idempotent, startTimeout: undefined, path: '/' }
 		const { response } = recorder
 		const request = EMPTY_REQUEST
@@ -122,6 +124,5 @@
 }
 
 function createEmptyBody(): IncomingMessage {
-	const iterator = () => ({ next: () => Promise.resolve({ done: true, value: undefined }) })
-	return { headers: {}, iterator } as unknown as IncomingMessage
+	return Object.assign(Readable.from([]), { headers: {} }) as unknown as IncomingMessage
 }
--- a/packages/http/src/lib/BodyMemory.test.ts
+++ b/packages/http/src/lib/BodyMemory.test.ts
@@ -17,7 +17,7 @@
 	expect(dropped).not.toContain('small')
 	expect(dropped).not.toContain('late')
 	expect(dropped).toHaveLength(8)
-	expect(memory.complete(small)).toBe('small')
+	expect(memory.complete(small).toString()).toBe('small')
 })
 
 it('keeps a body that is alone, whatever it costs', () => {
@@ -41,3 +41,12 @@
 	memory.release(body)
 	expect(memory.used).toBe(0)
 })
+
+it('reserves nothing beyond the limit for a body beside others', () => {
+	const memory = new BodyMemory(LIMIT)
+	const [first, second] = [memory.begin(() => undefined), memory.begin(() => undefined)]
+	expect(memory.reserve(first, 2 * LIMIT)).toBe(true)
+	expect(memory.reserve(second, 1)).toBe(false)
+	memory.release(first)
+	expect(memory.reserve(second, 1)).toBe(true)
+})
--- a/packages/http/src/lib/BodyMemory.ts
+++ b/packages/http/src/lib/BodyMemory.ts
@@ -48,12 +48,23 @@
 		this.enforceLimit()
 	}
 
-	/** Returns the whole content of a body. It stays charged until it is released. */
-	complete(body: Body): string {
+	/** Returns the content of a body, which is not dropped any more. It stays charged until it is released. */
+	complete(body: Body): Buffer {
 		this.open.delete(body)
-		const text = body.buffer.toString('utf8', 0, body.length)
+		const content = body.buffer.subarray(0, body.length)
 		body.buffer = Buffer.alloc(0)
-		return text
+		return content
+	}
+
+	/**
+	 * Charges a body that is complete, or read no further for now, for what it holds elsewhere.
+	 *
+	 * @returns false, without charging it, if the other bodies leave no room
+	 */
+	reserve(body: Body, bytes: number): boolean {
+		if (this.used + bytes > this.limit && this.used > body.cost) return false
+		this.charge(body, bytes)
+		return true
 	}
 
 	/** Releases a body; has no effect if that was done before. */
--- a/packages/http/src/lib/readBody.ts
+++ b/packages/http/src/lib/readBody.ts
@@ -46,7 +46,7 @@
 			const release = (): void => {
 				memory.release(body)
 			}
-			finish({ kind: 'complete', text: memory.complete(body), release })
+			finish({ kind: 'complete', text: memory.complete(body).toString('utf8'), release })
 		})
 		for (const event of ['error', 'close'] as const)
 			request.once(event, () => {
