--- a/packages/cli/src/lib/client/OperatorClient.ts
+++ b/packages/cli/src/lib/client/OperatorClient.ts
@@ -120,6 +120,7 @@
 	if (!error) return undefined
 	switch (error.type) {
 		case 'not-appended':
+		case 'overloaded':
 			return { reason: error.message, isOutcomeUnknown: false }
 		case 'outcome-unknown':
 		case 'internal':
--- a/packages/core/src/lib/reports/OperatorErrorType.ts
+++ b/packages/core/src/lib/reports/OperatorErrorType.ts
@@ -9,6 +9,7 @@
  * - `invalid`: the document is not a valid fleet
  * - `rejected`: the change was rejected and is not in force
  * - `not-appended`: the platform's log was unreachable; the change will not take effect
+ * - `overloaded`: the daemon reads too many bodies; nothing was changed
  * - `outcome-unknown`: the change may take effect; retry with the same proposal id
  * - `internal`: an error in the daemon
  *
@@ -23,5 +24,6 @@
 	| 'invalid'
 	| 'rejected'
 	| 'not-appended'
+	| 'overloaded'
 	| 'outcome-unknown'
 	| 'internal'
--- a/packages/daemon/src/lib/crowds/daemonPorts.crowd.test.ts
+++ b/packages/daemon/src/lib/crowds/daemonPorts.crowd.test.ts
@@ -40,7 +40,7 @@
 	return Buffer.from(`${bodyStarts[port]}${headers}`)
 }
 
-/** What the clients of a crowd send, by the port, a key that exists, and their number. */
+/** What the clients of a crowd send, by the port, a key or token that exists, and their number. */
 const shapes = [
 	{
 		shape: 'bodies in chunks of one byte without an end',
@@ -109,12 +109,12 @@
 	const { port, isTls, clients, getPieces } = row
 	const limits = { connections: CONNECTIONS }
 	fixture = await createDaemonCrowdFixture({ basePort: 17_700, isTls, limits })
-	const { probe, key, createCrowd, postQuote, readMetrics } = fixture
+	const { probe, credentials, createCrowd, postQuote, readMetrics } = fixture
 	expect(await postQuote()).toBe(200)
 	const crowd = createCrowd(port)
 	await crowd.send({
 		clients,
-		getPieces: (client) => getPieces(port, key, client),
+		getPieces: (client) => getPieces(port, credentials[port], client),
 		leaves: (client) => client % 8 === 0,
 	})
 	await delay(SETTLING_TIME_MILLISECONDS)
--- a/packages/daemon/src/lib/operators/OperatorServer.ts
+++ b/packages/daemon/src/lib/operators/OperatorServer.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { TimerService } from '@mastichead/core'
+import { BodyMemory, hasBody } from '@mastichead/http'
 import type { Logger } from 'winston'
 import { HttpListener } from '../http/HttpListener.js'
 import type { Settings } from '../settings/Settings.js'
@@ -22,6 +23,7 @@
 	private readonly listener: HttpListener
 	private readonly credentials: OperatorCredentials
 	private readonly resources: readonly OperatorResource[]
+	private readonly bodies: BodyMemory
 
 	constructor(
 		private readonly options: {
@@ -44,6 +46,7 @@
 				void this.serve(request, response, startServing)
 			},
 		})
+		this.bodies = new BodyMemory(this.listener.limits.bodyBytes)
 	}
 
 	/** The listening port; undefined while closed. */
@@ -74,6 +77,9 @@
 		const path = (request.url ?? '/').split('?', 1)[0] ?? '/'
 		const operator = this.credentials.getOperator(request.headers.authorization)
 		const result = await this.getResponse(request, path, operator, startServing)
+		// What was not read is not worth reading.
+		const isUnread = hasBody(request) && !request.complete
+		if (isUnread) response.setHeader('Connection', 'close')
 		sendResponse(response, result)
 		const fields = { method: request.method, path, operator, status: result.status }
 		if (operator === undefined && result.status === 401) {
@@ -94,11 +100,9 @@
 		}
 		if (!matched) return createErrorResponse('not-found', `no resource ${path}`)
 		try {
-			const read = await readJsonBody(request, this.options.settings.limits.operatorBodyBytes)
-			if (read.type === 'too-large') {
-				return createErrorResponse('too-large', 'the body is over limits.operatorBodyBytes')
-			}
-			if (read.type === 'malformed') return createErrorResponse('malformed', 'the body is not JSON')
+			const { operatorBodyBytes } = this.options.settings.limits
+			const read = await readJsonBody(request, operatorBodyBytes, this.bodies)
+			if (read.type !== 'json') return createUnreadResponse(read.type)
 			startServing()
 			const { resource, parameters } = matched
 			const { body } = read
@@ -127,6 +131,17 @@
 	}
 }
 
+function createUnreadResponse(reason: 'too-large' | 'dropped' | 'malformed'): OperatorResponse {
+	switch (reason) {
+		case 'too-large':
+			return createErrorResponse('too-large', 'the body is over limits.operatorBodyBytes')
+		case 'dropped':
+			return createErrorResponse('overloaded', 'bodies exceed limits.bufferedBodyBytes; try again')
+		case 'malformed':
+			return createErrorResponse('malformed', 'the body is not JSON')
+	}
+}
+
 async function dispatch(
 	resource: OperatorResource,
 	method: string,
@@ -168,7 +183,6 @@
 		'Content-Length': Buffer.byteLength(text),
 		'Cache-Control': 'no-store',
 		...(result.status === 401 && { 'WWW-Authenticate': 'Bearer' }),
-		...(result.status === 413 && { Connection: 'close' }),
 	})
 	response.end(text)
 }
--- a/packages/daemon/src/lib/operators/createErrorResponse.ts
+++ b/packages/daemon/src/lib/operators/createErrorResponse.ts
@@ -10,6 +10,7 @@
 	invalid: 422,
 	rejected: 409,
 	'not-appended': 503,
+	overloaded: 503,
 	'outcome-unknown': 504,
 	internal: 500,
 }
--- a/packages/daemon/src/lib/testing/DaemonCrowdFixture.ts
+++ b/packages/daemon/src/lib/testing/DaemonCrowdFixture.ts
@@ -8,8 +8,12 @@
 export interface DaemonCrowdFixture {
 	/** What the daemon's process holds. */
 	readonly probe: ProcessProbe
-	/** Key of a team that may call. */
-	readonly key: string
+	/** What a client shows that may use a port: the key of a team, or the token of an operator. */
+	readonly credentials: {
+		readonly callers: string
+		readonly operators: string
+		readonly peers: string
+	}
 	/** Creates a crowd that presses one of the daemon's ports, from addresses of its own. */
 	createCrowd: (port: 'callers' | 'operators' | 'peers') => Crowd
 	/** Posts a quote like any caller, with retries; returns the last status, or why there was none. */
--- a/packages/daemon/src/lib/testing/createDaemonCrowdFixture.ts
+++ b/packages/daemon/src/lib/testing/createDaemonCrowdFixture.ts
@@ -72,7 +72,7 @@
 	}
 	return {
 		probe,
-		key,
+		credentials: { callers: key, operators: deployment.token, peers: '' },
 		createCrowd: (port) => {
 			let clients = 0
 			const crowd = new Crowd(() => {
