--- a/packages/daemon/src/lib/Daemon.ts
+++ b/packages/daemon/src/lib/Daemon.ts
@@ -274,6 +274,7 @@
 			instance: this.instance,
 			host,
 			port,
+			connectionLimit: settings.limits.connections,
 			address: this.getPeerAddress(),
 			seeds: settings.seeds,
 			serverCredentials: credentials.server,
--- a/packages/daemon/src/lib/http/HttpListener.ts
+++ b/packages/daemon/src/lib/http/HttpListener.ts
@@ -98,6 +98,10 @@
 			this.server.once('error', reject)
 			this.server.listen(port, host, () => {
 				this.server.off('error', reject)
+				this.server.on('error', (error) => {
+					const { logger, name } = this.options
+					logger.error('connections-failed', { listener: name, reason: error.message })
+				})
 				resolve()
 			})
 		})
--- a/packages/daemon/src/lib/peers/PeerManager.test.ts
+++ b/packages/daemon/src/lib/peers/PeerManager.test.ts
@@ -110,6 +110,7 @@
 		instance,
 		host: '127.0.0.1',
 		port: 0,
+		connectionLimit: 100,
 		address: instance,
 		seeds: [],
 		serverCredentials: ServerCredentials.createInsecure(),
--- a/packages/daemon/src/lib/peers/PeerManager.ts
+++ b/packages/daemon/src/lib/peers/PeerManager.ts
@@ -46,6 +46,8 @@
 	readonly instance: InstanceId
 	readonly host: string
 	readonly port: number
+	/** Open connections to the port at most. */
+	readonly connectionLimit: number
 	/** `host:port` that this daemon joins with. */
 	readonly address: string
 	/** Addresses of peers to contact before any member is known. */
--- a/packages/daemon/src/lib/peers/PeerServer.ts
+++ b/packages/daemon/src/lib/peers/PeerServer.ts
@@ -16,7 +16,9 @@
 	type SlotGrants,
 	type SlotReport,
 } from '@mastichead/protocol'
+import { createServer, type AddressInfo, type Socket } from 'node:net'
 import type { Logger } from 'winston'
+import { PeerConnections } from './PeerConnections.js'
 import type { PeerHandler } from './PeerHandler.js'
 import { peerChannelOptions } from './peerChannelOptions.js'
 
@@ -24,6 +26,8 @@
 	readonly host: string
 	/** 0 for any free port. */
 	readonly port: number
+	/** Open connections at most. */
+	readonly connectionLimit: number
 	readonly credentials: ServerCredentials
 	readonly handler: PeerHandler
 	readonly logger: Logger
@@ -36,9 +40,15 @@
  */
 export class PeerServer {
 	private readonly server = new Server(peerChannelOptions)
+	/** Accepts the connections, since the gRPC server itself has no limit of them. */
+	private readonly listener = createServer()
+	private readonly connections: PeerConnections
 
 	constructor(private readonly options: Options) {
-		const { handler } = options
+		const { handler, connectionLimit } = options
+		this.connections = new PeerConnections(connectionLimit, (socket) => {
+			this.reportDisconnection(socket)
+		})
 		this.server.addService(PeerService, {
 			exchange: this.createHandler((digest: Digest) => handler.exchange(digest)),
 			borrow: this.createHandler((request: BorrowRequest) => handler.lend(request)),
@@ -67,18 +77,36 @@
 	 */
 	listen(): Promise<number> {
 		const { host, port, credentials } = this.options
+		const injector = this.server.createConnectionInjector(credentials)
+		this.listener.on('connection', (socket) => {
+			this.connections.add(socket)
+			if (!socket.destroyed) injector.injectConnection(socket)
+		})
 		return new Promise((resolve, reject) => {
-			this.server.bindAsync(`${host}:${port}`, credentials, (error, boundPort) => {
-				if (error) reject(error)
-				else resolve(boundPort)
+			this.listener.once('error', reject)
+			this.listener.listen(port, host, () => {
+				this.listener.off('error', reject)
+				this.listener.on('error', (error) => {
+					this.options.logger.error('connections-failed', {
+						listener: 'peers',
+						reason: error.message,
+					})
+				})
+				resolve((this.listener.address() as AddressInfo).port)
 			})
 		})
 	}
 
 	close(): void {
+		this.listener.close()
 		this.server.forceShutdown()
 	}
 
+	private reportDisconnection(socket: Socket): void {
+		const client = socket.remoteAddress
+		this.options.logger.warn('peer-disconnected', { client, bytes: socket.bytesRead })
+	}
+
 	private createHandler<Request, Reply>(createReply: (request: Request) => Reply) {
 		const handle: handleUnaryCall<Request, Reply> = ({ request }, callback) => {
 			this.respond(() => createReply(request), callback)
