--- a/packages/http/src/lib/ConnectionManager.ts
+++ b/packages/http/src/lib/ConnectionManager.ts
@@ -7,6 +7,11 @@
 import type { Disconnection } from './Disconnection.js'
 import { ParsingQueue } from './ParsingQueue.js'
 
+/** What is read and dropped of a client that still sends after its last answer, in bytes. */
+const DROPPED_BYTES = 262_144
+/** Time after which such a connection is closed, in milliseconds. */
+const LINGER_TIME = 1_000
+
 /**
  * Keeps what the clients of an HTTP server hold and cost within limits: connections, requests ahead, and the
  * parsing of what they send. Works with TLS as well; a connection then counts from before its handshake.
@@ -103,9 +108,22 @@
 		})
 	}
 
-	/** Parses nothing more of a connection, and drops up to some bytes that still arrive. */
-	drop(socket: Socket, bytes: number): void {
-		this.parsing.drop(socket, bytes)
+	/** Parses nothing more of a connection whose client still sends, and soon reads nothing more either. */
+	stopParsing(socket: Socket): void {
+		this.parsing.drop(socket, DROPPED_BYTES)
+	}
+
+	/**
+	 * Closes a connection whose client still sends, after what has been written. It is read on for a while:
+	 * closed with unread data, it would be reset, and the client might lose the answer.
+	 */
+	closeGracefully(socket: Socket): void {
+		this.stopParsing(socket)
+		socket.end()
+		const timer = setTimeout(() => socket.destroy(), LINGER_TIME)
+		socket.once('close', () => {
+			clearTimeout(timer)
+		})
 	}
 
 	private getUnanswered(connection: ClientConnection): Set<ServerResponse> {
