--- a/packages/jobs/src/lib/machines/PoolManager.ts
+++ b/packages/jobs/src/lib/machines/PoolManager.ts
@@ -3,41 +3,25 @@
 	BackendId,
 	BackendRow,
 	DemandMeter,
-	MachineMove,
 	PlacementPlanner,
 	PoolPolicy,
 	PoolState,
 } from '@mastichead/core'
 import { getBackendAvailability, getQueueRules } from '@mastichead/core'
-import { ConcurrencyLimit } from '../ConcurrencyLimit.js'
 import type { OwnerContext } from '../owner/terms/OwnerContext.js'
 import type { MachineController } from '../ports/MachineController.js'
-import type { MachineOrderResult } from '../ports/MachineOrderResult.js'
+import { MachineArrivals } from './MachineArrivals.js'
 import type { MachineInventory } from './MachineInventory.js'
-import { MachineOrderJournal } from './MachineOrderJournal.js'
-import { OrderPace } from './OrderPace.js'
+import type { MachineOrderJournal } from './MachineOrderJournal.js'
+import { MoveSender } from './MoveSender.js'
+import { PoolReporter } from './PoolReporter.js'
 
-/** Time after a move until its machine is no longer expected to register, in milliseconds. */
-const ARRIVAL_TIMEOUT = 4_000
-/** Delay before the next order for a machine whose move failed, in milliseconds. */
-const FAILED_MOVE_COOLDOWN = 2_000
-/** Weight of the latest arrival in the average time of arrivals. */
-const ARRIVAL_WEIGHT = 0.1
-/** Maximum number of attempts of one order that gets no answer. */
-const MAXIMUM_ATTEMPTS = 3
-/** Maximum number of orders without an answer at a time, so that none waits after it was permitted. */
-const MAXIMUM_ORDERS_IN_FLIGHT = 4
-/** Time in which the orders of a round should have been sent, in milliseconds. */
-const SEND_TIME = 500
 /**
  * How long a server may be out of reach or avoided until its machine no longer counts, in milliseconds.
  * Shorter than a lease, so that a machine ordered instead is there when the server's tasks have ended.
  */
 const TOLERATED_SILENCE = 2_000
 const MILLICORES_PER_CORE = 1_000
-const MILLISECONDS_PER_SECOND = 1_000
-/** Interval between two log lines about the pools, in milliseconds. */
-const LOG_INTERVAL = 1_000
 
 /**
  * Moves idle machines between pools according to the policy.
@@ -45,21 +29,12 @@
  * @public
  */
 export class PoolManager {
-	/** Machines being moved, with the target pool and the instant of the order. */
-	private readonly arrivals = new Map<string, { readonly service: string; readonly at: number }>()
-	/** Time until which no order is sent for a machine whose move failed, by machine. */
-	private readonly pausedUntil = new Map<string, number>()
+	private readonly arrivals: MachineArrivals
+	private readonly sender: MoveSender
+	private readonly reporter: PoolReporter
 	/** Time since which each server that is out of reach or avoided has been so. */
 	private silentSince: ReadonlyMap<BackendId, number> = new Map()
-	/** Average time from an order until the machine could run tasks; 0 until a machine has arrived. */
-	private arrivalTime = 0
 	private poolStates: readonly PoolState[] = []
-	private loggedAt = -Infinity
-	private lastRoundAt: number | undefined
-	/** Machine limits of the pools that give machines to others, by service. */
-	private readonly restrained = new Map<string, number>()
-	private readonly orderLimit = new ConcurrencyLimit(MAXIMUM_ORDERS_IN_FLIGHT)
-	private readonly orderPace: OrderPace
 
 	constructor(
 		private readonly context: OwnerContext,
@@ -82,7 +57,9 @@
 			readonly ordersPerSecond?: number | undefined
 		}
 	) {
-		this.orderPace = new OrderPace(context.timers, options.ordersPerSecond)
+		this.arrivals = new MachineArrivals(options.inventory)
+		this.sender = new MoveSender(context, { ...options, arrivals: this.arrivals })
+		this.reporter = new PoolReporter(context, options.policy)
 	}
 
 	/** Whether machines are on their way to a pool. */
@@ -93,66 +70,16 @@
 	/** Plans the moves of one round and sends the orders. */
 	runRound(): void {
 		const now = this.context.timers.now()
-		this.removeEndedArrivals(now)
+		this.arrivals.removeEnded(now)
 		this.updateSilences(now)
 		this.poolStates = this.getPoolStates(now)
-		this.logPools(now)
-		this.countIdleTime(now)
+		this.reporter.report(this.poolStates, now)
 		if (!this.options.isRegistryFresh() || !this.context.mayOrderMachines()) return
 		const moves = this.options.policy.plan(this.poolStates, now)
-		for (const pool of this.poolStates) this.reportRestraint(pool)
+		for (const pool of this.poolStates) this.reporter.reportRestraint(pool)
 		// Moves beyond the platform's rate are planned again in the next round.
-		const sendable = moves.slice(0, this.orderPace.countWithin(SEND_TIME))
-		if (sendable.length > 0) this.executeMoves(sendable).catch(this.context.fail)
-	}
-
-	private logPools(now: number): void {
-		if (now - this.loggedAt < LOG_INTERVAL) return
-		this.loggedAt = now
-		const pools: Record<string, string> = {}
-		for (const pool of this.poolStates) {
-			const {
-				service,
-				machines,
-				arrivingMachines,
-				demandCores,
-				usedCores,
-				pendingCores,
-				lastingCores,
-				lateCores,
-			} = pool
-			const targetSize = this.options.policy.getTargetSize(pool)
-			const cores = [demandCores, usedCores, pendingCores, lastingCores, lateCores]
-				.map((value) => value.toFixed(0))
-				.join('/')
-			pools[service] = `${machines.length}+${arrivingMachines} of ${targetSize}, cores ${cores}`
-		}
-		this.context.events.info('pools-seen', pools)
-	}
-
-	/** Counts the time for which machines are held without work. */
-	private countIdleTime(now: number): void {
-		const elapsed = now - (this.lastRoundAt ?? now)
-		this.lastRoundAt = now
-		for (const { service, spare, machines } of this.poolStates) {
-			if (spare) continue
-			const idle = machines.filter(({ idleSince }) => idleSince !== undefined).length
-			const seconds = (idle * elapsed) / MILLISECONDS_PER_SECOND
-			this.context.metrics.count('idle_machine_seconds', service, seconds)
-		}
-	}
-
-	/** Reports when a pool begins or ends to give machines to others. */
-	private reportRestraint(pool: PoolState): void {
-		const { service, machines } = pool
-		const limit = this.options.policy.getMachineLimit(pool, false)
-		const before = this.restrained.get(service)
-		if (limit === undefined) this.restrained.delete(service)
-		else this.restrained.set(service, limit)
-		if ((limit === undefined) === (before === undefined)) return
-		const { events, metrics } = this.context
-		events.info('pool-restrained', { service, limit, before, machines: machines.length })
-		if (limit !== undefined) metrics.count('pools_restrained', service)
+		const sendable = moves.slice(0, this.sender.countSendable())
+		if (sendable.length > 0) this.sender.send(sendable).catch(this.context.fail)
 	}
 
 	/** Whether the machine is being moved and has not registered yet. */
@@ -179,25 +106,7 @@
 
 	/** Returns the machines that this term has ordered for a service's pool. */
 	getArrivingMachines(service: string): ArrivingMachines {
-		const now = this.context.timers.now()
-		let count = 0
-		let totalDelay = 0
-		for (const arrival of this.arrivals.values()) {
-			if (arrival.service !== service) continue
-			count += 1
-			totalDelay += Math.max(0, arrival.at + this.arrivalTime - now)
-		}
-		if (count === 0 || this.arrivalTime === 0) return { cores: 0, delay: 0 }
-		return { cores: count * this.options.inventory.getMedianCores(), delay: totalDelay / count }
-	}
-
-	private removeEndedArrivals(now: number): void {
-		for (const [machine, { service, at }] of this.arrivals) {
-			const backend = this.options.inventory.getBackend(machine)
-			const arrived = backend?.service === service && backend.reconciled
-			if (arrived) this.recordArrivalTime(now - at)
-			if (arrived || now - at > ARRIVAL_TIMEOUT) this.arrivals.delete(machine)
-		}
+		return this.arrivals.getArriving(service, this.context.timers.now())
 	}
 
 	private updateSilences(now: number): void {
@@ -227,11 +136,6 @@
 		}
 	}
 
-	private recordArrivalTime(duration: number): void {
-		if (this.arrivalTime === 0) this.arrivalTime = duration
-		else this.arrivalTime += (duration - this.arrivalTime) * ARRIVAL_WEIGHT
-	}
-
 	private getPoolStates(now: number): PoolState[] {
 		const configuration = this.context.getConfiguration()
 		const states: PoolState[] = []
@@ -271,8 +175,8 @@
 			machineCores,
 			machines,
 			usableMachines,
-			arrivingMachines: this.countArrivingMachines(service),
-			arrivalTime: this.arrivalTime,
+			arrivingMachines: this.arrivals.count(service),
+			arrivalTime: this.arrivals.averageTime,
 			demandCores: this.options.demand.getCores(service, now),
 			usedCores: Math.max(0, usedCores - lastingCores - lateCores),
 			pendingCores: backlog.get(service) ?? 0,
@@ -283,13 +187,6 @@
 		}
 	}
 
-	/** Counts the machines on the way to a pool, also those that an earlier owner has ordered. */
-	private countArrivingMachines(service: string): number {
-		const own = [...this.arrivals.values()].filter((entry) => entry.service === service).length
-		const isOther = (machine: string): boolean => !this.arrivals.has(machine)
-		return own + this.options.inventory.countMoving(service, ARRIVAL_TIMEOUT, isOther)
-	}
-
 	/** Uses the platform's list, because the machines in a spare pool are off and not registered. */
 	private getSparePoolState(service: string, now: number): PoolState {
 		const machines: { id: string; idleSince: number | undefined }[] = []
@@ -297,7 +194,7 @@
 			if (machine.service !== service || machine.state !== 'up') continue
 			if (this.options.inventory.getBackend(machine.id)) continue
 			if (this.context.evacuatedZones.has(machine.zone)) continue
-			const paused = (this.pausedUntil.get(machine.id) ?? 0) > now
+			const paused = this.sender.isPaused(machine.id, now)
 			const safeToOrder = this.options.orders.isSafeToOrder(machine.id)
 			const reserved =
 				!safeToOrder || this.options.isReserved(machine.id) || this.arrivals.has(machine.id)
@@ -343,7 +240,7 @@
 	}
 
 	private getIdleSince(row: BackendRow, now: number): number | undefined {
-		const paused = (this.pausedUntil.get(row.machine) ?? 0) > now
+		const paused = this.sender.isPaused(row.machine, now)
 		const { orders } = this.options
 		const usable = row.reconciled && row.reachable && orders.isSafeToOrder(row.machine)
 		if (row.tasks.size > 0 || paused || !usable || row.machine === '') return undefined
@@ -351,66 +248,6 @@
 		if (row.hasUnreadRuns || row.lastProcessedEnd > row.lastAcknowledgedEnd) return undefined
 		return this.options.isReserved(row.machine) ? undefined : row.idleSince
 	}
-
-	/** Takes the machines out of placement, records the orders for them, and sends them. */
-	private async executeMoves(moves: readonly MachineMove[]): Promise<void> {
-		const { timers, events } = this.context
-		for (const { machine, to } of moves) {
-			const backend = this.options.inventory.getBackend(machine)
-			if (backend) backend.cordoned = true
-			this.arrivals.set(machine, { service: to, at: timers.now() })
-		}
-		const machines = moves.map(({ machine }) => machine)
-		const sendBy = timers.now() + MachineOrderJournal.validity
-		if (await this.options.orders.record(machines)) {
-			for (const move of moves) this.executeMove(move, sendBy).catch(this.context.fail)
-			return
-		}
-		events.warn('machine-moves-dropped', { machines, reason: 'not recorded in time' })
-		for (const machine of machines) this.cancelMove(machine)
-	}
-
-	/** @param sendBy - time until which the record of the order lets it be sent */
-	private async executeMove(move: MachineMove, sendBy: number): Promise<void> {
-		const { events } = this.context
-		const backend = this.options.inventory.getBackend(move.machine)
-		let result = await this.sendMove(move, sendBy)
-		for (let attempt = 1; result.kind === 'unknown' && attempt < MAXIMUM_ATTEMPTS; attempt += 1) {
-			result = await this.sendMove(move, sendBy)
-		}
-		events.info('machine-move', { ...move, backend: backend?.id, ...result })
-		if (result.kind === 'done') {
-			if (backend) backend.registered = false
-			this.options.inventory.recordStateChange(move.machine, { service: move.to, state: 'moving' })
-			return
-		}
-		this.cancelMove(move.machine)
-		if (result.kind === 'refused' && result.reason === 'fence') {
-			this.context.endTerm(`move of ${move.machine} refused: fence`)
-		}
-	}
-
-	/** Sends an order if this owner may still order machines, and order this one, when its turn comes. */
-	private async sendMove(
-		{ machine, to }: MachineMove,
-		sendBy: number
-	): Promise<MachineOrderResult> {
-		const { mayOrderMachines, token, timers } = this.context
-		await this.orderPace.wait()
-		return this.orderLimit.run(() => {
-			if (timers.now() > sendBy)
-				return Promise.resolve({ kind: 'limited', detail: 'recorded too long ago' })
-			if (mayOrderMachines()) return this.options.controller.move(machine, to, token)
-			return Promise.resolve({ kind: 'limited', detail: 'ownership may have been lost' })
-		})
-	}
-
-	private cancelMove(machine: string): void {
-		this.arrivals.delete(machine)
-		this.pausedUntil.set(machine, this.context.timers.now() + FAILED_MOVE_COOLDOWN)
-		const backend = this.options.inventory.getBackend(machine)
-		if (backend) backend.cordoned = false
-	}
 }
 
 function isClosing({ draining, cordoned, evacuated }: BackendRow): boolean {
