Do not count a request as served whose connection was closed while it was read

serveUntilAnswered counts down when the response or the connection closes. If both had closed before it was called, for instance because the connection was closed for a limit while the first stage read a body, nothing told it, and the count of requests under way stayed higher for good. ConnectionManager.test.ts fails without the change (isFull stays true). ConnectionTable.close now stands with the other public methods.

--- a/packages/http/src/lib/ConnectionManager.test.ts
+++ b/packages/http/src/lib/ConnectionManager.test.ts
@@ -2,6 +2,7 @@
 import { createServer, type Server, type ServerResponse } from 'node:http'
 import { connect, type AddressInfo } from 'node:net'
 import { afterEach, expect, it } from 'vitest'
+import type { ClientConnection } from './ClientConnection.js'
 import { ConnectionManager } from './ConnectionManager.js'
 
 const LIMITS = {
@@ -31,6 +32,20 @@
 	expect(manager.isFull).toBe(false)
 })
 
+it('does not serve a request whose connection was closed before', async () => {
+	const { manager, responses, open, begun } = await createFixture({ serves: false })
+	const socket = open()
+	socket.write(REQUEST.repeat(3))
+	await expect.poll(() => responses.length).toBe(3)
+	socket.destroy()
+	await expect.poll(() => manager.connectionCount).toBe(0)
+	for (const [index, response] of responses.entries()) {
+		const connection = begun[index]
+		if (connection) manager.serveUntilAnswered(connection, response)
+	}
+	expect(manager.isFull).toBe(false)
+})
+
 it('counts requests until they have been answered', async () => {
 	const { manager, responses, open } = await createFixture()
 	const socket = open()
@@ -43,12 +58,14 @@
 	socket.destroy()
 })
 
-async function createFixture() {
+async function createFixture({ serves = true } = {}) {
 	const responses: ServerResponse[] = []
+	const begun: ClientConnection[] = []
 	server = createServer((request, response) => {
 		const connection = manager.begin(request, response)
 		if (!connection) return
-		manager.serveUntilAnswered(connection, response)
+		if (serves) manager.serveUntilAnswered(connection, response)
+		begun.push(connection)
 		responses.push(response)
 	})
 	const manager = new ConnectionManager({ server, limits: LIMITS, onDisconnect: () => undefined })
@@ -56,5 +73,5 @@
 	await once(server, 'listening')
 	const { port } = server.address() as AddressInfo
 	const open = () => connect({ host: '127.0.0.1', port })
-	return { manager, responses, open }
+	return { manager, responses, open, begun }
 }
--- a/packages/http/src/lib/ConnectionManager.ts
+++ b/packages/http/src/lib/ConnectionManager.ts
@@ -78,7 +78,7 @@
 	/**
 	 * Begins a request.
 	 *
-	 * @returns the connection, or undefined if the request must not be served; it has then been closed
+	 * @returns the connection, or undefined if the request must not be served, since its connection is closed
 	 */
 	begin(request: IncomingMessage, response: ServerResponse): ClientConnection | undefined {
 		const connection = this.table.beginCall(this.getUnderlying(request.socket))
@@ -101,6 +101,7 @@
 
 	/** Serves a request that has been read whole until its answer has been sent or its connection is closed. */
 	serveUntilAnswered(connection: ClientConnection, response: ServerResponse): void {
+		if (response.destroyed || connection.socket.destroyed) return
 		this.table.startServing(connection)
 		this.getUnanswered(connection).add(response)
 		response.once('close', () => {
--- a/packages/http/src/lib/ConnectionTable.ts
+++ b/packages/http/src/lib/ConnectionTable.ts
@@ -111,6 +111,13 @@
 		this.calls -= 1
 	}
 
+	/** Closes a connection beyond a limit. */
+	close(socket: Socket, reason: Disconnection['reason']): void {
+		const connection = this.connections.get(socket)
+		if (connection) this.disconnect(connection, reason)
+		else socket.destroy()
+	}
+
 	private countInTurn(): void {
 		if (this.callsInTurn === 0)
 			setImmediate(() => {
@@ -126,13 +133,6 @@
 		this.idle.delete(connection)
 	}
 
-	/** Closes a connection beyond a limit. */
-	close(socket: Socket, reason: Disconnection['reason']): void {
-		const connection = this.connections.get(socket)
-		if (connection) this.disconnect(connection, reason)
-		else socket.destroy()
-	}
-
 	private disconnect(connection: ClientConnection, reason: Disconnection['reason']): void {
 		const { socket, calls, servedCalls } = connection
 		const { size } = this.connections
