Crowds: ordinary calls of the first stage come over new connections

The calls that the tests of the first stage make beside a crowd went over a connection from before it, so that they did not show whether a daemon still accepts others; now each opens its own. Crowds and bounds are unchanged. Crowd has no option for reading any more, since nobody set it, and sendAll adds its listeners once instead of for each piece (Node.js warned of eleven).

--- a/packages/daemon/src/lib/testing/createDaemonCrowdFixture.ts
+++ b/packages/daemon/src/lib/testing/createDaemonCrowdFixture.ts
@@ -57,7 +57,8 @@
 		peers: pressed.peerPort,
 	}
 	const probe = new ProcessProbe(deployment.processes.getPid(PRESSED) ?? 0)
-	const agent = new Agent({ connect: { rejectUnauthorized: false } })
+	// Ordinary calls come over new connections, which a daemon has to accept beside the crowd.
+	const agent = new Agent({ pipelining: 0, connect: { rejectUnauthorized: false } })
 	const scheme = isTls ? 'https' : 'http'
 	const crowds: Crowd[] = []
 	const retry = async (call: () => Promise<number>): Promise<unknown> => {
--- a/packages/standins/src/lib/crowds/Crowd.ts
+++ b/packages/standins/src/lib/crowds/Crowd.ts
@@ -10,7 +10,7 @@
 const RECONNECT_TIME = 50
 
 /**
- * Clients of one port that send what they like, read nothing unless told to, and stay until they leave.
+ * Clients of one port that send what they like, whether they are answered or not, until they leave.
  *
  * @public
  */
@@ -22,22 +22,21 @@
 	constructor(private readonly connect: () => Socket) {}
 
 	/**
-	 * Lets clients connect and send. Resolves once each has sent all, was cut off, or is not read any more.
+	 * Lets clients send and read no answers. Resolves once each has sent all, was cut off, or is not read any more.
 	 *
 	 * @param options.getPieces - what a client sends, by its number
 	 * @param options.leaves - whether a client closes its connection once it has sent all; none by default
-	 * @param options.reads - whether the clients read the answers
 	 */
 	async send(options: {
 		readonly clients: number
 		readonly getPieces: (client: number) => readonly Buffer[]
 		readonly leaves?: (client: number) => boolean
-		readonly reads?: boolean
 	}): Promise<void> {
-		const { clients, getPieces, leaves = () => false, reads = false } = options
+		const { clients, getPieces, leaves = () => false } = options
 		const sent: Promise<void>[] = []
 		for (let client = 0; client < clients; client += 1) {
-			const socket = this.open(reads)
+			const socket = this.open()
+			socket.pause()
 			const finish = async (): Promise<void> => {
 				await sendAll(socket, getPieces(client))
 				if (leaves(client)) socket.destroy()
@@ -49,7 +48,7 @@
 	}
 
 	/**
-	 * Lets clients send again and again until the crowd leaves, each over a new connection. A client whose
+	 * Lets clients send again and again until the crowd leaves, and read, each over a new connection. A client whose
 	 * connections are closed often enough gives up.
 	 *
 	 * @param options.getPieces - what a client sends over one connection, by its number
@@ -70,19 +69,18 @@
 
 	private async pressOn(pieces: readonly Buffer[]): Promise<void> {
 		for (let round = 0; round < ROUNDS && !this.hasLeft; round += 1) {
-			const socket = this.open(true)
+			const socket = this.open()
+			socket.resume()
 			await sendAll(socket, pieces)
 			socket.destroy()
 			await delay(RECONNECT_TIME)
 		}
 	}
 
-	private open(reads: boolean): Socket {
+	private open(): Socket {
 		const socket = this.connect()
 		// The other end may close the connection of a client that goes beyond its limits.
 		socket.on('error', () => undefined)
-		if (reads) socket.resume()
-		else socket.pause()
 		this.sockets.push(socket)
 		return socket
 	}
--- a/packages/standins/src/lib/crowds/sendAll.ts
+++ b/packages/standins/src/lib/crowds/sendAll.ts
@@ -12,15 +12,19 @@
  * @public
  */
 export async function sendAll(socket: Socket, pieces: readonly Buffer[]): Promise<void> {
-	const stopped = delay(SEND_TIMEOUT)
+	const closed = new Promise<boolean>((resolve) => {
+		socket.once('close', () => {
+			resolve(false)
+		})
+	})
+	const stopped = delay(SEND_TIMEOUT, false)
 	for (const piece of pieces) {
 		if (socket.destroyed) return
 		if (socket.write(piece)) continue
-		const event = await Promise.race([
-			once(socket, 'drain').catch(() => 'closed'),
-			once(socket, 'close').then(() => 'closed'),
-			stopped.then(() => 'closed'),
-		])
-		if (event === 'closed') return
+		const drained = once(socket, 'drain').then(
+			() => true,
+			() => false
+		)
+		if (!(await Promise.race([drained, closed, stopped]))) return
 	}
 }
