--- a/review/lib-3/deployment.mjs
+++ b/review/lib-3/deployment.mjs
@@ -210,6 +210,9 @@
 		console.log(verdict)
 		process.exit(code)
 	}
+	const fail = (error) => end(EXIT.notRun, `not run: ${error.stack}`)
+	process.once('uncaughtException', fail)
+	process.once('SIGTERM', () => end(EXIT.notRun, 'not run: ended from outside'))
 	const limit = setTimeout(() => end(EXIT.notRun, 'not run: time is over'), 110_000)
 	limit.unref()
 	try {
@@ -218,7 +221,7 @@
 		for (const problem of problems) deployment.note(`BROKEN ${problem}`)
 		await end(EXIT.broken, `the rule was broken: ${problems[0]}`)
 	} catch (error) {
-		await end(EXIT.notRun, `not run: ${error.stack}`)
+		await fail(error)
 	}
 }
 
