--- a/review/15/case.mjs
+++ b/review/15/case.mjs
@@ -1,59 +1,61 @@
-import { runCase } from '../lib-3/deployment.mjs'
+import { createHash } from 'node:crypto'
+import { createTenant, runCase } from '../lib-3/deployment.mjs'
 import { pause, waitFor } from '../lib-3/http.mjs'
 
 const RECORD = new URL('record.txt', import.meta.url).pathname
-const WORKERS = 7
-const CPU = 16_000
-const JOBS = 6
-/** How long the worker fails what it is told to start: `for_s` of the site's `srv_grey` with `errors`. */
-const OUTAGE = 6_500
-/** Bounds of RULES.md, `MIXED`: `visible_ms` + 2 s. */
-const VISIBLE = 3_000 + 2_000
-const LASTING = { spec: 'lasting', steps: [{ count: WORKERS - 1, cpu: CPU, long_running: true }] }
-const QUICK = { spec: 'quick', steps: [{ count: 1, cpu: 1_000, mem_mb: 10, estimate_ms: 500 }] }
+/** What the tenant may have running, in thousandths of a core, and the burst that RULES.md allows. */
+const CAP = 8_000
+const BURST = 0.1
+const TASK_CPU = 1_000
+const WORK = 60_000
+const OUTAGE = 4_500
+const DAEMONS = 3
 
-await runCase(RECORD, {}, async (deployment, isTroubled) => {
-	const { workers, events } = deployment
-	await deployment.start({ daemons: 3, workers: WORKERS, cpu: CPU })
+/** Returns the partition of the store in which the daemons keep a job's submission. */
+function getPart(id) {
+	return createHash('sha256').update(id).digest().readUInt32BE(0) % 6
+}
+
+/** Returns the first id whose submission is in a partition. */
+function findId(part, prefix) {
+	for (let number = 0; ; number += 1) {
+		const id = prefix + number.toString(16).padStart(12, '0')
+		if (getPart(id) === part) return id
+	}
+}
+
+const options = { tenants: [createTenant('installers', 'key-1', CAP)] }
+
+await runCase(RECORD, options, async (deployment, isTroubled) => {
+	const { store, workers } = deployment
+	await deployment.start({ daemons: DAEMONS, workers: 6 })
 	const names = [...deployment.daemons.keys()]
-	// Tasks that last fill all workers but one.
-	await deployment.submit(names[0], 'aaaa000000000000', LASTING)
-	const isFull = () => workers.filter(({ usedCpu }) => usedCpu === CPU).length === WORKERS - 1
-	if (!(await waitFor(isFull, 10_000))) throw new Error('the workers are not full')
-	const free = workers.find(({ usedCpu }) => usedCpu === 0)
-	await pause(4_000)
+	const getRunning = () => workers.reduce((sum, worker) => sum + worker.usedCpu, 0)
+	let highest = 0
+	const checks = setInterval(() => (highest = Math.max(highest, getRunning())), 5)
+	const steps = [{ count: CAP / TASK_CPU, cpu: TASK_CPU, mem_mb: 64, estimate_ms: WORK }]
+	// The first job takes all that its tenant may use; the second one has to wait for it.
+	const [first, second] = [findId(0, 'aaaa'), findId(1, 'bbbb')]
+	await deployment.submit(names[0], first, { spec: 'first', steps }, { works: WORK })
+	if (!(await waitFor(() => getRunning() === CAP, 10_000))) throw new Error('first job not started')
+	await deployment.submit(names[1], second, { spec: 'second', steps }, { works: WORK })
+	await pause(5_000)
+	if (highest > CAP) throw new Error('cap exceeded before the disruption')
 	if (isTroubled) {
-		deployment.note(`${free.id} answers each start with 503 from now on, and starts nothing`)
-		free.fault = (path) => (path === '/api/run-start' ? { status: 503 } : undefined)
-	}
-	const troubledAt = Date.now()
-	const accepted = new Map()
-	for (let number = 0; number < JOBS; number += 1) {
-		const id = `bbbb${number.toString(16).padStart(12, '0')}`
-		if (await deployment.submit(names[number % 3], id, QUICK, { works: 500 }))
-			accepted.set(id, Date.now())
-		await pause(100)
-	}
-	const hasBegun = (id) => events.some(({ kind, task }) => kind === 'start' && task.startsWith(id))
-	const problems = []
-	while (Date.now() < troubledAt + OUTAGE) {
-		await pause(300)
-		for (const name of names) {
-			const now = Date.now()
-			const waiting = [...accepted].filter(([id, at]) => at + VISIBLE < now && !hasBegun(id))
-			const answer = await deployment.call(name, 'GET', '/quotes/')
-			const stillWaiting = waiting.filter(([id]) => !hasBegun(id))
-			if (answer.status !== 200 || answer.json.waiting >= stillWaiting.length / 2) continue
-			problems.push(
-				`MIXED: ${name} gives ${answer.json.waiting} as waiting; ${stillWaiting.length} jobs accepted over ${VISIBLE} ms before have not begun`
-			)
-		}
-	}
-	free.fault = () => undefined
-	deployment.note(`${free.id} is sound`)
-	await pause(4_000)
+		deployment.note('the partition keyed.intake/0 of the store is down; all daemons are killed')
+		store.down.add('keyed.intake/0')
+	} else deployment.note('all daemons are killed')
+	await Promise.all(names.map((name) => deployment.killDaemon(name)))
+	const restarted = Promise.all(names.map((name) => deployment.startDaemon(name)))
+	await pause(OUTAGE)
+	store.down.clear()
+	deployment.note('the store is up')
+	await restarted
+	await pause(5_000)
+	clearInterval(checks)
+	const limit = CAP * (1 + BURST) + TASK_CPU
 	deployment.note(
-		`${[...accepted.keys()].filter(hasBegun).length} of ${JOBS} quick jobs have begun`
+		`the tenant had at most ${highest} running; its cap is ${CAP}, the limit ${limit}`
 	)
-	return problems
+	return highest > limit ? [`QUOTA: ${highest} running, ${limit} allowed`] : []
 })
--- a/review/lib-3/deployment.mjs
+++ b/review/lib-3/deployment.mjs
@@ -87,6 +87,8 @@
 		const job = this.jobs.get(id)
 		const {
 			cpu = 0,
+			count,
+			gang = false,
 			checkpoints = false,
 			long_running: lasts = false,
 		} = job.body.steps[Number(step)]
@@ -96,6 +98,7 @@
 			checkpoints,
 			works: lasts ? Infinity : works,
 			fails: job.getFailure?.(Number(index)),
+			gang: gang ? count : 0,
 		}
 	}
 
--- a/review/lib-3/worker.mjs
+++ b/review/lib-3/worker.mjs
@@ -5,6 +5,9 @@
 const POLL_MILLISECONDS = 5
 const LISTED_ENDS = 500
 
+/** Members of gangs that are present, by `STEP/ATTEMPT`, on all workers. */
+const gangs = new Map()
+
 /**
  * Stand-in for a worker: runs tasks under leases and fencing tokens and guards its capacity, as
  * PROTOCOL.md says. What a task needs and how long it works is looked up by the task's name.
@@ -64,8 +67,12 @@
 	async crash() {
 		clearInterval(this.beat)
 		clearInterval(this.ticks)
-		for (const run of this.runs.values()) this.report('gone', run)
+		const lost = [...this.runs.values()]
 		this.runs = new Map()
+		for (const run of lost) {
+			this.report('gone', run)
+			if (run.gang > 0) this.leaveGang(run, 'broken')
+		}
 		await this.server.close()
 	}
 
@@ -137,15 +144,42 @@
 		if (this.runs.get(task)?.attempt === attempt) return this.accept()
 		if (this.clock >= this.leaseEnd) return this.refuse('late')
 		if ((this.barred.get(task) ?? 0) >= attempt || this.runs.has(task)) return this.refuse('old')
-		const { cpu, works, checkpoints = false, fails = Infinity } = this.options.findTask(task)
+		const {
+			cpu,
+			works,
+			checkpoints = false,
+			fails = Infinity,
+			gang = 0,
+		} = this.options.findTask(task)
 		if (this.usedCpu + cpu > this.options.cpu) return this.refuse('room')
 		const startedAt = performance.now()
-		const run = { task, attempt, spec, checkpoint, cpu, works, checkpoints, fails, startedAt }
+		const run = { task, attempt, spec, checkpoint, cpu, works, checkpoints, fails, startedAt, gang }
 		this.runs.set(task, run)
+		if (gang > 0) this.joinGang(run)
 		this.report('start', run)
 		return this.accept()
 	}
 
+	/** Members of a gang work from the moment when all of them are present. */
+	joinGang(run) {
+		const key = `${run.task.split('.').slice(0, 3).join('.')}/${run.attempt}`
+		run.worker = this
+		run.presentAt = run.startedAt
+		run.startedAt = Infinity
+		run.members = gangs.get(key) ?? new Set()
+		gangs.set(key, run.members.add(run))
+		if (run.members.size < run.gang) return
+		for (const member of run.members) member.startedAt = performance.now()
+	}
+
+	/** Ends the other members of a gang of which one has ended. */
+	leaveGang(run, how) {
+		run.members.delete(run)
+		if (how === 'alone') return
+		for (const member of [...run.members])
+			member.worker.endRun(member, how === 'done' ? 'done' : 'broken')
+	}
+
 	stopRun({ task, attempt }) {
 		this.barred.set(task, Math.max(attempt, this.barred.get(task) ?? 0))
 		const run = this.runs.get(task)
@@ -175,6 +209,8 @@
 		const lapses = this.clock >= this.leaseEnd
 		for (const run of [...this.runs.values()]) {
 			const age = now - run.startedAt
+			const isAlone = run.gang > 0 && run.startedAt === Infinity
+			if (isAlone && now - run.presentAt > WORKER_BOUNDS.gang) this.endRun(run, 'alone')
 			if (age >= run.fails) this.endRun(run, 'failed')
 			else if (age >= run.works) this.endRun(run, 'done')
 			else if (lapses) this.endRun(run, 'lapsed')
@@ -191,11 +227,12 @@
 	}
 
 	endRun(run, how) {
-		this.runs.delete(run.task)
+		if (!this.runs.delete(run.task)) return
 		this.barred.set(run.task, Math.max(run.attempt, this.barred.get(run.task) ?? 0))
 		this.endCount += 1
 		this.ended.push([this.endCount, run.task, run.attempt, how, run.checkpoint])
 		this.report('end', run, { how })
+		if (run.gang > 0) this.leaveGang(run, how)
 	}
 
 	accept() {
