Count a job as begun once a server has shown that it has begun a run

Cause: updateJobState marked a job as begun once a task was placed. A placement is recorded before its start order is sent; nothing took the mark back when the order was refused, unanswered or not sent. In the log, job-state says running 13 ms before start-answered says unhealthy.

Change: the mark follows from evidence of a server: it has taken the order, or it lists a run or an end of the job. While that is in doubt the job is `queued` and counts as waiting. Jobs that have ended are not counted, begun or not.

PlacementPlanner.test.ts marked its job as begun by placing it; it sets the mark now, as the owner does, and asks for the same state.

A delay of 200 ms for that record was tried and dropped, since acknowledgements wait for it.

--- a/packages/core/src/lib/jobs/JobRow.ts
+++ b/packages/core/src/lib/jobs/JobRow.ts
@@ -13,7 +13,7 @@
 	state: JobState
 	/** Whether the caller has cancelled the job. */
 	cancelled: boolean
-	/** Whether any task has been placed at least once. */
+	/** Whether a backend server has shown that it has begun a run of any task. */
 	begun: boolean
 	/** Time at which the job reached a final state, in milliseconds since 1970. */
 	finishedAt: number | undefined
--- a/packages/core/src/lib/jobs/JobSnapshot.ts
+++ b/packages/core/src/lib/jobs/JobSnapshot.ts
@@ -9,6 +9,10 @@
  */
 export interface JobSnapshot {
 	readonly state: JobState
+	/**
+	 * Whether a backend server has shown that it has begun a run of any task. In records of earlier versions, whether
+	 * any task has been placed.
+	 */
 	readonly begun: boolean
 	/** Time at which the job reached a final state, in milliseconds since 1970; undefined before. */
 	readonly finishedAt: number | undefined
--- a/packages/core/src/lib/jobs/placement/PlacementPlanner.test.ts
+++ b/packages/core/src/lib/jobs/placement/PlacementPlanner.test.ts
@@ -109,6 +109,7 @@
 		for (const ending of ['failed', 'lost', 'lapsed', 'failed'] as const) {
 			const [placement] = planner.plan(configuration, 0, 0)
 			if (!placement) throw new Error(`no task was placed before the run that ends as ${ending}`)
+			row.begun = true
 			updateJobState(row, 0)
 			applyRunEnding(placement.task, ending, '', 2, backends)
 			updateJobState(row, 0)
@@ -133,6 +134,7 @@
 		for (const ending of ['failed', 'failed', 'failed', 'done'] as const) {
 			const [placement] = planner.plan(configuration, 0, 0)
 			if (!placement) throw new Error(`no task was placed before the run that ends as ${ending}`)
+			row.begun = true
 			updateJobState(row, 0)
 			applyRunEnding(placement.task, ending, '', 2, backends)
 			updateJobState(row, 0)
--- a/packages/core/src/lib/jobs/updateJobState.ts
+++ b/packages/core/src/lib/jobs/updateJobState.ts
@@ -10,7 +10,6 @@
  */
 export function updateJobState(row: JobRow, wallTime: number): TaskRow[] {
 	completeGangs(row)
-	if (row.tasks.some((task) => task.phase === 'placed')) row.begun = true
 	if (row.finishedAt === undefined) {
 		row.state = getState(row)
 		if (row.state === 'queued' || row.state === 'running') return []
--- a/packages/jobs/src/lib/log/JobReplica.ts
+++ b/packages/jobs/src/lib/log/JobReplica.ts
@@ -100,7 +100,7 @@
 	}
 
 	/**
-	 * Counts the jobs of a queue that have no schedule and of which no task has started.
+	 * Counts the unfinished jobs of a queue that have no schedule and of which no task has started.
 	 *
 	 * @param prefix - where callers reach the queue; jobs accepted there under another name count as well
 	 */
@@ -108,7 +108,7 @@
 		let count = 0
 		for (const row of this.rows.values()) {
 			if (!row.job || !isJobOfQueue(row.job, queue, prefix) || row.job.times > 0) continue
-			if (!row.cancelled && row.snapshot?.begun !== true) count += 1
+			if (isWaiting(row)) count += 1
 		}
 		return count
 	}
@@ -265,3 +265,9 @@
 		}
 	}
 }
+
+/** Whether a job may still begin, and no server is known to have begun a run of it. */
+function isWaiting({ cancelled, snapshot }: ReplicaRow): boolean {
+	if (cancelled) return false
+	return !snapshot || !(snapshot.begun || isFinalState(snapshot.state))
+}
--- a/packages/jobs/src/lib/owner/monitoring/OrderDispatcher.ts
+++ b/packages/jobs/src/lib/owner/monitoring/OrderDispatcher.ts
@@ -88,6 +88,7 @@
 		metrics.count('start_orders', result.kind === 'refused' ? result.reason : result.kind)
 		if (this.isStopped()) return
 		this.logStartResult(task, attempt, backend, result)
+		if (result.kind === 'taken') this.getTaskUpdater().recordBegin(task.job)
 		if (result.kind === 'taken' || result.kind === 'refused')
 			this.checkClock(backend, result.clock ?? 0)
 		if (isPlacedAt(task, backend, attempt)) this.handleStartResult(task, backend, result)
--- a/packages/jobs/src/lib/owner/monitoring/RunReconciler.ts
+++ b/packages/jobs/src/lib/owner/monitoring/RunReconciler.ts
@@ -47,6 +47,7 @@
 		const { row, context } = this
 		if (row.incarnation !== listing.incarnation) this.handleIncarnationChange(listing)
 		this.options.crashes.handleListed(row, listing.incarnation)
+		this.recordBegins(listing)
 		row.clockOffset = listing.clock - context.timers.now()
 		row.clockReadAt = context.timers.now()
 		row.hasUnreadRuns = [...listing.running, ...listing.ended].some(({ task }) =>
@@ -88,6 +89,14 @@
 		options.crashes.handleProcessEnd(row, known, 'its id names another process', runs)
 	}
 
+	/** Records which jobs have begun, also by runs that are not the current ones of their tasks. */
+	private recordBegins({ running, ended }: RunListing): void {
+		for (const run of [...running, ...ended]) {
+			const job = this.context.jobs.getTask(run.task)?.job
+			if (job) this.options.taskUpdater.recordBegin(job)
+		}
+	}
+
 	/** Updates the tasks that are listed as running and returns their ids. */
 	private updateRunningTasks(listing: RunListing, sentAt: number): Set<string> {
 		const { row } = this
--- a/packages/jobs/src/lib/owner/monitoring/TaskUpdater.ts
+++ b/packages/jobs/src/lib/owner/monitoring/TaskUpdater.ts
@@ -7,16 +7,16 @@
 	RunTimes,
 	TaskRow,
 } from '@mastichead/core'
-import { applyRunEnding, getQueueRules, updateJobState } from '@mastichead/core'
+import { applyRunEnding, getQueueRules, isFinalState, updateJobState } from '@mastichead/core'
 import type { OwnerContext } from '../terms/OwnerContext.js'
 import type { ProgressWriter } from '../terms/ProgressWriter.js'
 
 /** Maximum attempts of a task of whose queue no rules are known. */
 const DEFAULT_MAXIMUM_ATTEMPTS = 1
 /**
- * How long the changes of a job's tasks may wait for further ones, in milliseconds, while the job's
- * state stays the same. Shorter than the pause between two listings, so that ends are durable, and
- * can be acknowledged, with the next one.
+ * How long the changes of a job's tasks may wait for further ones, in milliseconds, unless it
+ * has just ended. Shorter than the pause between two listings, so that ends are durable, and can be
+ * acknowledged, with the next one.
  */
 const TASK_RECORD_DELAY = 40
 
@@ -81,11 +81,22 @@
 		const previousState = row.state
 		const tasksToStop = updateJobState(row, this.context.getWallTime())
 		const isStateChanged = row.state !== previousState
-		this.writer.markJobChanged(row, isStateChanged ? 0 : TASK_RECORD_DELAY)
+		const hasJustEnded = isStateChanged && isFinalState(row.state)
+		this.writer.markJobChanged(row, hasJustEnded ? 0 : TASK_RECORD_DELAY)
 		if (isStateChanged) this.reportState(row, previousState)
 		for (const task of tasksToStop) this.stopTask(task)
 	}
 
+	/**
+	 * Records that a backend server has begun a run of a job: its answer to the start order or a listing shows
+	 * it. A placement does not, since its order may be refused or lost.
+	 */
+	recordBegin(row: JobRow): void {
+		if (row.begun || row.finishedAt !== undefined) return
+		row.begun = true
+		this.updateJob(row)
+	}
+
 	/** Stops the tasks of a job whose final state an earlier owner has recorded. Records nothing. */
 	settleJob(row: JobRow): void {
 		for (const task of updateJobState(row, this.context.getWallTime())) this.stopTask(task)
--- a/packages/jobs/src/lib/testing/MemoryBackend.ts
+++ b/packages/jobs/src/lib/testing/MemoryBackend.ts
@@ -35,6 +35,8 @@
 	refusing = false
 	/** Whether another process answers at its address. */
 	replaced = false
+	/** Answer to each start order in place of carrying it out; undefined while it carries them out. */
+	startRefusal: BackendOrderResult | undefined
 	/** Called when it has begun a run. */
 	onStart: (task: string) => void = () => undefined
 	/** Rate of its clock; below 1 it runs slow. */
@@ -64,6 +66,7 @@
 
 	start(order: StartOrder): BackendOrderResult {
 		if (this.down || this.exited) return { kind: 'unknown', detail: 'no process' }
+		if (this.startRefusal) return this.startRefusal
 		this.advance()
 		if (order.token < this.token) return this.createRefusal('fence')
 		this.token = order.token
