Count the runs of jobs that an owner has not read

Cause: use of limits and room were added up over the jobs that the owner had read. Runs of the others are in the progress, which it has always read, and in the servers' lists, and counted as nothing. owner-begun names the stream as unread.

Change: the record of a placement has the team and the needs of its runs. UnreadRuns counts those of unread jobs for their teams from before the first plan, until the job is read, a complete listing of the term does not name the run, or its leases have expired. A listed run counts on its server by its record; one without a record makes its server full. Servers of unread runs stay on record, and their machines get no orders. Records of the version before lack the fields: teams with a limit wait then, others do not; the record is written again when the job is read.

Why it works: every start is on record before its order is sent, and the progress is read to its end behind the fence before anything is planned.

--- a/packages/core/src/lib/jobs/BackendRow.ts
+++ b/packages/core/src/lib/jobs/BackendRow.ts
@@ -3,6 +3,7 @@
 import type { Resources } from './Resources.js'
 import type { TaskId } from './TaskId.js'
 import type { TaskRow } from './TaskRow.js'
+import type { UnreadRun } from './UnreadRun.js'
 
 /**
  * State of a backend server as the owner tracks it. Times are on the owner's monotonic clock, in
@@ -55,7 +56,12 @@
 	idleSince: number
 	/** Resources reserved by its placed tasks. */
 	used: Resources
-	/** Resources of the runs that its latest listing names and that no task is placed for. */
+	/**
+	 * Resources of the runs that its latest listing names and that no task is placed for; unlimited if one of
+	 * them is not known.
+	 */
 	unexpected: Resources
 	readonly tasks: Map<TaskId, TaskRow>
+	/** Recorded runs of jobs that have not been read, by `getUnreadRunKey`. */
+	readonly unreadRuns: Map<string, UnreadRun>
 }
--- a/packages/core/src/lib/jobs/BackendTable.ts
+++ b/packages/core/src/lib/jobs/BackendTable.ts
@@ -2,9 +2,12 @@
 import type { BackendRow } from './BackendRow.js'
 import type { Resources } from './Resources.js'
 import type { TaskRow } from './TaskRow.js'
+import type { UnreadRun } from './UnreadRun.js'
 import { addResources } from './addResources.js'
 import { getReservedResources } from './placement/getReservedResources.js'
+import { getUnreadRunKey } from './getUnreadRunKey.js'
 import { noResources } from './noResources.js'
+import { unlimitedResources } from './unlimitedResources.js'
 
 /**
  * Tracks the backend servers, the tasks placed on each, and the resources that each team uses.
@@ -14,6 +17,8 @@
 export class BackendTable {
 	private readonly rows = new Map<BackendId, BackendRow>()
 	private readonly usageByTeam = new Map<string, Resources>()
+	/** Number of unread runs of which no record tells the team. */
+	private unknownUses = 0
 
 	get(id: BackendId): BackendRow | undefined {
 		return this.rows.get(id)
@@ -43,8 +48,7 @@
 		if (row.tasks.has(task.id)) return
 		row.tasks.set(task.id, task)
 		row.used = addResources(row.used, getReservedResources(task.step))
-		const { team } = task.job.job
-		this.usageByTeam.set(team, addResources(this.getTeamUsage(team), task.step.needs))
+		this.addTeamUsage(task.job.job.team, task.step.needs)
 	}
 
 	/** Removes a task from its backend server and releases its resources. */
@@ -53,14 +57,41 @@
 		task.backend = undefined
 		if (!row?.tasks.delete(task.id)) return
 		row.used = addResources(row.used, getReservedResources(task.step), -1)
-		const { team } = task.job.job
-		this.usageByTeam.set(team, addResources(this.getTeamUsage(team), task.step.needs, -1))
+		this.addTeamUsage(task.job.job.team, task.step.needs, -1)
 	}
 
-	/** Returns the resources that the team's placed tasks use on all backend servers. */
+	/** Counts a recorded run of a job that has not been read for its team; for all teams if its team is unknown. */
+	addUnreadRun(run: UnreadRun): void {
+		const row = this.getOrCreate(run.backend)
+		const key = getUnreadRunKey(run)
+		if (row.unreadRuns.has(key)) return
+		row.unreadRuns.set(key, run)
+		if (run.use) this.addTeamUsage(run.use.team, run.use.needs)
+		else this.unknownUses += 1
+	}
+
+	/** Counts a recorded run no longer. */
+	removeUnreadRun(run: UnreadRun): void {
+		if (!this.rows.get(run.backend)?.unreadRuns.delete(getUnreadRunKey(run))) return
+		if (run.use) this.addTeamUsage(run.use.team, run.use.needs, -1)
+		else this.unknownUses -= 1
+	}
+
+	/**
+	 * Returns the resources that the team's tasks may use on all backend servers; unlimited while there are runs
+	 * that may be of any team.
+	 */
 	getTeamUsage(team: string): Resources {
+		return this.unknownUses > 0 ? unlimitedResources : this.getKnownUsage(team)
+	}
+
+	private getKnownUsage(team: string): Resources {
 		return this.usageByTeam.get(team) ?? noResources
 	}
+
+	private addTeamUsage(team: string, needs: Resources, factor = 1): void {
+		this.usageByTeam.set(team, addResources(this.getKnownUsage(team), needs, factor))
+	}
 }
 
 function createRow(id: BackendId): BackendRow {
@@ -92,5 +123,6 @@
 		used: noResources,
 		unexpected: noResources,
 		tasks: new Map(),
+		unreadRuns: new Map(),
 	}
 }
--- a/packages/core/src/lib/jobs/JobSnapshot.ts
+++ b/packages/core/src/lib/jobs/JobSnapshot.ts
@@ -1,5 +1,6 @@
 import type { BackendId } from './BackendId.js'
 import type { JobState } from './JobState.js'
+import type { RunUse } from './RunUse.js'
 import type { UnexplainedLoss } from './health/UnexplainedLoss.js'
 
 /**
@@ -33,4 +34,6 @@
 	readonly unexplainedLoss?: UnexplainedLoss
 	readonly backend: BackendId | undefined
 	readonly checkpoint: string
+	/** What the run of a placed task uses; absent in records of versions that did not keep it. */
+	readonly use?: RunUse
 }
--- a/packages/core/src/lib/jobs/createJobSnapshot.ts
+++ b/packages/core/src/lib/jobs/createJobSnapshot.ts
@@ -1,5 +1,7 @@
 import type { JobRow } from './JobRow.js'
 import type { JobSnapshot } from './JobSnapshot.js'
+import type { RunUse } from './RunUse.js'
+import type { TaskRow } from './TaskRow.js'
 
 /**
  * Creates the snapshot of a job's progress for the log. Tasks of a finished job are left out unless
@@ -23,7 +25,13 @@
 			...(task.unexplainedLoss && { unexplainedLoss: task.unexplainedLoss }),
 			backend: task.backend,
 			checkpoint: task.phase === 'done' ? '' : task.checkpoint,
+			...(task.phase === 'placed' && { use: getRunUse(task) }),
 		})
 	}
 	return { state: row.state, begun: row.begun, finishedAt: row.finishedAt, tasks }
 }
+
+function getRunUse({ job, step, occurrence, stepNumber, index }: TaskRow): RunUse {
+	const { needs, fills } = step
+	return { occurrence, stepNumber, index, team: job.job.team, needs, fills }
+}
--- a/packages/core/src/lib/jobs/placement/getReservedResources.ts
+++ b/packages/core/src/lib/jobs/placement/getReservedResources.ts
@@ -7,6 +7,9 @@
  *
  * @public
  */
-export function getReservedResources(step: JobStep): Resources {
-	return step.fills ? { ...step.needs, cpu: 0 } : step.needs
+export function getReservedResources({
+	needs,
+	fills,
+}: Pick<JobStep, 'needs' | 'fills'>): Resources {
+	return fills ? { ...needs, cpu: 0 } : needs
 }
--- a/packages/jobs/src/lib/log/ProgressRecord.ts
+++ b/packages/jobs/src/lib/log/ProgressRecord.ts
@@ -1,4 +1,5 @@
 import type { BackendId, JobSnapshot, UnexplainedLoss } from '@mastichead/core'
+import type { StepRecord } from './StepRecord.js'
 
 /**
  * Progress of a job in the second form in which it is written to the log. Tasks are named by ranges
@@ -18,6 +19,10 @@
 	readonly dropped?: string
 	/** Placed tasks by backend server. */
 	readonly placed?: Readonly<Record<BackendId, string>>
+	/** Steps with placed tasks, in the order of their first tasks; versions before did not record them. */
+	readonly steps?: readonly StepRecord[]
+	/** Team of the job, beside `steps`. */
+	readonly team?: string
 	/** Tasks by the number of their latest attempt; left out for the first attempt. */
 	readonly attempts?: Readonly<Record<string, string>>
 	/** Tasks by their number of failed attempts; left out for none. */
--- a/packages/jobs/src/lib/log/createProgressValue.ts
+++ b/packages/jobs/src/lib/log/createProgressValue.ts
@@ -1,5 +1,6 @@
 import type { JobSnapshot } from '@mastichead/core'
 import type { ProgressRecord } from './ProgressRecord.js'
+import { createStepRecords } from './createStepRecords.js'
 import { formatPlaces } from './formatPlaces.js'
 
 type Task = JobSnapshot['tasks'][number]
@@ -19,6 +20,7 @@
 		finishedAt,
 		...groupPlaces(unplaced, (task) => task.phase),
 		placed: omitEmpty(groupPlaces(placed, (task) => task.backend ?? '')),
+		...createUses(placed),
 		attempts: omitEmpty(groupPlaces(tasks, ({ attempt }) => omitDefault(attempt, 1))),
 		failures: omitEmpty(groupPlaces(tasks, ({ failures }) => omitDefault(failures, 0))),
 		crashes: omitEmpty(groupPlaces(tasks, ({ crashes }) => omitDefault(crashes, 0))),
@@ -53,6 +55,11 @@
 	return Object.keys(groups).length === 0 ? undefined : groups
 }
 
+function createUses(placed: readonly Task[]): Pick<ProgressRecord, 'steps' | 'team'> {
+	const team = placed.find(({ use }) => use)?.use?.team
+	return team === undefined ? {} : { steps: createStepRecords(placed), team }
+}
+
 function createLosses(tasks: readonly Task[]): ProgressRecord['losses'] {
 	const losses = new Map(
 		tasks.flatMap(({ unexplainedLoss }) =>
--- a/packages/jobs/src/lib/log/parseProgressValue.ts
+++ b/packages/jobs/src/lib/log/parseProgressValue.ts
@@ -1,6 +1,7 @@
 import type { JobSnapshot, UnexplainedLoss } from '@mastichead/core'
 import type { ProgressRecord } from './ProgressRecord.js'
 import { parsePlaces } from './parsePlaces.js'
+import { parseRunUse } from './parseRunUse.js'
 
 type Task = JobSnapshot['tasks'][number]
 
@@ -54,7 +55,9 @@
 		return places === undefined ? [] : parsePlaces(places).map((place) => createTask(place, phase))
 	})
 	for (const [place, backend] of parseGroups(record.placed)) {
-		tasks.push(createTask(place, 'placed', backend === '' ? undefined : backend))
+		const use = parseRunUse(record.steps ?? [], record.team ?? '', place)
+		const task = createTask(place, 'placed', backend === '' ? undefined : backend)
+		tasks.push({ ...task, ...(use && { use }) })
 	}
 	return tasks.sort((a, b) => a.place - b.place)
 }
--- a/packages/jobs/src/lib/machines/MachineInventory.ts
+++ b/packages/jobs/src/lib/machines/MachineInventory.ts
@@ -1,4 +1,5 @@
 import type { BackendRow } from '@mastichead/core'
+import { hasRuns } from '@mastichead/core'
 import type { OwnerContext } from '../owner/terms/OwnerContext.js'
 import type { Machine } from '../ports/Machine.js'
 import type { MachineController } from '../ports/MachineController.js'
@@ -139,7 +140,7 @@
 
 	/** Returns how much shows that a row is the backend server on its machine; 0 for nothing. */
 	private getEvidence(row: BackendRow): number {
-		if (!row.registered) return row.tasks.size > 0 ? 1 : 0
+		if (!row.registered) return hasRuns(row) ? 1 : 0
 		if (row.reconciled && row.reachable) return 4
 		return this.machines.get(row.machine)?.backend === row.id ? 3 : 2
 	}
--- a/packages/jobs/src/lib/machines/PoolManager.ts
+++ b/packages/jobs/src/lib/machines/PoolManager.ts
@@ -7,7 +7,7 @@
 	PoolPolicy,
 	PoolState,
 } from '@mastichead/core'
-import { getBackendAvailability, getQueueRules } from '@mastichead/core'
+import { getBackendAvailability, getQueueRules, hasRuns } from '@mastichead/core'
 import type { OwnerContext } from '../owner/terms/OwnerContext.js'
 import type { MachineController } from '../ports/MachineController.js'
 import { MachineArrivals } from './MachineArrivals.js'
@@ -156,7 +156,7 @@
 		let usedCores = 0
 		let lateCores = 0
 		for (const row of this.context.backends.all) {
-			if (row.tasks.size > 0) row.idleSince = now
+			if (hasRuns(row)) row.idleSince = now
 			if (row.service === service) {
 				usedCores += row.used.cpu / MILLICORES_PER_CORE
 				lateCores += this.getLateCores(row)
@@ -243,7 +243,7 @@
 		const paused = this.sender.isPaused(row.machine, now)
 		const { orders } = this.options
 		const usable = row.reconciled && row.reachable && orders.isSafeToOrder(row.machine)
-		if (row.tasks.size > 0 || paused || !usable || row.machine === '') return undefined
+		if (hasRuns(row) || paused || !usable || row.machine === '') return undefined
 		// Its listing is the only evidence of ends that are not durable.
 		if (row.hasUnreadRuns || row.lastProcessedEnd > row.lastAcknowledgedEnd) return undefined
 		return this.options.isReserved(row.machine) ? undefined : row.idleSince
--- a/packages/jobs/src/lib/machines/WaveManager.ts
+++ b/packages/jobs/src/lib/machines/WaveManager.ts
@@ -369,6 +369,7 @@
 
 /** Whether everything on a backend server may end now. */
 function mayInterrupt(backend: BackendRow): boolean {
+	if (backend.unreadRuns.size > 0) return false
 	// Its listing is the only evidence of ends that are not durable.
 	if (backend.hasUnreadRuns || backend.lastProcessedEnd > backend.lastAcknowledgedEnd) return false
 	return canDisruptBackend(backend)
--- a/packages/jobs/src/lib/owner/leases/LeaseLedger.ts
+++ b/packages/jobs/src/lib/owner/leases/LeaseLedger.ts
@@ -73,7 +73,10 @@
 	 * have sent its start order without an answer to a process that had just started again, which
 	 * granted a longer lease.
 	 */
-	isOver({ orderState, orderStateChangedAt }: TaskRow): boolean {
+	isOver({
+		orderState,
+		orderStateChangedAt,
+	}: Pick<TaskRow, 'orderState' | 'orderStateChangedAt'>): boolean {
 		if (orderState !== 'inherited') return true
 		const latestOrder = Math.min(
 			this.replica.terms.getLatestOrder(this.context.token),
--- a/packages/jobs/src/lib/owner/monitoring/BackendMonitor.limits.failure.test.ts
+++ b/packages/jobs/src/lib/owner/monitoring/BackendMonitor.limits.failure.test.ts
@@ -11,6 +11,7 @@
 import { CrashTracker } from './CrashTracker.js'
 import { createListingQueues } from './createListingQueues.js'
 import { LeaseLedger } from '../leases/LeaseLedger.js'
+import { UnreadRuns } from '../recovery/UnreadRuns.js'
 import type { OrderDispatcher } from './OrderDispatcher.js'
 import type { ProgressWriter } from '../terms/ProgressWriter.js'
 import type { TaskUpdater } from './TaskUpdater.js'
@@ -95,11 +96,13 @@
 	}
 	const ignore = (): void => undefined
 	const writer = { whenDurable: ignore } as unknown as ProgressWriter
+	const leases = new LeaseLedger(context, writer, new JobReplica(context.events, timers))
 	const options = {
 		taskUpdater: { endLostRuns: ignore } as unknown as TaskUpdater,
 		dispatcher: {} as unknown as OrderDispatcher,
 		writer,
-		leases: new LeaseLedger(context, writer, new JobReplica(context.events, timers)),
+		leases,
+		unreadRuns: new UnreadRuns(context, leases, ignore),
 		crashes: new CrashTracker(context, {
 			getMachineOrder: () => undefined,
 			onProcessEnd: ignore,
--- a/packages/jobs/src/lib/owner/monitoring/BackendMonitor.ts
+++ b/packages/jobs/src/lib/owner/monitoring/BackendMonitor.ts
@@ -1,5 +1,5 @@
 import type { BackendRow, ContactLoss, TaskRow } from '@mastichead/core'
-import { noResources } from '@mastichead/core'
+import { hasRuns, noResources } from '@mastichead/core'
 import { formatError } from '../../logs/formatError.js'
 import type { RenewalResult } from '../../ports/RenewalResult.js'
 import type { RunListing } from '../../ports/RunListing.js'
@@ -11,6 +11,7 @@
 import type { OwnerContext } from '../terms/OwnerContext.js'
 import type { TaskUpdater } from './TaskUpdater.js'
 import type { ProgressWriter } from '../terms/ProgressWriter.js'
+import type { UnreadRuns } from '../recovery/UnreadRuns.js'
 import { RunReconciler } from './RunReconciler.js'
 
 /**
@@ -60,6 +61,7 @@
 			readonly writer: ProgressWriter
 			readonly leases: LeaseLedger
 			readonly crashes: CrashTracker
+			readonly unreadRuns: UnreadRuns
 			/** Limits of the first listing of each server and of its repetitions, shared by all monitors. */
 			readonly firstListings: ConcurrencyLimit
 			readonly repeatedListings: ConcurrencyLimit
@@ -166,12 +168,13 @@
 		const isOver = (task: TaskRow): boolean => options.leases.isOver(task)
 		options.crashes.handleLeasesExpired(row, [...row.tasks.values()].filter(isOver))
 		options.taskUpdater.endLostRuns(row, LEASES_EXPIRED, isOver)
+		options.unreadRuns.handleLeasesExpired(row)
 	}
 
 	/** Ends the runs when their leases expire, unless the server has answered by then. */
 	private scheduleExpiry(): void {
 		const { row, context, options } = this
-		if (this.isExpiryScheduled || row.tasks.size === 0) return
+		if (this.isExpiryScheduled || !hasRuns(row)) return
 		this.isExpiryScheduled = true
 		const remaining = options.leases.getExpiry(row) - context.timers.now()
 		context.timers.after(Math.max(remaining + 1, MINIMUM_EXPIRY_CHECK), () => {
@@ -191,15 +194,15 @@
 	}
 
 	private getFailurePause(): number {
-		return this.row.tasks.size > 0 ? FAILURE_PAUSE : IDLE_FAILURE_PAUSE
+		return hasRuns(this.row) ? FAILURE_PAUSE : IDLE_FAILURE_PAUSE
 	}
 
 	/** Whether there is a reason to send renewals. */
 	private isNeeded(): boolean {
 		const { row } = this
-		if (row.address === '') return row.tasks.size > 0
+		if (row.address === '') return hasRuns(row)
 		const hasUnacknowledgedEnds = row.lastProcessedEnd > row.lastAcknowledgedEnd
-		if (row.tasks.size > 0 || row.hasUnreadRuns || hasUnacknowledgedEnds) return true
+		if (hasRuns(row) || row.hasUnreadRuns || hasUnacknowledgedEnds) return true
 		if (row.unexpected !== noResources) return true
 		return this.isUnusable() && this.context.getConfiguration().services.has(row.service)
 	}
@@ -288,7 +291,7 @@
 		const { row, context, options } = this
 		if (row.reachable) context.events.warn('backend-lost', { backend: row.id, reason })
 		// A single lost answer is no reason to give up the leases of this term.
-		if (row.tasks.size > 0 && !(row.reconciled && row.reachable)) options.leases.suspend(row)
+		if (hasRuns(row) && !(row.reconciled && row.reachable)) options.leases.suspend(row)
 		row.reachable = false
 		row.contactLoss ??= contactLoss
 		for (const task of row.tasks.values()) task.availableSince = undefined
@@ -303,6 +306,7 @@
 		crashes.handleProcessEnd(row, crashes.getIncarnation(row), reason, [...row.tasks.values()])
 		this.handleUnreachable(reason, sentAt, 'closed')
 		taskUpdater.endLostRuns(row, 'backend server gone')
+		options.unreadRuns.handleProcessEnd(row)
 	}
 
 	private async waitForDurability(): Promise<void> {
--- a/packages/jobs/src/lib/owner/monitoring/MonitorTable.ts
+++ b/packages/jobs/src/lib/owner/monitoring/MonitorTable.ts
@@ -7,6 +7,7 @@
 import type { OwnerContext } from '../terms/OwnerContext.js'
 import type { ProgressWriter } from '../terms/ProgressWriter.js'
 import type { TaskUpdater } from './TaskUpdater.js'
+import type { UnreadRuns } from '../recovery/UnreadRuns.js'
 
 /**
  * The monitors of all backend servers in a term.
@@ -25,6 +26,7 @@
 			readonly writer: ProgressWriter
 			readonly leases: LeaseLedger
 			readonly crashes: CrashTracker
+			readonly unreadRuns: UnreadRuns
 			readonly replan: () => void
 			/** Whether every job that an earlier owner may have started has been read. */
 			readonly isIntakeRead: () => boolean
--- a/packages/jobs/src/lib/owner/monitoring/RunReconciler.ts
+++ b/packages/jobs/src/lib/owner/monitoring/RunReconciler.ts
@@ -1,5 +1,11 @@
-import type { BackendRow, TaskRow } from '@mastichead/core'
-import { addResources, getReservedResources, isOnProbation, noResources } from '@mastichead/core'
+import type { BackendRow, Resources, TaskId, TaskRow } from '@mastichead/core'
+import {
+	addResources,
+	getReservedResources,
+	isOnProbation,
+	noResources,
+	unlimitedResources,
+} from '@mastichead/core'
 import type { RunListing } from '../../ports/RunListing.js'
 import { completesTask } from './completesTask.js'
 import type { CrashTracker } from './CrashTracker.js'
@@ -9,6 +15,7 @@
 import type { ProgressWriter } from '../terms/ProgressWriter.js'
 import { selectNewEnds } from './selectNewEnds.js'
 import type { TaskUpdater } from './TaskUpdater.js'
+import type { UnreadRuns } from '../recovery/UnreadRuns.js'
 
 /** Minimum time between two stop orders for the same unexpected run, in milliseconds. */
 const UNEXPECTED_RUN_STOP_PAUSE = 400
@@ -32,6 +39,7 @@
 			readonly writer: ProgressWriter
 			readonly leases: LeaseLedger
 			readonly crashes: CrashTracker
+			readonly unreadRuns: UnreadRuns
 			readonly replan: () => void
 			/** Whether every job that an earlier owner may have started has been read. */
 			readonly isIntakeRead: () => boolean
@@ -56,6 +64,7 @@
 		const listed = this.updateRunningTasks(listing, sentAt)
 		this.processEnds(listing, listed)
 		if (listing.isComplete) this.handleUnlistedTasks(listed, sentAt)
+		this.options.unreadRuns.handleListed(row, listing)
 	}
 
 	/**
@@ -209,12 +218,17 @@
 
 	/** Stops a run that no task is placed for. Until it has ended, it takes room. */
 	private handleUnexpectedRun(task: string, attempt: number): void {
-		const { row, context } = this
-		const step = context.jobs.getTask(task)?.step
-		if (step) row.unexpected = addResources(row.unexpected, getReservedResources(step))
+		const { row } = this
+		row.unexpected = addResources(row.unexpected, this.getReserved(task))
 		this.stopUnexpectedRun(task, attempt)
 	}
 
+	/** Returns what a run reserves on the server; without a limit if that is not known. */
+	private getReserved(task: TaskId): Resources {
+		const known = this.context.jobs.getTask(task)?.step ?? this.row.unreadRuns.get(task)?.use
+		return known ? getReservedResources(known) : unlimitedResources
+	}
+
 	private stopUnexpectedRun(task: string, attempt: number): void {
 		if (this.mayBeUnread(task)) return
 		const now = this.context.timers.now()
--- a/packages/jobs/src/lib/owner/recovery/TermRecovery.ts
+++ b/packages/jobs/src/lib/owner/recovery/TermRecovery.ts
@@ -6,6 +6,7 @@
 import type { LeaseLedger } from '../leases/LeaseLedger.js'
 import type { OwnerContext } from '../terms/OwnerContext.js'
 import type { TaskUpdater } from '../monitoring/TaskUpdater.js'
+import type { UnreadRuns } from './UnreadRuns.js'
 
 /** Maximum time to wait for the intake and the registry at the start of a term, in milliseconds. */
 const MAXIMUM_READ_WAIT = 500
@@ -46,6 +47,7 @@
 			readonly taskUpdater: TaskUpdater
 			readonly leases: LeaseLedger
 			readonly crashes: Pick<CrashTracker, 'restore'>
+			readonly unreadRuns: UnreadRuns
 			/** Called for each server on which an earlier owner has placed a task of a restored job. */
 			readonly onInherited: (backend: BackendRow) => void
 			readonly isEnded: () => boolean
@@ -115,12 +117,20 @@
 		return { waited, ...Object.fromEntries(this.phaseDurations), fenceEnd, offsetAtFence, unread }
 	}
 
-	/** Restores a job in the state in which earlier owners left it. */
+	/**
+	 * Restores a job in the state in which earlier owners left it. As long as its submission has not been read,
+	 * only its recorded runs are counted.
+	 */
 	restoreJob(replicaRow: ReplicaRow): void {
 		const { jobs, backends } = this.context
 		const { job, snapshot, cancelled, placements } = replicaRow
+		if (!job) {
+			this.options.unreadRuns.addJob(replicaRow)
+			return
+		}
 		// A job that was submitted or cancelled meanwhile has been restored by then.
-		if (!job || jobs.get(job.id)) return
+		if (jobs.get(job.id)) return
+		this.options.unreadRuns.removeJob(job.id)
 		const row = jobs.add(job, snapshot)
 		const inherited = new Set<BackendRow>()
 		for (const [place, task] of row.tasks.entries()) {
@@ -137,6 +147,7 @@
 		for (const backend of inherited) this.options.onInherited(backend)
 		if (row.finishedAt !== undefined) this.options.taskUpdater.settleJob(row)
 		else if (cancelled) this.options.taskUpdater.cancelJob(row)
+		else if (hasUnknownUses(replicaRow)) this.options.taskUpdater.updateJob(row)
 	}
 
 	/** Resolves to the end offset of the progress stream at the fence; undefined if the term has ended. */
@@ -180,3 +191,8 @@
 		})
 	}
 }
+
+/** Whether the latest progress of a job does not tell what its runs use, for an owner that cannot read the job. */
+function hasUnknownUses({ snapshot }: ReplicaRow): boolean {
+	return snapshot?.tasks.some(({ phase, use }) => phase === 'placed' && !use) ?? false
+}
--- a/packages/jobs/src/lib/owner/terms/OwnerTerm.ts
+++ b/packages/jobs/src/lib/owner/terms/OwnerTerm.ts
@@ -11,6 +11,7 @@
 	getQueueRules,
 	DemandMeter,
 	explainJob,
+	hasRuns,
 	recordEarlierArrivals,
 } from '@mastichead/core'
 import { formatError } from '../../logs/formatError.js'
@@ -30,6 +31,7 @@
 import { JobRetention } from '../recovery/JobRetention.js'
 import { TermRecords } from './TermRecords.js'
 import { TermRecovery } from '../recovery/TermRecovery.js'
+import { UnreadRuns } from '../recovery/UnreadRuns.js'
 import { TaskUpdater } from '../monitoring/TaskUpdater.js'
 import { WaitingTaskReporter } from './WaitingTaskReporter.js'
 
@@ -60,6 +62,7 @@
 	private readonly machines: MachineManager
 	private readonly retention: JobRetention
 	private readonly recovery: TermRecovery
+	private readonly unreadRuns: UnreadRuns
 	private readonly demand = new DemandMeter()
 	private readonly runTimes = new LearnedRunTimes()
 	private readonly leases: LeaseLedger
@@ -160,14 +163,19 @@
 				this.taskUpdater.updateJob(job)
 			},
 		})
+		this.unreadRuns = new UnreadRuns(this.context, this.leases, replan)
 		this.recovery = new TermRecovery(this.context, {
 			log: options.log,
 			progress: options.progress,
 			taskUpdater: this.taskUpdater,
 			leases: this.leases,
 			crashes: this.crashes,
+			unreadRuns: this.unreadRuns,
 			onInherited: (row) => {
-				if (this.started) this.watchBackend(row)
+				if (!this.started) return
+				this.watchBackend(row)
+				// Until then the runs count as unexpected as well.
+				this.monitors.requestListing(row.id)
 			},
 			isEnded: () => this.ended,
 		})
@@ -177,6 +185,7 @@
 			writer: this.writer,
 			leases: this.leases,
 			crashes: this.crashes,
+			unreadRuns: this.unreadRuns,
 			replan,
 			isIntakeRead: () => options.intake.every((follower) => this.recovery.isRead(follower)),
 		})
@@ -281,7 +290,8 @@
 		for (const id of replica.backends.keys())
 			if (!this.registry.get(id)) this.records.recordBackend(id)
 		const jobs = this.context.jobs.active.size
-		events.info('owner-begun', { token, jobs, ...this.recovery.getReport() })
+		const report = { ...this.recovery.getReport(), ...this.unreadRuns.getReport() }
+		events.info('owner-begun', { token, jobs, ...report })
 		this.machines.start()
 	}
 
@@ -372,7 +382,7 @@
 	private removeDepartedBackends(): void {
 		const { backends, backendClient } = this.context
 		for (const row of [...backends.all]) {
-			if (row.registered || row.tasks.size > 0 || this.registry.get(row.id)) continue
+			if (row.registered || hasRuns(row) || this.registry.get(row.id)) continue
 			this.monitors.remove(row.id)
 			backends.remove(row.id)
 			if (this.options.replica.backends.has(row.id)) this.records.recordBackend(row.id)
--- a/packages/jobs/src/lib/owner/terms/TermRecords.ts
+++ b/packages/jobs/src/lib/owner/terms/TermRecords.ts
@@ -1,4 +1,5 @@
 import type { BackendId } from '@mastichead/core'
+import { hasRuns } from '@mastichead/core'
 import { JobRecords } from '../../log/JobRecords.js'
 import type { LogRecord } from '../../ports/LogRecord.js'
 import type { BackendRegistration } from '../../ports/BackendRegistration.js'
@@ -67,13 +68,13 @@
 		const registration = getRegistration(id)
 		const recorded = getRecorded(id)
 		const row = this.context.backends.get(id)
-		const hasTasks = row !== undefined && row.tasks.size > 0
+		const isUsed = row !== undefined && hasRuns(row)
 		if (registration) {
 			const isCompared = row?.reconciled === true && row.incarnation === registration.incarnation
-			const earlier = hasTasks && !isCompared ? getEarlierProcess(recorded, registration) : {}
+			const earlier = isUsed && !isCompared ? getEarlierProcess(recorded, registration) : {}
 			return JobRecords.createBackendRecord({ ...registration, ...earlier })
 		}
-		if (!recorded || !hasTasks) return JobRecords.createBackendTombstone(id)
+		if (!recorded || !isUsed) return JobRecords.createBackendTombstone(id)
 		return JobRecords.createBackendRecord({ ...recorded, departed: true })
 	}
 
--- a/packages/jobs/src/lib/testing/MemoryBackend.ts
+++ b/packages/jobs/src/lib/testing/MemoryBackend.ts
@@ -126,6 +126,12 @@
 		return this.unacknowledgedEnds.length > 0
 	}
 
+	/** Ends all runs of a job as done. */
+	endAll(job: string): void {
+		for (const run of [...this.runs.values()])
+			if (run.task.startsWith(`${job}.`)) this.endRun(run, 'done', this.now)
+	}
+
 	/** Number of runs that are being stopped. */
 	get stoppingRuns(): number {
 		return [...this.runs.values()].filter(({ ending }) => ending?.kind === 'stopped').length
--- a/packages/jobs/src/lib/testing/createTestRecovery.ts
+++ b/packages/jobs/src/lib/testing/createTestRecovery.ts
@@ -6,6 +6,7 @@
 import { ProgressWriter } from '../owner/terms/ProgressWriter.js'
 import { TaskUpdater } from '../owner/monitoring/TaskUpdater.js'
 import { TermRecovery } from '../owner/recovery/TermRecovery.js'
+import { UnreadRuns } from '../owner/recovery/UnreadRuns.js'
 import type { MetadataLog } from '../ports/MetadataLog.js'
 import { createTestContext } from './createTestContext.js'
 
@@ -34,7 +35,17 @@
 	const leases = new LeaseLedger(context, writer, new JobReplica(context.events, timers))
 	const isEnded = (): boolean => false
 	const crashes = { restore: ignore }
-	const options = { log, progress, taskUpdater, leases, crashes, onInherited: ignore, isEnded }
+	const unreadRuns = new UnreadRuns(context, leases, ignore)
+	const options = {
+		log,
+		progress,
+		taskUpdater,
+		leases,
+		crashes,
+		unreadRuns,
+		onInherited: ignore,
+		isEnded,
+	}
 	const recovery = new TermRecovery(context, options)
 	return { recovery, context }
 }
