Give up no task for crashes that a run of an unread job may have caused

What callers would see: a lasting job `failed` for good after two crashes of servers on which runs of a job were that its owner had not read, any of which may have crashed them.

Cause: getCrashSuspects judges by the tasks that are placed on a server. With recorded runs of unread jobs beside them, the only job with a fresh start there counted as the sole suspect.

Change: beside an unread run the suspicion is shared, so that the crash counts, and gives nothing up by itself.

--- a/packages/core/src/lib/jobs/health/getCrashSuspects.ts
+++ b/packages/core/src/lib/jobs/health/getCrashSuspects.ts
@@ -10,9 +10,10 @@
  * had run for a short time.
  *
  * @param tasks - the tasks that were placed on the server when it crashed
+ * @param hasUnreadRuns - whether runs of unread jobs were there as well, any of which may have caused it
  * @public
  */
-export function getCrashSuspects(tasks: readonly TaskRow[]): CrashSuspect[] {
+export function getCrashSuspects(tasks: readonly TaskRow[], hasUnreadRuns = false): CrashSuspect[] {
 	const recent = tasks.filter(
 		(task) => task.orderState !== 'recorded' && getRunAge(task) < STABLE_RUN_TIME
 	)
@@ -20,7 +21,7 @@
 	if (fresh.length === 0) return recent.map((task) => ({ task, suspicion: 'shared' }))
 	const known = fresh.filter((task) => task.isSuspected)
 	const suspects = known.length > 0 ? known : fresh
-	const isSole = new Set(suspects.map(({ job }) => job)).size === 1
+	const isSole = !hasUnreadRuns && new Set(suspects.map(({ job }) => job)).size === 1
 	return suspects.map((task) => {
 		// Nothing else was started beside it then, so that it must have begun.
 		const hasBegun = isRunConfirmed(task) || (isSole && task.isSuspected)
--- a/packages/jobs/src/lib/owner/monitoring/CrashTracker.ts
+++ b/packages/jobs/src/lib/owner/monitoring/CrashTracker.ts
@@ -66,7 +66,7 @@
 		this.endedProcesses.set(row.id, incarnation)
 		const cause = this.getCause(row, incarnation)
 		const { id, machine } = row
-		const suspects = cause === 'crash' ? markSuspects(runs) : []
+		const suspects = cause === 'crash' ? markSuspects(row, runs) : []
 		this.context.metrics.count('backend_process_ends', cause)
 		this.context.events.info('backend-process-ended', {
 			backend: id,
@@ -91,7 +91,7 @@
 		const incarnation = this.getIncarnation(row)
 		if (row.machine === '' || incarnation === 0) return
 		if (row.contactLoss !== 'closed' || this.getCause(row, incarnation) !== 'crash') return
-		for (const { task, suspicion } of getCrashSuspects(runs)) {
+		for (const { task, suspicion } of getCrashSuspects(runs, row.unreadRuns.size > 0)) {
 			const isGivenUp = suspicion === 'sole' && task.crashes >= MAXIMUM_CRASHES
 			// Its crashes before are enough, whatever became of this server.
 			if (isGivenUp) task.crashSuspicion = suspicion
@@ -160,8 +160,11 @@
 	}
 }
 
-function markSuspects(runs: readonly TaskRow[]): readonly CrashSuspect[] {
-	const suspects = getCrashSuspects(runs)
+function markSuspects(
+	{ unreadRuns }: BackendRow,
+	runs: readonly TaskRow[]
+): readonly CrashSuspect[] {
+	const suspects = getCrashSuspects(runs, unreadRuns.size > 0)
 	for (const { task, suspicion } of suspects) task.crashSuspicion = suspicion
 	return suspects
 }
