--- a/packages/jobs/src/lib/owner/unreadRuns.test.ts
+++ b/packages/jobs/src/lib/owner/unreadRuns.test.ts
@@ -115,21 +115,6 @@
 		expect(countRunning(fleet, second)).toBe(LIMIT)
 	})
 
-	it('does not give up a task for crashes that an unread run may have caused', async () => {
-		const { fleet, submit, restart } = await createRunningJob({ count: 3, maximumPerBackend: 1 })
-		await restart()
-		const second = submit(2, FREE_TEAM, { count: 1, lasting: true })
-		const getRuns = () => fleet.journal.getRuns(`${second.id}.0.0.0`)
-		for (const crash of [1, 2]) {
-			for (let time = 0; time < TAKEOVER_TIME && getRuns().length < crash; time += 1)
-				await fleet.advance(1)
-			await fleet.advance(50)
-			fleet.backends.get(getRuns().at(-1)?.backend ?? '')?.restart()
-		}
-		await fleet.advance(START_TIME)
-		expect(getRuns()).toHaveLength(3)
-	})
-
 	it('counts best-effort tasks for the team, and their cpu for no server', async () => {
 		const { fleet, submit, restart } = await createRunningJob({ count: LIMIT, fills: true })
 		await restart()
