--- a/packages/jobs/src/lib/testing/runScenario.ts
+++ b/packages/jobs/src/lib/testing/runScenario.ts
@@ -6,9 +6,11 @@
 import type { ScenarioFault } from './ScenarioFault.js'
 import { createTestFleet } from './createTestFleet.js'
 import { findAbsences } from './findAbsences.js'
+import { findOverloads } from './findOverloads.js'
 
 const INSTANCES = 3
 const BACKENDS = 7
+const MILLICORES_PER_TASK = 1_000
 /** Number of servers that may leave for good. */
 const MAXIMUM_GONE = 3
 /** Time before the first fault, and after the end of the last one, in milliseconds. */
@@ -38,16 +40,22 @@
  * Runs lasting and short jobs under a series of faults.
  *
  * @param faults - each begins some time after the one before
- * @param createEvents - creates the event log of each process, to trace a failure
+ * @param options.createEvents - creates the event log of each process, to trace a failure
+ * @param options.limit - number of tasks that may run at the same time; no limit by default
  * @returns the problems found: a task that ran twice, a lasting task that stood without a run for too long,
- * and a short job that was accepted and is not completed
+ * and a short job that was accepted and is not completed; with a limit, the starts above it alone
  * @internal
  */
 export async function runScenario(
 	faults: readonly ScenarioFault[],
-	createEvents?: (member: string, timers: TimerService) => EventLog
+	options: ScenarioOptions = {}
 ): Promise<string[]> {
-	return new ScenarioRun(createEvents).run(faults)
+	return new ScenarioRun(options).run(faults)
+}
+
+interface ScenarioOptions {
+	readonly createEvents?: (member: string, timers: TimerService) => EventLog
+	readonly limit?: number
 }
 
 class ScenarioRun {
@@ -94,11 +102,13 @@
 		'slow-log': (fault) => this.slowLog(fault),
 	}
 
-	constructor(createEvents: ((member: string, timers: TimerService) => EventLog) | undefined) {
+	constructor(private readonly options: ScenarioOptions) {
+		const { createEvents, limit = 0 } = options
 		this.fleet = createTestFleet({
 			instances: INSTANCES,
 			backends: BACKENDS,
 			statusRetention: Infinity,
+			limit: { cpu: limit * MILLICORES_PER_TASK, memory: 0, gpu: 0 },
 			...(createEvents && { createEvents }),
 		})
 	}
@@ -124,6 +134,7 @@
 		await fleet.advance(calmFrom - timers.now())
 		submissions.cancel()
 		await fleet.advance(REST_TIME)
+		if (this.options.limit !== undefined) return this.findExcesses()
 		const problems = [...fleet.journal.violations, ...this.findAbsences()]
 		return [...problems, ...(await this.findIncompleteJobs())]
 	}
@@ -139,6 +150,13 @@
 		})
 	}
 
+	/** Finds the starts above the limit. */
+	private findExcesses(): string[] {
+		const { journal, timers } = this.fleet
+		const { limit = Infinity } = this.options
+		return findOverloads(journal, undefined, limit, { from: 0, to: timers.now() })
+	}
+
 	private findAbsences(): string[] {
 		const { journal, timers } = this.fleet
 		const problems: string[] = []
