Name the parts of the monitors once, and the field of listed unread runs for what it says

BackendMonitor, RunReconciler and MonitorTable each spelled out the same eight options; MonitorOptions has them. BackendRow.hasUnreadRuns is now listsUnreadRuns: beside unreadRuns, which come from the records, it was not clear that it comes from the listing.

--- a/packages/core/src/lib/jobs/BackendRow.ts
+++ b/packages/core/src/lib/jobs/BackendRow.ts
@@ -51,7 +51,7 @@
 	/** Number of the latest end of a run whose outcome is durable. */
 	lastAcknowledgedEnd: number
 	/** Whether its latest listing names runs or ends of jobs that may not have been read yet. */
-	hasUnreadRuns: boolean
+	listsUnreadRuns: boolean
 	/** Time since which no task has been placed on it. */
 	idleSince: number
 	/** Resources reserved by its placed tasks. */
--- a/packages/core/src/lib/jobs/BackendTable.ts
+++ b/packages/core/src/lib/jobs/BackendTable.ts
@@ -118,7 +118,7 @@
 		leasesExpireBy: 0,
 		lastProcessedEnd: 0,
 		lastAcknowledgedEnd: 0,
-		hasUnreadRuns: false,
+		listsUnreadRuns: false,
 		idleSince: 0,
 		used: noResources,
 		unexpected: noResources,
--- a/packages/jobs/src/lib/machines/PoolManager.ts
+++ b/packages/jobs/src/lib/machines/PoolManager.ts
@@ -245,7 +245,7 @@
 		const usable = row.reconciled && row.reachable && orders.isSafeToOrder(row.machine)
 		if (hasRuns(row) || paused || !usable || row.machine === '') return undefined
 		// Its listing is the only evidence of ends that are not durable.
-		if (row.hasUnreadRuns || row.lastProcessedEnd > row.lastAcknowledgedEnd) return undefined
+		if (row.listsUnreadRuns || row.lastProcessedEnd > row.lastAcknowledgedEnd) return undefined
 		return this.options.isReserved(row.machine) ? undefined : row.idleSince
 	}
 }
--- a/packages/jobs/src/lib/owner/monitoring/BackendMonitor.ts
+++ b/packages/jobs/src/lib/owner/monitoring/BackendMonitor.ts
@@ -3,15 +3,10 @@
 import { formatError } from '../../logs/formatError.js'
 import type { RenewalResult } from '../../ports/RenewalResult.js'
 import type { RunListing } from '../../ports/RunListing.js'
-import type { CrashTracker } from './CrashTracker.js'
-import type { LeaseLedger } from '../leases/LeaseLedger.js'
 import { LeaseTiming } from '../leases/LeaseTiming.js'
 import type { ConcurrencyLimit } from '../../ConcurrencyLimit.js'
-import type { OrderDispatcher } from './OrderDispatcher.js'
+import type { MonitorOptions } from './MonitorOptions.js'
 import type { OwnerContext } from '../terms/OwnerContext.js'
-import type { TaskUpdater } from './TaskUpdater.js'
-import type { ProgressWriter } from '../terms/ProgressWriter.js'
-import type { UnreadRuns } from '../recovery/UnreadRuns.js'
 import { RunReconciler } from './RunReconciler.js'
 
 /**
@@ -55,19 +50,10 @@
 	constructor(
 		private readonly context: OwnerContext,
 		private readonly row: BackendRow,
-		private readonly options: {
-			readonly taskUpdater: TaskUpdater
-			readonly dispatcher: OrderDispatcher
-			readonly writer: ProgressWriter
-			readonly leases: LeaseLedger
-			readonly crashes: CrashTracker
-			readonly unreadRuns: UnreadRuns
+		private readonly options: MonitorOptions & {
 			/** Limits of the first listing of each server and of its repetitions, shared by all monitors. */
 			readonly firstListings: ConcurrencyLimit
 			readonly repeatedListings: ConcurrencyLimit
-			readonly replan: () => void
-			/** Whether every job that an earlier owner may have started has been read. */
-			readonly isIntakeRead: () => boolean
 		}
 	) {
 		this.reconciler = new RunReconciler(context, row, options)
@@ -202,7 +188,7 @@
 		const { row } = this
 		if (row.address === '') return hasRuns(row)
 		const hasUnacknowledgedEnds = row.lastProcessedEnd > row.lastAcknowledgedEnd
-		if (hasRuns(row) || row.hasUnreadRuns || hasUnacknowledgedEnds) return true
+		if (hasRuns(row) || row.listsUnreadRuns || hasUnacknowledgedEnds) return true
 		if (row.unexpected !== noResources) return true
 		return this.isUnusable() && this.context.getConfiguration().services.has(row.service)
 	}
--- a/packages/jobs/src/lib/owner/monitoring/MonitorTable.ts
+++ b/packages/jobs/src/lib/owner/monitoring/MonitorTable.ts
@@ -1,13 +1,8 @@
 import type { BackendId, BackendRow } from '@mastichead/core'
 import { BackendMonitor } from './BackendMonitor.js'
-import type { CrashTracker } from './CrashTracker.js'
 import { createListingQueues } from './createListingQueues.js'
-import type { LeaseLedger } from '../leases/LeaseLedger.js'
-import type { OrderDispatcher } from './OrderDispatcher.js'
+import type { MonitorOptions } from './MonitorOptions.js'
 import type { OwnerContext } from '../terms/OwnerContext.js'
-import type { ProgressWriter } from '../terms/ProgressWriter.js'
-import type { TaskUpdater } from './TaskUpdater.js'
-import type { UnreadRuns } from '../recovery/UnreadRuns.js'
 
 /**
  * The monitors of all backend servers in a term.
@@ -20,17 +15,7 @@
 
 	constructor(
 		private readonly context: OwnerContext,
-		private readonly options: {
-			readonly taskUpdater: TaskUpdater
-			readonly dispatcher: OrderDispatcher
-			readonly writer: ProgressWriter
-			readonly leases: LeaseLedger
-			readonly crashes: CrashTracker
-			readonly unreadRuns: UnreadRuns
-			readonly replan: () => void
-			/** Whether every job that an earlier owner may have started has been read. */
-			readonly isIntakeRead: () => boolean
-		}
+		private readonly options: MonitorOptions
 	) {}
 
 	/** Starts the monitor of a backend server unless it runs already. */
--- a/packages/jobs/src/lib/owner/monitoring/RunReconciler.ts
+++ b/packages/jobs/src/lib/owner/monitoring/RunReconciler.ts
@@ -8,14 +8,9 @@
 } from '@mastichead/core'
 import type { RunListing } from '../../ports/RunListing.js'
 import { completesTask } from './completesTask.js'
-import type { CrashTracker } from './CrashTracker.js'
-import type { LeaseLedger } from '../leases/LeaseLedger.js'
-import type { OrderDispatcher } from './OrderDispatcher.js'
+import type { MonitorOptions } from './MonitorOptions.js'
 import type { OwnerContext } from '../terms/OwnerContext.js'
-import type { ProgressWriter } from '../terms/ProgressWriter.js'
 import { selectNewEnds } from './selectNewEnds.js'
-import type { TaskUpdater } from './TaskUpdater.js'
-import type { UnreadRuns } from '../recovery/UnreadRuns.js'
 
 /** Minimum time between two stop orders for the same unexpected run, in milliseconds. */
 const UNEXPECTED_RUN_STOP_PAUSE = 400
@@ -33,17 +28,7 @@
 	constructor(
 		private readonly context: OwnerContext,
 		private readonly row: BackendRow,
-		private readonly options: {
-			readonly taskUpdater: TaskUpdater
-			readonly dispatcher: OrderDispatcher
-			readonly writer: ProgressWriter
-			readonly leases: LeaseLedger
-			readonly crashes: CrashTracker
-			readonly unreadRuns: UnreadRuns
-			readonly replan: () => void
-			/** Whether every job that an earlier owner may have started has been read. */
-			readonly isIntakeRead: () => boolean
-		}
+		private readonly options: MonitorOptions
 	) {}
 
 	/**
@@ -58,7 +43,7 @@
 		this.recordBegins(listing)
 		row.clockOffset = listing.clock - context.timers.now()
 		row.clockReadAt = context.timers.now()
-		row.hasUnreadRuns = [...listing.running, ...listing.ended].some(({ task }) =>
+		row.listsUnreadRuns = [...listing.running, ...listing.ended].some(({ task }) =>
 			this.mayBeUnread(task)
 		)
 		const listed = this.updateRunningTasks(listing, sentAt)
