Take health, departed servers and wave reports out of OwnerTerm

The line `backend-avoided` was written in two places, TaskUpdater and OwnerTerm, each around the same BackendHealth; HealthManager has both. BackendRetention removes the servers that have left, as JobRetention does the jobs, and WaveReporter writes the reports of waves. OwnerTerm composes them. No change in behaviour; tests of packages/jobs and of the jobs in packages/core pass.

--- a/packages/jobs/src/lib/machines/WaveManager.ts
+++ b/packages/jobs/src/lib/machines/WaveManager.ts
@@ -371,7 +371,8 @@
 function mayInterrupt(backend: BackendRow): boolean {
 	if (backend.unreadRuns.size > 0) return false
 	// Its listing is the only evidence of ends that are not durable.
-	if (backend.listsUnreadRuns || backend.lastProcessedEnd > backend.lastAcknowledgedEnd) return false
+	if (backend.listsUnreadRuns || backend.lastProcessedEnd > backend.lastAcknowledgedEnd)
+		return false
 	return canDisruptBackend(backend)
 }
 
--- a/packages/jobs/src/lib/owner/monitoring/TaskUpdater.ts
+++ b/packages/jobs/src/lib/owner/monitoring/TaskUpdater.ts
@@ -1,13 +1,6 @@
-import type {
-	BackendHealth,
-	BackendRow,
-	JobRow,
-	JobState,
-	RunEnding,
-	RunTimes,
-	TaskRow,
-} from '@mastichead/core'
+import type { BackendRow, JobRow, JobState, RunEnding, RunTimes, TaskRow } from '@mastichead/core'
 import { applyRunEnding, getQueueRules, isFinalState, updateJobState } from '@mastichead/core'
+import type { HealthManager } from './HealthManager.js'
 import type { OwnerContext } from '../terms/OwnerContext.js'
 import type { ProgressWriter } from '../terms/ProgressWriter.js'
 
@@ -37,7 +30,7 @@
 		private readonly writer: ProgressWriter,
 		private readonly stopTask: (task: TaskRow) => void,
 		private readonly replan: () => void,
-		private readonly health: BackendHealth,
+		private readonly health: HealthManager,
 		private readonly runTimes: RunTimes
 	) {}
 
@@ -48,7 +41,7 @@
 		const backend = task.backend
 		const age = Math.max(0, Math.round(timers.now() - task.startedAt))
 		const maximumAttempts = queue?.maximumAttempts ?? DEFAULT_MAXIMUM_ATTEMPTS
-		this.updateHealth(task, ending)
+		this.health.recordRunEnd(task, ending)
 		if (ending === 'done') this.recordRunTime(task)
 		applyRunEnding(task, ending, checkpoint, maximumAttempts, backends)
 		metrics.count('run_ends', ending)
@@ -65,17 +58,6 @@
 		this.runTimes.record(job.job, step, this.context.timers.now() - startedAt)
 	}
 
-	private updateHealth(task: TaskRow, ending: RunEnding): void {
-		const { backends, events, timers } = this.context
-		const row = task.backend === undefined ? undefined : backends.get(task.backend)
-		if (!row) return
-		if (ending === 'done') this.health.recordRunSuccess(row.id)
-		if (ending !== 'failed' || !this.health.recordRunFailure(row, task.job.job.id, timers.now()))
-			return
-		const duration = row.avoidedUntil - timers.now()
-		events.warn('backend-avoided', { backend: row.id, reason: 'runs fail', duration })
-	}
-
 	/** Updates a job's state and stops the tasks that must no longer run. */
 	updateJob(row: JobRow): void {
 		const previousState = row.state
--- a/packages/jobs/src/lib/owner/terms/OwnerTerm.ts
+++ b/packages/jobs/src/lib/owner/terms/OwnerTerm.ts
@@ -1,6 +1,5 @@
 import type { BackendRow, JobId, StepExplanation } from '@mastichead/core'
 import {
-	BackendHealth,
 	BackendTable,
 	JobTable,
 	PlacementPlanner,
@@ -11,15 +10,17 @@
 	getQueueRules,
 	DemandMeter,
 	explainJob,
-	hasRuns,
 	recordEarlierArrivals,
 } from '@mastichead/core'
 import { formatError } from '../../logs/formatError.js'
 import type { ReplicaRow } from '../../log/ReplicaRow.js'
 import { MachineManager } from '../../machines/MachineManager.js'
+import { WaveReporter } from '../../machines/WaveReporter.js'
 import { BackendRegistry } from '../monitoring/BackendRegistry.js'
+import { BackendRetention } from '../recovery/BackendRetention.js'
 import { CrashTracker } from '../monitoring/CrashTracker.js'
 import { EarlierTerms } from './EarlierTerms.js'
+import { HealthManager } from '../monitoring/HealthManager.js'
 import { LeaseLedger } from '../leases/LeaseLedger.js'
 import { LeaseTiming } from '../leases/LeaseTiming.js'
 import { MonitorTable } from '../monitoring/MonitorTable.js'
@@ -58,9 +59,10 @@
 	private readonly records: TermRecords
 	private readonly waitingTasks: WaitingTaskReporter
 	private readonly registry: BackendRegistry
-	private readonly health: BackendHealth
+	private readonly health: HealthManager
 	private readonly machines: MachineManager
-	private readonly retention: JobRetention
+	private readonly jobRetention: JobRetention
+	private readonly backendRetention: BackendRetention
 	private readonly recovery: TermRecovery
 	private readonly unreadRuns: UnreadRuns
 	private readonly demand = new DemandMeter()
@@ -101,7 +103,7 @@
 		const replan = (): void => {
 			this.planning.schedule()
 		}
-		this.health = new BackendHealth(() => backends.all)
+		this.health = new HealthManager(this.context)
 		this.writer = new ProgressWriter(this.context, options.log, options.progress)
 		this.leases = new LeaseLedger(this.context, this.writer, options.replica)
 		this.earlierTerms = new EarlierTerms(this.context, {
@@ -117,10 +119,10 @@
 				this.monitors.requestListing(backend.id)
 			},
 			(backend, reason) => {
-				this.handleOrderFailure(backend, reason)
+				this.health.recordOrderFailure(backend, reason)
 			},
 			(backend) => {
-				this.health.recordOrderSuccess(backend.id)
+				this.health.recordOrderSuccess(backend)
 			}
 		)
 		this.taskUpdater = new TaskUpdater(
@@ -206,13 +208,23 @@
 				this.monitors.wakeUp(id)
 			},
 		})
-		this.retention = new JobRetention(this.context, {
+		this.jobRetention = new JobRetention(this.context, {
 			log: options.log,
 			writer: this.writer,
 			replica: options.replica,
 			intake: options.intake,
 			getRetentionTime: options.getStatusRetention,
 		})
+		this.backendRetention = new BackendRetention(this.context, {
+			registry: this.registry,
+			replica: options.replica,
+			records: this.records,
+			monitors: this.monitors,
+			health: this.health,
+			crashes: this.crashes,
+			leases: this.leases,
+		})
+		const waveReporter = new WaveReporter(options)
 		this.machines = new MachineManager(this.context, {
 			controller: options.machineController,
 			taskUpdater: this.taskUpdater,
@@ -224,7 +236,7 @@
 			isRegistryFresh: () => this.registry.isFresh(),
 			planner: this.planner,
 			getWaves: options.getWaves,
-			reportWave: (key, state) => this.reportWave(key, state),
+			reportWave: (key, state) => waveReporter.report(key, state),
 			getWaveProgress: (key) => options.replica.waveProgress.get(key),
 			getMachineOrder: (machine) => options.replica.machineOrders.get(machine),
 			recordsMachineOrders: options.replica.recordsMachineOrders,
@@ -270,10 +282,10 @@
 		this.restoreDemand()
 		this.subscriptions.push(
 			timers.every(RETENTION_INTERVAL, () => {
-				this.removeDepartedBackends()
+				this.backendRetention.dropDeparted()
 				// Others have written to the stream if an end of a term was recorded more than once.
 				progress.readToEnd().catch(this.context.fail)
-				this.retention.dropExpired().catch(this.context.fail)
+				this.jobRetention.dropExpired().catch(this.context.fail)
 			})
 		)
 		this.started = true
@@ -377,36 +389,4 @@
 		const jobs = [...this.options.replica.all].flatMap(({ job }) => job ?? [])
 		recordEarlierArrivals(this.demand, jobs, getConfiguration(), timers.now(), getWallTime())
 	}
-
-	/** Removes backend servers that have left and run no tasks. */
-	private removeDepartedBackends(): void {
-		const { backends, backendClient } = this.context
-		for (const row of [...backends.all]) {
-			if (row.registered || hasRuns(row) || this.registry.get(row.id)) continue
-			this.monitors.remove(row.id)
-			backends.remove(row.id)
-			if (this.options.replica.backends.has(row.id)) this.records.recordBackend(row.id)
-			this.health.remove(row.id)
-			this.crashes.remove(row.id)
-			backendClient.closeIdleConnections(row)
-		}
-		this.leases.dropUnused((id) => backends.get(id) !== undefined)
-	}
-
-	private handleOrderFailure(backend: BackendRow, reason: string): void {
-		const { timers, events } = this.context
-		if (!this.health.recordOrderFailure(backend, timers.now())) return
-		events.warn('backend-avoided', {
-			backend: backend.id,
-			reason,
-			duration: backend.avoidedUntil - timers.now(),
-		})
-	}
-
-	private async reportWave(key: string, state: 'running' | 'completed'): Promise<boolean> {
-		const { log, format, events } = this.options
-		const result = await log.append('reports', [format.encodeWaveReport(key, state)], 700)
-		events.info('wave-reported', { wave: key, state, ...result })
-		return result.kind === 'appended'
-	}
 }
--- a/packages/jobs/src/lib/testing/createTestRecovery.ts
+++ b/packages/jobs/src/lib/testing/createTestRecovery.ts
@@ -1,9 +1,10 @@
 import type { VirtualTimerService } from '@mastichead/core'
-import { BackendHealth, LearnedRunTimes } from '@mastichead/core'
+import { LearnedRunTimes } from '@mastichead/core'
 import { JobReplica } from '../log/JobReplica.js'
 import { StreamFollower } from '../log/StreamFollower.js'
 import { LeaseLedger } from '../owner/leases/LeaseLedger.js'
 import { ProgressWriter } from '../owner/terms/ProgressWriter.js'
+import { HealthManager } from '../owner/monitoring/HealthManager.js'
 import { TaskUpdater } from '../owner/monitoring/TaskUpdater.js'
 import { TermRecovery } from '../owner/recovery/TermRecovery.js'
 import { UnreadRuns } from '../owner/recovery/UnreadRuns.js'
@@ -22,7 +23,7 @@
 		getPollDelay: () => 0,
 	})
 	const writer = new ProgressWriter(context, log, progress)
-	const health = new BackendHealth(() => context.backends.all)
+	const health = new HealthManager(context)
 	const ignore = (): void => undefined
 	const taskUpdater = new TaskUpdater(
 		context,
