Take the row of a wave and its record out of WaveManager

createWaveRow makes the row from what earlier owners have recorded, createWaveProgress the record from the row: two pure functions beside each other in place of methods of the largest class of the folder. No change in behaviour; tests of packages/jobs and its failure tests pass.

--- a/packages/jobs/src/lib/machines/WaveManager.ts
+++ b/packages/jobs/src/lib/machines/WaveManager.ts
@@ -11,6 +11,8 @@
 import type { MaintenanceWave } from '../ports/MaintenanceWave.js'
 import type { WaveProgress } from './WaveProgress.js'
 import type { WaveRow } from './WaveRow.js'
+import { createWaveProgress } from './createWaveProgress.js'
+import { createWaveRow } from './createWaveRow.js'
 
 /** Fraction of a wave's deadline until which pools that need all their machines are spared. */
 const SPARING_SHARE = 0.5
@@ -81,24 +83,7 @@
 		const existing = this.rows.get(key)
 		if (existing) return existing
 		const progress = this.options.getWaveProgress(key)
-		const ordered = progress?.ordered ?? []
-		const done = new Set(progress?.done)
-		const row: WaveRow = {
-			key,
-			wave,
-			ordered: new Set(ordered),
-			unansweredOrders: new Map(
-				ordered.filter((machine) => !done.has(machine)).map((machine) => [machine, undefined])
-			),
-			done,
-			down: new Map(),
-			evacuating: new Map(),
-			earlierEvacuations: new Map(Object.entries(progress?.evacuatingSince ?? {})),
-			missingSince: new Map(),
-			missingTimes: new Map(Object.entries(progress?.missingTimes ?? {})),
-			receivedAt: progress?.receivedAt ?? this.context.getWallTime(),
-			reported: progress?.reported ?? 'nothing',
-		}
+		const row = createWaveRow(key, wave, progress, this.context.getWallTime())
 		this.rows.set(key, row)
 		return row
 	}
@@ -336,26 +321,11 @@
 	}
 
 	private recordProgress(row: WaveRow): void {
-		const { key, ordered, done, receivedAt, missingTimes } = row
-		this.options.writer.markRecordChanged(key, () => {
-			const { reported } = row
-			return JobRecords.createWaveProgressRecord(key, {
-				ordered: [...ordered],
-				done: [...done],
-				receivedAt,
-				reported,
-				missingTimes: Object.fromEntries(missingTimes),
-				evacuatingSince: this.getEvacuatingSince(row),
-			})
-		})
-	}
-
-	/** Returns when the evacuation of each machine began, in milliseconds since 1970. */
-	private getEvacuatingSince(row: WaveRow): Record<string, number> {
 		const { timers, getWallTime } = this.context
-		const offset = getWallTime() - timers.now()
-		const own = [...row.evacuating].map(([machine, since]) => [machine, since + offset] as const)
-		return Object.fromEntries([...row.earlierEvacuations, ...own])
+		this.options.writer.markRecordChanged(row.key, () => {
+			const progress = createWaveProgress(row, getWallTime() - timers.now())
+			return JobRecords.createWaveProgressRecord(row.key, progress)
+		})
 	}
 
 	private isStopped(): boolean {
