Count the ends of unread runs in a metric, and list the new names

unread-runs-ended had a line and no metric. Its reasons are short words now, which are the labels of unread_run_ends as well. A test keeps what a record tells of each placed task over steps and occurrences.

--- a/packages/jobs/src/lib/log/createProgressValue.test.ts
+++ b/packages/jobs/src/lib/log/createProgressValue.test.ts
@@ -52,6 +52,24 @@
 	expect(parseProgressValue(createProgressValue(snapshot))).toEqual(snapshot)
 })
 
+// Guards against a limit that is not kept because a new owner reads another team, task or need from a record.
+it('keeps what each placed task uses, whatever its step and occurrence', () => {
+	const use = { team: 'installers', needs: { cpu: 880, memory: 256, gpu: 1 }, fills: false }
+	const other = { team: 'installers', needs: { cpu: 0, memory: 0, gpu: 0 }, fills: true }
+	const snapshot: JobSnapshot = {
+		state: 'running',
+		begun: true,
+		finishedAt: undefined,
+		tasks: [
+			{ ...TASK, place: 0, use: { ...use, occurrence: 0, stepNumber: 0, index: 0 } },
+			{ ...TASK, place: 5, use: { ...use, occurrence: 0, stepNumber: 0, index: 5 } },
+			{ ...TASK, place: 9, use: { ...other, occurrence: 0, stepNumber: 2, index: 1 } },
+			{ ...TASK, place: 13, use: { ...use, occurrence: 1, stepNumber: 0, index: 3 } },
+		],
+	}
+	expect(parseProgressValue(createProgressValue(snapshot))).toEqual(snapshot)
+})
+
 // Guards against an instance that misreads the records of an earlier version during a rolling update.
 it('reads the form of earlier versions', () => {
 	const snapshot: JobSnapshot = {
--- a/packages/jobs/src/lib/owner/recovery/UnreadRuns.ts
+++ b/packages/jobs/src/lib/owner/recovery/UnreadRuns.ts
@@ -19,7 +19,7 @@
 	 * @param replan - called when tasks may be placed that runs counted here kept waiting
 	 */
 	constructor(
-		private readonly context: Pick<OwnerContext, 'backends' | 'events'>,
+		private readonly context: Pick<OwnerContext, 'backends' | 'events' | 'metrics'>,
 		private readonly leases: Pick<LeaseLedger, 'inherit' | 'isOver'>,
 		private readonly replan: () => void
 	) {}
@@ -56,21 +56,21 @@
 		if (!isComplete || row.unreadRuns.size === 0) return
 		const listedTasks = new Set<string>(running.map(({ task }) => task))
 		const listedJobs = new Set(running.map(({ task }) => getJobId(task)))
-		this.end(row, 'not listed', (run) =>
+		this.end(row, 'unlisted', (run) =>
 			run.use ? !listedTasks.has(getUnreadRunKey(run)) : !listedJobs.has(run.job)
 		)
 	}
 
 	/** Handles that the leases on a server have expired. */
 	handleLeasesExpired(row: BackendRow): void {
-		this.end(row, 'all leases have expired', ({ recordedAt }) =>
+		this.end(row, 'lapsed', ({ recordedAt }) =>
 			this.leases.isOver({ orderState: 'inherited', orderStateChangedAt: recordedAt })
 		)
 	}
 
 	/** Handles that the process of a server has ended. */
 	handleProcessEnd(row: BackendRow): void {
-		this.end(row, 'backend server gone', () => true)
+		this.end(row, 'gone', () => true)
 	}
 
 	/** Returns how many runs are counted, and of how many of them no record tells what they use. */
@@ -79,13 +79,19 @@
 		return { unreadRuns: runs.length, unknownUses: runs.filter(({ use }) => !use).length }
 	}
 
-	private end(row: BackendRow, reason: string, isOver: (run: UnreadRun) => boolean): void {
+	private end(
+		row: BackendRow,
+		reason: 'unlisted' | 'lapsed' | 'gone',
+		isOver: (run: UnreadRun) => boolean
+	): void {
 		const over = [...row.unreadRuns.values()].filter(isOver)
 		if (over.length === 0) return
-		for (const run of over) this.context.backends.removeUnreadRun(run)
+		const { backends, events, metrics } = this.context
+		for (const run of over) backends.removeUnreadRun(run)
+		metrics.count('unread_run_ends', reason, over.length)
 		const { id: backend, unreadRuns } = row
 		const details = { backend, reason, count: over.length, remaining: unreadRuns.size }
-		this.context.events.info('unread-runs-ended', details)
+		events.info('unread-runs-ended', details)
 		this.replan()
 	}
 }
