--- a/packages/jobs/src/lib/owner/begunJobs.test.ts
+++ b/packages/jobs/src/lib/owner/begunJobs.test.ts
@@ -86,7 +86,7 @@
 		expect(countWaiting(fleet)).toEqual([0, 0, 0])
 	})
 
-	it('does not count as waiting once it has ended without a run that is known of', async () => {
+	it('does not count as waiting if its run has ended before the next listing', async () => {
 		const { fleet, submit } = await createFleet()
 		for (const backend of fleet.backends.values()) backend.getRunDuration = () => 1
 		submit([{ count: 1 }])
--- a/packages/jobs/src/lib/owner/unreadRuns.test.ts
+++ b/packages/jobs/src/lib/owner/unreadRuns.test.ts
@@ -21,6 +21,10 @@
 const START_TIME = 1_000
 /** Time after which no lease of an earlier owner holds any more, in milliseconds. */
 const LEASE_TIME = 12_000
+/** Time between two looks at what runs, in milliseconds. */
+const LOOK_INTERVAL = 10
+/** How many numbers, and so ids, there are to choose from for each job. */
+const NUMBERS_PER_JOB = 100
 
 // Guards against starts above a team's limit, or on a full server, by an owner that has not read the job whose
 // tasks use them: one partition of the submissions cannot be read while all instances are started again.
@@ -222,16 +226,14 @@
 
 /** Creates a job whose submission is in another stream than that of `other`. */
 function createJobElsewhere(number: number, team: string, step: Partial<JobStep>, other: Job): Job {
-	const NUMBERS_PER_JOB = 100
 	for (let candidate = number * NUMBERS_PER_JOB; ; candidate += 1) {
 		const job = createJob(candidate, team, step)
 		if (getHomeStream(job.id) !== getHomeStream(other.id)) return job
 	}
 }
 
-/** Lets time pass, and checks that the limited team never has more than a number of tasks running. */
+/** Lets time pass, and checks that there are never more than a number of tasks running. */
 async function advanceWithin(fleet: TestFleet, duration: number, limit: number): Promise<void> {
-	const LOOK_INTERVAL = 10
 	for (let time = 0; time < duration; time += LOOK_INTERVAL) {
 		await fleet.advance(LOOK_INTERVAL)
 		expect(fleet.journal.running.length).toBeLessThanOrEqual(limit)
